--- /dev/null
+++ b/lovagedispatch/command.go
@@ -0,0 +1,88 @@
+package lovagedispatch
+
+import (
+	"time"
+
+	"lovagestack/lovagejob"
+)
+
+// Command is an output of [Core.Step]. The concrete types are the structs of this file.
+type Command interface{ isCommand() }
+
+// StartTask asks the integrator to send a task to a worker. [TaskEnded] is due in any case.
+type StartTask struct {
+	Job    uint64
+	Task   int
+	Worker string
+	Loan   uint64 // loan whose slot is used; 0 for a slot of this instance's own share
+}
+
+// StopTask says that the result of a running task is of no use any more. The integrator may stop it; [TaskEnded] is
+// still due.
+type StopTask struct {
+	Job    uint64
+	Task   int
+	Worker string
+}
+
+// FinishJob ends a job, exactly once. The integrator has collected the results of a complete job from its TaskEnded
+// events.
+type FinishJob struct {
+	Job     uint64
+	Outcome lovagejob.Outcome // complete, failed, notRun or cancelled
+	Reason  string            // empty if complete
+	RetryAt time.Time         // earliest useful time to submit again; zero if trying again is of no use or not refused
+	Started int               // tasks that started or may have started
+}
+
+// AskSlots asks a peer to lend slots. The answer is due as [SlotsLent] with the same Ask.
+type AskSlots struct {
+	To      string
+	Ask     uint64
+	Service string
+	Slots   int
+	Until   time.Time // wanted end of the loan
+}
+
+// LendSlots answers [SlotsAsked].
+type LendSlots struct {
+	To    string
+	Ask   uint64
+	Loan  uint64 // 0 if Slots is empty
+	Slots []LentSlots
+	Until time.Time // time until which the borrower may start tasks on the slots
+}
+
+// ReturnSlots gives borrowed slots back to their lender. Losing it does no harm: the lender takes the slots back when
+// the loan has ended.
+type ReturnSlots struct {
+	To    string
+	Loan  uint64
+	Slots []LentSlots
+}
+
+// WakeAt asks for a [Tick] at a time. The earliest of the times asked for is what counts.
+type WakeAt struct{ At time.Time }
+
+func (StartTask) isCommand()   {}
+func (StopTask) isCommand()    {}
+func (FinishJob) isCommand()   {}
+func (AskSlots) isCommand()    {}
+func (LendSlots) isCommand()   {}
+func (ReturnSlots) isCommand() {}
+func (WakeAt) isCommand()      {}
+
+// ServiceLoad is the part of [Load] that concerns one service.
+type ServiceLoad struct {
+	Service     string
+	FreeSlots   int // free slots of the instance's own share that can run the service
+	QueuedTasks int
+}
+
+// Load summarises an instance for its heartbeats.
+type Load struct {
+	FreeSlots    int // free slots of the instance's own share
+	QueuedTasks  int
+	RunningTasks int
+	Services     []ServiceLoad // in the order of their names
+}
--- /dev/null
+++ b/lovagedispatch/event.go
@@ -0,0 +1,172 @@
+package lovagedispatch
+
+import "time"
+
+// Event is an input of [Core.Step]. The concrete types are the structs of this file.
+type Event interface{ isEvent() }
+
+// Submit offers a job for admission. Job must be new to the core and not 0. The answer is a [FinishJob], at once if
+// the job is refused.
+type Submit struct {
+	Job                  uint64
+	Service              string
+	Team                 string
+	Deadline             time.Time
+	DeclaredRunTime      time.Duration // per task; used until the service's run time is learned
+	DeclaredCores        int64         // per task, as are the other sizes; 0 means no requirement
+	DeclaredMemoryBytes  int64
+	DeclaredAccelerators int64
+	Tasks                int // number of tasks; their indexes are 0 to Tasks-1
+}
+
+// Cancel ends a job at the caller's request. It is ignored if the job is unknown or has ended.
+type Cancel struct{ Job uint64 }
+
+// TaskState says how a started task ended.
+type TaskState string
+
+// States of an ended task.
+const (
+	// Succeeded: the worker ran the task and replied with success.
+	Succeeded TaskState = "succeeded"
+	// Failed: the worker ran the task and replied with an error.
+	Failed TaskState = "failed"
+	// NotStarted: no byte of the request was written, or the worker says that it did not start the task.
+	NotStarted TaskState = "notStarted"
+	// Unknown: the task may have started, its end is not known.
+	Unknown TaskState = "unknown"
+)
+
+// TaskEnded reports the end of a task given out by [StartTask]. Exactly one is due for each StartTask, also after the
+// job has ended or [StopTask] was given; the slot stays counted as used until then. Duplicates are ignored.
+type TaskEnded struct {
+	Job     uint64
+	Task    int
+	Worker  string
+	State   TaskState
+	Leaving bool   // the worker said that it is leaving
+	Err     string // reason, part of the job's reason if the job fails
+}
+
+// Worker describes one worker of a pool.
+type Worker struct {
+	ID           string
+	DataCentre   string
+	Pool         string
+	Slots        int // tasks that the worker runs at once
+	Cores        int64
+	MemoryBytes  int64
+	Accelerators int64
+	Leaving      bool
+}
+
+// WorkersChanged gives the complete set of workers in all data centres. A worker that is missing gets no new tasks;
+// its tasks in flight stay counted. A worker that was seen leaving stays so until a set without it was given.
+type WorkersChanged struct{ Workers []Worker }
+
+// WorkerLeaving says that a worker is leaving, by whatever source. It gets no new task from this step on.
+type WorkerLeaving struct{ Worker string }
+
+// Member is a live entry instance.
+type Member struct {
+	ID         string
+	DataCentre string
+}
+
+// MembersChanged gives the complete set of live instances in all data centres, this instance included. An instance
+// that is not in the set has no share of its own and can only borrow.
+type MembersChanged struct{ Members []Member }
+
+// PeerLoad is the load summary in a peer's heartbeat.
+type PeerLoad struct {
+	Instance string
+	Load     Load
+}
+
+// LentSlots is a number of slots on one worker.
+type LentSlots struct {
+	Worker string
+	Slots  int
+}
+
+// SlotsAsked is a peer's request to borrow slots. The answer is one [LendSlots], with no slots if none is lent.
+type SlotsAsked struct {
+	From    string
+	Ask     uint64 // echoed in the answer
+	Service string
+	Slots   int       // slots wanted
+	Until   time.Time // wanted end of the loan, on this instance's clock
+}
+
+// SlotsLent is the answer to [AskSlots]. The integrator gives it with no slots if the peer cannot be reached. If it
+// never comes, the core gives the ask up after [Settings.AskTimeout]; a later answer is returned to the lender.
+type SlotsLent struct {
+	From  string
+	Ask   uint64
+	Loan  uint64 // identifies the loan together with From
+	Slots []LentSlots
+	Until time.Time // end of the loan, on this instance's clock
+}
+
+// SlotsReturned gives back slots of a loan made by this instance.
+type SlotsReturned struct {
+	From  string
+	Loan  uint64
+	Slots []LentSlots
+}
+
+// Weight chooses between response time and fewer messages.
+type Weight string
+
+// Weights of a service.
+const (
+	// ResponseTime: borrow as soon as a task has to wait noticeably. The default.
+	ResponseTime Weight = "responseTime"
+	// FewerMessages: borrow only if the wait is long, and in larger batches.
+	FewerMessages Weight = "fewerMessages"
+)
+
+// Service describes a service that jobs may name.
+type Service struct {
+	Name           string
+	Pools          []string // pools whose workers run the service; empty means every pool
+	Weight         Weight   // empty means ResponseTime
+	MaxQueuedTasks int      // bound on queued tasks of the service at this instance; 0 means Settings.MaxQueuedTasks
+	RetryRatio     float64  // not-started tasks retried per task started; 0 means Settings.RetryRatio
+}
+
+// ServicesChanged gives the complete set of services. Queued jobs of a removed service stay queued until a worker can
+// take them or their deadline passes.
+type ServicesChanged struct{ Services []Service }
+
+// Team is a quota.
+type Team struct {
+	Name           string
+	Weight         float64 // share relative to other teams; 0 means 1
+	MaxRunning     int     // bound on tasks of the team that this instance runs at once; 0 means no bound
+	MaxQueuedTasks int     // bound on queued tasks of the team at this instance; 0 means Settings.MaxQueuedTasks
+}
+
+// TeamsChanged gives the complete set of teams. A team that is not in the set has weight 1 and no limits of its own.
+type TeamsChanged struct{ Teams []Team }
+
+// Tick lets time pass. It is due at each time asked for by [WakeAt]; more ticks do no harm.
+type Tick struct{}
+
+// Drain makes the core refuse new jobs. Accepted jobs are finished.
+type Drain struct{}
+
+func (Submit) isEvent()          {}
+func (Cancel) isEvent()          {}
+func (TaskEnded) isEvent()       {}
+func (WorkersChanged) isEvent()  {}
+func (WorkerLeaving) isEvent()   {}
+func (MembersChanged) isEvent()  {}
+func (PeerLoad) isEvent()        {}
+func (SlotsAsked) isEvent()      {}
+func (SlotsLent) isEvent()       {}
+func (SlotsReturned) isEvent()   {}
+func (ServicesChanged) isEvent() {}
+func (TeamsChanged) isEvent()    {}
+func (Tick) isEvent()            {}
+func (Drain) isEvent()           {}
--- /dev/null
+++ b/lovagedispatch/settings.go
@@ -0,0 +1,72 @@
+package lovagedispatch
+
+import "time"
+
+// Policy selects how workers are chosen and which slots may be used.
+type Policy string
+
+// Policies. Lending is the default; the others serve comparison.
+const (
+	// Lending: least expected completion time on the exclusive share and on borrowed slots.
+	Lending Policy = "lending"
+	// Shares: as Lending, without borrowing.
+	Shares Policy = "shares"
+	// Alone: least expected completion time on all slots of all workers, ignoring other instances.
+	Alone Policy = "alone"
+	// Random: a random worker with a slot not used by this instance, ignoring other instances.
+	Random Policy = "random"
+	// RoundRobin: the worker that got a task longest ago, ignoring other instances.
+	RoundRobin Policy = "roundRobin"
+	// LeastInFlight: the worker with the fewest tasks of this instance, ignoring other instances.
+	LeastInFlight Policy = "leastInFlight"
+)
+
+// Settings are fixed for the life of a [Core].
+type Settings struct {
+	Instance   string // ID of this instance among the members
+	DataCentre string // data centre of this instance
+	Policy     Policy
+
+	DefaultRunTime     time.Duration // assumed for a service without learned or declared run time
+	LatencyOther       time.Duration // one-way latency to workers in another data centre, added to their cost
+	Ageing             float64       // seconds of remaining work that a second of waiting makes up for
+	MaxQueuedTasks     int           // bound on queued tasks per service and per team without a bound of their own
+	MaxTotalTasks      int           // bound on queued tasks in all
+	RetryRatio         float64       // not-started tasks retried per task started, per service
+	RetryBurst         int           // retries allowed on top of the ratio
+	RefusalBackOff     time.Duration // pause after a worker's first refusal in a row; doubles with each
+	MaxRefusalBackOff  time.Duration
+	EjectionBackOff    time.Duration // time from ejection to the first probe; doubles with each failed probe
+	MaxEjectionBackOff time.Duration
+	LoanTerm           time.Duration // time for which slots are borrowed
+	LoanGrace          time.Duration // extra time for which the lender keeps lent slots unused, for tasks in flight
+	AskTimeout         time.Duration // time after which an unanswered ask is given up
+	MaxLoanSlots       int           // bound on slots per loan
+}
+
+// DefaultSettings returns the settings of an instance without settings of its own.
+func DefaultSettings(instance, dataCentre string) Settings {
+	return Settings{
+		Instance:   instance,
+		DataCentre: dataCentre,
+		Policy:     Lending,
+
+		// The middle of the users' stated range of 50 ms to 1 s, on a logarithmic scale.
+		DefaultRunTime: 200 * time.Millisecond,
+		LatencyOther:   1400 * time.Microsecond, // stated by both users
+		// A job of 350 tasks of 300 ms overtakes newly submitted single tasks after about 5 s.
+		Ageing:             20,
+		MaxQueuedTasks:     100_000,
+		MaxTotalTasks:      1_000_000,
+		RetryRatio:         0.2,
+		RetryBurst:         50,
+		RefusalBackOff:     5 * time.Millisecond,
+		MaxRefusalBackOff:  time.Second,
+		EjectionBackOff:    time.Second,
+		MaxEjectionBackOff: time.Minute,
+		LoanTerm:           2 * time.Second,
+		LoanGrace:          time.Second,
+		AskTimeout:         500 * time.Millisecond,
+		MaxLoanSlots:       64,
+	}
+}
