lovageconfig: read settings and report all findings with their place

Ruled out: go-toml's strict decoder alone, because it reports unknown keys or one type fault but never both. Change: go-toml parses, its unstable parser gives the place of each key, and a decoder of our own assigns values and collects findings. It also reads JSON, for resource files and rejected requests. Conclusion: ready for use by lovageentry and lovageresource.

--- /dev/null
+++ b/lovageconfig/check.go
@@ -0,0 +1,178 @@
+package lovageconfig
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"lovagestack/lovagejob"
+)
+
+// checker collects findings about values. A field that already has a finding gets no second one.
+type checker struct {
+	doc      *Document
+	faulty   map[string]bool
+	findings []Finding
+}
+
+func check(doc *Document, se *Settings, decoded []Finding) []Finding {
+	ch := &checker{doc: doc, faulty: map[string]bool{}}
+	for _, fi := range decoded {
+		ch.faulty[fi.Field] = true
+	}
+	ch.names(se)
+	ch.addresses(se)
+	ch.limits(&se.Limits)
+	ch.timings(se)
+	if se.Trace.Ratio < 0 || se.Trace.Ratio > 1 {
+		ch.add("trace.ratio", "%v is not between 0 and 1", se.Trace.Ratio)
+	}
+	if se.Trace.OTLP.IsValid() && se.Trace.File != "" {
+		ch.add("trace.file", "clashes with trace.otlp; set one of them")
+	}
+	if levels := []string{"debug", "info", "warn", "error"}; !slices.Contains(levels, se.Log.Level) {
+		ch.add("log.level", "%q is not one of %q", se.Log.Level, levels)
+	}
+	return ch.findings
+}
+
+func (ch *checker) add(field, format string, args ...any) {
+	if ch.faulty[field] {
+		return
+	}
+	ch.faulty[field] = true
+	ch.findings = append(ch.findings, ch.doc.Finding(field, format, args...))
+}
+
+func (ch *checker) names(se *Settings) {
+	for _, it := range []struct{ field, value string }{{"id", se.ID}, {"dataCentre", se.DataCentre}} {
+		switch {
+		case !ch.doc.Has(it.field):
+			ch.add(it.field, "is missing")
+		case !lovagejob.ValidName(it.value):
+			ch.add(it.field, "%q is not a name of 1 to 48 lower-case letters, digits and inner hyphens", it.value)
+		}
+	}
+}
+
+func (ch *checker) addresses(se *Settings) {
+	listen := []struct {
+		field string
+		value netip.AddrPort
+	}{
+		{"addresses.caller", se.Addresses.Caller},
+		{"addresses.operator", se.Addresses.Operator},
+		{"addresses.peer", se.Addresses.Peer},
+	}
+	for i, it := range listen {
+		switch {
+		case !ch.doc.Has(it.field):
+			ch.add(it.field, "is missing")
+			continue
+		case it.value.Port() == 0:
+			ch.add(it.field, "port 0 cannot be reached by others")
+		}
+		for _, other := range listen[:i] {
+			if overlap(it.value, other.value) {
+				ch.add(it.field, "%s clashes with %s, which is %s", it.value, other.field, other.value)
+			}
+		}
+	}
+	if se.Addresses.Peer.IsValid() && se.Addresses.Peer.Addr().IsUnspecified() {
+		ch.add("addresses.peer", "%s cannot be given to peers; it needs the instance's own IP address", se.Addresses.Peer)
+	}
+	if len(se.Platform.Addresses) == 0 {
+		ch.add("platform.addresses", "needs at least one address")
+	}
+	ch.remotes("platform.addresses", se.Platform.Addresses)
+	ch.remotes("peers.seeds", se.Peers.Seeds)
+	if se.Trace.OTLP.IsValid() {
+		ch.remote("trace.otlp", se.Trace.OTLP)
+	}
+}
+
+// remotes checks a list of addresses to connect to.
+func (ch *checker) remotes(field string, list []netip.AddrPort) {
+	for i, ad := range list {
+		ch.remote(indexPath(field, i), ad)
+		if slices.Contains(list[:i], ad) {
+			ch.add(indexPath(field, i), "%s occurs twice", ad)
+		}
+	}
+}
+
+func (ch *checker) remote(field string, ad netip.AddrPort) {
+	if ad.Port() == 0 || ad.Addr().IsUnspecified() {
+		ch.add(field, "%s cannot be connected to", ad)
+	}
+}
+
+// overlap reports whether two listeners would take the same port on a common IP address.
+func overlap(a, b netip.AddrPort) bool {
+	if !a.IsValid() || !b.IsValid() || a.Port() != b.Port() || a.Port() == 0 {
+		return false
+	}
+	return a.Addr() == b.Addr() || a.Addr().IsUnspecified() || b.Addr().IsUnspecified()
+}
+
+func (ch *checker) limits(li *Limits) {
+	for _, it := range []struct {
+		field      string
+		value, max int64
+	}{
+		{"limits.tasksPerJob", int64(li.TasksPerJob), 1_000_000},
+		{"limits.payloadBytes", int64(li.PayloadBytes), 1 << 30},
+		{"limits.bodyBytes", li.BodyBytes, 1 << 32},
+		{"limits.queuedTasks", int64(li.QueuedTasks), 1 << 30},
+		{"limits.queuedJobs", int64(li.QueuedJobs), 1 << 30},
+		{"limits.callerRequests", int64(li.CallerRequests), 1 << 30},
+		{"limits.operatorRequests", int64(li.OperatorRequests), 1 << 30},
+	} {
+		if it.value < 1 || it.value > it.max {
+			ch.add(it.field, "%d is not between 1 and %d", it.value, it.max)
+		}
+	}
+	if int64(li.PayloadBytes) > li.BodyBytes && !ch.faulty["limits.bodyBytes"] {
+		ch.add("limits.payloadBytes", "%d is more than limits.bodyBytes, which is %d", li.PayloadBytes, li.BodyBytes)
+	}
+	if li.TasksPerJob > li.QueuedTasks && !ch.faulty["limits.queuedTasks"] {
+		ch.add("limits.tasksPerJob", "%d is more than limits.queuedTasks, which is %d", li.TasksPerJob, li.QueuedTasks)
+	}
+}
+
+func (ch *checker) timings(se *Settings) {
+	for _, it := range []struct {
+		field    string
+		value    time.Duration
+		min, max time.Duration
+	}{
+		{"platform.timeout", se.Platform.Timeout, time.Millisecond, time.Minute},
+		{"limits.maxDeadline", se.Limits.MaxDeadline, time.Millisecond, 15 * time.Minute}, // key lifetime
+		{"lease.ttl", se.Lease.TTL, 100 * time.Millisecond, 10 * time.Minute},
+		{"lease.renewal", se.Lease.Renewal, 10 * time.Millisecond, 10 * time.Minute},
+		{"heartbeat.interval", se.Heartbeat.Interval, 10 * time.Millisecond, time.Minute},
+		{"heartbeat.suspect", se.Heartbeat.Suspect, 10 * time.Millisecond, 10 * time.Minute},
+		{"heartbeat.gone", se.Heartbeat.Gone, 10 * time.Millisecond, 10 * time.Minute},
+		{"shutdown.balancerLag", se.Shutdown.BalancerLag, 0, time.Hour},
+		{"shutdown.deadline", se.Shutdown.Deadline, 0, 24 * time.Hour},
+	} {
+		if it.value < it.min || it.value > it.max {
+			ch.add(it.field, "%s is not between %s and %s", it.value, it.min, it.max)
+		}
+	}
+	ch.less("lease.renewal", se.Lease.Renewal, "lease.ttl", se.Lease.TTL)
+	ch.less("heartbeat.interval", se.Heartbeat.Interval, "heartbeat.suspect", se.Heartbeat.Suspect)
+	ch.less("heartbeat.suspect", se.Heartbeat.Suspect, "heartbeat.gone", se.Heartbeat.Gone)
+	ch.less("shutdown.balancerLag", se.Shutdown.BalancerLag, "shutdown.deadline", se.Shutdown.Deadline)
+}
+
+// less demands that one duration is shorter than another, and reports the field that the document sets.
+func (ch *checker) less(field string, value time.Duration, boundField string, bound time.Duration) {
+	switch {
+	case value < bound || ch.faulty[boundField]:
+	case !ch.doc.Has(field) && ch.doc.Has(boundField):
+		ch.add(boundField, "%s must be longer than %s, which is %s", bound, field, value)
+	default:
+		ch.add(field, "%s must be shorter than %s, which is %s", value, boundField, bound)
+	}
+}
--- /dev/null
+++ b/lovageconfig/decode.go
@@ -0,0 +1,225 @@
+package lovageconfig
+
+import (
+	"encoding"
+	"encoding/json"
+	"fmt"
+	"math"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Decode sets target, a pointer to a struct, from the whole document. Fields are found by their toml or json tag; a
+// value without a field is a finding, a field without a value is left as it is. All findings are returned.
+func (doc *Document) Decode(target any) []Finding { return doc.DecodeAt("", target) }
+
+// DecodeAt is Decode for the value at the path. A path without a value sets nothing.
+func (doc *Document) DecodeAt(path string, target any) []Finding {
+	de := decoder{doc: doc}
+	de.set(path, doc.find(path), reflect.ValueOf(target).Elem())
+	SortFindings(de.findings)
+	return de.findings
+}
+
+type decoder struct {
+	doc      *Document
+	findings []Finding
+}
+
+func (de *decoder) add(path, format string, args ...any) {
+	de.findings = append(de.findings, de.doc.Finding(path, format, args...))
+}
+
+// set stores the value in the target or adds findings.
+func (de *decoder) set(path string, value any, target reflect.Value) {
+	if value == nil {
+		return // JSON null stands for an absent value
+	}
+	switch tgt := target.Addr().Interface().(type) {
+	case *json.RawMessage, *any:
+		if target.Kind() == reflect.Interface {
+			target.Set(reflect.ValueOf(value))
+		}
+		return
+	case *time.Duration:
+		if text, ok := de.text(path, value, `a duration such as "250ms"`); ok {
+			parsed, err := time.ParseDuration(text)
+			if err != nil {
+				de.add(path, "%q is not a duration such as \"250ms\"", text)
+				return
+			}
+			*tgt = parsed
+		}
+		return
+	case *time.Time:
+		if instant, ok := value.(time.Time); ok {
+			*tgt = instant
+			return
+		}
+		if text, ok := de.text(path, value, "a time in the form of RFC 3339"); ok {
+			if err := tgt.UnmarshalText([]byte(text)); err != nil {
+				de.add(path, "%q is not a time in the form of RFC 3339", text)
+			}
+		}
+		return
+	case encoding.TextUnmarshaler:
+		if text, ok := de.text(path, value, "a string"); ok {
+			if err := tgt.UnmarshalText([]byte(text)); err != nil {
+				de.add(path, "%s", err)
+			}
+		}
+		return
+	}
+	de.setKind(path, value, target)
+}
+
+// text returns the value if it is a string and adds a finding otherwise.
+func (de *decoder) text(path string, value any, want string) (string, bool) {
+	text, ok := value.(string)
+	if !ok {
+		de.add(path, "%s is not %s", describe(value), want)
+	}
+	return text, ok
+}
+
+func (de *decoder) setKind(path string, value any, target reflect.Value) {
+	switch target.Kind() {
+	case reflect.Struct:
+		de.setStruct(path, value, target)
+	case reflect.Slice:
+		list, ok := value.([]any)
+		if !ok {
+			de.add(path, "%s is not an array", describe(value))
+			return
+		}
+		out := reflect.MakeSlice(target.Type(), len(list), len(list))
+		for i := range list {
+			de.set(indexPath(path, i), list[i], out.Index(i))
+		}
+		target.Set(out)
+	case reflect.Pointer:
+		target.Set(reflect.New(target.Type().Elem()))
+		de.set(path, value, target.Elem())
+	case reflect.String:
+		if text, ok := de.text(path, value, "a string"); ok {
+			target.SetString(text)
+		}
+	case reflect.Bool:
+		flag, ok := value.(bool)
+		if !ok {
+			de.add(path, "%s is not true or false", describe(value))
+		}
+		target.SetBool(flag)
+	case reflect.Int, reflect.Int32, reflect.Int64:
+		de.setInt(path, value, target)
+	case reflect.Float64:
+		de.setFloat(path, value, target)
+	default:
+		panic(fmt.Sprintf("lovageconfig: field %s has the unsupported type %s", path, target.Type()))
+	}
+}
+
+func (de *decoder) setInt(path string, value any, target reflect.Value) {
+	var whole int64
+	switch va := value.(type) {
+	case int64:
+		whole = va
+	case json.Number:
+		parsed, err := va.Int64()
+		if err != nil {
+			de.add(path, "%s is not a whole number of 64 bits", va)
+			return
+		}
+		whole = parsed
+	default:
+		de.add(path, "%s is not a whole number", describe(value))
+		return
+	}
+	if target.OverflowInt(whole) {
+		de.add(path, "%d is out of range", whole)
+		return
+	}
+	target.SetInt(whole)
+}
+
+func (de *decoder) setFloat(path string, value any, target reflect.Value) {
+	var number float64
+	switch va := value.(type) {
+	case int64:
+		number = float64(va)
+	case float64:
+		number = va
+	case json.Number:
+		number, _ = va.Float64()
+	default:
+		de.add(path, "%s is not a number", describe(value))
+		return
+	}
+	if math.IsNaN(number) || math.IsInf(number, 0) {
+		de.add(path, "%s is not a finite number", describe(value))
+		return
+	}
+	target.SetFloat(number)
+}
+
+func (de *decoder) setStruct(path string, value any, target reflect.Value) {
+	table, ok := value.(map[string]any)
+	if !ok {
+		de.add(path, "%s is not a table", describe(value))
+		return
+	}
+	names := make([]string, 0, target.NumField())
+	for i := range target.NumField() {
+		name := fieldName(target.Type().Field(i))
+		if name == "" {
+			continue
+		}
+		names = append(names, name)
+		if va, ok := table[name]; ok {
+			de.set(joinPath(path, name), va, target.Field(i))
+		}
+	}
+	for key := range table {
+		if !slices.Contains(names, key) {
+			de.add(joinPath(path, key), "is not known here; known are %s", strings.Join(names, ", "))
+		}
+	}
+}
+
+// fieldName returns the name of a field in texts, empty if it has none.
+func fieldName(field reflect.StructField) string {
+	tag, ok := field.Tag.Lookup("toml")
+	if !ok {
+		tag = field.Tag.Get("json")
+	}
+	name, _, _ := strings.Cut(tag, ",")
+	if name == "-" {
+		return ""
+	}
+	return name
+}
+
+// describe names a value and its type for a finding.
+func describe(value any) string {
+	switch va := value.(type) {
+	case string:
+		return fmt.Sprintf("the string %q", va)
+	case json.Number:
+		return "the number " + va.String()
+	case int64, float64:
+		return fmt.Sprintf("the number %v", va)
+	case bool:
+		return fmt.Sprintf("the value %t", va)
+	case map[string]any:
+		return "a table"
+	case []any:
+		return "an array"
+	case time.Time, toml.LocalDate, toml.LocalTime, toml.LocalDateTime:
+		return fmt.Sprintf("the time %v", va)
+	}
+	return fmt.Sprintf("%v", value)
+}
--- /dev/null
+++ b/lovageconfig/finding.go
@@ -0,0 +1,46 @@
+package lovageconfig
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Finding is one fault of an input, with its place where that is known.
+type Finding struct {
+	File    string `json:"file,omitempty"`
+	Line    int    `json:"line,omitempty"`   // from 1; 0 if not known
+	Column  int    `json:"column,omitempty"` // in bytes from 1; 0 if not known
+	Field   string `json:"field,omitempty"`  // for example "limits.tasksPerJob" or "resources[2].spec.workers[0].address"
+	Problem string `json:"problem"`
+}
+
+// String returns "file:line:column: field: problem" without the parts that are not known.
+func (fi Finding) String() string {
+	var bu strings.Builder
+	if fi.File != "" {
+		bu.WriteString(fi.File)
+		bu.WriteByte(':')
+	}
+	if fi.Line > 0 {
+		fmt.Fprintf(&bu, "%d:%d:", fi.Line, fi.Column)
+	}
+	if bu.Len() > 0 {
+		bu.WriteByte(' ')
+	}
+	if fi.Field != "" {
+		bu.WriteString(fi.Field)
+		bu.WriteString(": ")
+	}
+	bu.WriteString(fi.Problem)
+	return bu.String()
+}
+
+// SortFindings orders findings by file, line, column and field.
+func SortFindings(findings []Finding) {
+	slices.SortStableFunc(findings, func(a, b Finding) int {
+		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column),
+			cmp.Compare(a.Field, b.Field))
+	})
+}
