--- a/lovageconfig/json.go
+++ b/lovageconfig/json.go
@@ -104,8 +104,8 @@
 		key, _ := token.(string)
 		sub := joinPath(path, key)
 		if _, ok := table[key]; ok {
-			fi := pa.doc.Finding(sub, "occurs twice")
-			pa.findings = append(pa.findings, fi)
+			pa.doc.places[sub] = offset
+			pa.findings = append(pa.findings, pa.doc.Finding(sub, "occurs twice"))
 		}
 		pa.doc.place(sub, offset)
 		if table[key], err = pa.value(sub, depth+1); err != nil {
--- /dev/null
+++ b/lovageresource/decode.go
@@ -0,0 +1,101 @@
+package lovageresource
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+
+	"lovagestack/lovageconfig"
+)
+
+// Decode reads a resource file, as JSON if its name ends in ".json" and as TOML otherwise.
+func Decode(file string, data []byte) ([]Resource, []lovageconfig.Finding) {
+	if strings.EqualFold(filepath.Ext(file), ".json") {
+		return DecodeJSON(file, data)
+	}
+	return DecodeTOML(file, data)
+}
+
+// DecodeTOML reads resources declared as [[resources]] tables. If there are findings, no resource may be used.
+func DecodeTOML(file string, data []byte) ([]Resource, []lovageconfig.Finding) {
+	doc, findings := lovageconfig.ParseTOML(file, data)
+	if len(findings) > 0 {
+		return nil, findings
+	}
+	return decodeAll(doc)
+}
+
+// DecodeJSON reads an object {"resources": [...]} or a single resource. If there are findings, no resource may be
+// used.
+func DecodeJSON(file string, data []byte) ([]Resource, []lovageconfig.Finding) {
+	doc, findings := lovageconfig.ParseJSON(file, data)
+	if len(findings) > 0 {
+		return nil, findings
+	}
+	if !doc.Has("resources") {
+		re, findings := decodeOne(doc, "")
+		return []Resource{re}, findings
+	}
+	return decodeAll(doc)
+}
+
+func decodeAll(doc *lovageconfig.Document) ([]Resource, []lovageconfig.Finding) {
+	var top struct {
+		Resources []any `json:"resources"`
+		Revision  int64 `json:"revision"` // written by the list call; says nothing about a declaration
+	}
+	findings := doc.Decode(&top)
+	if len(findings) == 0 && len(top.Resources) == 0 {
+		findings = append(findings, doc.Finding("resources", "the file declares no resource"))
+	}
+	out := make([]Resource, 0, len(top.Resources))
+	places := map[string]string{}
+	for i := range top.Resources {
+		path := fmt.Sprintf("resources[%d]", i)
+		re, faults := decodeOne(doc, path)
+		findings = append(findings, faults...)
+		id := string(re.Kind) + "/" + re.Name
+		if first, ok := places[id]; ok {
+			findings = append(findings, doc.Finding(path+".name", "%s %q is declared at %s too", re.Kind, re.Name, first))
+		}
+		places[id] = path
+		out = append(out, re)
+	}
+	lovageconfig.SortFindings(findings)
+	return out, findings
+}
+
+// decodeOne reads the resource at the path. Faults of values are reported only for fields that could be decoded.
+func decodeOne(doc *lovageconfig.Document, path string) (Resource, []lovageconfig.Finding) {
+	var envelope struct {
+		Kind     string `json:"kind"`
+		Name     string `json:"name"`
+		Revision int64  `json:"revision"`
+		Spec     any    `json:"spec"`
+		Status   any    `json:"status"` // allowed so that the output of get can be applied; ignored
+	}
+	findings := doc.DecodeAt(path, &envelope)
+	re := Resource{Kind: Kind(envelope.Kind), Name: envelope.Name, Revision: envelope.Revision}
+	if target, err := newSpec(re.Kind); err == nil && envelope.Spec != nil {
+		findings = append(findings, doc.DecodeAt(join(path, "spec"), target)...)
+		re.Spec = specOf(target)
+	}
+	faulty := map[string]bool{}
+	for _, fi := range findings {
+		faulty[fi.Field] = true
+	}
+	re.check(func(field, format string, args ...any) {
+		if fi := doc.Finding(join(path, field), format, args...); !faulty[fi.Field] {
+			faulty[fi.Field] = true
+			findings = append(findings, fi)
+		}
+	})
+	return re, findings
+}
+
+func join(path, field string) string {
+	if path == "" {
+		return field
+	}
+	return path + "." + field
+}
--- /dev/null
+++ b/lovageresource/specs.go
@@ -0,0 +1,163 @@
+package lovageresource
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"lovagestack/lovageconfig"
+)
+
+// DefaultName is the name of the configuration that every instance reads.
+const DefaultName = "default"
+
+// Duration is a time.Duration whose JSON and TOML form is a string such as "250ms".
+type Duration = lovageconfig.Duration
+
+// Weight says what a service's users give more weight.
+type Weight string
+
+// Values of Weight.
+const (
+	WeightResponseTime Weight = "responseTime" // a late answer is worse than a wasted message
+	WeightMessages     Weight = "messages"     // a wasted message is worse than a late answer
+)
+
+// Service is a kind of task that workers run.
+type Service struct {
+	RunTime     Duration `json:"runTime"`     // estimate of one task's run time until it is learned; required
+	Weight      Weight   `json:"weight"`      // default "responseTime"
+	QueuedTasks int      `json:"queuedTasks"` // bound of queued tasks per instance; default 50000
+	RetryBudget float64  `json:"retryBudget"` // retries per start, 0 to 1; default 0.1
+	MaxRunTime  Duration `json:"maxRunTime"`  // a task running longer is stopped; default 30s
+}
+
+// DefaultService returns the values that hold for fields a declaration does not set.
+func DefaultService() Service {
+	return Service{
+		Weight: WeightResponseTime, QueuedTasks: 50_000, RetryBudget: 0.1, MaxRunTime: Duration(30 * time.Second),
+	}
+}
+
+// Kind returns KindService.
+func (Service) Kind() Kind { return KindService }
+
+func (sp Service) check(add func(field, format string, args ...any)) {
+	checkDuration(add, "runTime", sp.RunTime, time.Microsecond, time.Hour)
+	checkDuration(add, "maxRunTime", sp.MaxRunTime, time.Millisecond, time.Hour)
+	if sp.RunTime > sp.MaxRunTime {
+		add("runTime", "%s is longer than maxRunTime, which is %s", sp.RunTime, sp.MaxRunTime)
+	}
+	if sp.Weight != WeightResponseTime && sp.Weight != WeightMessages {
+		add("weight", "%q is neither %q nor %q", sp.Weight, WeightResponseTime, WeightMessages)
+	}
+	checkRange(add, "queuedTasks", int64(sp.QueuedTasks), 1, maxCount)
+	checkShare(add, "retryBudget", sp.RetryBudget)
+}
+
+// Pool is a set of workers in one data centre that offer the same services.
+type Pool struct {
+	DataCentre string   `json:"dataCentre"`
+	Services   []string `json:"services"` // names of services that every worker of the pool can run
+	Workers    []Worker `json:"workers"`
+}
+
+// Worker is one backend server.
+type Worker struct {
+	ID           string         `json:"id"`                     // unique among all pools
+	Address      netip.AddrPort `json:"address"`                // IP address and port
+	Slots        int            `json:"slots"`                  // tasks it runs at once
+	Connections  int            `json:"connections"`            // connections it accepts from all instances together
+	Cores        int64          `json:"cores,omitempty"`        // 0: not declared
+	MemoryBytes  int64          `json:"memoryBytes,omitempty"`  // 0: not declared
+	Accelerators int64          `json:"accelerators,omitempty"` // 0: none
+	Rack         string         `json:"rack,omitempty"`
+}
+
+// Kind returns KindPool.
+func (Pool) Kind() Kind { return KindPool }
+
+func (sp Pool) check(add func(field, format string, args ...any)) {
+	checkName(add, "dataCentre", sp.DataCentre)
+	if len(sp.Services) == 0 {
+		add("services", "needs at least one service")
+	}
+	services := map[string]bool{}
+	for i, name := range sp.Services {
+		field := fmt.Sprintf("services[%d]", i)
+		checkName(add, field, name)
+		if services[name] {
+			add(field, "%q occurs twice", name)
+		}
+		services[name] = true
+	}
+	ids, addresses := map[string]bool{}, map[netip.AddrPort]bool{}
+	for i, wo := range sp.Workers {
+		at := func(field, format string, args ...any) { add(fmt.Sprintf("workers[%d].%s", i, field), format, args...) }
+		wo.check(at)
+		if ids[wo.ID] {
+			at("id", "%q occurs twice", wo.ID)
+		}
+		if addresses[wo.Address] && wo.Address.IsValid() {
+			at("address", "%s occurs twice", wo.Address)
+		}
+		ids[wo.ID], addresses[wo.Address] = true, true
+	}
+}
+
+func (wo *Worker) check(add func(field, format string, args ...any)) {
+	checkName(add, "id", wo.ID)
+	if !wo.Address.IsValid() || wo.Address.Port() == 0 || wo.Address.Addr().IsUnspecified() {
+		add("address", "needs an IP address and a port that can be connected to")
+	}
+	checkRange(add, "slots", int64(wo.Slots), 1, 1<<16)
+	checkRange(add, "connections", int64(wo.Connections), 1, 1<<16)
+	checkRange(add, "cores", wo.Cores, 0, 1<<16)
+	checkRange(add, "memoryBytes", wo.MemoryBytes, 0, 1<<50)
+	checkRange(add, "accelerators", wo.Accelerators, 0, 1<<16)
+	if wo.Rack != "" {
+		checkName(add, "rack", wo.Rack)
+	}
+}
+
+// Team is a group of callers with a share of the capacity.
+type Team struct {
+	Weight       float64 `json:"weight"`                 // share relative to other teams; default 1
+	RunningTasks int     `json:"runningTasks,omitempty"` // quota per data centre; 0: none
+	QueuedTasks  int     `json:"queuedTasks,omitempty"`  // quota per instance; 0: none
+}
+
+// DefaultTeam returns the values that hold for fields a declaration does not set.
+func DefaultTeam() Team { return Team{Weight: 1} }
+
+// Kind returns KindTeam.
+func (Team) Kind() Kind { return KindTeam }
+
+func (sp Team) check(add func(field, format string, args ...any)) {
+	if !(sp.Weight >= 0.001 && sp.Weight <= 1000) { // so that no team's virtual time runs away from the others'
+		add("weight", "%v is not between 0.001 and 1000", sp.Weight)
+	}
+	checkRange(add, "runningTasks", int64(sp.RunningTasks), 0, maxCount)
+	checkRange(add, "queuedTasks", int64(sp.QueuedTasks), 0, maxCount)
+}
+
+// maxCount bounds counts of tasks.
+const maxCount = 1 << 30
+
+func checkDuration(add func(field, format string, args ...any), field string, value Duration, lo, hi time.Duration) {
+	if time.Duration(value) < lo || time.Duration(value) > hi {
+		add(field, "%s is not between %s and %s", value, lo, hi)
+	}
+}
+
+func checkRange(add func(field, format string, args ...any), field string, value, lo, hi int64) {
+	if value < lo || value > hi {
+		add(field, "%d is not between %d and %d", value, lo, hi)
+	}
+}
+
+func checkShare(add func(field, format string, args ...any), field string, value float64) {
+	if !(value >= 0 && value <= 1) {
+		add(field, "%v is not between 0 and 1", value)
+	}
+}
