lovageledger: add the state machine of key ranges and key records

Cause: nothing decides yet which instance may start a key. Ruled out: a map from full keys to records with an expiry queue; the short key (epoch, mint time, nonce as a number) holds no pointer, and buckets by mint time are dropped whole, so records need no queue. The replica side is written but only the path of one instance is tested so far.

--- /dev/null
+++ b/lovageledger/command.go
@@ -0,0 +1,150 @@
+package lovageledger
+
+import (
+	"time"
+
+	"lovagestack/lovagejob"
+	"lovagestack/lovageplatform"
+)
+
+// Command is an output of Step: one of the value types of this file.
+type Command interface{ command() }
+
+// Minted answers a Mint. If Keys is empty, no owned range can accept now and Peers lists the live peers to ask.
+type Minted struct {
+	Request uint64
+	Keys    []lovagejob.Key
+	Peers   []string
+}
+
+// Admit hands a key to dispatch. It is given at most once per key, over all instances.
+type Admit struct{ Key lovagejob.Key }
+
+// Fault is a reason why a request got no answer.
+type Fault string
+
+// Faults.
+const (
+	FaultFingerprint Fault = "fingerprintMismatch" // the key belongs to a submission with other content
+	FaultKey         Fault = "badKey"              // no instance can have minted the key
+)
+
+// Reply answers a Submit, an Ask or a Cancel. With Fault set the answer holds only the key, the outcome Unknown and
+// the reason.
+type Reply struct {
+	Request uint64
+	Answer  lovagejob.Answer
+	Fault   Fault
+}
+
+// Forward asks the integrator to send the request to the first target that takes it and to give that answer to the
+// caller. If no target answers, the answer is Unknown. The ledger keeps nothing about the request.
+type Forward struct {
+	Request uint64
+	Key     lovagejob.Key
+	Targets []string // instance IDs, in order
+}
+
+// CancelJob asks dispatch to cancel an admitted key; JobEnded follows.
+type CancelJob struct{ Key lovagejob.Key }
+
+// AcceptKey is a key that the owner wants to start, with the fingerprint of its submission.
+type AcceptKey struct {
+	Key         lovagejob.Key
+	Fingerprint uint64
+}
+
+// SendAccept asks the replica of a range to record keys before they start; answered by AcceptReplied. At most one
+// batch per range and replica is unacknowledged, apart from repeats after AcceptTimeout.
+type SendAccept struct {
+	Peer  string
+	Range RangeID
+	Batch uint64
+	Epoch int64
+	Keys  []AcceptKey
+}
+
+// ReplyAccept answers a PeerAccept.
+type ReplyAccept struct {
+	Call     uint64
+	Accepted bool
+	Epoch    int64
+}
+
+// RecordState is how far a key has come.
+type RecordState string
+
+// States of a record.
+const (
+	StateAccepted RecordState = "accepted" // may have been started by the sender
+	StateEnded    RecordState = "ended"
+)
+
+// Record is the state of one key as instances exchange it.
+type Record struct {
+	Key         lovagejob.Key
+	Fingerprint uint64
+	State       RecordState
+	Answer      lovagejob.Answer // set when ended; without results if they are no longer kept
+}
+
+// SendResult copies ended records to the replica, or to the new owner of a range; answered by ResultReplied.
+type SendResult struct {
+	Peer    string
+	Range   RangeID
+	Batch   uint64
+	Records []Record
+}
+
+// Transfer is one chunk of a range's records for a new replica (Rule E) or a new owner (Rule F).
+type Transfer struct {
+	Transfer      uint64 // number of the transfer, increasing at its sender
+	Chunk         int    // from 0
+	Last          bool
+	Owner         bool // the receiver is to become the owner
+	Range         RangeState
+	DroppedBefore time.Time // the sender may have dropped records of keys minted before this time
+	Records       []Record
+}
+
+// SendTransfer sends one chunk; answered by TransferReplied. The next chunk follows the reply.
+type SendTransfer struct {
+	Peer  string
+	Chunk Transfer
+}
+
+// ReplyTransfer answers a PeerTransfer.
+type ReplyTransfer struct {
+	Call     uint64
+	Accepted bool
+}
+
+// ReadTable reads every row with the prefix; answered by TableRead. The read must not be served from a cache.
+type ReadTable struct {
+	ID     uint64
+	Prefix string
+}
+
+// CommitTable commits a transaction; answered by TableCommitted. The integrator adds the check and the write of the
+// row operation/<instance>.
+type CommitTable struct {
+	ID          uint64
+	Transaction lovageplatform.Transaction
+}
+
+// Drained says that every range has been handed over or that the rest has no possible receiver.
+type Drained struct{ Left int }
+
+func (Minted) command()        {}
+func (Admit) command()         {}
+func (Reply) command()         {}
+func (Forward) command()       {}
+func (CancelJob) command()     {}
+func (SendAccept) command()    {}
+func (ReplyAccept) command()   {}
+func (SendResult) command()    {}
+func (SendTransfer) command()  {}
+func (ReplyTransfer) command() {}
+func (ReadTable) command()     {}
+func (CommitTable) command()   {}
+func (Drained) command()       {}
--- /dev/null
+++ b/lovageledger/doc.go
@@ -0,0 +1,33 @@
+// Package lovageledger decides which instance may start a key, and remembers what became of it.
+//
+// The package exists because a job that may not be repeated must start at most once over all instances, while the
+// table takes far fewer writes than jobs arrive. Keys are grouped into ranges; a row of the table names the owner, the
+// replica and the epoch of each range, and Rules A to F of docs/design.md say who may start a key. [Ledger] is the
+// state machine that follows these rules as the owner and as the replica of ranges. It does no I/O, reads no clock
+// and starts no goroutine. It does not choose workers, does not hold submissions, and knows a job's content only by
+// its fingerprint.
+//
+// # Usage
+//
+//	le := lovageledger.New(lovageledger.Settings{Instance: "kandla-1", DataCentre: "kandla", Rand: rng})
+//	for ev := range events {
+//		for _, co := range le.Step(time.Now(), ev, nil) {
+//			// Carry out the command. Outcomes come back as events.
+//		}
+//	}
+//
+// The integrator keeps to these rules:
+//
+//   - A process that lost its memory uses a new instance ID.
+//   - Tick is due at least every 100 ms.
+//   - A transaction's outcome is Conflict only if it has not taken effect and never will; else it is Ambiguous.
+//   - Every Admit is followed by exactly one JobEnded, whose outcome is NotRun only if no task was started.
+//   - Messages may be lost, repeated, delayed and reordered, but are never altered.
+//
+// # Load on the table
+//
+// In the steady state an instance causes 0.5 writes a second (the renewal of its lease row) and 0.07 reads a second
+// (two prefix reads every 30 s). While an owner of interest is missing, it reads both prefixes every 2 s: 1 read a
+// second. A claim, a take-over and each change of a replica take one write each and at most one read. Reads on demand
+// are limited to 5 a second, and to 1 a second while the table fails.
+package lovageledger
--- /dev/null
+++ b/lovageledger/kept.go
@@ -0,0 +1,50 @@
+package lovageledger
+
+import (
+	"time"
+
+	"lovagestack/lovagejob"
+)
+
+// keptAnswers is the queue of full answers in the order of their ends.
+type keptAnswers struct {
+	queue []keptAnswer
+	head  int
+	bytes int
+}
+
+type keptAnswer struct {
+	rg    *keyRange
+	sk    shortKey
+	until time.Time
+	bytes int
+}
+
+func (ka *keptAnswers) add(le *Ledger, rg *keyRange, sk shortKey, ans *lovagejob.Answer) {
+	entry := keptAnswer{rg: rg, sk: sk, until: le.now.Add(le.se.AnswerKept), bytes: answerBytes(ans)}
+	ka.queue = append(ka.queue, entry)
+	ka.bytes += entry.bytes
+	ka.expire(le)
+}
+
+// expire drops the full answers that are too old, and the oldest ones while they take too much memory. The outcome
+// stays.
+func (ka *keptAnswers) expire(le *Ledger) {
+	for ka.head < len(ka.queue) {
+		entry := &ka.queue[ka.head]
+		if entry.until.After(le.now) && ka.bytes <= le.se.MaxKeptBytes {
+			break
+		}
+		ka.bytes -= entry.bytes
+		if de := entry.rg.store.details[entry.sk]; de != nil && len(de.waiters) == 0 {
+			delete(entry.rg.store.details, entry.sk)
+		}
+		*entry = keptAnswer{}
+		ka.head++
+	}
+	if ka.head > len(ka.queue)/2 {
+		n := copy(ka.queue, ka.queue[ka.head:])
+		clear(ka.queue[n:])
+		ka.queue, ka.head = ka.queue[:n], 0
+	}
+}
--- /dev/null
+++ b/lovageledger/lease.go
@@ -0,0 +1,144 @@
+package lovageledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"lovagestack/lovageplatform"
+)
+
+// leaseState holds this instance's lease row and what it has observed of the others.
+type leaseState struct {
+	version  int64 // of the own row, as far as known
+	renewal  int64
+	renewAt  time.Time
+	renewing bool
+	held     bool // the row has been written at least once
+
+	others map[string]*observedLease
+}
+
+// observedLease is the last version seen of an instance row. Expiry is measured on this instance's clock from the
+// moment at which the version was first seen; no clock is compared across machines.
+type observedLease struct {
+	version   int64
+	firstSeen time.Time
+	unchanged time.Time // when the last read that showed the version was issued
+}
+
+func newLeaseState() leaseState { return leaseState{others: map[string]*observedLease{}} }
+
+// renew writes the lease row when it is due: one write for all ranges.
+func (le *Ledger) renew() {
+	if le.lease.renewing || le.now.Before(le.lease.renewAt) {
+		return
+	}
+	le.lease.renewing = true
+	le.lease.renewal++
+	le.lease.renewAt = le.now.Add(le.se.RenewEvery)
+	value, err := json.Marshal(leaseRow{DataCentre: le.se.DataCentre, Address: le.se.Address, Renewal: le.lease.renewal})
+	if err != nil {
+		panic(err) // strings and integers always encode
+	}
+	id, key := le.newID(), instancePrefix+le.se.Instance
+	tx := lovageplatform.Transaction{
+		OperationID: fmt.Sprintf("%s-%d", le.se.Instance, id),
+		Checks:      []lovageplatform.Check{{Key: key, Version: le.lease.version}},
+		Writes:      []lovageplatform.Write{{Key: key, Value: value}},
+	}
+	if gone, version := le.longGone(); gone != "" {
+		tx.Checks = append(tx.Checks, lovageplatform.Check{Key: gone, Version: version})
+		tx.Writes = append(tx.Writes, lovageplatform.Write{Key: gone, Delete: true})
+	}
+	le.enqueue(transaction{id: id, tx: tx})
+}
+
+func (le *Ledger) renewed(tr *transaction, ev *TableCommitted) {
+	le.lease.renewing = false
+	key := instancePrefix + le.se.Instance
+	switch ev.State {
+	case Committed:
+		le.lease.held = true
+		le.lease.version++
+		if version, ok := ev.Versions[key]; ok {
+			le.lease.version = version
+		}
+		for _, wr := range tr.tx.Writes {
+			if wr.Delete {
+				delete(le.lease.others, strings.TrimPrefix(wr.Key, instancePrefix))
+			}
+		}
+	case Conflict:
+		for _, row := range ev.Conflicts {
+			if row.Key == key {
+				le.lease.version = row.Version
+			} else {
+				delete(le.lease.others, strings.TrimPrefix(row.Key, instancePrefix)) // it lives, or is deleted already
+			}
+		}
+		le.lease.renewAt = le.now.Add(le.se.RetryAfter / 4)
+	case Ambiguous:
+		le.lease.renewAt = le.now.Add(le.se.RetryAfter)
+	}
+}
+
+// leasesRead takes note of all instance rows.
+func (le *Ledger) leasesRead(re *read, rows []lovageplatform.Row) {
+	le.table.lastLeases, le.table.leasesAt = re.id, re.issued
+	present := map[string]bool{}
+	for _, row := range rows {
+		id := strings.TrimPrefix(row.Key, instancePrefix)
+		if id == le.se.Instance {
+			continue
+		}
+		present[id] = true
+		ob := le.lease.others[id]
+		if ob == nil || ob.version != row.Version {
+			le.lease.others[id] = &observedLease{version: row.Version, firstSeen: le.now, unchanged: re.issued}
+			continue
+		}
+		ob.unchanged = re.issued
+	}
+	for id := range le.lease.others {
+		if !present[id] {
+			delete(le.lease.others, id)
+		}
+	}
+}
+
+// expired reports whether the lease of an instance has expired: its row does not exist, or a read that was issued a
+// TTL after the version was first seen still showed that version.
+func (le *Ledger) expired(id string) bool {
+	if id == le.se.Instance || le.table.leasesAt.IsZero() {
+		return false
+	}
+	ob := le.lease.others[id]
+	return ob == nil || ob.unchanged.Sub(ob.firstSeen) >= le.se.LeaseTTL
+}
+
+// lost reports whether a take-over from the instance is worth attempting. No rule depends on it.
+func (le *Ledger) lost(id string) bool {
+	return !le.live(id) && le.expired(id)
+}
+
+// longGoneAfter is how many TTLs an expired instance row is kept, so that its owner's ranges are seen as abandoned by
+// their observers first.
+const longGoneAfter = 100
+
+// longGone returns an instance row to delete along with a renewal. Only the live instance with the lowest ID of its
+// data centre looks for one, so that rows of replaced instances do not accumulate and are not deleted twice.
+func (le *Ledger) longGone() (key string, version int64) {
+	for _, me := range le.peers {
+		if me.ID < le.se.Instance && me.State == MemberLive && me.DataCentre == le.se.DataCentre {
+			return "", 0
+		}
+	}
+	for id, ob := range le.lease.others {
+		if le.lost(id) && ob.unchanged.Sub(ob.firstSeen) >= longGoneAfter*le.se.LeaseTTL && (key == "" || instancePrefix+id < key) {
+			key, version = instancePrefix+id, ob.version
+		}
+	}
+	return key, version
+}
--- /dev/null
+++ b/lovageledger/ledger.go
@@ -0,0 +1,229 @@
+package lovageledger
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"lovagestack/lovagejob"
+)
+
+// Ledger is the state machine of one instance. It is not safe for concurrent use.
+type Ledger struct {
+	se  Settings
+	now time.Time // of the current step
+	out []Command // commands of the current step
+
+	highest int64 // highest time ever seen, Unix milliseconds; ages of keys are measured against it
+
+	ranges map[RangeID]*keyRange
+	order  []RangeID // the keys of ranges, in order
+
+	members map[string]Member
+	peers   []Member // members in order of their IDs, without this instance
+
+	requests requests
+	kept     keptAnswers
+	table    tableState
+	lease    leaseState
+
+	nextID   uint64    // last number given to a batch, read, transaction or transfer
+	claimAt  time.Time // no claim before this time
+	draining bool
+	drained  bool
+}
+
+// keyRange is all that the instance knows of one range.
+type keyRange struct {
+	id      RangeID
+	row     Row
+	version int64 // of the row; 0 if the range has no row as far as known
+	store   *store
+
+	own *ownerState   // set while this instance holds the range, as far as it knows
+	rep *replicaState // set while this instance keeps a copy for the owner
+	inc *incomingState
+	try *attempt // transaction on the row whose result is not known yet
+
+	copies  resultCopies
+	blocked []blockedSubmit // submissions that wait for try to be resolved
+	mintMax int64           // mint time of the last key minted here
+	earlier []string        // former owners, which may still tell the end of their jobs
+	avoid   string          // peer that last failed to take records
+	orphan  bool            // the row names this instance, but it has no records: take over by Rule C
+	retryAt time.Time       // no new attempt before this time
+
+	claimReplicated bool  // the range was claimed to get a replica
+	ownedSince      int64 // Unix milliseconds
+}
+
+// ownerState is the state of a range as its owner.
+type ownerState struct {
+	epoch         int64
+	completeSince int64
+	replica       string // the replica in the row, or empty
+	link          *link  // acknowledgements required for each start: to the replica or to the one being added
+	replicated    bool   // a replica is wanted
+	sent          *outgoing
+	closing       bool // hand-over is near: nothing new is accepted
+	closedAt      time.Time
+	stopped       bool // hand-over has begun: nothing is accepted or started
+}
+
+// New returns the ledger of an instance that knows nothing yet. It panics if Settings.Rand is nil.
+func New(se Settings) *Ledger {
+	if se.Rand == nil {
+		panic("lovageledger: Settings.Rand is nil")
+	}
+	return &Ledger{
+		se:       se.withDefaults(),
+		highest:  math.MinInt64,
+		ranges:   map[RangeID]*keyRange{},
+		members:  map[string]Member{},
+		requests: newRequests(),
+		lease:    newLeaseState(),
+	}
+}
+
+// Step applies one event and appends the commands that follow from it to out. The time is the wall clock; it may
+// jump, forwards or backwards.
+func (le *Ledger) Step(now time.Time, ev Event, out []Command) []Command {
+	le.now, le.out = now, out
+	le.highest = max(le.highest, now.UnixMilli())
+	switch ev := ev.(type) {
+	case *Mint:
+		le.mint(ev)
+	case *Submit:
+		le.submit(ev)
+	case *Ask:
+		le.ask(ev)
+	case *Cancel:
+		le.cancel(ev)
+	case *Abandoned:
+		le.requests.drop(ev.Request)
+	case *JobEnded:
+		le.jobEnded(ev)
+	case *AcceptReplied:
+		le.acceptReplied(ev)
+	case *ResultReplied:
+		le.resultReplied(ev)
+	case *TransferReplied:
+		le.transferReplied(ev)
+	case *PeerAccept:
+		le.peerAccept(ev)
+	case *PeerResult:
+		le.peerResult(ev)
+	case *PeerTransfer:
+		le.peerTransfer(ev)
+	case *TableRead:
+		le.tableRead(ev)
+	case *TableCommitted:
+		le.tableCommitted(ev)
+	case *MembersChanged:
+		le.membersChanged(ev)
+	case *RangesHeard:
+		for _, rs := range ev.Ranges {
+			le.rowSeen(rs.Range, rs.Row, rs.Version)
+		}
+	case *Tick:
+		le.tick()
+	case *Drain:
+		le.draining = true
+		le.maintain()
+	}
+	out, le.out = le.out, nil
+	return out
+}
+
+func (le *Ledger) emit(co Command) { le.out = append(le.out, co) }
+
+func (le *Ledger) newID() uint64 {
+	le.nextID++
+	return le.nextID
+}
+
+// rangeFor returns the range, creating it.
+func (le *Ledger) rangeFor(id RangeID) *keyRange {
+	if rg := le.ranges[id]; rg != nil {
+		return rg
+	}
+	rg := &keyRange{id: id, store: newStore()}
+	le.ranges[id] = rg
+	at, _ := slices.BinarySearchFunc(le.order, id, RangeID.compare)
+	le.order = slices.Insert(le.order, at, id)
+	return rg
+}
+
+// Ranges returns the ranges that the instance owns as far as it knows, for the next heartbeat.
+func (le *Ledger) Ranges() []RangeState {
+	var out []RangeState
+	for _, id := range le.order {
+		if rg := le.ranges[id]; rg.own != nil {
+			out = append(out, RangeState{Range: id, Row: rg.row, Version: rg.version})
+		}
+	}
+	return out
+}
+
+// CanMint reports whether a Mint would give keys now.
+func (le *Ledger) CanMint() bool {
+	return le.mintFrom(true) != nil
+}
+
+// Records returns the number of keys remembered.
+func (le *Ledger) Records() int {
+	n := 0
+	for _, rg := range le.ranges {
+		n += rg.store.count
+	}
+	return n
+}
+
+func (le *Ledger) membersChanged(ev *MembersChanged) {
+	clear(le.members)
+	le.peers = le.peers[:0]
+	for _, me := range ev.Members {
+		if me.ID != le.se.Instance {
+			le.members[me.ID] = me
+			le.peers = append(le.peers, me)
+		}
+	}
+	slices.SortFunc(le.peers, func(a, b Member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	le.maintain()
+}
+
+// live reports whether the instance is reachable as far as known.
+func (le *Ledger) live(id string) bool {
+	return id == le.se.Instance || le.members[id].State == MemberLive
+}
+
+// floor returns the mint time before which keys have exceeded their lifetime.
+func (le *Ledger) floor() int64 { return le.highest - le.se.KeyLifetime.Milliseconds() }
+
+func (le *Ledger) tick() {
+	le.requests.expire(le)
+	le.kept.expire(le)
+	floor := le.floor()
+	for _, id := range le.order {
+		rg := le.ranges[id]
+		rg.store.expire(floor)
+		le.tickOwner(rg)
+		le.tickTransfer(rg)
+		le.tickReplica(rg)
+		le.tickCopies(rg)
+	}
+	le.maintain()
+}
+
+// blockedSubmit is a submission that waits until the range's owner or epoch is certain again.
+type blockedSubmit struct {
+	request     uint64
+	key         lovagejob.Key
+	fingerprint uint64
+	hops        int
+}
--- /dev/null
+++ b/lovageledger/record.go
@@ -0,0 +1,210 @@
+package lovageledger
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"lovagestack/lovagejob"
+)
+
+// shortKey is a key within its range. It holds no pointer, so the garbage collector does not scan the records.
+type shortKey struct {
+	epoch  int64
+	minted int64 // Unix milliseconds
+	nonce  uint64
+}
+
+func (sk shortKey) compare(other shortKey) int {
+	return cmp.Or(cmp.Compare(sk.minted, other.minted), cmp.Compare(sk.nonce, other.nonce), cmp.Compare(sk.epoch, other.epoch))
+}
+
+// shorten returns the short form of a key, or false if no ledger can have minted it: a minted nonce is 16 hexadecimal
+// digits.
+func shorten(key lovagejob.Key) (shortKey, bool) {
+	if len(key.Nonce) != nonceDigits || key.Minted.IsZero() {
+		return shortKey{}, false
+	}
+	var nonce uint64
+	for i := range nonceDigits {
+		c := key.Nonce[i]
+		switch {
+		case '0' <= c && c <= '9':
+			nonce = nonce<<4 | uint64(c-'0')
+		case 'a' <= c && c <= 'f':
+			nonce = nonce<<4 | uint64(c-'a'+10)
+		default:
+			return shortKey{}, false
+		}
+	}
+	return shortKey{epoch: key.Epoch, minted: key.Minted.UnixMilli(), nonce: nonce}, true
+}
+
+const nonceDigits = 16
+
+// long returns the key in its full form.
+func (sk shortKey) long(id RangeID) lovagejob.Key {
+	var buf [2 * nonceDigits]byte
+	digits := strconv.AppendUint(append(buf[:0], "0000000000000000"...), sk.nonce, 16)
+	return lovagejob.Key{
+		DataCentre: id.DataCentre,
+		Range:      id.Index,
+		Epoch:      sk.epoch,
+		Minted:     time.UnixMilli(sk.minted).UTC(),
+		Nonce:      string(digits[len(digits)-nonceDigits:]),
+	}
+}
+
+// recordState is how far a key has come here.
+type recordState uint8
+
+const (
+	stateWaiting recordState = iota // waits for the replica's acknowledgement; has not started
+	stateForeign                    // another instance may have started it, its end is not known here
+	stateRunning                    // admitted by this instance
+	stateEnded
+)
+
+// record is what is remembered of a key for the key's lifetime.
+type record struct {
+	fingerprint uint64
+	tasks       int32
+	started     int32
+	state       recordState
+	outcome     uint8 // index into finalOutcomes, if ended
+}
+
+var finalOutcomes = [...]lovagejob.Outcome{
+	lovagejob.Complete, lovagejob.Failed, lovagejob.NotRun, lovagejob.Cancelled,
+}
+
+// detail is what is remembered of a key while callers wait for it or its full answer is kept.
+type detail struct {
+	answer    lovagejob.Answer // full answer, if ended
+	waiters   []uint64
+	cancelled bool // cancelled before it was admitted
+}
+
+// bucketMillis is the width of a bucket of records by mint time. Whole buckets are dropped, so records need no queue
+// of their own; the width is the most by which a record outlives its key.
+const bucketMillis = 60_000
+
+// store holds the records of one range.
+type store struct {
+	buckets map[int64]map[shortKey]record // by minted / bucketMillis
+	details map[shortKey]*detail
+	count   int
+	floor   int64 // records of keys minted before this time may have been dropped, here or at a sender
+}
+
+func newStore() *store {
+	return &store{buckets: map[int64]map[shortKey]record{}, details: map[shortKey]*detail{}, floor: math.MinInt64}
+}
+
+func (st *store) get(sk shortKey) (record, bool) {
+	re, ok := st.buckets[sk.minted/bucketMillis][sk]
+	return re, ok
+}
+
+func (st *store) put(sk shortKey, re record) {
+	bucket := st.buckets[sk.minted/bucketMillis]
+	if bucket == nil {
+		bucket = map[shortKey]record{}
+		st.buckets[sk.minted/bucketMillis] = bucket
+	}
+	before := len(bucket)
+	bucket[sk] = re
+	st.count += len(bucket) - before
+}
+
+func (st *store) remove(sk shortKey) {
+	bucket := st.buckets[sk.minted/bucketMillis]
+	before := len(bucket)
+	delete(bucket, sk)
+	st.count += len(bucket) - before
+	delete(st.details, sk)
+}
+
+// detail returns the detail of a key, creating it.
+func (st *store) detail(sk shortKey) *detail {
+	de := st.details[sk]
+	if de == nil {
+		de = &detail{}
+		st.details[sk] = de
+	}
+	return de
+}
+
+// expire drops every bucket whose keys were all minted before the floor. Details with waiters stay in their maps
+// until the waiters have been answered.
+func (st *store) expire(floor int64) {
+	st.floor = max(st.floor, floor)
+	for index, bucket := range st.buckets {
+		if (index+1)*bucketMillis > floor {
+			continue
+		}
+		for sk, re := range bucket {
+			if re.state == stateRunning {
+				// A job that outlives its key keeps its record, or its end could not be told.
+				continue
+			}
+			delete(bucket, sk)
+			st.count--
+		}
+		if len(bucket) == 0 {
+			delete(st.buckets, index)
+		}
+	}
+}
+
+// bucketIndexes returns the indexes of the buckets in order.
+func (st *store) bucketIndexes() []int64 {
+	out := make([]int64, 0, len(st.buckets))
+	for index := range st.buckets {
+		out = append(out, index)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// bucketKeys returns the keys of a bucket in order, so that equal runs give equal commands.
+func (st *store) bucketKeys(index int64) []shortKey {
+	bucket := st.buckets[index]
+	out := make([]shortKey, 0, len(bucket))
+	for sk := range bucket {
+		out = append(out, sk)
+	}
+	slices.SortFunc(out, shortKey.compare)
+	return out
+}
+
+// answer returns the answer of an ended record: the full one while it is kept, the outcome afterwards.
+func (st *store) answer(id RangeID, sk shortKey, re record) lovagejob.Answer {
+	if de := st.details[sk]; de != nil && de.answer.Outcome != "" {
+		return de.answer
+	}
+	ans := lovagejob.Answer{
+		Key: sk.long(id), Outcome: finalOutcomes[re.outcome], Tasks: int(re.tasks), Started: int(re.started),
+	}
+	ans.Reason = "the job has ended; its reason and results are no longer kept"
+	return ans
+}
+
+// end records the end of a key. The answer must have a final outcome.
+func (st *store) end(sk shortKey, re record, ans lovagejob.Answer) {
+	re.state = stateEnded
+	re.outcome = uint8(slices.Index(finalOutcomes[:], ans.Outcome))
+	re.tasks, re.started = int32(ans.Tasks), int32(ans.Started)
+	st.put(sk, re)
+}
+
+// answerBytes is the memory that the results of an answer take, roughly.
+func answerBytes(ans *lovagejob.Answer) int {
+	n := 0
+	for i := range ans.Results {
+		n += len(ans.Results[i].Body) + 64
+	}
+	return n
+}
--- /dev/null
+++ b/lovageledger/replica.go
@@ -0,0 +1,186 @@
+package lovageledger
+
+import (
+	"slices"
+	"time"
+
+	"lovagestack/lovagejob"
+)
+
+// replicaState is the state of a range as its replica, or as an instance that is being added as one. It belongs to
+// exactly one addition: the row {owner, self, epoch+1} confirms it, and any other later row ends it.
+type replicaState struct {
+	incomingState
+	confirmed   bool      // the row names this instance as the replica
+	suspectedAt time.Time // since when the owner has been gone
+	heardAt     time.Time
+}
+
+// incomingState is a transfer of records from a range's owner.
+type incomingState struct {
+	owner    string
+	epoch    int64 // of the row under which the owner sent the records
+	version  int64 // of that row
+	transfer uint64
+	next     int  // next chunk
+	complete bool // every chunk has arrived
+}
+
+// confirms reports whether the row makes this instance the replica under this addition.
+func (rep *replicaState) confirms(row Row, self string) bool {
+	return row.Owner == rep.owner && row.Replica == self && row.Epoch == rep.epoch+1
+}
+
+// peerAccept records keys that the owner wants to start. The acknowledgement allows the owner to start them, so it is
+// given only while this instance can be sure not to start them itself.
+func (le *Ledger) peerAccept(ev *PeerAccept) {
+	rg := le.rangeFor(ev.Range)
+	if !le.mayAcknowledge(rg, ev) {
+		le.emit(ReplyAccept{Call: ev.Call, Epoch: rg.row.Epoch})
+		return
+	}
+	rg.rep.heardAt = le.now
+	for _, ak := range ev.Keys {
+		sk, ok := shorten(ak.Key)
+		if !ok || rangeOf(ak.Key) != ev.Range {
+			le.emit(ReplyAccept{Call: ev.Call, Epoch: rg.row.Epoch})
+			return
+		}
+		if _, known := rg.store.get(sk); !known {
+			rg.store.put(sk, record{fingerprint: ak.Fingerprint, state: stateForeign})
+		}
+	}
+	le.emit(ReplyAccept{Call: ev.Call, Accepted: true, Epoch: ev.Epoch})
+}
+
+// mayAcknowledge reports whether an accept may be acknowledged. Rule B: not from the moment at which a take-over is
+// attempted until it is proven not to take effect.
+func (le *Ledger) mayAcknowledge(rg *keyRange, ev *PeerAccept) bool {
+	rep := rg.rep
+	if rg.own != nil || rep == nil || rg.try != nil || rep.owner != ev.Peer {
+		return false
+	}
+	if rep.confirmed {
+		return ev.Epoch == rep.epoch+1
+	}
+	return ev.Epoch == rep.epoch || ev.Epoch == rep.epoch+1
+}
+
+// peerTransfer takes one chunk of a range's records.
+func (le *Ledger) peerTransfer(ev *PeerTransfer) {
+	ch := &ev.Chunk
+	le.rowSeen(ch.Range.Range, ch.Range.Row, ch.Range.Version)
+	le.emit(ReplyTransfer{Call: ev.Call, Accepted: le.takeChunk(ev.Peer, ch)})
+}
+
+func (le *Ledger) takeChunk(peer string, ch *Transfer) bool {
+	rg := le.rangeFor(ch.Range.Range)
+	if rg.own != nil || rg.try != nil || rg.version != ch.Range.Version || ch.Range.Row.Owner != peer || le.draining {
+		return false
+	}
+	var in *incomingState
+	switch {
+	case ch.Owner:
+		if rg.inc == nil {
+			rg.inc = &incomingState{}
+		}
+		in = rg.inc
+	default:
+		if rg.rep == nil {
+			rg.rep = &replicaState{}
+		}
+		if rg.rep.confirmed {
+			return false
+		}
+		rg.rep.heardAt = le.now
+		in = &rg.rep.incomingState
+	}
+	if ch.Transfer > in.transfer && ch.Chunk == 0 {
+		*in = incomingState{
+			owner: peer, epoch: ch.Range.Row.Epoch, version: ch.Range.Version, transfer: ch.Transfer,
+		}
+	}
+	if ch.Transfer != in.transfer || ch.Chunk > in.next {
+		return false
+	}
+	if ch.Chunk < in.next {
+		return true // a repeat of a chunk that has been taken
+	}
+	for i := range ch.Records {
+		le.mergeRecord(rg, &ch.Records[i])
+	}
+	if !ch.DroppedBefore.IsZero() {
+		rg.store.floor = max(rg.store.floor, ch.DroppedBefore.UnixMilli())
+	}
+	in.next++
+	in.complete = ch.Last
+	return true
+}
+
+// mergeRecord takes a record from another instance. Records are facts, so they are only ever added to: a key that may
+// have started stays one, and an end stays as it is.
+func (le *Ledger) mergeRecord(rg *keyRange, rec *Record) {
+	sk, ok := shorten(rec.Key)
+	if !ok || rangeOf(rec.Key) != rg.id || sk.minted < le.floor() {
+		return
+	}
+	re, known := rg.store.get(sk)
+	if !known {
+		re = record{fingerprint: rec.Fingerprint, state: stateForeign}
+		rg.store.put(sk, re)
+	}
+	if rec.State != StateEnded || re.state != stateForeign || !slices.Contains(finalOutcomes[:], rec.Answer.Outcome) {
+		return
+	}
+	ans := rec.Answer
+	ans.Key = rec.Key
+	if ans.Outcome == lovagejob.Complete && len(ans.Results) == 0 {
+		rg.store.end(sk, re, ans) // the sender no longer keeps the results
+		le.answerWaiters(rg, sk, rg.store.answer(rg.id, sk, re))
+		return
+	}
+	le.recordEnd(rg, sk, re, ans)
+}
+
+// peerResult takes ends of keys, as the replica or as the new owner.
+func (le *Ledger) peerResult(ev *PeerResult) {
+	rg := le.ranges[ev.Range]
+	if rg == nil || rg.own == nil && rg.rep == nil && rg.inc == nil {
+		return
+	}
+	for i := range ev.Records {
+		le.mergeRecord(rg, &ev.Records[i])
+	}
+}
+
+// tickReplica forgets an addition that was never committed and whose owner has fallen silent.
+func (le *Ledger) tickReplica(rg *keyRange) {
+	rep := rg.rep
+	if rep != nil && !rep.confirmed && rg.try == nil && le.now.Sub(rep.heardAt) > 10*le.se.LeaseTTL {
+		rg.rep = nil
+	}
+}
+
+// maintainReplica takes over a range whose owner is gone (Rule B).
+func (le *Ledger) maintainReplica(rg *keyRange) {
+	rep := rg.rep
+	if rep == nil || !rep.confirmed || !rep.complete {
+		return
+	}
+	if le.members[rep.owner].State != MemberGone && !le.lost(rep.owner) {
+		rep.suspectedAt = time.Time{}
+		return
+	}
+	if rep.suspectedAt.IsZero() {
+		rep.suspectedAt = le.now
+		le.table.wantRanges = true
+	}
+	// The table must have answered since: a take-over that cannot be committed would only stop the owner.
+	if rg.try != nil || le.table.down || le.table.rangesAt.Before(rep.suspectedAt) || le.now.Before(rg.retryAt) {
+		return
+	}
+	// Rule B: from here on nothing is acknowledged, see mayAcknowledge.
+	le.attempt(rg, changeTakeOver, Row{
+		Owner: le.se.Instance, Epoch: rg.row.Epoch + 1, CompleteSince: rg.row.CompleteSince,
+	})
+}
--- /dev/null
+++ b/lovageledger/row.go
@@ -0,0 +1,93 @@
+package lovageledger
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"lovagestack/lovagejob"
+)
+
+// Prefixes of the table rows that the ledger reads and writes.
+const (
+	rangePrefix    = "range/"
+	instancePrefix = "instance/"
+)
+
+// RangeID names a key range.
+type RangeID struct {
+	DataCentre string
+	Index      int
+}
+
+// String returns the key of the range's table row.
+func (id RangeID) String() string {
+	return rangePrefix + id.DataCentre + "/" + strconv.Itoa(id.Index)
+}
+
+// ParseRangeID decodes the key of a range's table row.
+func ParseRangeID(s string) (RangeID, error) {
+	rest, found := strings.CutPrefix(s, rangePrefix)
+	dc, index, cut := strings.Cut(rest, "/")
+	n, err := strconv.ParseUint(index, 10, 31)
+	if !found || !cut || err != nil || !lovagejob.ValidName(dc) {
+		return RangeID{}, errors.Newf("%q is not the key of a range row", s)
+	}
+	return RangeID{DataCentre: dc, Index: int(n)}, nil
+}
+
+func (id RangeID) compare(other RangeID) int {
+	if c := strings.Compare(id.DataCentre, other.DataCentre); c != 0 {
+		return c
+	}
+	return id.Index - other.Index
+}
+
+// rangeOf returns the range of a key.
+func rangeOf(key lovagejob.Key) RangeID {
+	return RangeID{DataCentre: key.DataCentre, Index: key.Range}
+}
+
+// Row is the value of a range's table row. An empty Owner means that the range is free; an empty Replica that it has
+// none.
+type Row struct {
+	Owner         string `json:"owner"`
+	Replica       string `json:"replica,omitempty"`
+	Epoch         int64  `json:"epoch"`
+	CompleteSince int64  `json:"completeSince"`
+}
+
+func (ro Row) encode() []byte {
+	value, err := json.Marshal(ro)
+	if err != nil {
+		panic(err) // strings and integers always encode
+	}
+	return value
+}
+
+func decodeRow(value []byte) (Row, error) {
+	var ro Row
+	if err := json.Unmarshal(value, &ro); err != nil {
+		return Row{}, errors.Wrap(err, "decode a range row")
+	}
+	if ro.Epoch < 1 || ro.CompleteSince < 1 || ro.CompleteSince > ro.Epoch {
+		return Row{}, errors.Newf("range row with epoch %d and completeSince %d is not valid", ro.Epoch, ro.CompleteSince)
+	}
+	return ro, nil
+}
+
+// RangeState is a range row with the version of the table row it was read from.
+type RangeState struct {
+	Range   RangeID
+	Row     Row
+	Version int64
+}
+
+// leaseRow is the value of an instance row.
+type leaseRow struct {
+	DataCentre string `json:"dataCentre"`
+	Address    string `json:"address"`
+	Renewal    int64  `json:"renewal"` // makes every renewal a different value
+}
--- /dev/null
+++ b/lovageledger/waiter.go
@@ -0,0 +1,126 @@
+package lovageledger
+
+import (
+	"container/heap"
+	"time"
+
+	"lovagestack/lovagejob"
+)
+
+// waiter is a request whose reply is still due.
+type waiter struct {
+	request uint64
+	key     lovagejob.Key
+	sk      shortKey
+	until   time.Time
+	hops    int
+	submit  bool
+}
+
+// requests holds every waiter by request and in order of time.
+type requests struct {
+	waiting map[uint64]*waiter
+	byTime  waiterHeap
+}
+
+func newRequests() requests {
+	return requests{waiting: map[uint64]*waiter{}}
+}
+
+// add registers a waiter.
+func (rs *requests) add(wa *waiter) {
+	rs.waiting[wa.request] = wa
+	heap.Push(&rs.byTime, wa)
+}
+
+// drop forgets a request. Its place in the heap is freed when its time comes.
+func (rs *requests) drop(request uint64) { delete(rs.waiting, request) }
+
+// expire answers the waiters whose time has come with the state of their keys.
+func (rs *requests) expire(le *Ledger) {
+	for len(rs.byTime) > 0 && !rs.byTime[0].until.After(le.now) {
+		wa, ok := heap.Pop(&rs.byTime).(*waiter)
+		if !ok || rs.waiting[wa.request] != wa {
+			continue
+		}
+		le.replyState(wa)
+	}
+}
+
+type waiterHeap []*waiter
+
+func (wh waiterHeap) Len() int           { return len(wh) }
+func (wh waiterHeap) Less(i, j int) bool { return wh[i].until.Before(wh[j].until) }
+func (wh waiterHeap) Swap(i, j int)      { wh[i], wh[j] = wh[j], wh[i] }
+
+func (wh *waiterHeap) Push(x any) {
+	if wa, ok := x.(*waiter); ok {
+		*wh = append(*wh, wa)
+	}
+}
+
+func (wh *waiterHeap) Pop() any {
+	last := len(*wh) - 1
+	wa := (*wh)[last]
+	(*wh)[last] = nil
+	*wh = (*wh)[:last]
+	return wa
+}
+
+// reply answers a waiting request.
+func (le *Ledger) reply(wa *waiter, ans lovagejob.Answer) {
+	le.requests.drop(wa.request)
+	le.emit(Reply{Request: wa.request, Answer: ans})
+}
+
+// unknown returns the answer for a key that cannot be decided here and now.
+func (le *Ledger) unknown(key lovagejob.Key, reason string) lovagejob.Answer {
+	return lovagejob.Answer{
+		Key: key, Outcome: lovagejob.Unknown, Reason: reason, RetryAt: le.now.Add(le.se.RetryAfter),
+	}
+}
+
+// replyState answers a waiter whose job has not ended.
+func (le *Ledger) replyState(wa *waiter) {
+	rg := le.ranges[rangeOf(wa.key)]
+	re, ok := record{}, false
+	if rg != nil {
+		re, ok = rg.store.get(wa.sk)
+	}
+	switch {
+	case ok && re.state == stateEnded:
+		le.reply(wa, rg.store.answer(rg.id, wa.sk, re))
+	case ok && re.state == stateRunning:
+		le.reply(wa, lovagejob.Answer{Key: wa.key, Outcome: lovagejob.Pending, Tasks: int(re.tasks), Started: int(re.started)})
+	case ok && re.state == stateForeign:
+		le.reply(wa, le.unknown(wa.key, "another instance accepted the job and its end is not known here"))
+	default:
+		le.reply(wa, le.unknown(wa.key, "the job has not been started yet; ask again with the same key"))
+	}
+}
+
+// wait makes the request wait for the end of the key's job, or answers at once if it does not want to wait.
+func (le *Ledger) wait(rg *keyRange, wa *waiter) {
+	if !wa.until.After(le.now) {
+		le.replyState(wa)
+		return
+	}
+	le.requests.add(wa)
+	de := rg.store.detail(wa.sk)
+	de.waiters = append(de.waiters, wa.request)
+}
+
+// answerWaiters gives the answer to all who wait for the key.
+func (le *Ledger) answerWaiters(rg *keyRange, sk shortKey, ans lovagejob.Answer) {
+	de := rg.store.details[sk]
+	if de == nil {
+		return
+	}
+	waiting := de.waiters
+	de.waiters = nil
+	for _, request := range waiting {
+		if wa := le.requests.waiting[request]; wa != nil && wa.sk == sk && rangeOf(wa.key) == rg.id {
+			le.reply(wa, ans)
+		}
+	}
+}
