--- /dev/null
+++ b/lovagesync/keeper.go
@@ -0,0 +1,279 @@
+package lovagesync
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"lovagestack/lovagemessage"
+	"lovagestack/lovageplatform"
+	"lovagestack/lovageresource"
+)
+
+// Table is the part of the platform's table that a Keeper reads.
+type Table interface {
+	Read(ctx context.Context, keys ...string) ([]lovageplatform.Row, error)
+	Scan(ctx context.Context, prefix string) ([]lovageplatform.Row, error)
+}
+
+// Objects is the platform's object store.
+type Objects interface {
+	GetObject(ctx context.Context, name string) ([]byte, error)
+	PutObject(ctx context.Context, name string, data []byte) error
+	DeleteObject(ctx context.Context, name string) error
+}
+
+// Writer commits transactions and recognises those that took effect although their reply was lost.
+type Writer interface {
+	Commit(ctx context.Context, tx lovageplatform.Transaction) (lovageplatform.CommitResult, error)
+}
+
+// Peer is another entry instance.
+type Peer struct{ ID, Address string }
+
+// Peers reaches the other entry instances.
+type Peers interface {
+	// Peers returns the instances that are not known to be gone.
+	Peers() []Peer
+	Call(ctx context.Context, address string, req *lovagemessage.Request) (*lovagemessage.Response, error)
+}
+
+// Settings are the timings and bounds of a Keeper.
+type Settings struct {
+	ID            string        // of this instance
+	Poll          time.Duration // between reads of the head
+	TableTimeout  time.Duration // of reading the head
+	LoadTimeout   time.Duration // of reading what is missing, which may be all resources
+	WriteTimeout  time.Duration // of an operator's change; after it the result is ambiguous or unavailable
+	CallTimeout   time.Duration // of one call to a peer
+	AnswerWithin  time.Duration // an instance silent for longer counts as not answering
+	ForgetAfter   time.Duration // an instance silent for longer is no longer shown
+	SnapshotEvery int64         // revisions between snapshots
+	SnapshotDelay time.Duration // after which an instance writes a snapshot that the accepting instance did not write
+	KeepChanges   int64         // change rows kept in the table before the snapshot, for instances that lag
+	// Ambiguous reports whether an error of Writer.Commit leaves open whether the transaction took effect.
+	Ambiguous func(error) bool
+}
+
+// DefaultSettings returns the figures of the design page, sections 7 and 8.
+func DefaultSettings(id string) Settings {
+	return Settings{
+		ID:            id,
+		Poll:          2 * time.Second,
+		TableTimeout:  2 * time.Second,
+		LoadTimeout:   10 * time.Second,
+		WriteTimeout:  5 * time.Second,
+		CallTimeout:   time.Second,
+		AnswerWithin:  6 * time.Second, // a peer silent for this long counts as gone
+		ForgetAfter:   10 * time.Minute,
+		SnapshotEvery: 256,
+		SnapshotDelay: 10 * time.Second,
+		KeepChanges:   256,
+		Ambiguous:     func(error) bool { return true }, // the safe answer when errors are not classified
+	}
+}
+
+// Parts are what a Keeper works with.
+type Parts struct {
+	Table   Table
+	Objects Objects
+	Writer  Writer
+	Peers   Peers
+	Store   *lovageresource.Store
+	Log     *zap.Logger
+	Metrics metrics.Registry // counters sync.*; may be nil
+}
+
+// Keeper keeps a store current. Its methods may be called from several goroutines.
+type Keeper struct {
+	Settings
+	Parts
+	writing chan struct{} // holds a token while an operator's change is written
+	wake    chan struct{} // a peer has a higher revision
+	push    *pusher
+
+	mu       sync.Mutex
+	loaded   bool
+	tableErr error             // of the last read, nil if it succeeded
+	ahead    map[string]bool   // IDs of peers that reported a higher revision
+	reports  map[string]report // by instance
+	accepted int64             // latest revision accepted through this instance
+
+	snapshotDue time.Time // since when a snapshot is missing; used by run only
+	tableFailed metrics.Counter
+	callFailed  metrics.Counter
+	refused     metrics.Counter
+}
+
+type report struct {
+	revision int64
+	at       time.Time
+}
+
+// New returns a Keeper; Serve must run for it to do its work.
+func New(se Settings, pa Parts) *Keeper {
+	if pa.Metrics == nil {
+		pa.Metrics = metrics.NewRegistry()
+	}
+	if pa.Log == nil {
+		pa.Log = zap.NewNop()
+	}
+	ke := &Keeper{
+		Settings: se, Parts: pa,
+		writing:     make(chan struct{}, 1),
+		wake:        make(chan struct{}, 1),
+		ahead:       map[string]bool{},
+		reports:     map[string]report{},
+		tableFailed: metrics.NewRegisteredCounter("sync.table.failed", pa.Metrics),
+		callFailed:  metrics.NewRegisteredCounter("sync.calls.failed", pa.Metrics),
+		refused:     metrics.NewRegisteredCounter("sync.changes.refused", pa.Metrics),
+	}
+	ke.push = newPusher(ke)
+	store := pa.Store
+	_ = pa.Metrics.Register("sync.revision", metrics.NewFunctionalGauge(store.Revision))
+	return ke
+}
+
+// Serve keeps the store current until the context ends.
+func (ke *Keeper) Serve(ctx context.Context) error { return ke.run(ctx) }
+
+// run polls the table.
+func (ke *Keeper) run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	wg.Go(func() { ke.push.run(ctx) })
+	wg.Go(func() { ke.askLoop(ctx) })
+	tick := time.NewTicker(ke.Poll)
+	defer tick.Stop()
+	ke.poll(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+			ke.poll(ctx)
+		}
+	}
+}
+
+// askLoop asks peers that are ahead, also while run waits for a slow table.
+func (ke *Keeper) askLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ke.wake:
+			ke.askAhead(ctx)
+		}
+	}
+}
+
+// Ready reports whether the instance has loaded the resources, and if not, why.
+func (ke *Keeper) Ready() (bool, string) {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	if ke.loaded {
+		return true, ""
+	}
+	if ke.tableErr != nil {
+		return false, "resources are not loaded: no peer has them and the table cannot be read: " + ke.tableErr.Error()
+	}
+	return false, "resources are not loaded yet"
+}
+
+// poll compares the store with the table.
+func (ke *Keeper) poll(ctx context.Context) {
+	err := ke.readTable(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	ke.noteTable(err)
+	if err != nil {
+		ke.tableFailed.Inc(1)
+		if ready, _ := ke.Ready(); !ready {
+			ke.loadFromPeers(ctx)
+		}
+	}
+}
+
+// readTable applies what the table has beyond the store and writes a snapshot when one is due.
+func (ke *Keeper) readTable(ctx context.Context) error {
+	applied := ke.Store.Revision() // before the read, as pushed changes may overtake it
+	rows, err := ke.readHead(ctx)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, ke.LoadTimeout)
+	defer cancel()
+	latest, err := lovageresource.ParseHead(rows[0])
+	if err != nil {
+		return err
+	}
+	if err := ke.catchUp(ctx, latest); err != nil {
+		return err
+	}
+	ke.setLoaded("table")
+	if latest < applied {
+		return errors.Newf("the table's head is revision %d, below the applied revision %d", latest, applied)
+	}
+	return ke.maybeSnapshot(ctx, rows[1])
+}
+
+func (ke *Keeper) readHead(ctx context.Context) ([]lovageplatform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, ke.TableTimeout)
+	defer cancel()
+	return ke.read(ctx, lovageresource.HeadKey, snapshotKey)
+}
+
+// read reads rows and makes sure that there is one for each key.
+func (ke *Keeper) read(ctx context.Context, keys ...string) ([]lovageplatform.Row, error) {
+	rows, err := ke.Table.Read(ctx, keys...)
+	if err != nil {
+		return nil, errors.Wrapf(err, "read %d rows from %q on", len(keys), keys[0])
+	}
+	if len(rows) != len(keys) {
+		return nil, errors.Newf("the table gave %d rows for %d keys", len(rows), len(keys))
+	}
+	return rows, nil
+}
+
+// noteTable logs when the table becomes unreadable or readable again.
+func (ke *Keeper) noteTable(err error) {
+	ke.mu.Lock()
+	before := ke.tableErr
+	ke.tableErr = err
+	ke.mu.Unlock()
+	switch {
+	case err != nil && before == nil:
+		ke.Log.Warn("resources cannot be compared with the table", zap.Error(err))
+	case err == nil && before != nil:
+		ke.Log.Info("resources are compared with the table again", zap.Int64("revision", ke.Store.Revision()))
+	}
+}
+
+func (ke *Keeper) setLoaded(from string) {
+	ke.mu.Lock()
+	before := ke.loaded
+	ke.loaded = true
+	ke.mu.Unlock()
+	if !before {
+		ke.Log.Info("resources loaded", zap.String("from", from), zap.Int64("revision", ke.Store.Revision()))
+	}
+}
+
+// apply applies changes in order. A gap is an error; applied changes are skipped by the store.
+func (ke *Keeper) apply(changes []lovageresource.Change) error {
+	for _, ch := range changes {
+		if err := ke.Store.Apply(ch); err != nil {
+			ke.refused.Inc(1)
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/lovagesync/load.go
@@ -0,0 +1,232 @@
+package lovagesync
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"lovagestack/lovageplatform"
+	"lovagestack/lovageresource"
+)
+
+// snapshotKey is the row that names the latest snapshot object.
+const snapshotKey = "snapshot"
+
+// changesPerRead bounds the rows of one read. Changes are small, and a Pool with hundreds of workers has about 100 KB.
+const changesPerRead = 64
+
+// snapshotRow is the value of the row snapshotKey.
+type snapshotRow struct {
+	Revision int64  `json:"revision"`
+	Object   string `json:"object"`
+	Pruned   int64  `json:"pruned"` // change rows up to this revision are deleted
+}
+
+func parseSnapshotRow(row lovageplatform.Row) (snapshotRow, error) {
+	var sn snapshotRow
+	if row.Version == 0 {
+		return sn, nil
+	}
+	if err := json.Unmarshal(row.Value, &sn); err != nil {
+		return sn, errors.Wrapf(err, "row %q", row.Key)
+	}
+	return sn, nil
+}
+
+// catchUp applies everything up to the revision from the table.
+func (ke *Keeper) catchUp(ctx context.Context, latest int64) error {
+	restored := false
+	for ke.Store.Revision() < latest {
+		missing, err := ke.readChanges(ctx, latest)
+		if err != nil {
+			return err
+		}
+		if !missing {
+			continue
+		}
+		if restored {
+			return errors.Newf("the change row after revision %d is missing although a snapshot was just loaded",
+				ke.Store.Revision())
+		}
+		restored = true
+		if err := ke.restore(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readChanges reads and applies the next change rows. missing means that the next one is not in the table any more.
+func (ke *Keeper) readChanges(ctx context.Context, latest int64) (missing bool, err error) {
+	var keys []string
+	for rev := ke.Store.Revision() + 1; rev <= latest && len(keys) < changesPerRead; rev++ {
+		keys = append(keys, lovageresource.ChangeKey(rev))
+	}
+	if len(keys) == 0 {
+		return false, nil
+	}
+	rows, err := ke.read(ctx, keys...)
+	if err != nil {
+		return false, err
+	}
+	for _, row := range rows {
+		if row.Version == 0 {
+			return true, nil
+		}
+		ch, err := lovageresource.ParseChange(row)
+		if err != nil {
+			return false, err
+		}
+		if row.Key != lovageresource.ChangeKey(ch.Revision) {
+			return false, errors.Newf("row %q holds change %d", row.Key, ch.Revision)
+		}
+		if err := ke.apply([]lovageresource.Change{ch}); err != nil {
+			return false, err
+		}
+	}
+	return false, nil
+}
+
+// restore loads the latest snapshot object or, if that fails, all resource rows.
+func (ke *Keeper) restore(ctx context.Context) error {
+	before := ke.Store.Revision()
+	err := ke.restoreObject(ctx)
+	if err == nil && ke.Store.Revision() > before {
+		return nil
+	}
+	if scanErr := ke.restoreRows(ctx); scanErr != nil {
+		return errors.CombineErrors(scanErr, err)
+	}
+	return nil
+}
+
+func (ke *Keeper) restoreObject(ctx context.Context) error {
+	rows, err := ke.read(ctx, snapshotKey)
+	if err != nil {
+		return err
+	}
+	sn, err := parseSnapshotRow(rows[0])
+	if err != nil || sn.Object == "" {
+		return err
+	}
+	data, err := ke.Objects.GetObject(ctx, sn.Object)
+	if err != nil {
+		return errors.Wrapf(err, "get snapshot object %q", sn.Object)
+	}
+	_, err = ke.Store.Restore(data)
+	return err
+}
+
+// restoreRows reads all resource rows. They belong to one revision if the head is the same before and after.
+func (ke *Keeper) restoreRows(ctx context.Context) error {
+	const attempts = 5 // at 8,200 changes a day a change during a scan is rare
+	for range attempts {
+		before, err := ke.read(ctx, lovageresource.HeadKey)
+		if err != nil {
+			return err
+		}
+		rows, err := ke.Table.Scan(ctx, lovageresource.ResourcePrefix)
+		if err != nil {
+			return errors.Wrap(err, "scan the resource rows")
+		}
+		after, err := ke.read(ctx, lovageresource.HeadKey)
+		if err != nil {
+			return err
+		}
+		if before[0].Version != after[0].Version {
+			continue
+		}
+		latest, err := lovageresource.ParseHead(after[0])
+		if err != nil {
+			return err
+		}
+		list := make([]lovageresource.Resource, 0, len(rows))
+		for _, row := range rows {
+			re, ok, err := lovageresource.ParseResource(row)
+			if err != nil {
+				return err
+			}
+			if ok {
+				list = append(list, re)
+			}
+		}
+		_, err = ke.Store.RestoreResources(list, latest)
+		return err
+	}
+	return errors.Newf("the head changed during each of %d scans of the resource rows", attempts)
+}
+
+// maybeSnapshot writes a snapshot object when the revisions since the last one are enough. The instance that accepted
+// the change does it first; others only after SnapshotDelay, in case that instance has ended.
+func (ke *Keeper) maybeSnapshot(ctx context.Context, row lovageplatform.Row) error {
+	sn, err := parseSnapshotRow(row)
+	if err != nil {
+		return err
+	}
+	revision := ke.Store.Revision()
+	if revision/ke.SnapshotEvery <= sn.Revision/ke.SnapshotEvery {
+		ke.snapshotDue = time.Time{}
+		return nil
+	}
+	if ke.snapshotDue.IsZero() {
+		ke.snapshotDue = time.Now()
+	}
+	ke.mu.Lock()
+	mine := ke.accepted/ke.SnapshotEvery == revision/ke.SnapshotEvery
+	ke.mu.Unlock()
+	if !mine && time.Since(ke.snapshotDue) < ke.SnapshotDelay {
+		return nil
+	}
+	if err := ke.writeSnapshot(ctx, row, sn); err != nil {
+		// The table was read, so this is no reason to treat it as unreachable; the next poll tries again.
+		ke.tableFailed.Inc(1)
+		ke.Log.Debug("snapshot was not written", zap.Error(err))
+	}
+	return nil
+}
+
+// writeSnapshot writes the object, then the row that names it, and in the same transaction deletes change rows that
+// no instance needs any more.
+func (ke *Keeper) writeSnapshot(ctx context.Context, row lovageplatform.Row, old snapshotRow) error {
+	data, revision, err := ke.Store.Snapshot()
+	if err != nil {
+		return err
+	}
+	next := snapshotRow{
+		Revision: revision,
+		Object:   fmt.Sprintf("configuration-%d-%s-%s", revision, ke.ID, strconv.FormatInt(time.Now().UnixMilli(), 36)),
+		Pruned:   max(old.Pruned, min(revision-ke.KeepChanges, old.Pruned+4*ke.SnapshotEvery)),
+	}
+	if err := ke.Objects.PutObject(ctx, next.Object, data); err != nil {
+		return errors.Wrapf(err, "put snapshot object %q", next.Object)
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return errors.Wrap(err, "encode the snapshot row")
+	}
+	tx := lovageplatform.Transaction{
+		Checks: []lovageplatform.Check{{Key: snapshotKey, Version: row.Version}},
+		Writes: []lovageplatform.Write{{Key: snapshotKey, Value: value}},
+	}
+	for rev := old.Pruned + 1; rev <= next.Pruned; rev++ {
+		tx.Writes = append(tx.Writes, lovageplatform.Write{Key: lovageresource.ChangeKey(rev), Delete: true})
+	}
+	res, err := ke.Writer.Commit(ctx, tx)
+	switch {
+	case err != nil && ke.Ambiguous(err):
+		return errors.Wrapf(err, "commit snapshot %d; its object %q stays", revision, next.Object)
+	case err != nil || !res.Committed:
+		_ = ke.Objects.DeleteObject(ctx, next.Object) // nothing refers to it; if this fails it only takes space
+		return errors.Wrapf(err, "commit snapshot %d", revision)
+	}
+	ke.snapshotDue = time.Time{}
+	if old.Object != "" {
+		_ = ke.Objects.DeleteObject(ctx, old.Object) // readers that still want it fall back to the resource rows
+	}
+	return nil
+}
--- /dev/null
+++ b/lovagesync/status.go
@@ -0,0 +1,141 @@
+package lovagesync
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"lovagestack/lovageresource"
+)
+
+// Reported notes the applied revision that an instance told in a heartbeat or a push. If it is higher than the
+// store's, the instance is asked for the changes.
+func (ke *Keeper) Reported(instance string, revision int64) {
+	ke.note(instance, revision)
+	if revision <= ke.Store.Revision() {
+		return
+	}
+	ke.mu.Lock()
+	ke.ahead[instance] = true
+	ke.mu.Unlock()
+	signal(ke.wake)
+}
+
+// note records a report. A report that arrives late must not hide a later one, as revisions never go down; but an
+// instance that was replaced under the same ID starts again, so a lower revision counts once the last one is stale.
+func (ke *Keeper) note(instance string, revision int64) {
+	if instance == "" || instance == ke.ID {
+		return
+	}
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	old, ok := ke.reports[instance]
+	if ok && old.revision > revision && time.Since(old.at) <= ke.AnswerWithin {
+		return
+	}
+	ke.reports[instance] = report{revision: revision, at: time.Now()}
+}
+
+// reported returns the last revision that an instance reported, 0 if none.
+func (ke *Keeper) reported(instance string) int64 {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	return ke.reports[instance].revision
+}
+
+// applied returns what each instance reported, by ID, with this instance. Instances silent for long are dropped.
+func (ke *Keeper) applied() []lovageresource.Applied {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	out := []lovageresource.Applied{{Instance: ke.ID, Revision: ke.Store.Revision(), Answered: true}}
+	for id, rep := range ke.reports {
+		silent := time.Since(rep.at)
+		if silent > ke.ForgetAfter {
+			delete(ke.reports, id)
+			continue
+		}
+		out = append(out, lovageresource.Applied{
+			Instance: id, Revision: rep.revision, Answered: silent <= ke.AnswerWithin,
+		})
+	}
+	slices.SortFunc(out, func(a, b lovageresource.Applied) int { return strings.Compare(a.Instance, b.Instance) })
+	return out
+}
+
+// InForce says whether a revision is in force. Only instances that answered recently count; an instance that does not
+// answer is named in the reason and claimed neither way.
+func (ke *Keeper) InForce(revision int64) (lovageresource.Condition, []lovageresource.Applied) {
+	applied := ke.applied()
+	answered, current, silent := 0, 0, 0
+	for _, ap := range applied {
+		switch {
+		case !ap.Answered:
+			silent++
+		case ap.Revision >= revision:
+			answered++
+			current++
+		default:
+			answered++
+		}
+	}
+	co := lovageresource.Condition{Type: lovageresource.InForce, Status: lovageresource.ConditionTrue}
+	if current < answered {
+		co.Status = lovageresource.ConditionFalse
+	}
+	if ready, _ := ke.Ready(); !ready {
+		co.Status = lovageresource.ConditionUnknown
+	}
+	co.Reason = fmt.Sprintf("revision %d is applied by %d of %d instances that answered", revision, current, answered)
+	if silent > 0 {
+		co.Reason += fmt.Sprintf("; %d did not answer", silent)
+	}
+	return co, applied
+}
+
+// references says whether everything that a resource names is declared.
+func (ke *Keeper) references(re *lovageresource.Resource) (lovageresource.Condition, bool) {
+	pool, ok := re.Spec.(lovageresource.Pool)
+	if !ok {
+		return lovageresource.Condition{}, false
+	}
+	co := lovageresource.Condition{Type: lovageresource.ReferencesExist, Status: lovageresource.ConditionTrue}
+	var missing []string
+	for _, name := range pool.Services {
+		if _, ok := ke.Store.Get(lovageresource.KindService, name); !ok {
+			missing = append(missing, name)
+		}
+	}
+	if len(missing) > 0 {
+		co.Status = lovageresource.ConditionFalse
+		co.Reason = "not declared: " + strings.Join(missing, ", ")
+	}
+	return co, true
+}
+
+// Get returns a resource with its status.
+func (ke *Keeper) Get(kind lovageresource.Kind, name string) (lovageresource.Resource, bool) {
+	re, ok := ke.Store.Get(kind, name)
+	if !ok {
+		return re, false
+	}
+	inForce, applied := ke.InForce(re.Revision)
+	re.Status = lovageresource.Status{Conditions: []lovageresource.Condition{inForce}, Applied: applied}
+	if co, ok := ke.references(&re); ok {
+		re.Status.Conditions = append(re.Status.Conditions, co)
+	}
+	return re, true
+}
+
+// List returns the resources of a kind, or all, without status, and the revision at which they are listed.
+func (ke *Keeper) List(kind lovageresource.Kind) ([]lovageresource.Resource, int64) {
+	return ke.Store.List(kind)
+}
+
+// Since returns changes after a revision; see lovageresource.Store.
+func (ke *Keeper) Since(after int64, limit int) ([]lovageresource.Change, error) {
+	return ke.Store.Since(after, limit)
+}
+
+// Changed returns a channel that is closed when the next revision is applied.
+func (ke *Keeper) Changed() <-chan struct{} { return ke.Store.Changed() }
