lovagemember: merge list, heartbeats, sessions and traffic into one view

Cause: the cores need one view of live, suspect, gone and leaving instances and workers, and no single source is right. Ruled out: passing on leaving marks that were heard from peers (two instances remind each other for ever after the worker registered again); a refusal without the leaving header as a mark (an oversubscribed worker refuses as well); taking a mark away when the list shows the worker as live (the list lags). Change: Core with events, commands, KnownPeers and LeavingWorkers for heartbeats; property tests. Conclusion: a worker that was never listed stays marked until it is listed, missing and listed again.

--- /dev/null
+++ b/lovagemember/core_test.go
@@ -0,0 +1,248 @@
+package lovagemember
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"lovagestack/lovageplatform"
+)
+
+var start = time.Unix(1_796_000_000, 0)
+
+func entry(id string) lovageplatform.Instance {
+	return lovageplatform.Instance{
+		ID: id, DataCentre: "kandla", Kind: lovageplatform.KindEntry, Address: id + ":1", State: lovageplatform.StateLive,
+	}
+}
+
+func listedWorker(id, state string) lovageplatform.Instance {
+	return lovageplatform.Instance{
+		ID: id, DataCentre: "kandla", Kind: lovageplatform.KindWorker, Address: id + ":1", State: state,
+	}
+}
+
+func heartbeat(id string) HeartbeatSeen {
+	return HeartbeatSeen{Instance: id, DataCentre: "kandla", Address: id + ":1"}
+}
+
+func newCore(id string) *Core {
+	return New(Settings{Instance: id, DataCentre: "kandla", Address: id + ":1"})
+}
+
+func stateOf(co *Core, id string) State {
+	for _, da := range co.view() {
+		for _, me := range da.Members {
+			if me.Instance == id {
+				return me.State
+			}
+		}
+	}
+	return ""
+}
+
+func leavingOf(cmds []Command) []string {
+	var out []string
+	for _, cmd := range cmds {
+		if le, ok := cmd.(WorkerLeaving); ok {
+			out = append(out, le.Worker)
+		}
+	}
+	return out
+}
+
+// Guards against a peer that loses its slots too early or keeps them after it is gone.
+func TestStateOfPeer(t *testing.T) {
+	type step struct {
+		after time.Duration
+		ev    Event
+		want  State
+	}
+	for name, steps := range map[string][]step{
+		"listed only":       {{0, ListRead{[]lovageplatform.Instance{entry("b")}}, Unheard}, {time.Hour, Tick{}, Unheard}},
+		"named by a peer":   {{0, HeartbeatSeen{Instance: "c", KnownPeers: []Peer{{Instance: "b", DataCentre: "kandla"}}}, Unheard}},
+		"silent":            {{0, heartbeat("b"), Live}, {2999 * time.Millisecond, Tick{}, Live}, {time.Millisecond, Tick{}, Suspect}, {2999 * time.Millisecond, Tick{}, Suspect}, {time.Millisecond, Tick{}, Gone}, {0, heartbeat("b"), Live}},
+		"traffic":           {{0, heartbeat("b"), Live}, {5 * time.Second, PeerHeard{"b"}, Live}, {2 * time.Second, Tick{}, Live}},
+		"list outage":       {{0, ListRead{[]lovageplatform.Instance{entry("b")}}, Unheard}, {0, heartbeat("b"), Live}, {time.Hour, Tick{}, Gone}, {0, SessionUp{"b"}, Live}},
+		"refused":           {{0, heartbeat("b"), Live}, {0, SessionDown{Instance: "b"}, Live}, {0, SessionDown{"b", true}, Suspect}, {time.Second, Tick{}, Gone}, {0, SessionUp{"b"}, Live}},
+		"leaving":           {{0, HeartbeatSeen{Instance: "b", DataCentre: "kandla", Leaving: true}, Leaving}, {0, heartbeat("b"), Live}},
+		"leaving by list":   {{0, heartbeat("b"), Live}, {0, ListRead{[]lovageplatform.Instance{{ID: "b", Kind: "entry", State: "leaving"}}}, Leaving}},
+		"missing from list": {{0, heartbeat("b"), Live}, {0, ListRead{}, Live}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			co, now := newCore("a"), start
+			for i, st := range steps {
+				now = now.Add(st.after)
+				co.Step(now, st.ev, nil)
+				must.Eq(t, st.want, stateOf(co, "b"), must.Sprintf("step %d", i))
+			}
+		})
+	}
+}
+
+// Guards against a mark that a lagging list takes away, and against one that outlives a new registration.
+func TestLeavingMarkIsSticky(t *testing.T) {
+	live := ListRead{[]lovageplatform.Instance{listedWorker("w", lovageplatform.StateLive)}}
+	for name, tc := range map[string]struct {
+		before, after []Event
+		want          State
+	}{
+		"lagging list says live":             {[]Event{live}, []Event{live, live}, Leaving},
+		"registered again":                   {[]Event{live}, []Event{live, ListRead{}, live}, Live},
+		"first listed after the mark":        {nil, []Event{ListRead{}, live}, Leaving},
+		"listed, missing and back":           {nil, []Event{live, ListRead{}, live}, Live},
+		"missing, back as leaving":           {[]Event{live}, []Event{ListRead{}, ListRead{[]lovageplatform.Instance{listedWorker("w", "leaving")}}, live}, Leaving},
+		"pool declared again":                {[]Event{live}, []Event{PoolsChanged{}, PoolsChanged{[]DeclaredWorker{{Worker: "w"}}}}, Leaving},
+		"a peer repeats it after it is back": {[]Event{live, WorkerLeavingHeard{"b", []string{"w"}}}, []Event{ListRead{}, live, WorkerLeavingHeard{"b", []string{"w"}}}, Live},
+		"a peer says it newly":               {[]Event{live}, []Event{ListRead{}, live, WorkerLeavingHeard{"b", []string{"w"}}}, Leaving},
+	} {
+		t.Run(name, func(t *testing.T) {
+			co := newCore("a")
+			co.Step(start, PoolsChanged{[]DeclaredWorker{{Worker: "w"}}}, nil)
+			for _, ev := range tc.before {
+				co.Step(start, ev, nil)
+			}
+			co.Step(start, WorkerReplied{Worker: "w", Leaving: true}, nil)
+			for _, ev := range tc.after {
+				co.Step(start, ev, nil)
+			}
+			must.Eq(t, []Worker{{Worker: "w", State: tc.want}}, co.workerView())
+		})
+	}
+}
+
+// Guards against sessions that are never asked for, asked for twice or left behind.
+func TestDialling(t *testing.T) {
+	co := newCore("a")
+	moved := entry("b")
+	moved.Address = "b:2"
+	must.SliceContains(t, co.Step(start, ListRead{[]lovageplatform.Instance{entry("a"), entry("b")}}, nil), Command(DialPeer{"b", "b:1"}))
+	must.SliceEmpty(t, co.Step(start, ListRead{[]lovageplatform.Instance{entry("a"), entry("b")}}, nil))
+	cmds := co.Step(start, ListRead{[]lovageplatform.Instance{moved}}, nil)
+	must.SliceContains(t, cmds, Command(DropPeer{"b", "b:1"}))
+	must.SliceContains(t, cmds, Command(DialPeer{"b", "b:2"}))
+	co.Step(start, ListRead{}, nil)
+	must.SliceContains(t, co.Step(start.Add(time.Minute), Tick{}, nil), Command(DropPeer{"b", "b:2"}))
+	must.Eq(t, "", string(stateOf(co, "b")))
+}
+
+// Guards against a view that is not sorted, counts an unheard instance, depends on anything but the events, or differs
+// from the last one that was announced.
+func TestViewProperties(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		ids := []string{"a", "b", "c", "d"}
+		one, two := newCore("a"), newCore("a")
+		heard := map[string]bool{"a": true}
+		now := start
+		var announced []DataCentre
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "millis")) * time.Millisecond)
+			id := rapid.SampledFrom(ids).Draw(rt, "id")
+			var ev Event
+			switch rapid.IntRange(0, 6).Draw(rt, "event") {
+			case 0:
+				ev = ListRead{[]lovageplatform.Instance{entry(id), listedWorker(id, "leaving")}}
+			case 1:
+				hb := heartbeat(id)
+				hb.KnownPeers = []Peer{{Instance: rapid.SampledFrom(ids).Draw(rt, "known"), DataCentre: "navlakhi"}}
+				hb.LeavingWorkers = []string{"w" + id}
+				ev, heard[id] = hb, true
+			case 2:
+				ev, heard[id] = SessionUp{id}, true
+			case 3:
+				ev = SessionDown{id, rapid.Bool().Draw(rt, "refused")}
+			case 4:
+				ev = PoolsChanged{[]DeclaredWorker{{Worker: "w" + id}, {Worker: "wa"}}}
+			case 5:
+				ev = WorkerReplied{"w" + id, rapid.Bool().Draw(rt, "leaving")}
+			default:
+				ev = Tick{}
+			}
+			cmds := one.Step(now, ev, nil)
+			if again := two.Step(now, ev, nil); fmt.Sprint(again) != fmt.Sprint(cmds) {
+				rt.Fatalf("commands differ: %v and %v", cmds, again)
+			}
+			for _, cmd := range cmds {
+				if mc, ok := cmd.(MembersChanged); ok {
+					announced = mc.DataCentres
+				}
+			}
+			checkView(rt, one.view(), announced, heard)
+		}
+	})
+}
+
+func checkView(rt *rapid.T, view, announced []DataCentre, heard map[string]bool) {
+	if fmt.Sprint(view) != fmt.Sprint(announced) {
+		rt.Fatalf("view %v was announced as %v", view, announced)
+	}
+	for _, da := range view {
+		live := da.Live()
+		if !slices.IsSorted(live) {
+			rt.Fatalf("%s: %v is not sorted", da.Name, live)
+		}
+		for _, id := range live {
+			if !heard[id] {
+				rt.Fatalf("%s has a share and was never heard from", id)
+			}
+		}
+	}
+}
+
+// Guards against a leaving worker that some instance still uses after 3 s, whichever source says so first, with the
+// list lagging or unreachable.
+func TestLeavingWorkerIsReportedEverywhereIn3s(t *testing.T) {
+	const step = 100 * time.Millisecond
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(2, 6).Draw(rt, "instances")
+		cores := make([]*Core, n)
+		phase := make([]int, n) // when an instance sends its heartbeats, in steps
+		told := make([]bool, n)
+		for i := range cores {
+			cores[i] = newCore(fmt.Sprintf("i%d", i))
+			phase[i] = rapid.IntRange(0, 9).Draw(rt, "phase")
+			cores[i].Step(start, PoolsChanged{[]DeclaredWorker{{Worker: "w"}}}, nil)
+			cores[i].Step(start, ListRead{[]lovageplatform.Instance{listedWorker("w", "live")}}, nil)
+		}
+		first := rapid.IntRange(0, n-1).Draw(rt, "first")
+		byList := rapid.Bool().Draw(rt, "byList")
+		listWorks := rapid.Bool().Draw(rt, "listWorks")
+		for k := range 30 {
+			now := start.Add(time.Duration(k) * step)
+			do := func(i int, ev Event) {
+				for _, id := range leavingOf(cores[i].Step(now, ev, nil)) {
+					if id != "w" || told[i] {
+						rt.Fatalf("instance %d: leaving %s told again or wrongly", i, id)
+					}
+					told[i] = true
+				}
+			}
+			if k == 0 && byList {
+				do(first, ListRead{[]lovageplatform.Instance{listedWorker("w", "leaving")}})
+			} else if k == 0 {
+				do(first, WorkerReplied{Worker: "w", Leaving: true})
+			}
+			for i := range cores {
+				do(i, Tick{})
+				if listWorks && k%20 == phase[i] { // lags: still shows the worker as live
+					do(i, ListRead{[]lovageplatform.Instance{listedWorker("w", "live")}})
+				}
+				if k%10 != phase[i] {
+					continue
+				}
+				hb := heartbeat(fmt.Sprintf("i%d", i))
+				hb.LeavingWorkers = cores[i].LeavingWorkers()
+				for j := range cores {
+					do(j, hb)
+				}
+			}
+		}
+		if slices.Contains(told, false) {
+			rt.Fatalf("told after 3 s: %v", told)
+		}
+	})
+}
--- /dev/null
+++ b/lovagemember/event.go
@@ -0,0 +1,155 @@
+package lovagemember
+
+import "lovagestack/lovageplatform"
+
+// Event is an input of a Core.
+type Event interface{ isEvent() }
+
+// ListRead is a successful read of the platform's list. A failed read is no event: the last view stays.
+type ListRead struct{ Instances []lovageplatform.Instance }
+
+// HeartbeatSeen is a heartbeat of a peer. LeavingWorkers is the whole set of workers that the peer itself found
+// leaving. KnownPeers are the instances that the peer hears from.
+type HeartbeatSeen struct {
+	Instance, DataCentre, Address string
+	Leaving                       bool
+	LeavingWorkers                []string
+	KnownPeers                    []Peer
+}
+
+// Peer is an instance as another instance knows it.
+type Peer struct {
+	Instance, DataCentre, Address string
+	Leaving                       bool
+}
+
+// PeerHeard says that a request or a response of a peer arrived.
+type PeerHeard struct{ Instance string }
+
+// SessionUp says that a session with an instance is established.
+type SessionUp struct{ Instance string }
+
+// SessionDown says that a session is lost or, with Refused, that the instance's machine refused a new one.
+type SessionDown struct {
+	Instance string
+	Refused  bool
+}
+
+// PoolsChanged is the whole set of workers that the pools declare.
+type PoolsChanged struct{ Workers []DeclaredWorker }
+
+// DeclaredWorker is a worker as a pool declares it.
+type DeclaredWorker struct{ Worker, DataCentre, Address string }
+
+// WorkerReplied is a reply of a worker, refusals included. Leaving says that it carried the leaving header. A refusal
+// without the header does not mark the worker: it also refuses when two instances use the same slot.
+type WorkerReplied struct {
+	Worker  string
+	Leaving bool
+}
+
+// WorkerLeavingHeard is the whole set of workers that a peer itself found leaving, from the reply to a heartbeat.
+type WorkerLeavingHeard struct {
+	From    string
+	Workers []string
+}
+
+// Drain says that this instance is leaving.
+type Drain struct{}
+
+// Tick lets time pass. It is due every second or more often.
+type Tick struct{}
+
+func (ListRead) isEvent()           {}
+func (HeartbeatSeen) isEvent()      {}
+func (PeerHeard) isEvent()          {}
+func (SessionUp) isEvent()          {}
+func (SessionDown) isEvent()        {}
+func (PoolsChanged) isEvent()       {}
+func (WorkerReplied) isEvent()      {}
+func (WorkerLeavingHeard) isEvent() {}
+func (Drain) isEvent()              {}
+func (Tick) isEvent()               {}
+
+// Command is an output of a Core.
+type Command interface{ isCommand() }
+
+// MembersChanged is the new view of the instances. It shares nothing with the Core.
+type MembersChanged struct{ DataCentres []DataCentre }
+
+// DataCentre holds the members of one data centre, sorted by instance ID.
+type DataCentre struct {
+	Name    string
+	Members []Member
+}
+
+// Live returns the IDs of the members that share the slots of the data centre, sorted.
+func (da DataCentre) Live() []string {
+	var out []string
+	for _, me := range da.Members {
+		if me.Shares() {
+			out = append(out, me.Instance)
+		}
+	}
+	return out
+}
+
+// Member is an instance as this instance sees it.
+type Member struct {
+	Instance, Address string
+	State             State
+	Refused           bool // gone because its machine refuses connections, so the process has ended
+}
+
+// Shares reports whether the member has a share of the slots. A suspect keeps its share until it is gone, so that a
+// short silence does not move slots twice.
+func (me Member) Shares() bool { return me.State == Live || me.State == Suspect }
+
+// State is the state of an instance or a worker.
+type State string
+
+// States. Workers are only ever live or leaving.
+const (
+	Unheard State = "unheard" // known from the list or from peers only
+	Live    State = "live"
+	Suspect State = "suspect"
+	Gone    State = "gone"
+	Leaving State = "leaving"
+)
+
+// WorkersChanged is the new set of declared workers, sorted by ID.
+type WorkersChanged struct{ Workers []Worker }
+
+// Worker is a declared worker.
+type Worker struct {
+	Worker, DataCentre, Address string
+	State                       State
+}
+
+// WorkerLeaving says that a worker must get no new work. It is given once per registration of the worker.
+type WorkerLeaving struct {
+	Worker string
+	Source Source
+}
+
+// Source is where a leaving mark came from.
+type Source string
+
+// Sources of leaving marks.
+const (
+	FromList  Source = "list"
+	FromReply Source = "reply"
+	FromPeer  Source = "peer"
+)
+
+// DialPeer asks for a session with an instance to be kept up.
+type DialPeer struct{ Instance, Address string }
+
+// DropPeer ends an earlier DialPeer.
+type DropPeer struct{ Instance, Address string }
+
+func (MembersChanged) isCommand() {}
+func (WorkersChanged) isCommand() {}
+func (WorkerLeaving) isCommand()  {}
+func (DialPeer) isCommand()       {}
+func (DropPeer) isCommand()       {}
--- /dev/null
+++ b/lovagemember/instance.go
@@ -0,0 +1,233 @@
+package lovagemember
+
+import (
+	"slices"
+	"time"
+
+	"lovagestack/lovageplatform"
+)
+
+// instance is what is known about one peer.
+type instance struct {
+	id, dataCentre, address string
+	known                   time.Time // when any source last named it
+	heard                   time.Time // when it was last heard from; zero: never
+	leaving                 bool      // by its own last heartbeat
+	listed, listedLeaving   bool      // in the last list
+	session                 bool
+	refusedSince            time.Time // first of the refusals since the last sign of life; zero: none
+	dialled                 string    // address of the last DialPeer
+	shown                   Member    // as in the last view
+	shownDataCentre         string
+}
+
+func (co *Core) listRead(ev ListRead) {
+	listed := make(map[string]lovageplatform.Instance, len(ev.Instances))
+	for _, in := range ev.Instances {
+		if in.Kind == lovageplatform.KindEntry && in.ID != "" && in.ID != co.se.Instance {
+			listed[in.ID] = in
+		}
+	}
+	for _, in := range ev.Instances {
+		if _, ok := listed[in.ID]; ok && in.Kind == lovageplatform.KindEntry {
+			co.instance(in.ID)
+		}
+	}
+	for _, id := range co.order {
+		it := co.instances[id]
+		entry, ok := listed[id]
+		it.listed, it.listedLeaving = ok, ok && entry.State == lovageplatform.StateLeaving
+		if ok {
+			it.known = co.now
+			// While the peer is heard from, its own word counts more than the list, which lags.
+			if st, _ := co.state(it); st == Unheard || st == Gone || it.address == "" {
+				it.dataCentre, it.address = entry.DataCentre, entry.Address
+			}
+		}
+		co.refresh(it)
+	}
+	co.listWorkers(ev.Instances)
+}
+
+func (co *Core) heartbeatSeen(ev HeartbeatSeen) {
+	for _, pe := range ev.KnownPeers {
+		co.peerNamed(pe)
+	}
+	if ev.Instance == "" || ev.Instance == co.se.Instance {
+		return
+	}
+	it := co.instance(ev.Instance)
+	it.dataCentre, it.address, it.leaving = ev.DataCentre, ev.Address, ev.Leaving
+	co.alive(it)
+	co.leavingHeard(ev.Instance, ev.LeavingWorkers)
+}
+
+// peerNamed notes an instance that a peer hears from. That is a reason to dial it, not to trust it.
+func (co *Core) peerNamed(pe Peer) {
+	if pe.Instance == "" || pe.Instance == co.se.Instance {
+		return
+	}
+	it := co.instance(pe.Instance)
+	it.known = co.now
+	if st, _ := co.state(it); st == Unheard || st == Gone {
+		it.dataCentre, it.address, it.leaving = pe.DataCentre, pe.Address, pe.Leaving
+	}
+	co.refresh(it)
+}
+
+func (co *Core) peerHeard(id string) {
+	if it := co.instances[id]; it != nil {
+		co.alive(it)
+	}
+}
+
+func (co *Core) sessionUp(id string) {
+	if id == "" || id == co.se.Instance {
+		return
+	}
+	it := co.instance(id)
+	it.session = true
+	co.alive(it)
+}
+
+func (co *Core) sessionDown(ev SessionDown) {
+	it := co.instances[ev.Instance]
+	if it == nil {
+		return
+	}
+	it.session = false
+	if ev.Refused && it.refusedSince.IsZero() {
+		it.refusedSince = co.now
+	}
+	co.refresh(it)
+}
+
+// alive notes a sign of life.
+func (co *Core) alive(it *instance) {
+	it.known, it.heard, it.refusedSince = co.now, co.now, time.Time{}
+	co.refresh(it)
+}
+
+// instance returns the record of an ID and creates it if needed.
+func (co *Core) instance(id string) *instance {
+	it := co.instances[id]
+	if it == nil {
+		it = &instance{id: id, known: co.now}
+		co.instances[id] = it
+		co.order = insertSorted(co.order, id)
+	}
+	return it
+}
+
+func (co *Core) state(it *instance) (st State, refused bool) {
+	switch silent := co.now.Sub(it.heard); {
+	case it.heard.IsZero():
+		return Unheard, false
+	case !it.refusedSince.IsZero() && co.now.Sub(it.refusedSince) >= co.se.RefusedAfter:
+		return Gone, true
+	case silent >= co.se.GoneAfter:
+		return Gone, false
+	case it.leaving || it.listedLeaving:
+		return Leaving, false
+	case silent >= co.se.SuspectAfter || !it.refusedSince.IsZero():
+		return Suspect, false
+	}
+	return Live, false
+}
+
+// refresh recomputes the state of an instance and has it dialled at its current address.
+func (co *Core) refresh(it *instance) {
+	st, refused := co.state(it)
+	shown := Member{Instance: it.id, Address: it.address, State: st, Refused: refused}
+	if shown != it.shown || it.dataCentre != it.shownDataCentre {
+		it.shown, it.shownDataCentre = shown, it.dataCentre
+		co.membersChanged = true
+	}
+	if it.address != it.dialled && it.address != co.se.Address {
+		co.drop(it)
+		if it.address != "" {
+			co.emit(DialPeer{Instance: it.id, Address: it.address})
+		}
+		it.dialled = it.address
+	}
+}
+
+func (co *Core) drop(it *instance) {
+	if it.dialled == "" {
+		return
+	}
+	address := it.dialled
+	it.dialled = ""
+	for _, id := range co.order {
+		if co.instances[id].dialled == address {
+			return // a successor took over the address
+		}
+	}
+	co.emit(DropPeer{Instance: it.id, Address: address})
+}
+
+// pruneInstances forgets instances that no source has named for a while. What the last list names stays, also while
+// the list is unreachable.
+func (co *Core) pruneInstances() {
+	var forget []*instance
+	for _, id := range co.order {
+		it := co.instances[id]
+		if !it.listed && !it.session && co.now.Sub(it.known) >= co.se.ForgetAfter {
+			forget = append(forget, it)
+		}
+	}
+	for _, it := range forget {
+		co.drop(it)
+		delete(co.instances, it.id)
+		delete(co.reported, it.id)
+		i, _ := slices.BinarySearch(co.order, it.id)
+		co.order = slices.Delete(co.order, i, i+1)
+		co.membersChanged = true
+	}
+}
+
+// KnownPeers returns the instances that this instance hears from, for its heartbeats. Instances known only from others
+// are left out, so that a dead one is not passed on for ever.
+func (co *Core) KnownPeers() []Peer {
+	var out []Peer
+	for _, id := range co.order {
+		it := co.instances[id]
+		if st := it.shown.State; st == Live || st == Leaving || st == Suspect {
+			out = append(out, Peer{Instance: id, DataCentre: it.dataCentre, Address: it.address, Leaving: it.leaving})
+		}
+	}
+	return out
+}
+
+// view returns the members of every data centre in sorted order, this instance included.
+func (co *Core) view() []DataCentre {
+	own := Member{Instance: co.se.Instance, Address: co.se.Address, State: Live}
+	if co.draining {
+		own.State = Leaving
+	}
+	byName := map[string][]Member{co.se.DataCentre: {own}}
+	names := []string{co.se.DataCentre}
+	for _, id := range co.order {
+		it := co.instances[id]
+		if it.dataCentre == "" {
+			continue // met, but its first heartbeat is still to come
+		}
+		if _, ok := byName[it.dataCentre]; !ok {
+			names = append(names, it.dataCentre)
+		}
+		byName[it.dataCentre] = append(byName[it.dataCentre], it.shown)
+	}
+	slices.Sort(names)
+	out := make([]DataCentre, 0, len(names))
+	for _, name := range names {
+		members := byName[name]
+		slices.SortFunc(members, func(a, b Member) int {
+			if a.Instance < b.Instance {
+				return -1
+			}
+			return 1
+		})
+		out = append(out, DataCentre{Name: name, Members: members})
+	}
+	return out
+}
