lovagemetric: count over go-metrics and write the Prometheus text format

Cause: every package needs counters, gauges and timers; go-metrics keeps each metric for ever and has no text format. Ruled out: go-metrics' sampled histograms for timers, because quantiles of instances cannot be combined; fixed buckets of counters can. Conclusion: the operator API can serve Registry.WriteText.

--- /dev/null
+++ b/lovagemetric/text.go
@@ -0,0 +1,99 @@
+package lovagemetric
+
+import (
+	"bufio"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+)
+
+// ContentType is the media type of the text that WriteText writes.
+const ContentType = "text/plain; version=0.0.4; charset=utf-8"
+
+var helpEscaper = strings.NewReplacer(`\`, `\\`, "\n", `\n`)
+
+// WriteText writes all metrics in the Prometheus text format, sorted by name and labels.
+func (re *Registry) WriteText(w io.Writer) error {
+	re.mu.Lock()
+	families := make([]*family, 0, len(re.names))
+	for _, name := range re.names {
+		families = append(families, re.families[name])
+	}
+	re.mu.Unlock()
+	bw := bufio.NewWriter(w)
+	for _, fa := range families {
+		fa.write(bw)
+	}
+	return errors.Wrap(bw.Flush(), "write metrics")
+}
+
+func (fa *family) fullName() string {
+	switch fa.kind {
+	case typeCounter:
+		return prefix + fa.name + "_total"
+	case typeHistogram:
+		return prefix + fa.name + "_seconds"
+	}
+	return prefix + fa.name
+}
+
+func (fa *family) write(bw *bufio.Writer) {
+	fa.mu.RLock()
+	texts := make([]string, 0, len(fa.series))
+	for text := range fa.series {
+		texts = append(texts, text)
+	}
+	slices.Sort(texts)
+	series := make([]any, len(texts))
+	for i, text := range texts {
+		series[i] = fa.series[text]
+	}
+	fa.mu.RUnlock()
+	if len(texts) == 0 {
+		return
+	}
+	name := fa.fullName()
+	_, _ = bw.WriteString("# HELP " + name + " " + helpEscaper.Replace(fa.help) + "\n")
+	_, _ = bw.WriteString("# TYPE " + name + " " + fa.kind + "\n")
+	for i, se := range series {
+		switch se := se.(type) {
+		case metrics.Counter:
+			writeLine(bw, name, texts[i], "", float64(se.Count()))
+		case metrics.GaugeFloat64:
+			writeLine(bw, name, texts[i], "", se.Value())
+		case *Timer:
+			writeTimer(bw, name, texts[i], se)
+		}
+	}
+}
+
+func writeTimer(bw *bufio.Writer, name, labels string, ti *Timer) {
+	var count int64
+	for i, bu := range ti.buckets {
+		count += bu.Count()
+		le := "+Inf"
+		if i < len(bucketBounds) {
+			le = formatFloat(bucketBounds[i].Seconds())
+		}
+		writeLine(bw, name+"_bucket", labels, `le="`+le+`"`, float64(count))
+	}
+	writeLine(bw, name+"_sum", labels, "", float64(ti.nanos.Count())/1e9)
+	writeLine(bw, name+"_count", labels, "", float64(count))
+}
+
+func writeLine(bw *bufio.Writer, name, labels, extra string, value float64) {
+	_, _ = bw.WriteString(name)
+	if labels != "" && extra != "" {
+		labels += ","
+	}
+	if labels += extra; labels != "" {
+		_, _ = bw.WriteString("{" + labels + "}")
+	}
+	_, _ = bw.WriteString(" " + formatFloat(value) + "\n")
+}
+
+func formatFloat(value float64) string { return strconv.FormatFloat(value, 'g', -1, 64) }
--- /dev/null
+++ b/lovagemetric/timer.go
@@ -0,0 +1,53 @@
+package lovagemetric
+
+import (
+	"sort"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// bucketBounds are the upper bounds of the buckets of timers. They cover the 0.5 ms that the dispatcher may add up to
+// tasks of several seconds, and are equal everywhere so that instances can be summed.
+var bucketBounds = []time.Duration{
+	100 * time.Microsecond, 200 * time.Microsecond, 500 * time.Microsecond,
+	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond,
+	10 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond,
+	100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond,
+	time.Second, 2 * time.Second, 5 * time.Second, 10 * time.Second, 30 * time.Second,
+}
+
+// Timer is a histogram of durations, written in seconds.
+type Timer struct {
+	buckets []metrics.Counter // one more than bounds, for longer durations
+	nanos   metrics.Counter   // sum
+}
+
+// TimerFamily is a set of timers that differ in their labels.
+type TimerFamily struct{ fa *family }
+
+// Timer returns the timers of a name. "_seconds" is appended to the name when it is written.
+func (re *Registry) Timer(name, help string, labels ...LabelName) TimerFamily {
+	return TimerFamily{re.family(typeHistogram, name, help, labels)}
+}
+
+// With returns the timer of the label values, in the order of the labels.
+func (tf TimerFamily) With(values ...string) *Timer {
+	return tf.fa.with(values, func(string) any {
+		ti := &Timer{buckets: make([]metrics.Counter, len(bucketBounds)+1), nanos: metrics.NewCounter()}
+		for i := range ti.buckets {
+			ti.buckets[i] = metrics.NewCounter()
+		}
+		return ti
+	}).(*Timer)
+}
+
+// Observe adds one duration.
+func (ti *Timer) Observe(du time.Duration) {
+	i := sort.Search(len(bucketBounds), func(i int) bool { return du <= bucketBounds[i] })
+	ti.buckets[i].Inc(1)
+	ti.nanos.Inc(int64(du))
+}
+
+// Since adds the time that has passed since start.
+func (ti *Timer) Since(start time.Time) { ti.Observe(time.Since(start)) }
--- a/lovagepeer/options.go
+++ b/lovagepeer/options.go
@@ -15,7 +15,7 @@
 }
 
 // Counter is a count that only increases. The counters of go-metrics satisfy it.
-type Counter interface{ Inc(n int64) }
+type Counter = interface{ Inc(n int64) }
 
 // Counters supplies the counters of a Mesh. New asks for each one once. The kind is the kind of message, or empty for
 // counts that are not per kind.
