--- /dev/null
+++ b/lovagetrace/tracer.go
@@ -0,0 +1,173 @@
+package lovagetrace
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// Hop is the part of a request's way that a span stands for.
+type Hop string
+
+// Hops.
+const (
+	CallerRequest Hop = "callerRequest"
+	QueueWait     Hop = "queueWait"
+	PeerHop       Hop = "peerHop"
+	WorkerCall    Hop = "workerCall"
+)
+
+func (ho Hop) kind() trace.SpanKind {
+	switch ho {
+	case CallerRequest:
+		return trace.SpanKindServer
+	case PeerHop, WorkerCall:
+		return trace.SpanKindClient
+	case QueueWait:
+	}
+	return trace.SpanKindInternal
+}
+
+// Settings configure a Tracer. It is off unless SampleRatio is positive and an endpoint or a file is set.
+type Settings struct {
+	Instance, DataCentre string
+
+	SampleRatio float64 // share of the traces begun here that are recorded, 0 to 1; a caller's decision is kept
+	Endpoint    string  // URL of an OTLP/HTTP receiver, such as http://127.0.0.1:4318/v1/traces
+	File        string  // file to append spans to, one JSON object a line
+
+	QueueSize     int           // finished spans waiting for export, default 4096, about 4 MB
+	ExportTimeout time.Duration // one export, default 5 s
+	FlushInterval time.Duration // longest wait before an export, default 1 s
+}
+
+func (se Settings) on() bool { return se.SampleRatio > 0 && (se.Endpoint != "" || se.File != "") }
+
+// Tracer starts spans. The nil Tracer is off. Its methods may be called concurrently.
+type Tracer struct {
+	tracer trace.Tracer
+	queue  *queue
+}
+
+// New returns a Tracer that exports to what the settings name; the settings must not name both an endpoint and a file.
+// It returns a Tracer that is off if they ask for none.
+func New(ctx context.Context, se Settings) (*Tracer, error) {
+	if !se.on() {
+		return nil, nil // the nil Tracer is off
+	}
+	if se.SampleRatio > 1 {
+		return nil, errors.Newf("sample ratio %g is not between 0 and 1", se.SampleRatio)
+	}
+	if se.Endpoint != "" && se.File != "" {
+		return nil, errors.Newf("spans go either to %s or to %s, not to both", se.Endpoint, se.File)
+	}
+	exporter, err := newExporter(ctx, se)
+	if err != nil {
+		return nil, err
+	}
+	return newTracer(se, exporter), nil
+}
+
+func newExporter(ctx context.Context, se Settings) (sdktrace.SpanExporter, error) {
+	if se.File != "" {
+		return newFileExporter(se.File)
+	}
+	ex, err := otlptracehttp.New(ctx,
+		otlptracehttp.WithEndpointURL(se.Endpoint),
+		// A receiver that is down costs spans, which are counted; waiting for it would only fill the queue.
+		otlptracehttp.WithRetry(otlptracehttp.RetryConfig{Enabled: false}))
+	return ex, errors.Wrapf(err, "set up the export of spans to %s", se.Endpoint)
+}
+
+func newTracer(se Settings, exporter sdktrace.SpanExporter) *Tracer {
+	qu := newQueue(se, exporter)
+	provider := sdktrace.NewTracerProvider(
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(se.SampleRatio))),
+		sdktrace.WithSpanProcessor(qu),
+		sdktrace.WithResource(resource.NewSchemaless(
+			attribute.String("service.name", "lovagestack"),
+			attribute.String("service.instance.id", se.Instance),
+			attribute.String("lovage.data_centre", se.DataCentre),
+		)),
+	)
+	return &Tracer{tracer: provider.Tracer("lovagestack"), queue: qu}
+}
+
+// Serve exports spans until ctx ends, then exports what is queued and closes the exporter. It is to be called once.
+func (tr *Tracer) Serve(ctx context.Context) error {
+	if tr == nil {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return tr.queue.loop(ctx)
+}
+
+// Stats are counts since the start of a Tracer.
+type Stats struct {
+	Exported int64 // spans
+	Dropped  int64 // spans that did not fit into the queue
+	Failed   int64 // spans whose export failed
+}
+
+// Stats returns the counts; they are zero if the Tracer is off.
+func (tr *Tracer) Stats() Stats {
+	if tr == nil {
+		return Stats{}
+	}
+	return Stats{
+		Exported: tr.queue.exported.Load(), Dropped: tr.queue.dropped.Load(), Failed: tr.queue.failed.Load(),
+	}
+}
+
+// Span is a hop in progress. The zero Span does nothing.
+type Span struct{ span trace.Span }
+
+// Start starts the span of a hop. It must be ended.
+func (tr *Tracer) Start(ctx context.Context, hop Hop) (context.Context, Span) {
+	if tr == nil {
+		return ctx, Span{}
+	}
+	ctx, sp := tr.tracer.Start(ctx, string(hop), trace.WithSpanKind(hop.kind()))
+	return ctx, Span{sp}
+}
+
+// Record adds the span of a hop that has already ended, such as a wait in the queue.
+func (tr *Tracer) Record(ctx context.Context, hop Hop, start, end time.Time) {
+	if tr == nil {
+		return
+	}
+	_, sp := tr.tracer.Start(ctx, string(hop), trace.WithSpanKind(hop.kind()), trace.WithTimestamp(start))
+	sp.End(trace.WithTimestamp(end))
+}
+
+// SetString adds an attribute. Unlike labels of metrics, attributes may hold keys of jobs.
+func (sp Span) SetString(name, value string) {
+	if sp.span != nil && sp.span.IsRecording() {
+		sp.span.SetAttributes(attribute.String(name, value))
+	}
+}
+
+// SetInt adds an attribute.
+func (sp Span) SetInt(name string, value int) {
+	if sp.span != nil && sp.span.IsRecording() {
+		sp.span.SetAttributes(attribute.Int(name, value))
+	}
+}
+
+// End ends the span; an error that is not nil marks it as failed.
+func (sp Span) End(err error) {
+	if sp.span == nil {
+		return
+	}
+	if err != nil && sp.span.IsRecording() {
+		sp.span.SetStatus(codes.Error, err.Error())
+	}
+	sp.span.End()
+}
