lovagefake: add stand-in workers, a relay and the lovagestandin command

Cause: nothing in the repository answered the worker protocol or made connections silent, so no outcome of a task and no silent connection could be tested. Ruled out: a control endpoint on the worker's own address, because faults of the connection would also hit the request that ends them; counting a delayed commit as answered, because callers then never see the ambiguity. Change: lovagefake.Worker with slots, connection limit, speed, seeded run times and faults; WorkerControl; Relay; lovagestandin with the subcommands platform, worker and workers. Conclusion: the client for workers can be written against it.

--- /dev/null
+++ b/lovagefake/relay.go
@@ -0,0 +1,155 @@
+package lovagefake
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Relay forwards TCP connections to a target and can make them silent, cut them or delay their bytes.
+type Relay struct {
+	target  string
+	li      net.Listener
+	delay   atomic.Int64 // nanoseconds
+	refuse  atomic.Bool
+	stopped chan struct{}
+	running sync.WaitGroup
+
+	mu    sync.Mutex
+	pairs map[*relayPair]struct{}
+}
+
+// relayPair is one forwarded connection.
+type relayPair struct {
+	relay          *Relay
+	caller, target net.Conn
+	silent         atomic.Bool
+}
+
+// NewRelay starts a relay to the target on a free port of 127.0.0.1.
+func NewRelay(target string) (*Relay, error) {
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "relay")
+	}
+	re := &Relay{target: target, li: li, stopped: make(chan struct{}), pairs: map[*relayPair]struct{}{}}
+	re.running.Go(re.run)
+	return re, nil
+}
+
+// Address returns the address to connect to.
+func (re *Relay) Address() string { return re.li.Addr().String() }
+
+// Open returns the number of connections, including silent ones.
+func (re *Relay) Open() int {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	return len(re.pairs)
+}
+
+// Silence drops all further bytes of the existing connections in both directions, and does not pass on that one side
+// closed. New connections work.
+func (re *Relay) Silence() {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	for pa := range re.pairs {
+		pa.silent.Store(true)
+	}
+}
+
+// Cut closes the existing connections on both sides.
+func (re *Relay) Cut() {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	for pa := range re.pairs {
+		pa.close()
+	}
+}
+
+// SetDelay delays the bytes of each direction by d.
+func (re *Relay) SetDelay(d time.Duration) { re.delay.Store(int64(d)) }
+
+// SetRefuse sets whether new connections are closed at once.
+func (re *Relay) SetRefuse(refuse bool) { re.refuse.Store(refuse) }
+
+// Close closes the relay and its connections and waits for its goroutines.
+func (re *Relay) Close() {
+	close(re.stopped)
+	_ = re.li.Close()
+	re.Cut()
+	re.running.Wait()
+}
+
+func (re *Relay) run() {
+	for {
+		caller, err := re.li.Accept()
+		if err != nil {
+			return
+		}
+		if re.refuse.Load() {
+			_ = caller.Close()
+			continue
+		}
+		target, err := net.DialTimeout("tcp", re.target, time.Second)
+		if err != nil {
+			_ = caller.Close()
+			continue
+		}
+		pa := &relayPair{relay: re, caller: caller, target: target}
+		re.mu.Lock()
+		re.pairs[pa] = struct{}{}
+		re.mu.Unlock()
+		re.running.Go(pa.run)
+		select {
+		case <-re.stopped:
+			pa.close()
+		default:
+		}
+	}
+}
+
+// run forwards in both directions until one side closes; a silent pair stays until the relay cuts it or both closed.
+func (pa *relayPair) run() {
+	var both sync.WaitGroup
+	both.Go(func() { pa.copy(pa.target, pa.caller) })
+	both.Go(func() { pa.copy(pa.caller, pa.target) })
+	both.Wait()
+	pa.close()
+	pa.relay.mu.Lock()
+	defer pa.relay.mu.Unlock()
+	delete(pa.relay.pairs, pa)
+}
+
+func (pa *relayPair) copy(to, from net.Conn) {
+	buf := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(buf)
+		if d := time.Duration(pa.relay.delay.Load()); d > 0 && n > 0 {
+			ti := time.NewTimer(d)
+			select {
+			case <-ti.C:
+			case <-pa.relay.stopped:
+				ti.Stop()
+			}
+		}
+		if n > 0 && !pa.silent.Load() {
+			if _, writeErr := to.Write(buf[:n]); writeErr != nil {
+				err = writeErr
+			}
+		}
+		if err != nil {
+			if !pa.silent.Load() {
+				pa.close()
+			}
+			return
+		}
+	}
+}
+
+func (pa *relayPair) close() {
+	_ = pa.caller.Close()
+	_ = pa.target.Close()
+}
--- /dev/null
+++ b/lovagestandin/workers.go
@@ -0,0 +1,197 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lovagestack/lovagefake"
+	"lovagestack/lovagejob"
+	"lovagestack/lovageplatform"
+)
+
+// serviceList reads services of the form "name=median" or "name=median:sigma", separated by commas.
+type serviceList map[string]lovagefake.ServiceRun
+
+// UnmarshalText reads the list.
+func (li *serviceList) UnmarshalText(text []byte) error {
+	*li = serviceList{}
+	for part := range strings.SplitSeq(string(text), ",") {
+		name, run, ok := strings.Cut(part, "=")
+		if !ok || !lovagejob.ValidName(name) {
+			return errors.Newf("service %q is not of the form name=median:sigma", part)
+		}
+		median, sigma, ok := strings.Cut(run, ":")
+		var sr lovagefake.ServiceRun
+		if err := sr.Median.Set(median); err != nil {
+			return errors.Wrapf(err, "service %q: median", part)
+		}
+		if ok {
+			var err error
+			if sr.Sigma, err = strconv.ParseFloat(sigma, 64); err != nil {
+				return errors.Wrapf(err, "service %q: sigma", part)
+			}
+			if sr.Sigma == 0 {
+				sr.Sigma = -1 // 0 stands for the default
+			}
+		}
+		(*li)[name] = sr
+	}
+	return nil
+}
+
+// workerFlags are the flags that both worker commands have.
+type workerFlags struct {
+	Slots       int         `arg:"--slots" default:"8" help:"tasks that run at the same time"`
+	Connections int         `arg:"--connections" default:"64" help:"open connections"`
+	Control     string      `arg:"--control" help:"address of the control endpoint; none if empty"`
+	Platform    string      `arg:"--platform" help:"address of the stand-in platform to register with"`
+	Services    serviceList `arg:"--services" help:"run times, as name=median:sigma,... (default 150ms:0.6 for each)"`
+	Seed        uint64      `arg:"--seed" default:"1" help:"seed of the run times"`
+	NoStarts    bool        `arg:"--no-starts" help:"do not record which tasks were started"`
+}
+
+type workerCommand struct {
+	Listen     string  `arg:"--listen" default:"127.0.0.1:9100"`
+	ID         string  `arg:"--id,required"`
+	DataCentre string  `arg:"--data-centre,required"`
+	Speed      float64 `arg:"--speed" default:"1.0" help:"run times are divided by it"`
+	workerFlags
+}
+
+type workersCommand struct {
+	Count       int    `arg:"--count" default:"48"`
+	Listen      string `arg:"--listen" default:"127.0.0.1:9100" help:"address of the first worker; the others follow"`
+	DataCentres string `arg:"--data-centres" default:"kandla" help:"separated by commas, taken in turn"`
+	Speeds      string `arg:"--speeds" default:"1" help:"separated by commas, taken in turn within a data centre"`
+	workerFlags
+}
+
+func (co *workerCommand) run(ctx context.Context) error {
+	wo, err := co.start(co.ID, co.DataCentre, co.Listen, co.Speed)
+	if err != nil {
+		return err
+	}
+	defer wo.Close()
+	return co.serve(ctx, []*lovagefake.Worker{wo})
+}
+
+func (co *workersCommand) run(ctx context.Context) error {
+	host, portText, err := net.SplitHostPort(co.Listen)
+	if err != nil {
+		return errors.Wrap(err, "--listen")
+	}
+	port, err := strconv.Atoi(portText)
+	if err != nil {
+		return errors.Wrap(err, "--listen")
+	}
+	var speeds []float64
+	for text := range strings.SplitSeq(co.Speeds, ",") {
+		speed, err := strconv.ParseFloat(text, 64)
+		if err != nil || speed <= 0 {
+			return errors.Newf("--speeds: %q is not a positive number", text)
+		}
+		speeds = append(speeds, speed)
+	}
+	dcs := strings.Split(co.DataCentres, ",")
+	var workers []*lovagefake.Worker
+	for i := range co.Count {
+		addr := net.JoinHostPort(host, "0")
+		if port != 0 {
+			addr = net.JoinHostPort(host, strconv.Itoa(port+i))
+		}
+		dc, n := dcs[i%len(dcs)], i/len(dcs)
+		wo, err := co.start(fmt.Sprintf("%s-w%d", dc, n), dc, addr, speeds[n%len(speeds)])
+		if err != nil {
+			return err
+		}
+		defer wo.Close()
+		workers = append(workers, wo)
+	}
+	return co.serve(ctx, workers)
+}
+
+func (fl *workerFlags) start(id, dc, addr string, speed float64) (*lovagefake.Worker, error) {
+	if !lovagejob.ValidName(id) || !lovagejob.ValidName(dc) {
+		return nil, errors.Newf("worker %q in data centre %q: not a valid name", id, dc)
+	}
+	wo := lovagefake.NewWorker(lovagefake.WorkerSettings{
+		ID: id, DataCentre: dc, Slots: fl.Slots, Connections: fl.Connections, Speed: speed,
+		Services: fl.Services, Seed: fl.Seed, NoStarts: fl.NoStarts,
+	})
+	bound, err := wo.Listen(addr)
+	if err != nil {
+		return nil, err
+	}
+	fmt.Println("listening", id, bound)
+	return wo, nil
+}
+
+// serve registers the workers, serves their control endpoint and waits for the end.
+func (fl *workerFlags) serve(ctx context.Context, workers []*lovagefake.Worker) error {
+	if fl.Control != "" {
+		sv, err := serve("control", fl.Control, lovagefake.WorkerControl(workers...))
+		if err != nil {
+			return err
+		}
+		defer func() { _ = sv.Close() }()
+	}
+	if fl.Platform != "" {
+		for _, wo := range workers {
+			if err := register(ctx, fl.Platform, wo.Instance()); err != nil {
+				return err
+			}
+		}
+	}
+	fmt.Println("ready")
+	<-ctx.Done()
+	return nil
+}
+
+// register puts the instance into the platform's list. It waits up to 10 s for a platform that is still starting.
+func register(ctx context.Context, platform string, in lovageplatform.Instance) error {
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	body, err := json.Marshal(in)
+	if err != nil {
+		return errors.Wrap(err, "encode instance")
+	}
+	for {
+		err := put(ctx, "http://"+platform+"/control/instances/"+url.PathEscape(in.ID), body)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(err, "register %s", in.ID)
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+func put(ctx context.Context, address string, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, address, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	reply, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<10))
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("status %d: %s", resp.StatusCode, reply)
+	}
+	return nil
+}
