lovagebackend: add the client for workers

Cause: no package started tasks on workers, and http.Transport neither tells whether a byte of a request was written nor notices every connection that the worker has closed. Ruled out: httptrace.WroteHeaders as the sign of a start (it is called after the write into a buffer, not into the kernel); Expect: 100-continue as proof of a live connection (a round trip more for each task); a request that is no task as a probe of a silent connection (a wasted message, and the protocol has none); ending a task on a connection only for its age (a slow service would lose jobs). Change: Client.Run with a transport for each worker. Bytes are counted in the connection and a request that is given up is barred from writing, so notStarted cannot become untrue later. A reused connection is checked for a close with MSG_PEEK before the first byte; without it the worker's close makes the outcome unknown. A request of which nothing was written is sent again on another connection, up to four times. Silent connections are judged by comparison with later requests of the same service. lovagefake: CloseReusedAt also holds for a read that began before the fault was set; the every-byte test had passed without cutting anything. Conclusion: an outcome is unknown only after a byte was written. A connection that goes silent with no other task on the worker is noticed only at the deadline, or by TCP if the peer's kernel is unreachable too.

--- /dev/null
+++ b/lovagebackend/client.go
@@ -0,0 +1,299 @@
+package lovagebackend
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/propagation"
+)
+
+const (
+	// maxHeaderBytes bounds the header of a reply; the protocol has two short fields.
+	maxHeaderBytes = 32 << 10
+	// keepAliveCount is the number of unanswered probes after which the kernel ends an idle connection.
+	keepAliveCount = 3
+	// maxStale bounds how often a task is sent on another connection because the worker had closed a reused one before
+	// a byte was written. http.Transport does so by itself only if it has not yet noticed that the connection closed.
+	maxStale = 4
+	// inspectEvery is the pause between looks for silent connections, well below SuspectAfter.
+	inspectEvery = 250 * time.Millisecond
+)
+
+// Settings configures a Client. Zero fields take the default named beside them.
+type Settings struct {
+	Connections  int           // connections to a worker whose requests name no limit, 64
+	DialTimeout  time.Duration // 1 s; a round trip takes about 1 ms
+	IdleAge      time.Duration // idle connections are closed after it, 15 s
+	KeepAlive    time.Duration // idle time before and pause between TCP keepalive probes, 3 s
+	UserTimeout  time.Duration // longest time for the worker's kernel to acknowledge written bytes, 10 s
+	MaxBodyBytes int64         // bound of a reply's body, 8 MiB
+
+	SuspectAfter  time.Duration // age of an unanswered request at which idle connections are renewed, 2 s
+	SilentAfter   time.Duration // least age of a request that is given up as silent, 10 s
+	SilentFactor  int           // its age in units of the slowest later request of the service, 10
+	SilentReplies int           // least number of such later requests, 8
+
+	Counters Counters
+}
+
+// Client starts tasks on workers. Its methods are safe for concurrent use.
+type Client struct {
+	se       Settings
+	counters Counters
+	start    time.Time
+	stop     chan struct{}
+	done     chan struct{}
+
+	mu      sync.Mutex
+	closed  bool
+	workers map[string]*worker // by address
+}
+
+// New returns a client. It must be closed.
+func New(se Settings) *Client {
+	setDefault(&se.Connections, 64)
+	setDefault(&se.DialTimeout, time.Second)
+	setDefault(&se.IdleAge, 15*time.Second)
+	setDefault(&se.KeepAlive, 3*time.Second)
+	setDefault(&se.UserTimeout, 10*time.Second)
+	setDefault(&se.MaxBodyBytes, 8<<20)
+	setDefault(&se.SuspectAfter, 2*time.Second)
+	setDefault(&se.SilentAfter, 10*time.Second)
+	setDefault(&se.SilentFactor, 10)
+	setDefault(&se.SilentReplies, 8)
+	se.Counters.fill()
+	cl := &Client{
+		se: se, counters: se.Counters, start: time.Now(), workers: map[string]*worker{},
+		stop: make(chan struct{}), done: make(chan struct{}),
+	}
+	go cl.run()
+	return cl
+}
+
+func setDefault[T int | int64 | time.Duration](value *T, standard T) {
+	if *value <= 0 {
+		*value = standard
+	}
+}
+
+// Close closes idle connections. Requests in flight go on; later ones end as not started.
+func (cl *Client) Close() {
+	cl.mu.Lock()
+	first := !cl.closed
+	cl.closed = true
+	cl.mu.Unlock()
+	if first {
+		close(cl.stop)
+	}
+	<-cl.done
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	for _, wo := range cl.workers {
+		wo.transport.CloseIdleConnections()
+	}
+}
+
+// since returns the nanoseconds from the start of the client on the monotonic clock.
+func (cl *Client) since(t time.Time) int64 { return int64(t.Sub(cl.start)) }
+
+// Run sends the task to the worker once and waits for its end, the deadline or the end of ctx.
+func (cl *Client) Run(ctx context.Context, re Request) Result {
+	if !re.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, re.Deadline)
+		defer cancel()
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	wo := cl.enter(re)
+	if wo == nil {
+		return Result{State: NotStarted, Err: errors.Wrapf(ErrClosed, "worker %s, task %s", re.Worker, re.Task)}
+	}
+	defer cl.leave(wo)
+	var res Result
+	for range maxStale {
+		at := &attempt{worker: wo, service: re.Service, cancel: cancel}
+		res = at.send(ctx, re)
+		if res.State != NotStarted || res.Status != 0 || !at.reused || ctx.Err() != nil {
+			break
+		}
+	}
+	if res.Err != nil {
+		if cause := context.Cause(ctx); cause != nil && !errors.Is(res.Err, cause) {
+			res.Err = errors.CombineErrors(cause, res.Err)
+		}
+		res.Err = errors.Wrapf(res.Err, "worker %s, task %s", re.Worker, re.Task)
+	}
+	return res
+}
+
+// enter returns the worker at the request's address, or nil after Close.
+func (cl *Client) enter(re Request) *worker {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	if cl.closed {
+		return nil
+	}
+	wo := cl.workers[re.Address]
+	if wo == nil {
+		connections := re.Connections
+		if connections <= 0 {
+			connections = cl.se.Connections
+		}
+		wo = newWorker(cl, connections)
+		cl.workers[re.Address] = wo
+	}
+	wo.users++
+	return wo
+}
+
+func (cl *Client) leave(wo *worker) {
+	cl.mu.Lock()
+	wo.users--
+	wo.lastUsed = cl.since(time.Now())
+	last := cl.closed && wo.users == 0
+	cl.mu.Unlock()
+	if last {
+		wo.transport.CloseIdleConnections()
+	}
+}
+
+// run looks for silent connections and forgets workers that are not used any more.
+func (cl *Client) run() {
+	defer close(cl.done)
+	ti := time.NewTicker(inspectEvery)
+	defer ti.Stop()
+	for {
+		select {
+		case <-cl.stop:
+			return
+		case <-ti.C:
+		}
+		cl.sweep(cl.since(time.Now()))
+	}
+}
+
+func (cl *Client) sweep(now int64) {
+	var busy []*worker
+	cl.mu.Lock()
+	for addr, wo := range cl.workers {
+		switch {
+		case wo.users > 0:
+			busy = append(busy, wo)
+		case time.Duration(now-wo.lastUsed) > 2*cl.se.IdleAge:
+			wo.transport.CloseIdleConnections()
+			delete(cl.workers, addr)
+		}
+	}
+	cl.mu.Unlock()
+	for _, wo := range busy {
+		wo.inspect(now)
+	}
+}
+
+// send writes the request, reads the reply and classifies the outcome.
+func (at *attempt) send(ctx context.Context, re Request) Result {
+	req, err := newRequest(httptrace.WithClientTrace(ctx, at.trace()), re)
+	if err != nil {
+		return Result{State: NotStarted, Err: err}
+	}
+	resp, err := at.worker.transport.RoundTrip(req)
+	if err != nil {
+		started := at.started()
+		at.worker.leave(at, false)
+		if started {
+			at.worker.client.counters.Requests.Inc(1)
+			return Result{State: Unknown, Err: err}
+		}
+		return Result{State: NotStarted, Err: err}
+	}
+	at.worker.client.counters.Requests.Inc(1)
+	body, err := readBody(resp, at.worker.client.se.MaxBodyBytes)
+	_ = resp.Body.Close()
+	at.worker.leave(at, err == nil)
+	res := classify(resp, body, err, re.Task)
+	if errors.Is(res.Err, ErrCrossed) {
+		at.worker.client.counters.Crossed.Inc(1)
+		at.started() // closes the connection, whose further replies would be crossed as well
+	}
+	at.release()
+	return res
+}
+
+func newRequest(ctx context.Context, re Request) (*http.Request, error) {
+	address := url.URL{Scheme: "http", Host: re.Address}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, address.String()+TaskPath(url.PathEscape(re.Service)), bytes.NewReader(re.Payload))
+	if err != nil {
+		return nil, err
+	}
+	// No Idempotency-Key: http.Transport takes it as leave to send a request again.
+	req.Header = http.Header{
+		HeaderTask:     {re.Task},
+		"Content-Type": {"application/json"},
+		"User-Agent":   {"lovagestack"},
+	}
+	if re.Epoch != "" {
+		req.Header[HeaderEpoch] = []string{re.Epoch}
+	}
+	if !re.Deadline.IsZero() {
+		req.Header[HeaderDeadline] = []string{re.Deadline.UTC().Format(time.RFC3339Nano)}
+	}
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(req.Header))
+	return req, nil
+}
+
+var errTooLong = errors.New("reply is longer than the limit")
+
+// readBody reads the body to its end, so that the connection can be reused.
+func readBody(resp *http.Response, limit int64) ([]byte, error) {
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		return nil, errors.New("worker switched protocols")
+	}
+	if resp.ContentLength > limit {
+		return nil, errors.Wrapf(errTooLong, "%d bytes, limit %d", resp.ContentLength, limit)
+	}
+	var buf bytes.Buffer
+	if resp.ContentLength > 0 {
+		buf.Grow(int(resp.ContentLength) + bytes.MinRead)
+	}
+	n, err := buf.ReadFrom(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read reply")
+	}
+	if n > limit {
+		return nil, errors.Wrapf(errTooLong, "limit %d", limit)
+	}
+	return buf.Bytes(), nil
+}
+
+// classify says what a reply means; bodyErr is why its body is not whole.
+func classify(resp *http.Response, body []byte, bodyErr error, task string) Result {
+	res := Result{
+		Status: resp.StatusCode, Body: body, Err: bodyErr,
+		Leaving: resp.Header.Get(HeaderLeaving) == "true",
+	}
+	named := resp.Header.Get(HeaderTask)
+	switch {
+	case named != "" && named != task:
+		res.State, res.Body = Unknown, nil
+		res.Err = errors.Wrapf(ErrCrossed, "task %q", named)
+	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotStarted) == "true":
+		res.State = NotStarted
+	case resp.StatusCode/100 != 2:
+		res.State = Failed
+	case bodyErr == nil:
+		res.State = Succeeded
+	case errors.Is(bodyErr, errTooLong):
+		res.State = Failed
+	default:
+		res.State = Unknown
+	}
+	return res
+}
--- /dev/null
+++ b/lovagebackend/client_test.go
@@ -0,0 +1,283 @@
+package lovagebackend_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/goleak"
+
+	"lovagestack/lovagebackend"
+	"lovagestack/lovagefake"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// counter counts for the tests.
+type counter struct{ atomic.Int64 }
+
+func (co *counter) Inc(n int64) { co.Add(n) }
+
+func newClient(t testing.TB, se lovagebackend.Settings) *lovagebackend.Client {
+	cl := lovagebackend.New(se)
+	t.Cleanup(cl.Close)
+	return cl
+}
+
+func startWorker(t testing.TB, se lovagefake.WorkerSettings) (*lovagefake.Worker, string) {
+	wo := lovagefake.NewWorker(se)
+	addr, err := wo.Listen("127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(wo.Close)
+	return wo, addr
+}
+
+// eventually waits for a condition; the bound only ends a run that hangs.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(ok), wait.Timeout(30*time.Second), wait.Gap(time.Millisecond)), must.Sprint(what))
+}
+
+func task(addr, id, payload string) lovagebackend.Request {
+	return lovagebackend.Request{
+		Worker: "w", Address: addr, Service: "ticket", Task: id, Epoch: "7",
+		Deadline: time.Now().Add(time.Minute), Payload: []byte(payload),
+	}
+}
+
+// rawWorker reads one whole request from each connection, answers with the reply and closes.
+func rawWorker(t *testing.T, reply string) (addr string, requests *bytes.Buffer) {
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	requests = new(bytes.Buffer)
+	var done sync.WaitGroup
+	done.Go(func() {
+		for {
+			co, err := li.Accept()
+			if err != nil {
+				return
+			}
+			buf := make([]byte, 4096)
+			for !bytes.HasSuffix(requests.Bytes(), []byte("{}")) {
+				n, err := co.Read(buf)
+				requests.Write(buf[:n])
+				if err != nil {
+					break
+				}
+			}
+			_, _ = io.WriteString(co, reply)
+			_ = co.Close()
+		}
+	})
+	t.Cleanup(func() { _ = li.Close(); done.Wait() })
+	return li.Addr().String(), requests
+}
+
+// Guards against a wrong state for any kind of reply, and against a body that is given although it is not whole.
+func TestClassifyReplies(t *testing.T) {
+	const small = "Content-Length: 2\r\n\r\nok"
+	for _, tt := range []struct {
+		name, reply string
+		state       lovagebackend.State
+		status      int
+		body        string
+		leaving     bool
+	}{
+		{"200", "HTTP/1.1 200 OK\r\n" + small, lovagebackend.Succeeded, 200, "ok", false},
+		{"204", "HTTP/1.1 204 None\r\n\r\n", lovagebackend.Succeeded, 204, "", false},
+		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", lovagebackend.Succeeded, 200, "ok", false},
+		{"200 to the end of the connection", "HTTP/1.0 200 OK\r\n\r\nok", lovagebackend.Succeeded, 200, "ok", false},
+		{"leaving", "HTTP/1.1 200 OK\r\nLovage-Leaving: true\r\n" + small, lovagebackend.Succeeded, 200, "ok", true},
+		{"not started is only said with 503", "HTTP/1.1 200 OK\r\nLovage-Not-Started: true\r\n" + small, lovagebackend.Succeeded, 200, "ok", false},
+		{"own task named", "HTTP/1.1 200 OK\r\nLovage-Task: k/0\r\n" + small, lovagebackend.Succeeded, 200, "ok", false},
+		{"other task named", "HTTP/1.1 200 OK\r\nLovage-Task: k/1\r\n" + small, lovagebackend.Unknown, 200, "", false},
+		{"other task not started", "HTTP/1.1 503 No\r\nLovage-Not-Started: true\r\nLovage-Task: k/1\r\n" + small, lovagebackend.Unknown, 503, "", false},
+		{"503 not started", "HTTP/1.1 503 No\r\nLovage-Not-Started: true\r\nLovage-Leaving: true\r\n" + small, lovagebackend.NotStarted, 503, "ok", true},
+		{"503 not started, body cut", "HTTP/1.1 503 No\r\nLovage-Not-Started: true\r\nContent-Length: 9\r\n\r\nok", lovagebackend.NotStarted, 503, "", false},
+		{"503 only", "HTTP/1.1 503 No\r\n" + small, lovagebackend.Failed, 503, "ok", false},
+		{"503 not started false", "HTTP/1.1 503 No\r\nLovage-Not-Started: false\r\n" + small, lovagebackend.Failed, 503, "ok", false},
+		{"500 not started", "HTTP/1.1 500 No\r\nLovage-Not-Started: true\r\n" + small, lovagebackend.Failed, 500, "ok", false},
+		{"404", "HTTP/1.1 404 No\r\n" + small, lovagebackend.Failed, 404, "ok", false},
+		{"408", "HTTP/1.1 408 Late\r\nConnection: close\r\n" + small, lovagebackend.Failed, 408, "ok", false},
+		{"redirect", "HTTP/1.1 307 Go\r\nLocation: /\r\n" + small, lovagebackend.Failed, 307, "ok", false},
+		{"101", "HTTP/1.1 101 Switch\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", lovagebackend.Failed, 101, "", false},
+		{"500, body cut", "HTTP/1.1 500 No\r\nContent-Length: 9\r\n\r\nok", lovagebackend.Failed, 500, "", false},
+		{"200, body cut", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", lovagebackend.Unknown, 200, "", false},
+		{"200, chunk cut", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", lovagebackend.Unknown, 200, "", false},
+		{"200, body too long", "HTTP/1.1 200 OK\r\nContent-Length: 65\r\n\r\n" + strings.Repeat("x", 65), lovagebackend.Failed, 200, "", false},
+		{"200, chunks too long", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n" + strings.Repeat("x", 65) + "\r\n0\r\n\r\n", lovagebackend.Failed, 200, "", false},
+		{"header too long", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 64<<10) + "\r\n" + small, lovagebackend.Unknown, 0, "", false},
+		{"no reply", "", lovagebackend.Unknown, 0, "", false},
+		{"not HTTP", "hello\r\n\r\n", lovagebackend.Unknown, 0, "", false},
+		{"header cut", "HTTP/1.1 200 OK\r\nContent-Le", lovagebackend.Unknown, 0, "", false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			addr, _ := rawWorker(t, tt.reply)
+			res := newClient(t, lovagebackend.Settings{MaxBodyBytes: 64}).Run(context.Background(), task(addr, "k/0", "{}"))
+			must.Eq(t, tt.state, res.State)
+			must.Eq(t, tt.status, res.Status)
+			must.Eq(t, tt.body, string(res.Body))
+			must.Eq(t, tt.leaving, res.Leaving)
+			must.Eq(t, tt.body == "" && tt.status != 204, res.Err != nil)
+		})
+	}
+}
+
+// Guards against a request that lacks a field of the protocol or invites http.Transport to send it again.
+func TestRequestOnTheWire(t *testing.T) {
+	addr, requests := rawWorker(t, "HTTP/1.1 204 None\r\n\r\n")
+	ctx := trace.ContextWithSpanContext(context.Background(), trace.NewSpanContext(trace.SpanContextConfig{
+		TraceID: trace.TraceID{1}, SpanID: trace.SpanID{2}, TraceFlags: trace.FlagsSampled,
+	}))
+	re := task(addr, "k/0", "{}")
+	re.Deadline = time.Date(2100, 1, 2, 3, 4, 5, 678, time.UTC)
+	must.Eq(t, lovagebackend.Succeeded, newClient(t, lovagebackend.Settings{}).Run(ctx, re).State)
+	got := requests.String()
+	for _, line := range []string{
+		"POST /v1/services/ticket/tasks HTTP/1.1\r\n", "\r\nLovage-Task: k/0\r\n", "\r\nLovage-Epoch: 7\r\n",
+		"\r\nLovage-Deadline: 2100-01-02T03:04:05.000000678Z\r\n",
+		"\r\nTraceparent: 00-01000000000000000000000000000000-0200000000000000-01\r\n",
+	} {
+		must.StrContains(t, got, line)
+	}
+	must.StrNotContains(t, strings.ToLower(got), "idempotency-key")
+}
+
+// Guards against a start that is reported as none, or none that is reported as a start without need.
+func TestRunWithoutReply(t *testing.T) {
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	closed := li.Addr().String()
+	must.NoError(t, li.Close())
+	wo, addr := startWorker(t, lovagefake.WorkerSettings{ID: "w"})
+	ended, end := context.WithCancel(context.Background())
+	end()
+	late := task(addr, "late", "")
+	late.Deadline = time.Now().Add(-time.Second)
+	for _, tt := range []struct {
+		name    string
+		ctx     context.Context
+		request lovagebackend.Request
+		faults  lovagefake.WorkerFaults
+		state   lovagebackend.State
+	}{
+		{"refused connection", context.Background(), task(closed, "a", ""), lovagefake.WorkerFaults{}, lovagebackend.NotStarted},
+		{"no address", context.Background(), task("", "b", ""), lovagefake.WorkerFaults{}, lovagebackend.NotStarted},
+		{"bad task header", context.Background(), task(addr, "c\r\nX: y", ""), lovagefake.WorkerFaults{}, lovagebackend.NotStarted},
+		{"context ended", ended, task(addr, "d", ""), lovagefake.WorkerFaults{}, lovagebackend.NotStarted},
+		{"deadline passed", context.Background(), late, lovagefake.WorkerFaults{}, lovagebackend.NotStarted},
+		{"refused", context.Background(), task(addr, "e", ""), lovagefake.WorkerFaults{Refuse: true}, lovagebackend.NotStarted},
+		{"closed before the request", context.Background(), task(addr, "f", ""), lovagefake.WorkerFaults{CloseBefore: true}, lovagebackend.Unknown},
+		{"closed after the request", context.Background(), task(addr, "g", ""), lovagefake.WorkerFaults{CloseAfter: true}, lovagebackend.Unknown},
+		{"closed in the reply", context.Background(), task(addr, "h", `{"runTime":"0s"}`), lovagefake.WorkerFaults{CloseInReply: true}, lovagebackend.Unknown},
+		{"failing worker", context.Background(), task(addr, "i", ""), lovagefake.WorkerFaults{FailEverything: true}, lovagebackend.Failed},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			wo.SetFaults(tt.faults)
+			defer wo.SetFaults(lovagefake.WorkerFaults{})
+			res := newClient(t, lovagebackend.Settings{}).Run(tt.ctx, tt.request)
+			must.Eq(t, tt.state, res.State, must.Sprint(res.Err))
+			if tt.state == lovagebackend.NotStarted {
+				must.Eq(t, 0, wo.StartCounts()[tt.request.Task])
+			}
+			must.True(t, res.Err != nil || res.Status != 0)
+		})
+	}
+	cl := lovagebackend.New(lovagebackend.Settings{})
+	cl.Close()
+	res := cl.Run(context.Background(), task(addr, "after close", ""))
+	must.Eq(t, lovagebackend.NotStarted, res.State)
+	must.ErrorIs(t, res.Err, lovagebackend.ErrClosed)
+}
+
+// Guards against a stopped or overdue task that keeps running on the worker or is reported as not started.
+func TestStopClosesTheRequest(t *testing.T) {
+	for _, way := range []string{"cancel", "deadline"} {
+		t.Run(way, func(t *testing.T) {
+			wo, addr := startWorker(t, lovagefake.WorkerSettings{ID: "w"})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			re := task(addr, "k/0", `{"runTime":"1h"}`)
+			var stopped sync.WaitGroup
+			if way == "cancel" {
+				stopped.Go(func() {
+					eventually(t, "task runs", func() bool { return wo.Busy() == 1 })
+					cancel()
+				})
+			} else {
+				re.Deadline = time.Now().Add(300 * time.Millisecond)
+			}
+			res := newClient(t, lovagebackend.Settings{}).Run(ctx, re)
+			stopped.Wait()
+			if way == "cancel" {
+				must.Eq(t, lovagebackend.Unknown, res.State)
+				must.ErrorIs(t, res.Err, context.Canceled)
+			} else {
+				must.ErrorIs(t, res.Err, context.DeadlineExceeded)
+			}
+			eventually(t, "slot is free", func() bool { return wo.Busy() == 0 })
+			if wo.StartCounts()["k/0"] > 0 {
+				must.Eq(t, lovagebackend.Unknown, res.State)
+			}
+		})
+	}
+}
+
+// Guards against more connections than the worker's limit, and against a task reported as started that only waited
+// for a connection.
+func TestConnectionLimit(t *testing.T) {
+	wo, addr := startWorker(t, lovagefake.WorkerSettings{ID: "w", Slots: 8})
+	var connections counter
+	cl := newClient(t, lovagebackend.Settings{Counters: lovagebackend.Counters{Connections: &connections}})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for i := range 2 {
+		re := task(addr, fmt.Sprintf("k/%d", i), `{"runTime":"1h"}`)
+		re.Connections = 2
+		running.Go(func() { cl.Run(ctx, re) })
+	}
+	eventually(t, "tasks run", func() bool { return wo.Busy() == 2 })
+	re := task(addr, "k/2", "")
+	re.Deadline = time.Now().Add(50 * time.Millisecond)
+	res := cl.Run(ctx, re)
+	must.Eq(t, lovagebackend.NotStarted, res.State)
+	must.ErrorIs(t, res.Err, context.DeadlineExceeded)
+	must.Eq(t, 2, connections.Load())
+	cancel()
+	running.Wait()
+}
+
+// Guards against a request that is reported as not started while a part of it is on the wire: the payload does not
+// fit into the socket buffers and the worker reads nothing.
+func TestPartlyWritten(t *testing.T) {
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = li.Close() }()
+	re := task(li.Addr().String(), "k/0", strings.Repeat("x", 64<<20))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		co, err := li.Accept()
+		if err == nil {
+			_, _ = co.Read(make([]byte, 1))
+			cancel()
+		}
+		accepted <- co
+	}()
+	res := newClient(t, lovagebackend.Settings{}).Run(ctx, re)
+	must.Eq(t, lovagebackend.Unknown, res.State)
+	if co := <-accepted; co != nil {
+		_ = co.Close()
+	}
+}
--- /dev/null
+++ b/lovagebackend/replay_test.go
@@ -0,0 +1,146 @@
+package lovagebackend_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"lovagestack/lovagebackend"
+	"lovagestack/lovagefake"
+)
+
+const noTime = `{"runTime":"0s"}`
+
+// checkStarts fails if the result contradicts the number of starts.
+func checkStarts(t *testing.T, res lovagebackend.Result, starts int) {
+	t.Helper()
+	switch res.State {
+	case lovagebackend.NotStarted:
+		must.Eq(t, 0, starts, must.Sprint("reported as not started"))
+	case lovagebackend.Succeeded, lovagebackend.Failed:
+		must.Eq(t, 1, starts)
+	default:
+		must.Less(t, 2, starts, must.Sprint("started twice"))
+	}
+}
+
+// Guards against a second start, or a start reported as none, when the worker closes a reused connection at any byte
+// of the request.
+func TestCloseReusedAtEveryByte(t *testing.T) {
+	wo, addr := startWorker(t, lovagefake.WorkerSettings{ID: "w"})
+	states := map[lovagebackend.State]int{}
+	var replays counter
+	const beyondRequest = 340 // longer than the whole request, which the last steps show by succeeding
+	for at := 1; at <= beyondRequest; at++ {
+		cl := lovagebackend.New(lovagebackend.Settings{Counters: lovagebackend.Counters{ReplaysPrevented: &replays}})
+		must.Eq(t, lovagebackend.Succeeded, cl.Run(context.Background(), task(addr, fmt.Sprintf("first-%d", at), noTime)).State)
+		wo.SetFaults(lovagefake.WorkerFaults{CloseReusedAt: at})
+		id := fmt.Sprintf("second-%d", at)
+		res := cl.Run(context.Background(), task(addr, id, noTime))
+		wo.SetFaults(lovagefake.WorkerFaults{})
+		states[res.State]++
+		checkStarts(t, res, wo.StartCounts()[id])
+		cl.Close()
+	}
+	must.Positive(t, states[lovagebackend.Unknown])
+	must.Positive(t, states[lovagebackend.Succeeded])
+	must.MapEmpty(t, lovagefake.Duplicates(wo))
+	t.Logf("states %v, replays prevented %d", states, replays.Load())
+}
+
+// Guards against a worker in these tests that gives no occasion to send a request again: a plain client that is told
+// that the request may be repeated must do so.
+func TestPlainClientSendsAgain(t *testing.T) {
+	wo, addr := startWorker(t, lovagefake.WorkerSettings{ID: "w"})
+	tr := &http.Transport{}
+	defer tr.CloseIdleConnections()
+	send := func() (int, error) {
+		req, err := http.NewRequest(http.MethodPost, "http://"+addr+lovagebackend.TaskPath("ticket"), strings.NewReader(noTime))
+		must.NoError(t, err)
+		req.Header.Set("Idempotency-Key", "k")
+		resp, err := tr.RoundTrip(req)
+		if err != nil {
+			return 0, err
+		}
+		defer func() { _ = resp.Body.Close() }()
+		_, err = io.Copy(io.Discard, resp.Body)
+		return resp.StatusCode, err
+	}
+	for range 2 {
+		status, err := send()
+		must.NoError(t, err)
+		must.Eq(t, 200, status)
+		wo.SetFaults(lovagefake.WorkerFaults{CloseReusedAt: 60})
+	}
+	must.Eq(t, 2, wo.Counters().Connections)
+}
+
+// Guards against second starts and false reports with many tasks at once, while the worker closes connections at
+// changing bytes and tasks are stopped at changing times.
+func TestManyTasksOnClosingConnections(t *testing.T) {
+	wo, addr := startWorker(t, lovagefake.WorkerSettings{ID: "w", Slots: 4})
+	cl := newClient(t, lovagebackend.Settings{Connections: 6})
+	results := make([]lovagebackend.Result, 1500)
+	var callers sync.WaitGroup
+	for ca := range 6 {
+		callers.Go(func() {
+			rng := rand.New(rand.NewPCG(1, uint64(ca)))
+			for i := ca; i < len(results); i += 6 {
+				ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+				switch rng.IntN(8) {
+				case 0:
+					wo.SetFaults(lovagefake.WorkerFaults{CloseReusedAt: 1 + rng.IntN(400)})
+				case 1:
+					wo.SetFaults(lovagefake.WorkerFaults{CloseAfter: true})
+				case 2:
+					time.AfterFunc(time.Duration(rng.IntN(500))*time.Microsecond, cancel)
+				case 3:
+					cancel()
+				default:
+					wo.SetFaults(lovagefake.WorkerFaults{})
+				}
+				results[i] = cl.Run(ctx, task(addr, fmt.Sprint(i), `{"runTime":"200us"}`))
+				cancel()
+			}
+		})
+	}
+	callers.Wait()
+	eventually(t, "worker is idle", func() bool { return wo.Busy() == 0 })
+	starts := wo.StartCounts()
+	states := map[lovagebackend.State]int{}
+	for i, res := range results {
+		states[res.State]++
+		checkStarts(t, res, starts[fmt.Sprint(i)])
+	}
+	for _, state := range []lovagebackend.State{lovagebackend.Succeeded, lovagebackend.NotStarted, lovagebackend.Unknown} {
+		must.Positive(t, states[state], must.Sprint(state))
+	}
+	t.Logf("states %v, worker %+v", states, wo.Counters())
+}
+
+// Guards against a job that fails because its task was written to a connection that the worker had closed before.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	var stale, connections counter
+	cl := newClient(t, lovagebackend.Settings{Counters: lovagebackend.Counters{Stale: &stale, Connections: &connections}})
+	wo, addr := startWorker(t, lovagefake.WorkerSettings{ID: "w"})
+	re, err := lovagefake.NewRelay(addr)
+	must.NoError(t, err)
+	defer re.Close()
+	const tasks = 100
+	for i := range tasks {
+		res := cl.Run(context.Background(), task(re.Address(), fmt.Sprint(i), noTime))
+		must.Eq(t, lovagebackend.Succeeded, res.State, must.Sprint(res.Err))
+		re.Cut()
+	}
+	must.Eq(t, tasks, len(wo.StartCounts()))
+	must.MapEmpty(t, lovagefake.Duplicates(wo))
+	t.Logf("%d connections, %d found closed just before the write", connections.Load(), stale.Load())
+}
--- /dev/null
+++ b/lovagebackend/silent_test.go
@@ -0,0 +1,87 @@
+package lovagebackend_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"lovagestack/lovagebackend"
+	"lovagestack/lovagefake"
+)
+
+// Guards against a task that waits for its deadline on a silent connection, is sent again, or makes later tasks use
+// connections that went silent at the same time.
+func TestSilentConnections(t *testing.T) {
+	wo, addr := startWorker(t, lovagefake.WorkerSettings{ID: "w", Slots: 16})
+	re, err := lovagefake.NewRelay(addr)
+	must.NoError(t, err)
+	defer re.Close()
+	var silent, idleClosed counter
+	cl := newClient(t, lovagebackend.Settings{
+		SuspectAfter: 50 * time.Millisecond, SilentAfter: 200 * time.Millisecond, SilentFactor: 2, SilentReplies: 3,
+		Counters: lovagebackend.Counters{Silent: &silent, IdleClosed: &idleClosed},
+	})
+	// Three connections: one has a task on it when they go silent, two are idle.
+	ctx, cancel := context.WithCancel(context.Background())
+	var warm sync.WaitGroup
+	for i := range 3 {
+		warm.Go(func() { cl.Run(ctx, task(re.Address(), fmt.Sprintf("warm-%d", i), `{"runTime":"20ms"}`)) })
+	}
+	warm.Wait()
+	cancel()
+	lost := make(chan lovagebackend.Result, 1)
+	go func() { lost <- cl.Run(context.Background(), task(re.Address(), "lost", `{"runTime":"100ms"}`)) }()
+	eventually(t, "task runs", func() bool { return wo.Busy() == 1 })
+	re.Silence()
+	eventually(t, "idle connections are closed", func() bool { return idleClosed.Load() >= 1 })
+	for i := 0; silent.Load() == 0; i++ {
+		res := cl.Run(context.Background(), task(re.Address(), fmt.Sprintf("later-%d", i), noTime))
+		must.Eq(t, lovagebackend.Succeeded, res.State, must.Sprint(res.Err))
+		time.Sleep(10 * time.Millisecond)
+	}
+	res := <-lost
+	must.Eq(t, lovagebackend.Unknown, res.State)
+	must.ErrorIs(t, res.Err, lovagebackend.ErrSilent)
+	must.Eq(t, 1, wo.StartCounts()["lost"])
+	must.MapEmpty(t, lovagefake.Duplicates(wo))
+}
+
+// Guards against giving up a task only because it is old: a worker that answers nothing, or a service that was always
+// that slow, is no silent connection.
+func TestSlowIsNotSilent(t *testing.T) {
+	wo, addr := startWorker(t, lovagefake.WorkerSettings{ID: "w", Slots: 16})
+	var silent counter
+	cl := newClient(t, lovagebackend.Settings{
+		SuspectAfter: time.Millisecond, SilentAfter: time.Millisecond, SilentFactor: 100, SilentReplies: 1,
+		Counters: lovagebackend.Counters{Silent: &silent},
+	})
+	var running sync.WaitGroup
+	for i := range 8 {
+		tasks, payload := 4, `{"runTime":"40ms"}`
+		if i == 0 {
+			tasks, payload = 1, `{"runTime":"700ms"}` // lasts for several inspections
+		}
+		running.Go(func() {
+			for n := range tasks {
+				res := cl.Run(context.Background(), task(addr, fmt.Sprintf("k-%d/%d", i, n), payload))
+				if res.State != lovagebackend.Succeeded {
+					t.Errorf("task %d of caller %d: %s, %v", n, i, res.State, res.Err)
+				}
+			}
+		})
+	}
+	running.Wait()
+	wo.SetFaults(lovagefake.WorkerFaults{Pause: true})
+	for i := range 3 {
+		running.Go(func() { cl.Run(context.Background(), task(addr, fmt.Sprintf("paused-%d", i), noTime)) })
+	}
+	time.Sleep(600 * time.Millisecond) // for several inspections
+	wo.SetFaults(lovagefake.WorkerFaults{})
+	running.Wait()
+	must.Zero(t, silent.Load())
+	must.MapEmpty(t, lovagefake.Duplicates(wo))
+}
--- /dev/null
+++ b/lovagebackend/tcp_other.go
@@ -0,0 +1,15 @@
+//go:build !linux
+
+package lovagebackend
+
+import (
+	"net"
+	"syscall"
+	"time"
+)
+
+// setUserTimeout does nothing: only Linux has TCP_USER_TIMEOUT.
+func setUserTimeout(syscall.RawConn, time.Duration) error { return nil }
+
+// usable cannot look into the connection here; a stale one then makes the task's outcome unknown.
+func usable(net.Conn) bool { return true }
--- a/lovagefake/worker_conn.go
+++ b/lovagefake/worker_conn.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 )
 
 // connKey is the context key of a request's workerConn.
@@ -45,49 +46,52 @@
 	net.Conn
 	listener *workerListener
 	closed   sync.Once
+	cut      atomic.Bool // a fault closed the connection
 
 	mu     sync.Mutex
 	reused bool // a request was answered
 	got    int  // bytes read since then
 }
 
-// Read reads from the connection unless a fault closes it.
-func (co *workerConn) Read(buf []byte) (int, error) {
+// limit returns how many more bytes may be passed to the server; negative for any number.
+func (co *workerConn) limit() int {
 	fa := co.listener.worker.Faults()
-	limit := -1
 	co.mu.Lock()
+	defer co.mu.Unlock()
 	switch {
 	case fa.CloseBefore:
-		limit = 0
+		return 0
 	case fa.CloseReusedAt > 0 && co.reused:
-		limit = max(0, fa.CloseReusedAt-1-co.got)
+		return max(0, fa.CloseReusedAt-1-co.got)
 	}
-	co.mu.Unlock()
-	if limit == 0 {
-		return co.closeOnByte()
-	}
-	if limit > 0 {
-		buf = buf[:min(limit, len(buf))]
+	return -1
+}
+
+// Read reads from the connection unless a fault closes it. The limit is taken after the read, because the server
+// waits in Read between two requests, when a test sets the fault for the next one.
+func (co *workerConn) Read(buf []byte) (int, error) {
+	if co.cut.Load() {
+		return 0, net.ErrClosed
 	}
 	n, err := co.Conn.Read(buf)
+	if n == 0 {
+		return 0, err
+	}
+	if limit := co.limit(); limit >= 0 && n > limit {
+		co.cut.Store(true)
+		co.listener.worker.add(func(wc *WorkerCounters) { wc.ClosedByRule++ })
+		_ = co.Close()
+		if limit == 0 {
+			return 0, net.ErrClosed
+		}
+		n = limit
+	}
 	co.mu.Lock()
 	co.got += n
 	co.mu.Unlock()
 	return n, err
 }
 
-// closeOnByte waits for the next byte and closes the connection without passing it on.
-func (co *workerConn) closeOnByte() (int, error) {
-	var one [1]byte
-	n, err := co.Conn.Read(one[:])
-	if n == 0 {
-		return 0, err
-	}
-	co.listener.worker.add(func(wc *WorkerCounters) { wc.ClosedByRule++ })
-	_ = co.Close()
-	return 0, net.ErrClosed
-}
-
 // Close closes the connection and frees its place in the limit.
 func (co *workerConn) Close() error {
 	co.closed.Do(func() {
