lovageapi: serve the caller and operator APIs and describe them with executed examples

Ruled out: http.Server.ReadTimeout and WriteTimeout, because an expired read deadline cancels the context of a request that waits for its job, and a write deadline ends watches; deadlines are set per request. encoding/json for answers, because it rewrites the JSON that workers return. Change: caller and operator servers over interfaces, strict decoding with all findings, watches as newline-delimited JSON, bounds on body, header and requests in progress, drain and shutdown; docs/api.md and the test that runs it.

--- /dev/null
+++ b/lovageapi/caller.go
@@ -0,0 +1,217 @@
+package lovageapi
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/kataras/iris/v12"
+	"go.uber.org/zap"
+
+	"lovagestack/lovageconfig"
+	"lovagestack/lovagejob"
+)
+
+// Jobs decides about jobs. An error means that nothing is known about the job; all else is an answer.
+type Jobs interface {
+	// Mint returns new keys. An error means that none can be minted now.
+	Mint(ctx context.Context, count int, repeatable bool) ([]lovagejob.Key, error)
+	// Submit starts the job unless its key is known, and waits for the answer. When the context ends the job goes on.
+	Submit(ctx context.Context, sub lovagejob.Submission) (lovagejob.Answer, error)
+	// Ask waits until the job has ended or the time has come.
+	Ask(ctx context.Context, key lovagejob.Key, waitUntil time.Time) (lovagejob.Answer, error)
+	// Cancel cancels the job and returns how it then stands.
+	Cancel(ctx context.Context, key lovagejob.Key) (lovagejob.Answer, error)
+}
+
+const (
+	maxKeysPerCall = 1000
+	maxWait        = 10 * time.Minute // the longest that a deadline may lie ahead by default
+	jobWatchPeriod = 10 * time.Second // between lines of a job watch while nothing changes
+)
+
+// callerAPI holds the handlers of the caller API.
+type callerAPI struct {
+	srv    *Server
+	limits lovagejob.Limits
+	jobs   Jobs
+}
+
+// NewCaller returns the server of the caller API.
+func NewCaller(se Settings, jobs Jobs, log *zap.Logger) (*Server, error) {
+	srv, app := newServer("caller", se, se.CallerRequests, log)
+	api := &callerAPI{srv: srv, limits: se.Limits, jobs: jobs}
+	app.Post("/v1/keys", api.mint)
+	app.Post("/v1/jobs", api.submit)
+	app.Get("/v1/jobs/{key}", api.ask)
+	app.Get("/v1/jobs/{key}/watch", api.watch)
+	app.Delete("/v1/jobs/{key}", api.cancel)
+	return srv, errors.Wrap(app.Build(), "build the caller API")
+}
+
+func (api *callerAPI) mint(ctx iris.Context) {
+	data, ok := api.srv.readBody(ctx)
+	if !ok {
+		return
+	}
+	req := KeysRequest{Count: 1}
+	findings := append(queryFindings(ctx), decode(data, &req)...)
+	if req.Count < 1 || req.Count > maxKeysPerCall {
+		findings = append(findings, lovageconfig.Finding{
+			Field: "count", Problem: fmt.Sprintf("%d is not between 1 and %d", req.Count, maxKeysPerCall),
+		})
+	}
+	if len(findings) > 0 {
+		writeFindings(ctx, findings)
+		return
+	}
+	keys, err := api.jobs.Mint(ctx.Request().Context(), req.Count, req.Repeatable)
+	if err != nil {
+		setRetryAfter(ctx, time.Second)
+		writeError(ctx, http.StatusServiceUnavailable, "no keys can be minted now: "+err.Error())
+		return
+	}
+	writeJSON(ctx, http.StatusOK, KeysReply{Keys: keys})
+}
+
+func (api *callerAPI) submit(ctx iris.Context) {
+	data, ok := api.srv.readBody(ctx)
+	if !ok {
+		return
+	}
+	var req JobRequest
+	findings := append(queryFindings(ctx), decode(data, &req)...)
+	if len(findings) > 0 {
+		writeFindings(ctx, findings)
+		return
+	}
+	sub, findings := req.submission(api.srv.now(), api.limits)
+	if len(findings) > 0 {
+		writeFindings(ctx, findings)
+		return
+	}
+	if sub.Key.IsZero() {
+		keys, err := api.jobs.Mint(ctx.Request().Context(), 1, true)
+		if err != nil || len(keys) != 1 {
+			setRetryAfter(ctx, time.Second)
+			writeError(ctx, http.StatusServiceUnavailable, fmt.Sprintf("nothing was started: no key can be minted now: %v", err))
+			return
+		}
+		sub.Key = keys[0]
+	}
+	an, err := api.jobs.Submit(ctx.Request().Context(), sub)
+	an = vet(an, err, sub.Key, len(sub.Tasks))
+	api.writeAnswer(ctx, &an, answerStatus(&an))
+}
+
+func (api *callerAPI) ask(ctx iris.Context) {
+	key, findings := pathKey(ctx)
+	findings = append(findings, queryFindings(ctx, "wait")...)
+	var wait time.Duration
+	if text := ctx.URLParam("wait"); text != "" {
+		var err error
+		if wait, err = time.ParseDuration(text); err != nil || wait < 0 || wait > maxWait {
+			findings = append(findings, lovageconfig.Finding{
+				Field: "wait", Problem: fmt.Sprintf("%q is not a duration from 0s to %s", text, maxWait),
+			})
+		}
+	}
+	if len(findings) > 0 {
+		writeFindings(ctx, findings)
+		return
+	}
+	an, err := api.jobs.Ask(ctx.Request().Context(), key, api.srv.now().Add(wait))
+	an = vet(an, err, key, -1)
+	api.writeAnswer(ctx, &an, answerStatus(&an))
+}
+
+func (api *callerAPI) cancel(ctx iris.Context) {
+	key, findings := pathKey(ctx)
+	if findings = append(findings, queryFindings(ctx)...); len(findings) > 0 {
+		writeFindings(ctx, findings)
+		return
+	}
+	an, err := api.jobs.Cancel(ctx.Request().Context(), key)
+	an = vet(an, err, key, -1)
+	status := answerStatus(&an)
+	if an.Outcome == lovagejob.NotRun {
+		status = http.StatusOK // what the caller wanted
+	}
+	api.writeAnswer(ctx, &an, status)
+}
+
+func pathKey(ctx iris.Context) (lovagejob.Key, []lovageconfig.Finding) {
+	key, err := lovagejob.ParseKey(ctx.Params().Get("key"))
+	if err != nil {
+		return key, []lovageconfig.Finding{{Field: "key", Problem: err.Error()}}
+	}
+	return key, nil
+}
+
+// vet makes sure that an answer belongs to the key and is whole. If it is not, or there is none, nothing can be said
+// about the job. tasks is -1 if the number of tasks is not known.
+func vet(an lovagejob.Answer, err error, key lovagejob.Key, tasks int) lovagejob.Answer {
+	unknown := lovagejob.Answer{Key: key, Outcome: lovagejob.Unknown, Tasks: max(tasks, 0)}
+	switch {
+	case err != nil:
+		unknown.Reason = "the job could not be asked about; ask again with the same key: " + err.Error()
+		return unknown
+	case an.Key != key:
+		unknown.Reason = "the instance got the answer of another job; ask again with the same key"
+		return unknown
+	case !an.Outcome.Valid():
+		unknown.Reason = fmt.Sprintf("the instance got the outcome %q, which does not exist", an.Outcome)
+		return unknown
+	case an.Outcome != lovagejob.Complete && len(an.Results) > 0:
+		an.Results = nil // never a part of the results
+	case an.Outcome == lovagejob.Complete && !whole(&an, tasks):
+		unknown.Reason = fmt.Sprintf("the instance got %d results for %d tasks; ask again with the same key",
+			len(an.Results), max(tasks, an.Tasks))
+		return unknown
+	}
+	return an
+}
+
+// whole reports whether a complete answer holds each result once and in order. It may hold none, because results are
+// kept for a limited time and a late query or resubmission then gets the outcome alone.
+func whole(an *lovagejob.Answer, tasks int) bool {
+	if len(an.Results) == 0 {
+		return true
+	}
+	if len(an.Results) != an.Tasks || (tasks >= 0 && an.Tasks != tasks) {
+		return false
+	}
+	for i := range an.Results {
+		if an.Results[i].Task != i {
+			return false
+		}
+	}
+	return true
+}
+
+// answerStatus returns the HTTP status for an answer. "Not run" is 429 if a retry at a known time may succeed, and 503
+// if the reason must go away first.
+func answerStatus(an *lovagejob.Answer) int {
+	switch an.Outcome {
+	case lovagejob.Complete, lovagejob.Failed, lovagejob.Cancelled:
+		return http.StatusOK
+	case lovagejob.Pending:
+		return http.StatusAccepted
+	case lovagejob.NotRun:
+		if !an.RetryAt.IsZero() {
+			return http.StatusTooManyRequests
+		}
+		return http.StatusServiceUnavailable
+	case lovagejob.Unknown:
+	}
+	return http.StatusGatewayTimeout
+}
+
+func (api *callerAPI) writeAnswer(ctx iris.Context, an *lovagejob.Answer, status int) {
+	if !an.RetryAt.IsZero() && status >= 400 {
+		setRetryAfter(ctx, an.RetryAt.Sub(api.srv.now()))
+	}
+	writeBytes(ctx, status, appendAnswer(nil, an))
+}
--- /dev/null
+++ b/lovageapi/reply.go
@@ -0,0 +1,110 @@
+package lovageapi
+
+import (
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/kataras/iris/v12"
+
+	"lovagestack/lovageconfig"
+)
+
+// ErrorReply is the body of a reply to a request that was not processed. It says nothing about the outcome of a job.
+type ErrorReply struct {
+	Error    string                 `json:"error"`
+	Findings []lovageconfig.Finding `json:"findings,omitempty"` // faults of the request, each naming its field
+	Revision int64                  `json:"revision,omitempty"` // current revision, if the requested one is too old
+}
+
+func writeError(ctx iris.Context, status int, problem string) {
+	writeJSON(ctx, status, ErrorReply{Error: problem})
+}
+
+func writeFindings(ctx iris.Context, findings []lovageconfig.Finding) {
+	writeJSON(ctx, http.StatusBadRequest, ErrorReply{Error: "the request has faults; nothing was started", Findings: findings})
+}
+
+// writeJSON writes a value that encodes without error.
+func writeJSON(ctx iris.Context, status int, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		status, data = http.StatusInternalServerError, []byte(`{"error":"the reply cannot be encoded"}`)
+	}
+	writeBytes(ctx, status, append(data, '\n'))
+}
+
+func writeBytes(ctx iris.Context, status int, data []byte) {
+	extendWrite(ctx)
+	he := ctx.ResponseWriter().Header()
+	he.Set("Content-Type", "application/json")
+	he.Set("Content-Length", strconv.Itoa(len(data)))
+	ctx.StatusCode(status)
+	_, _ = ctx.Write(data) // fails only if the client has gone
+}
+
+// extendWrite gives the client time to take the next part of the reply.
+func extendWrite(ctx iris.Context) {
+	_ = http.NewResponseController(ctx.ResponseWriter().Naive()).SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
+// setRetryAfter sets the header to the whole seconds of the wait, at least 1.
+func setRetryAfter(ctx iris.Context, wait time.Duration) {
+	seconds := max(1, math.Ceil(wait.Seconds()))
+	ctx.Header("Retry-After", strconv.FormatFloat(seconds, 'f', 0, 64))
+}
+
+// readBody reads the whole body. If it gives false, the reply has been written.
+func (srv *Server) readBody(ctx iris.Context) ([]byte, bool) {
+	rc := http.NewResponseController(ctx.ResponseWriter().Naive())
+	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	data, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter().Naive(), ctx.Request().Body, srv.bodyMax))
+	_ = rc.SetReadDeadline(time.Time{}) // otherwise the deadline would end the request while it waits
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		writeError(ctx, http.StatusRequestEntityTooLarge, "the body is larger than "+strconv.FormatInt(srv.bodyMax, 10)+" bytes")
+		return nil, false
+	case err != nil:
+		writeError(ctx, http.StatusBadRequest, "the body cannot be read: "+err.Error())
+		return nil, false
+	}
+	return data, true
+}
+
+// decode sets target from JSON and returns all faults. A text without faults is decoded by encoding/json; only for a
+// faulty one the slower decoder of lovageconfig finds every fault and its place.
+func decode(data []byte, target any) []lovageconfig.Finding {
+	err := strictUnmarshal(data, target)
+	if err == nil {
+		return nil
+	}
+	doc, findings := lovageconfig.ParseJSON("", data)
+	if doc != nil {
+		findings = append(findings, doc.Decode(target)...)
+	}
+	if len(findings) == 0 {
+		findings = []lovageconfig.Finding{{Problem: err.Error()}}
+	}
+	lovageconfig.SortFindings(findings)
+	return findings
+}
+
+// queryFindings reports query parameters that the call does not have.
+func queryFindings(ctx iris.Context, known ...string) []lovageconfig.Finding {
+	var out []lovageconfig.Finding
+	for name, values := range ctx.Request().URL.Query() {
+		switch {
+		case !contains(known, name):
+			out = append(out, lovageconfig.Finding{Field: name, Problem: "is not a parameter of this call"})
+		case len(values) > 1:
+			out = append(out, lovageconfig.Finding{Field: name, Problem: "occurs twice"})
+		}
+	}
+	lovageconfig.SortFindings(out)
+	return out
+}
--- /dev/null
+++ b/lovageapi/server.go
@@ -0,0 +1,167 @@
+package lovageapi
+
+import (
+	"context"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/kataras/iris/v12"
+	"github.com/thejerf/suture/v4"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"lovagestack/lovagejob"
+)
+
+// Settings bound what the servers take in.
+type Settings struct {
+	Limits           lovagejob.Limits
+	BodyBytes        int64 // of a request
+	CallerRequests   int   // in progress at the caller API
+	OperatorRequests int   // in progress at the operator API, with watches
+
+	Now func() time.Time // clock for deadlines and waits; default time.Now
+}
+
+// DefaultSettings returns the settings of an instance without settings of its own; the figures are those of
+// lovageconfig.
+func DefaultSettings() Settings {
+	return Settings{
+		Limits: lovagejob.DefaultLimits(), BodyBytes: 32 << 20, CallerRequests: 20_000, OperatorRequests: 2_000,
+	}
+}
+
+const (
+	headerTimeout  = 5 * time.Second
+	bodyTimeout    = 30 * time.Second // 32 MB at about 10 Mbit/s
+	writeTimeout   = 30 * time.Second // for one reply or one line of a watch
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 16 << 10
+)
+
+// Server is one listening HTTP server. Create it with [NewCaller] or [NewOperator].
+type Server struct {
+	name     string
+	http     *http.Server
+	listener net.Listener
+	bodyMax  int64
+	now      func() time.Time
+	slots    chan struct{} // one token per request in progress
+	draining atomic.Bool
+	closing  chan struct{} // closed when the server shuts down; ends watches
+	close    sync.Once
+}
+
+func newServer(name string, se Settings, requests int, lg *zap.Logger) (*Server, *iris.Application) {
+	if lg == nil {
+		lg = zap.NewNop()
+	}
+	srv := &Server{
+		name: name, bodyMax: se.BodyBytes, now: se.Now,
+		slots: make(chan struct{}, max(requests, 1)), closing: make(chan struct{}),
+	}
+	if srv.now == nil {
+		srv.now = time.Now
+	}
+	var errorLog *log.Logger
+	if lo, err := zap.NewStdLogAt(lg.Named(name), zapcore.DebugLevel); err == nil {
+		errorLog = lo
+	}
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Configure(iris.WithoutStartupLog, iris.WithoutPathCorrection, iris.WithoutInterruptHandler)
+	app.OnAnyErrorCode(func(ctx iris.Context) {
+		writeError(ctx, ctx.GetStatusCode(), http.StatusText(ctx.GetStatusCode())+": "+ctx.Method()+" "+ctx.Path())
+	})
+	srv.http = &http.Server{
+		Handler:           srv.limit(app),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          errorLog,
+	}
+	// ReadTimeout and WriteTimeout stay unset, as they would end watches and long waits; limit, readBody and the
+	// writers set deadlines for each request instead.
+	return srv, app
+}
+
+// limit bounds the requests in progress and resets the deadlines that the last request left on the connection.
+func (srv *Server) limit(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if srv.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+		select {
+		case srv.slots <- struct{}{}:
+			defer func() { <-srv.slots }()
+			next.ServeHTTP(w, r)
+		default:
+			w.Header().Set("Content-Type", "application/json")
+			w.Header().Set("Retry-After", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			// No outcome is given: whether another submission of the same key runs is not known here.
+			_, _ = w.Write([]byte(`{"error":"too many requests are in progress; this one was not processed"}` + "\n"))
+		}
+	})
+}
+
+// Handler returns the server's handler, for tests and for use without a listener.
+func (srv *Server) Handler() http.Handler { return srv.http.Handler }
+
+// Listen opens the listener at an IP address and port.
+func (srv *Server) Listen(address string) error {
+	li, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "listen for the %s API", srv.name)
+	}
+	srv.listener = li
+	return nil
+}
+
+// Address returns the address of the listener.
+func (srv *Server) Address() string { return srv.listener.Addr().String() }
+
+// Serve serves the listener until Shutdown or, cutting what is in progress, until the context ends.
+func (srv *Server) Serve(ctx context.Context) error {
+	if srv.listener == nil {
+		return errors.Newf("the %s API has no listener", srv.name)
+	}
+	stop := context.AfterFunc(ctx, func() {
+		srv.endWatches()
+		_ = srv.http.Close()
+	})
+	defer stop()
+	err := srv.http.Serve(srv.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return suture.ErrDoNotRestart
+	}
+	return errors.Wrapf(err, "serve the %s API", srv.name)
+}
+
+// Drain makes every reply ask its client to close the connection. Connections that are idle stay open, since closing
+// one can cut a request that is already on its way.
+func (srv *Server) Drain() { srv.draining.Store(true) }
+
+// InProgress returns the number of requests in progress.
+func (srv *Server) InProgress() int { return len(srv.slots) }
+
+// Shutdown stops listening, ends watches and waits for the requests in progress. If the context ends first, the rest
+// is cut and the error tells how many.
+func (srv *Server) Shutdown(ctx context.Context) error {
+	srv.Drain()
+	srv.endWatches()
+	if err := srv.http.Shutdown(ctx); err != nil {
+		cut := srv.InProgress()
+		_ = srv.http.Close()
+		return errors.Wrapf(err, "shut down the %s API: %d requests were cut", srv.name, cut)
+	}
+	return nil
+}
+
+func (srv *Server) endWatches() { srv.close.Do(func() { close(srv.closing) }) }
