lovagesync: test keeping resources current under faults

Cause: the Keeper was committed without tests. Ruled out: real time in the tests; testing/synctest runs hours of polls and heartbeats in seconds. Errors of the table writer are classified by lovageplatform's sentinels; an error that does not say counts as ambiguous.

--- a/lovagesync/keeper.go
+++ b/lovagesync/keeper.go
@@ -55,8 +55,6 @@
 	SnapshotEvery int64         // revisions between snapshots
 	SnapshotDelay time.Duration // after which an instance writes a snapshot that the accepting instance did not write
 	KeepChanges   int64         // change rows kept in the table before the snapshot, for instances that lag
-	// Ambiguous reports whether an error of Writer.Commit leaves open whether the transaction took effect.
-	Ambiguous func(error) bool
 }
 
 // DefaultSettings returns the figures of the design page, sections 7 and 8.
@@ -73,7 +71,6 @@
 		SnapshotEvery: 256,
 		SnapshotDelay: 10 * time.Second,
 		KeepChanges:   256,
-		Ambiguous:     func(error) bool { return true }, // the safe answer when errors are not classified
 	}
 }
 
--- /dev/null
+++ b/lovagesync/keeper_test.go
@@ -0,0 +1,246 @@
+package lovagesync
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"lovagestack/lovageplatform"
+	"lovagestack/lovageresource"
+)
+
+// inForceWithin is the time after which an accepted change must be in force on every reachable instance; it is the
+// design's invariant 8.
+const inForceWithin = 5 * time.Second
+
+// Guards against a change that stays unknown to an instance that only the table, only a peer or a lagging link reaches.
+func TestChangeReachesAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t)
+		defer cl.stop()
+		first := cl.start(nodeID(0), nil)
+		cl.start(nodeID(1), nil)
+		tableOnly := cl.start(nodeID(2), nil)
+		peersOnly := cl.start(nodeID(3), nil)
+		time.Sleep(3 * time.Second)
+		first.put("a", 1)
+		time.Sleep(50 * time.Millisecond)
+		for _, no := range cl.nodes {
+			must.Eq(t, 1, no.weight("a"), must.Sprintf("%s was not pushed to at once", no.id))
+		}
+		cl.setCut(tableOnly.id, true)
+		peersOnly.link.set(func(li *link) { li.down = true })
+		first.put("a", 2)
+		first.put("b", 1)
+		time.Sleep(inForceWithin)
+		for _, no := range cl.nodes {
+			must.Eq(t, 2, no.weight("a"), must.Sprint(no.id))
+			must.Eq(t, 1, no.weight("b"), must.Sprint(no.id))
+		}
+	})
+}
+
+// Guards against an accepted change that the operator is told was not, and the reverse.
+func TestLostReplies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t)
+		defer cl.stop()
+		no, other := cl.start(nodeID(0), nil), cl.start(nodeID(1), nil)
+		time.Sleep(time.Second)
+		no.link.set(func(li *link) { li.loseReply = 3 })
+		must.Eq(t, 1, no.put("a", 1))
+		must.Eq(t, 2, no.put("a", 2), must.Sprint("a change was written twice"))
+
+		// The reply is lost and the table then stays down: nothing can be said, and the change is found later.
+		no.link.set(func(li *link) { li.loseReply = 1000 })
+		res := no.Put(context.Background(), team("a", 2, 3))
+		must.Eq(t, lovageresource.Ambiguous, res.Outcome)
+		time.Sleep(inForceWithin)
+		must.Eq(t, 3, other.weight("a"))
+		no.link.set(func(li *link) { li.loseReply = 0 })
+		again := no.Put(context.Background(), team("a", 2, 3))
+		must.Eq(t, lovageresource.WriteResult{Outcome: lovageresource.Unchanged, Revision: 3}, again)
+
+		no.link.set(func(li *link) { li.down = true })
+		res = no.Put(context.Background(), team("a", 3, 4))
+		must.Eq(t, lovageresource.Unavailable, res.Outcome)
+		no.link.set(func(li *link) { li.down = false })
+		time.Sleep(inForceWithin)
+		must.Eq(t, 3, other.weight("a"), must.Sprint("a change took effect after it was said that it was not written"))
+	})
+}
+
+// Guards against two operators who both believe that their change of one revision was accepted.
+func TestRacingOperators(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t)
+		defer cl.stop()
+		for i := range 4 {
+			cl.start(nodeID(i), nil)
+		}
+		time.Sleep(time.Second)
+		base := cl.nodes[nodeID(0)].put("a", 1)
+		time.Sleep(time.Second)
+		results := make(chan lovageresource.WriteResult, 40)
+		for i := range 40 {
+			go func() {
+				results <- cl.nodes[nodeID(i%4)].Put(context.Background(), team("a", base, 2+i))
+			}()
+		}
+		accepted := int64(0)
+		var conflicts []lovageresource.WriteResult
+		for range 40 {
+			if res := <-results; res.Outcome == lovageresource.Accepted {
+				must.Eq(t, 0, accepted, must.Sprint("two changes of one revision were accepted"))
+				accepted = res.Revision
+			} else {
+				must.Eq(t, lovageresource.Conflict, res.Outcome)
+				conflicts = append(conflicts, res)
+			}
+		}
+		for _, res := range conflicts {
+			must.Eq(t, accepted, res.Revision, must.Sprint("a conflict names another revision than the current one"))
+		}
+
+		// Changes of different resources must not make each other fail.
+		for i := range 8 {
+			go func() {
+				results <- cl.nodes[nodeID(i%4)].Put(context.Background(), team("b"+nodeID(i), 0, 1))
+			}()
+		}
+		for range 8 {
+			must.Eq(t, lovageresource.Accepted, (<-results).Outcome)
+		}
+		res := cl.nodes[nodeID(0)].Delete(context.Background(), lovageresource.KindTeam, "a", base)
+		must.Eq(t, lovageresource.Conflict, res.Outcome)
+		res = cl.nodes[nodeID(0)].Delete(context.Background(), lovageresource.KindTeam, "a", accepted)
+		must.Eq(t, lovageresource.Accepted, res.Outcome)
+		time.Sleep(inForceWithin)
+		for _, no := range cl.nodes {
+			must.Eq(t, 0, no.weight("a"))
+			must.Eq(t, res.Revision, no.Store.Revision())
+		}
+	})
+}
+
+// Guards against an instance that serves an empty or old configuration because it could not reach the platform.
+func TestStartWithoutTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t)
+		defer cl.stop()
+		down := func(_ *Settings, li *link) { li.down = true }
+		lone, second := cl.start(nodeID(8), down), cl.start(nodeID(9), down)
+		time.Sleep(10 * time.Second)
+		for _, no := range []*node{lone, second} {
+			ready, reason := no.Ready()
+			must.False(t, ready, must.Sprint("two instances without resources made each other ready"))
+			must.StrContains(t, reason, "down")
+		}
+		old, current := cl.start(nodeID(0), nil), cl.start(nodeID(1), nil)
+		cl.setCut(old.id, true)
+		for i := range 100 { // more than a change log keeps, so peers send a snapshot
+			current.put("a", i+1)
+		}
+		old.link.set(func(li *link) { li.down = true })
+		time.Sleep(inForceWithin)
+		for _, no := range []*node{lone, second} {
+			ready, _ := no.Ready()
+			must.True(t, ready)
+			must.Eq(t, 100, no.weight("a"))
+		}
+	})
+}
+
+// Guards against change rows that pile up, and against instances that cannot go on after rows were pruned.
+func TestSnapshotAndPrune(t *testing.T) {
+	for _, objects := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			cl := newCluster(t)
+			defer cl.stop()
+			small := func(se *Settings, _ *link) { se.SnapshotEvery, se.KeepChanges = 8, 4 }
+			no := cl.start(nodeID(0), small)
+			lagging := cl.start(nodeID(1), small)
+			time.Sleep(3 * time.Second)
+			cl.setCut(lagging.id, true)
+			lagging.link.set(func(li *link) { li.down = true })
+			for i := range 60 {
+				no.put("a", i+1)
+				no.put(nodeID(i%5), i+1)
+				time.Sleep(700 * time.Millisecond)
+			}
+			time.Sleep(3 * time.Second)
+			rows, err := cl.platform.Scan(t.Context(), lovageresource.ChangePrefix)
+			must.NoError(t, err)
+			must.Less(t, 30, len(rows), must.Sprint("change rows are not pruned"))
+			must.Greater(t, 3, len(rows), must.Sprint("rows that lagging instances may need were pruned"))
+			lagging.link.set(func(li *link) { li.down, li.noObjects = false, !objects })
+			fresh := cl.start(nodeID(2), func(se *Settings, li *link) {
+				small(se, li)
+				li.noObjects = !objects
+			})
+			time.Sleep(3 * time.Second)
+			for _, it := range []*node{lagging, fresh} {
+				must.Eq(t, 120, it.Store.Revision())
+				must.Eq(t, 60, it.weight("a"))
+			}
+		})
+	}
+}
+
+// Guards against a status that claims something about an instance that did not answer.
+func TestInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t)
+		defer cl.stop()
+		first, silent := cl.start(nodeID(0), nil), cl.start(nodeID(1), nil)
+		behind := cl.start(nodeID(2), nil)
+		time.Sleep(3 * time.Second)
+		cl.setCut(silent.id, true)
+		time.Sleep(time.Second)
+		revision := first.put("a", 1)
+		re, ok := first.Get(lovageresource.KindTeam, "a")
+		must.True(t, ok)
+		must.Eq(t, lovageresource.ConditionFalse, re.Status.Conditions[0].Status, must.Sprint("nobody can have answered yet"))
+		time.Sleep(10 * time.Second)
+		re, _ = first.Get(lovageresource.KindTeam, "a")
+		must.Eq(t, []lovageresource.Condition{{
+			Type: lovageresource.InForce, Status: lovageresource.ConditionTrue,
+			Reason: "revision 1 is applied by 2 of 2 instances that answered; 1 did not answer",
+		}}, re.Status.Conditions)
+		must.Eq(t, []lovageresource.Applied{
+			{Instance: first.id, Revision: revision, Answered: true},
+			{Instance: silent.id, Revision: 0, Answered: false},
+			{Instance: behind.id, Revision: revision, Answered: true},
+		}, re.Status.Applied)
+		first.Reported(nodeID(3), revision-1)
+		co, _ := first.InForce(revision)
+		must.Eq(t, lovageresource.ConditionFalse, co.Status)
+		time.Sleep(DefaultSettings("").ForgetAfter + time.Second)
+		_, applied := first.InForce(revision)
+		must.Len(t, 2, applied, must.Sprint("instances that are long gone are still shown"))
+	})
+}
+
+// Guards against a table that was set back, which must neither revert instances nor stop them.
+func TestTableSetBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t)
+		defer cl.stop()
+		no := cl.start(nodeID(0), nil)
+		time.Sleep(time.Second)
+		no.put("a", 1)
+		before, err := cl.platform.Read(t.Context(), lovageresource.HeadKey)
+		must.NoError(t, err)
+		no.put("a", 2)
+		_, err = cl.platform.Commit(t.Context(), lovageplatform.Transaction{Writes: []lovageplatform.Write{
+			{Key: lovageresource.HeadKey, Value: before[0].Value},
+		}})
+		must.NoError(t, err)
+		time.Sleep(5 * time.Second)
+		must.Eq(t, 2, no.weight("a"))
+		must.Eq(t, 2, no.Store.Revision())
+	})
+}
--- a/lovagesync/load.go
+++ b/lovagesync/load.go
@@ -218,7 +218,7 @@
 	}
 	res, err := ke.Writer.Commit(ctx, tx)
 	switch {
-	case err != nil && ke.Ambiguous(err):
+	case err != nil && ambiguous(err):
 		return errors.Wrapf(err, "commit snapshot %d; its object %q stays", revision, next.Object)
 	case err != nil || !res.Committed:
 		_ = ke.Objects.DeleteObject(ctx, next.Object) // nothing refers to it; if this fails it only takes space
--- a/lovagesync/write.go
+++ b/lovagesync/write.go
@@ -76,7 +76,7 @@
 		}
 		res, err := ke.Writer.Commit(ctx, tx)
 		switch {
-		case err != nil && ke.Ambiguous(err):
+		case err != nil && ambiguous(err):
 			return lovageresource.WriteResult{
 				Outcome: lovageresource.Ambiguous,
 				Reason: fmt.Sprintf("it is not known whether the change was written as revision %d; read the resource "+
@@ -112,3 +112,9 @@
 		Outcome: lovageresource.Unavailable, Reason: "nothing was written; try again later: " + err.Error(),
 	}
 }
+
+// ambiguous reports whether an error of Writer.Commit leaves open whether the transaction took effect. Errors that do
+// not say are counted as ambiguous.
+func ambiguous(err error) bool {
+	return !errors.Is(err, lovageplatform.ErrNotSent) && !errors.Is(err, lovageplatform.ErrRefused)
+}
