lovagestack: add subcommands check, apply, get, watch, delete, submit and version

Ruled out: go-arg's epilogue for subcommands, as it exists for the whole program only; run prints a subcommand's own help text. Retrying an apply after a conflict, because it would overwrite the change of a racing operator unseen. A list reply can be applied as a file.

--- /dev/null
+++ b/lovageapi/client.go
@@ -0,0 +1,248 @@
+package lovageapi
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lovagestack/lovagejob"
+	"lovagestack/lovageresource"
+)
+
+// ErrNotSent matches errors of calls that cannot have reached the instance.
+var ErrNotSent = errors.New("the request was not sent")
+
+// maxLineBytes bounds one line of a watch. A Pool with 10,000 workers has about 2 MB.
+const maxLineBytes = 64 << 20
+
+// ReplyError is a reply to a request that was not processed.
+type ReplyError struct {
+	Status int
+	ErrorReply
+}
+
+func (er *ReplyError) Error() string {
+	parts := []string{fmt.Sprintf("status %d: %s", er.Status, er.ErrorReply.Error)}
+	for _, fi := range er.Findings {
+		parts = append(parts, fi.String())
+	}
+	return strings.Join(parts, "; ")
+}
+
+// Client calls one instance. Its methods may be called from several goroutines. Calls last until their context ends.
+//
+// An error that is neither a *ReplyError nor matches ErrNotSent leaves open whether the request was processed.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the API at an IP address and port.
+func NewClient(address string) *Client {
+	tr := &http.Transport{
+		Proxy:               nil, // instances are reached directly
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     time.Minute, // below the server's, so that the client closes first
+	}
+	return &Client{base: "http://" + address, http: &http.Client{Transport: tr}}
+}
+
+// Close closes idle connections.
+func (cl *Client) Close() { cl.http.CloseIdleConnections() }
+
+// Mint returns new keys.
+func (cl *Client) Mint(ctx context.Context, count int, repeatable bool) ([]lovagejob.Key, error) {
+	var out KeysReply
+	err := cl.json(ctx, http.MethodPost, "/v1/keys", KeysRequest{Count: count, Repeatable: repeatable}, &out, nil)
+	return out.Keys, err
+}
+
+// Submit submits a job and waits for the answer. An answer has the outcome "unknown" too if nothing is known.
+func (cl *Client) Submit(ctx context.Context, jo JobRequest) (AnswerReply, error) {
+	return cl.answer(ctx, http.MethodPost, "/v1/jobs", jo, jo.Key)
+}
+
+// Ask asks for the answer to a key and waits up to the given time for it.
+func (cl *Client) Ask(ctx context.Context, key string, wait time.Duration) (AnswerReply, error) {
+	return cl.answer(ctx, http.MethodGet, "/v1/jobs/"+url.PathEscape(key)+"?wait="+wait.String(), nil, key)
+}
+
+// Cancel cancels a job.
+func (cl *Client) Cancel(ctx context.Context, key string) (AnswerReply, error) {
+	return cl.answer(ctx, http.MethodDelete, "/v1/jobs/"+url.PathEscape(key), nil, key)
+}
+
+// WatchJob gives each answer of a job watch to fn until the watch ends or fn returns an error.
+func (cl *Client) WatchJob(ctx context.Context, key string, fn func(AnswerReply) error) error {
+	return watchLines(ctx, cl, "/v1/jobs/"+url.PathEscape(key)+"/watch", fn)
+}
+
+// Get reads a resource with its status.
+func (cl *Client) Get(ctx context.Context, kind lovageresource.Kind, name string) (lovageresource.Resource, error) {
+	var out lovageresource.Resource
+	err := cl.json(ctx, http.MethodGet, resourcePath(kind, name), nil, &out, nil)
+	return out, err
+}
+
+// List lists the resources of a kind, or all if it is empty.
+func (cl *Client) List(ctx context.Context, kind lovageresource.Kind) (ListReply, error) {
+	path := "/v1/resources"
+	if kind != "" {
+		path += "?kind=" + url.QueryEscape(string(kind))
+	}
+	var out ListReply
+	err := cl.json(ctx, http.MethodGet, path, nil, &out, nil)
+	return out, err
+}
+
+// Put creates a resource, if its revision is 0, or replaces it at that revision.
+func (cl *Client) Put(ctx context.Context, re lovageresource.Resource) (lovageresource.WriteResult, error) {
+	re.Status = lovageresource.Status{}
+	return cl.write(ctx, http.MethodPut, resourcePath(re.Kind, re.Name), re)
+}
+
+// Delete deletes a resource at its revision.
+func (cl *Client) Delete(ctx context.Context, kind lovageresource.Kind, name string, revision int64) (
+	lovageresource.WriteResult, error,
+) {
+	path := resourcePath(kind, name) + "?revision=" + strconv.FormatInt(revision, 10)
+	return cl.write(ctx, http.MethodDelete, path, nil)
+}
+
+// Watch gives each line of a resource watch to fn until the watch ends or fn returns an error. A revision that is too
+// old is a *ReplyError with status 410.
+func (cl *Client) Watch(ctx context.Context, from int64, fn func(WatchLine) error) error {
+	return watchLines(ctx, cl, "/v1/watch?from="+strconv.FormatInt(from, 10), fn)
+}
+
+func resourcePath(kind lovageresource.Kind, name string) string {
+	return "/v1/resources/" + url.PathEscape(string(kind)) + "/" + url.PathEscape(name)
+}
+
+// answer makes a call that is answered with an AnswerReply. An answer to another key is an error.
+func (cl *Client) answer(ctx context.Context, method, path string, in any, key string) (AnswerReply, error) {
+	var out AnswerReply
+	err := cl.json(ctx, method, path, in, &out, func(status int) bool {
+		return status < 300 || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable ||
+			status == http.StatusGatewayTimeout
+	})
+	if err == nil && key != "" && out.Key.String() != key {
+		return AnswerReply{}, errors.Newf("asked about key %s but got the answer to key %s", key, out.Key)
+	}
+	return out, err
+}
+
+func (cl *Client) write(ctx context.Context, method, path string, in any) (lovageresource.WriteResult, error) {
+	var out lovageresource.WriteResult
+	err := cl.json(ctx, method, path, in, &out, func(status int) bool {
+		return status < 300 || status == http.StatusConflict || status == http.StatusServiceUnavailable ||
+			status == http.StatusGatewayTimeout
+	})
+	return out, err
+}
+
+// json makes a call with JSON in both directions. expected tells which statuses come with a body for out; without it
+// these are those below 300. A body with the field "error" is a *ReplyError in any case.
+func (cl *Client) json(ctx context.Context, method, path string, in, out any, expected func(int) bool) error {
+	res, err := cl.do(ctx, method, path, in)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close() //nolint:errcheck // the body has been read or the error is reported
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		return errors.Wrapf(err, "%s %s: read the reply", method, path)
+	}
+	if expected == nil {
+		expected = func(status int) bool { return status < 300 }
+	}
+	if er := replyError(res.StatusCode, data); er != nil || !expected(res.StatusCode) {
+		if er == nil {
+			er = &ReplyError{Status: res.StatusCode, ErrorReply: ErrorReply{Error: http.StatusText(res.StatusCode)}}
+		}
+		return er
+	}
+	return errors.Wrapf(json.Unmarshal(data, out), "%s %s: decode the reply", method, path)
+}
+
+// replyError returns the error in a body, nil if there is none.
+func replyError(status int, data []byte) *ReplyError {
+	if status < 300 {
+		return nil
+	}
+	er := &ReplyError{Status: status}
+	if json.Unmarshal(data, &er.ErrorReply) != nil || er.ErrorReply.Error == "" {
+		return nil
+	}
+	return er
+}
+
+// do sends a request. Its error matches ErrNotSent if no connection to the instance was ever had.
+func (cl *Client) do(ctx context.Context, method, path string, in any) (*http.Response, error) {
+	var body io.Reader
+	if in != nil {
+		var buf bytes.Buffer
+		enc := json.NewEncoder(&buf)
+		enc.SetEscapeHTML(false) // keeps payloads as they are, except for white space
+		if err := enc.Encode(in); err != nil {
+			return nil, errors.Mark(errors.Wrap(err, "encode the request"), ErrNotSent)
+		}
+		body = &buf
+	}
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, method, cl.base+path, body)
+	if err != nil {
+		return nil, errors.Mark(err, ErrNotSent)
+	}
+	res, err := cl.http.Do(req)
+	if err != nil {
+		if !connected.Load() {
+			return nil, errors.Mark(err, ErrNotSent)
+		}
+		return nil, err
+	}
+	return res, nil
+}
+
+// watchLines decodes each line of a watch. A watch that the server ends without a last word is not an error.
+func watchLines[T any](ctx context.Context, cl *Client, path string, fn func(T) error) error {
+	res, err := cl.do(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close() //nolint:errcheck // nothing is written
+	if res.StatusCode != http.StatusOK {
+		data, err := io.ReadAll(io.LimitReader(res.Body, 1<<20))
+		if er := replyError(res.StatusCode, data); er != nil {
+			return er
+		}
+		return errors.CombineErrors(errors.Newf("GET %s: status %d", path, res.StatusCode), err)
+	}
+	sc := bufio.NewScanner(res.Body)
+	sc.Buffer(make([]byte, 0, 64<<10), maxLineBytes)
+	for sc.Scan() {
+		var line T
+		if err := json.Unmarshal(sc.Bytes(), &line); err != nil {
+			return errors.Wrapf(err, "GET %s: decode a line", path)
+		}
+		if err := fn(line); err != nil {
+			return err
+		}
+	}
+	return errors.Wrapf(sc.Err(), "GET %s: read the watch", path)
+}
--- a/lovageresource/decode.go
+++ b/lovageresource/decode.go
@@ -42,7 +42,8 @@
 func decodeAll(doc *lovageconfig.Document) ([]Resource, []lovageconfig.Finding) {
 	var top struct {
 		Resources []any `json:"resources"`
-		Revision  int64 `json:"revision"` // written by the list call; says nothing about a declaration
+		Revision  any   `json:"revision"` // written by the list call, like Status; says nothing about a declaration
+		Status    any   `json:"status"`
 	}
 	findings := doc.Decode(&top)
 	if len(findings) == 0 && len(top.Resources) == 0 {
--- /dev/null
+++ b/lovagestack/get.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"lovagestack/lovageapi"
+	"lovagestack/lovageresource"
+)
+
+type getCommand struct {
+	operatorArguments
+	Kind string `arg:"positional" help:"Service, Pool, Team or Configuration; all if left out"`
+	Name string `arg:"positional" help:"all of the kind if left out"`
+}
+
+func (cmd *getCommand) run(ctx context.Context, en *environment) int {
+	ctx, cancel := context.WithTimeout(ctx, cmd.Timeout)
+	defer cancel()
+	cl := cmd.client()
+	defer cl.Close()
+	kind := lovageresource.Kind(cmd.Kind)
+	if cmd.Name == "" {
+		list, err := cl.List(ctx, kind)
+		if err != nil {
+			return en.failCall(err, false)
+		}
+		return printList(en, list)
+	}
+	re, err := cl.Get(ctx, kind, cmd.Name)
+	if err != nil {
+		return en.failCall(err, false)
+	}
+	if en.json {
+		return en.printJSON(re)
+	}
+	printList(en, lovageapi.ListReply{Resources: []lovageresource.Resource{re}, Revision: re.Revision, Status: re.Status})
+	ta := newTable(en.stdout, "INSTANCE", "APPLIED", "ANSWERED")
+	for _, ap := range re.Status.Applied {
+		ta.row(ap.Instance, strconv.FormatInt(ap.Revision, 10), strconv.FormatBool(ap.Answered))
+	}
+	ta.flush()
+	return exitOK
+}
+
+// printList prints resources, or as JSON the reply unchanged, which apply accepts as a file.
+func printList(en *environment, list lovageapi.ListReply) int {
+	if en.json {
+		return en.printJSON(list)
+	}
+	ta := newTable(en.stdout, "KIND", "NAME", "REVISION", "SPEC")
+	for i := range list.Resources {
+		re := &list.Resources[i]
+		ta.row(string(re.Kind), re.Name, strconv.FormatInt(re.Revision, 10), summary(re))
+	}
+	ta.flush()
+	_, _ = fmt.Fprintf(en.stdout, "revision %d\n", list.Revision)
+	for _, co := range list.Status.Conditions {
+		_, _ = fmt.Fprintf(en.stdout, "%s: %s (%s)\n", co.Type, co.Status, co.Reason)
+	}
+	return exitOK
+}
+
+// summary returns the spec of a resource in a few words.
+func summary(re *lovageresource.Resource) string {
+	switch sp := re.Spec.(type) {
+	case lovageresource.Service:
+		return fmt.Sprintf("run time %s, weight %s", sp.RunTime, sp.Weight)
+	case lovageresource.Pool:
+		slots := 0
+		for _, wo := range sp.Workers {
+			slots += wo.Slots
+		}
+		return fmt.Sprintf("%s: %d workers, %d slots, services %q", sp.DataCentre, len(sp.Workers), slots, sp.Services)
+	case lovageresource.Team:
+		return fmt.Sprintf("weight %v, running tasks %d, queued tasks %d", sp.Weight, sp.RunningTasks, sp.QueuedTasks)
+	case lovageresource.Configuration:
+		return fmt.Sprintf("key lifetime %s, answer retention %s, ...", sp.KeyLifetime, sp.AnswerRetention)
+	}
+	return ""
+}
--- a/lovagestack/main.go
+++ b/lovagestack/main.go
@@ -1,15 +1,136 @@
 // Command lovagestack runs the dispatcher and drives it from the command line.
+//
+// Each subcommand is a type with a run method in a file of its own and a field in arguments.
 package main
 
 import (
+	"context"
 	"fmt"
+	"io"
+	"os"
+	"os/signal"
 	"runtime/debug"
+	"strings"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+)
+
+// Exit statuses; the epilogue of the help text documents them.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitBadInput = 2
+	exitConflict = 3
+	exitNotRun   = 4
+	exitUnknown  = 5
 )
 
+// command is a subcommand.
+type command interface {
+	// run does the work and returns the exit status.
+	run(ctx context.Context, en *environment) int
+}
+
+// helper is a subcommand whose help text says more than its arguments.
+type helper interface{ help() string }
+
+// environment is what a subcommand has besides its arguments.
+type environment struct {
+	stdin          io.Reader
+	stdout, stderr io.Writer
+	json           bool // print JSON instead of tables
+}
+
+// arguments are the subcommands and the arguments that all of them have.
+type arguments struct {
+	Check   *checkCommand   `arg:"subcommand:check" help:"check settings and resource files"`
+	Apply   *applyCommand   `arg:"subcommand:apply" help:"declare the resources of files"`
+	Get     *getCommand     `arg:"subcommand:get" help:"show resources"`
+	Watch   *watchCommand   `arg:"subcommand:watch" help:"follow all changes of resources"`
+	Delete  *deleteCommand  `arg:"subcommand:delete" help:"delete a resource"`
+	Submit  *submitCommand  `arg:"subcommand:submit" help:"submit a job and wait for its answer"`
+	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
+
+	Output string `arg:"-o,--output" default:"table" placeholder:"FORMAT" help:"table or json"`
+}
+
+// Description implements arg.Described.
+func (arguments) Description() string {
+	return "lovagestack dispatches sub-second tasks to workers that its users own."
+}
+
+// Epilogue implements arg.Epilogued.
+func (arguments) Epilogue() string {
+	return `Exit statuses:
+  0  ok
+  1  failed: the call failed without effect, or the job failed or was cancelled
+  2  bad input: arguments, settings, resource files or a job have faults; all of them are printed
+  3  conflict: the resource has another revision than the change is based on; nothing was written
+  4  not run: the job was refused, none of its tasks has started or will; submitting again is safe
+  5  outcome unknown: the change or the job may have taken effect; look before trying again
+
+Settings of an entry instance are a TOML file; "lovagestack check --help" describes it.`
+}
+
 func main() {
-	version := "unknown"
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	en := &environment{stdin: os.Stdin, stdout: os.Stdout, stderr: os.Stderr}
+	status := runMain(ctx, os.Args[1:], en)
+	stop()
+	os.Exit(status)
+}
+
+// runMain parses the arguments and runs the subcommand.
+func runMain(ctx context.Context, list []string, en *environment) int {
+	var args arguments
+	parser, err := arg.NewParser(arg.Config{Program: "lovagestack", Out: en.stderr, Exit: func(int) {}}, &args)
+	if err != nil {
+		return en.fail(exitFailed, err)
+	}
+	switch err := parser.Parse(list); {
+	case errors.Is(err, arg.ErrHelp):
+		_ = parser.WriteHelpForSubcommand(en.stdout, parser.SubcommandNames()...)
+		if cmd, ok := parser.Subcommand().(helper); ok {
+			_, _ = fmt.Fprint(en.stdout, "\n", strings.TrimSuffix(cmd.help(), "\n"), "\n")
+		}
+		return exitOK
+	case err != nil:
+		_ = parser.WriteUsageForSubcommand(en.stderr, parser.SubcommandNames()...)
+		return en.fail(exitBadInput, err)
+	}
+	cmd, ok := parser.Subcommand().(command)
+	if !ok {
+		parser.WriteHelp(en.stderr)
+		return exitBadInput
+	}
+	if args.Output != "table" && args.Output != "json" {
+		return en.fail(exitBadInput, errors.Newf("--output is %q, want table or json", args.Output))
+	}
+	en.json = args.Output == "json"
+	return cmd.run(ctx, en)
+}
+
+type versionCommand struct{}
+
+func (*versionCommand) run(_ context.Context, en *environment) int {
+	out := struct {
+		Version  string `json:"version"`
+		Revision string `json:"revision,omitempty"` // commit the program was built from
+		Go       string `json:"go,omitempty"`
+	}{Version: "unknown"}
 	if info, ok := debug.ReadBuildInfo(); ok {
-		version = info.Main.Version
+		out.Version, out.Go = info.Main.Version, info.GoVersion
+		for _, se := range info.Settings {
+			if se.Key == "vcs.revision" {
+				out.Revision = se.Value
+			}
+		}
+	}
+	if en.json {
+		return en.printJSON(out)
 	}
-	fmt.Println("lovagestack", version)
+	_, _ = fmt.Fprintln(en.stdout, "lovagestack", out.Version, out.Revision, out.Go)
+	return exitOK
 }
--- /dev/null
+++ b/lovagestack/output.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+
+	"lovagestack/lovageapi"
+	"lovagestack/lovageconfig"
+	"lovagestack/lovageresource"
+)
+
+// fail prints an error and returns the status.
+func (en *environment) fail(status int, err error) int {
+	_, _ = fmt.Fprintln(en.stderr, "lovagestack:", err)
+	return status
+}
+
+// failCall prints the error of a call and returns the status that fits it. writes says whether the call can have
+// changed something.
+func (en *environment) failCall(err error, writes bool) int {
+	var re *lovageapi.ReplyError
+	switch {
+	case errors.As(err, &re) && len(re.Findings) > 0:
+		en.printFindings(re.Findings)
+		return exitBadInput
+	case errors.As(err, &re) && (re.Status == 400 || re.Status == 413):
+		return en.fail(exitBadInput, err)
+	case errors.As(err, &re) || errors.Is(err, lovageapi.ErrNotSent) || !writes:
+		return en.fail(exitFailed, err)
+	}
+	return en.fail(exitUnknown, errors.Wrap(err, "the request may have been processed"))
+}
+
+// printFindings prints one finding a line to the error output, or a JSON object to the output.
+func (en *environment) printFindings(findings []lovageconfig.Finding) {
+	if en.json {
+		en.printJSON(map[string]any{"findings": findings})
+		return
+	}
+	for _, fi := range findings {
+		_, _ = fmt.Fprintln(en.stderr, fi)
+	}
+}
+
+func (en *environment) printJSON(value any) int {
+	enc := json.NewEncoder(en.stdout)
+	enc.SetEscapeHTML(false)
+	if err := enc.Encode(value); err != nil {
+		return en.fail(exitFailed, errors.Wrap(err, "write the output"))
+	}
+	return exitOK
+}
+
+// table prints rows in aligned columns.
+type table struct{ tw *tabwriter.Writer }
+
+func newTable(w io.Writer, columns ...string) *table {
+	ta := &table{tw: tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)}
+	ta.row(columns...)
+	return ta
+}
+
+func (ta *table) row(cells ...string) {
+	for i := range cells {
+		cells[i] = strings.NewReplacer("\t", " ", "\n", " ").Replace(cells[i])
+	}
+	_, _ = fmt.Fprintln(ta.tw, strings.Join(cells, "\t"))
+}
+
+func (ta *table) flush() { _ = ta.tw.Flush() }
+
+// writeExit returns the exit status for the outcome of a change.
+func writeExit(outcome lovageresource.WriteOutcome) int {
+	switch outcome {
+	case lovageresource.Accepted, lovageresource.Unchanged:
+		return exitOK
+	case lovageresource.Conflict:
+		return exitConflict
+	case lovageresource.Unavailable:
+		return exitFailed
+	case lovageresource.Ambiguous:
+	}
+	return exitUnknown
+}
--- /dev/null
+++ b/lovagestack/submit.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lovagestack/lovageapi"
+	"lovagestack/lovageconfig"
+	"lovagestack/lovagejob"
+)
+
+type submitCommand struct {
+	Caller     string        `arg:"--caller,env:LOVAGESTACK_CALLER" default:"127.0.0.1:7001" placeholder:"ADDRESS" help:"address of an instance's caller API"`
+	Service    string        `arg:"--service,required"`
+	Team       string        `arg:"--team,required"`
+	Deadline   time.Duration `arg:"--deadline" default:"10s" help:"how long the job may take from now on"`
+	Repeatable bool          `arg:"--repeatable" help:"a second run of the job would do no harm"`
+	Key        string        `arg:"--key" help:"submit again under the key of an earlier submission; without it a new key is minted"`
+	RunTime    time.Duration `arg:"--run-time" help:"declared run time of one task"`
+	Payload    []string      `arg:"--payload,separate" placeholder:"JSON" help:"payload of one task; may be repeated"`
+	File       string        `arg:"positional" help:"file with one JSON value per task, - for standard input"`
+}
+
+// help implements helper.
+func (*submitCommand) help() string {
+	return `The key is printed to standard error before the job is sent. While the outcome is unknown or the connection
+breaks, the command asks again with the same key until the deadline is over; the job runs once in any case.`
+}
+
+// askAfterDeadline is how long the command goes on asking after the deadline. It covers a take-over of the key's range,
+// which begins at the latest when the lease of 6 s has expired.
+const askAfterDeadline = 10 * time.Second
+
+func (cmd *submitCommand) run(ctx context.Context, en *environment) int {
+	tasks, err := cmd.tasks(en.stdin)
+	if err != nil {
+		return en.fail(exitBadInput, err)
+	}
+	cl := lovageapi.NewClient(cmd.Caller)
+	defer cl.Close()
+	deadline := time.Now().Add(cmd.Deadline)
+	if cmd.Key == "" {
+		keys, err := cl.Mint(ctx, 1, cmd.Repeatable)
+		if err == nil && len(keys) != 1 {
+			err = errors.Newf("asked for one key, got %d", len(keys))
+		}
+		if err != nil {
+			return en.failCall(errors.Wrap(err, "mint a key"), false)
+		}
+		cmd.Key = keys[0].String()
+	}
+	_, _ = fmt.Fprintln(en.stderr, "key", cmd.Key)
+	answer, err := cmd.submit(ctx, cl, lovageapi.JobRequest{
+		Key: cmd.Key, Service: cmd.Service, Team: cmd.Team, Repeatable: cmd.Repeatable, Deadline: deadline,
+		DeclaredRunTime: lovageconfig.Duration(cmd.RunTime), Tasks: tasks,
+	})
+	if err != nil {
+		return en.failCall(errors.Wrapf(err, "submit the job with key %s", cmd.Key), true)
+	}
+	return printAnswer(en, &answer)
+}
+
+// tasks reads the payloads.
+func (cmd *submitCommand) tasks(stdin io.Reader) ([]lovageapi.TaskRequest, error) {
+	var out []lovageapi.TaskRequest
+	for i, text := range cmd.Payload {
+		if !json.Valid([]byte(text)) {
+			return nil, errors.Newf("--payload number %d is not a JSON value: %s", i+1, text)
+		}
+		out = append(out, lovageapi.TaskRequest{Payload: json.RawMessage(text)})
+	}
+	if cmd.File == "" {
+		if len(out) == 0 {
+			return nil, errors.New("a job needs at least one --payload or a file")
+		}
+		return out, nil
+	}
+	var data []byte
+	var err error
+	if cmd.File == "-" {
+		data, err = io.ReadAll(stdin)
+	} else {
+		data, err = os.ReadFile(cmd.File)
+	}
+	if err != nil {
+		return nil, errors.Wrapf(err, "read payloads from %q", cmd.File)
+	}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	for {
+		var payload json.RawMessage
+		if err := dec.Decode(&payload); errors.Is(err, io.EOF) {
+			return out, nil
+		} else if err != nil {
+			return nil, errors.Wrapf(err, "payload %d in %q", len(out)+1, cmd.File)
+		}
+		out = append(out, lovageapi.TaskRequest{Payload: payload})
+	}
+}
+
+// submit sends the job and, while nothing definite is known, sends it again before the deadline and asks after it. The
+// error is that of the last attempt.
+func (cmd *submitCommand) submit(ctx context.Context, cl *lovageapi.Client, jo lovageapi.JobRequest) (lovageapi.AnswerReply, error) {
+	ctx, cancel := context.WithDeadline(ctx, jo.Deadline.Add(askAfterDeadline))
+	defer cancel()
+	answer, err := cl.Submit(ctx, jo)
+	sent := !errors.Is(err, lovageapi.ErrNotSent)
+	for {
+		var re *lovageapi.ReplyError
+		switch {
+		case err == nil && answer.Outcome.Final():
+			return answer, nil
+		case errors.As(err, &re) && re.Status < 500:
+			return answer, err
+		}
+		select {
+		case <-ctx.Done():
+			if !sent {
+				return answer, err
+			}
+			if err != nil {
+				answer = lovageapi.AnswerReply{Outcome: lovagejob.Unknown, Reason: err.Error()}
+				answer.Key, _ = lovagejob.ParseKey(jo.Key)
+			}
+			return answer, nil
+		case <-time.After(500 * time.Millisecond):
+		}
+		var next lovageapi.AnswerReply
+		var nextErr error
+		if time.Now().Before(jo.Deadline) {
+			next, nextErr = cl.Submit(ctx, jo)
+		} else {
+			next, nextErr = cl.Ask(ctx, jo.Key, time.Second)
+		}
+		sent = sent || !errors.Is(nextErr, lovageapi.ErrNotSent)
+		if ctx.Err() == nil || nextErr == nil {
+			answer, err = next, nextErr
+		}
+	}
+}
+
+func printAnswer(en *environment, an *lovageapi.AnswerReply) int {
+	if en.json {
+		en.printJSON(an)
+	} else {
+		_, _ = fmt.Fprintf(en.stdout, "%s: %d tasks, %d started\n", an.Outcome, an.Tasks, an.Started)
+		if an.Reason != "" {
+			_, _ = fmt.Fprintln(en.stdout, "reason:", an.Reason)
+		}
+		if !an.RetryAt.IsZero() {
+			_, _ = fmt.Fprintln(en.stdout, "retry at:", an.RetryAt.Format(time.RFC3339Nano))
+		}
+		if len(an.Results) > 0 {
+			ta := newTable(en.stdout, "TASK", "WORKER", "STATUS", "RESULT")
+			for _, re := range an.Results {
+				body := string(re.Body)
+				if re.BodyBase64 != nil {
+					body = strconv.Quote(string(re.BodyBase64))
+				}
+				ta.row(strconv.Itoa(re.Task), re.Worker, strconv.Itoa(re.Status), body)
+			}
+			ta.flush()
+		}
+	}
+	switch an.Outcome {
+	case lovagejob.Complete:
+		return exitOK
+	case lovagejob.Failed, lovagejob.Cancelled:
+		return exitFailed
+	case lovagejob.NotRun:
+		return exitNotRun
+	case lovagejob.Unknown, lovagejob.Pending:
+	}
+	return exitUnknown
+}
