--- /dev/null
+++ b/lovageentry/backends.go
@@ -0,0 +1,26 @@
+package lovageentry
+
+import (
+	"lovagestack/lovagebackend"
+	"lovagestack/lovagemetric"
+)
+
+// newBackend returns the client towards the workers, with its counters in the instance's metrics.
+func newBackend(re *lovagemetric.Registry) *lovagebackend.Client {
+	counter := func(name, help string) lovagebackend.Counter { return re.Counter("backend_"+name, help).With() }
+	return lovagebackend.New(lovagebackend.Settings{Counters: lovagebackend.Counters{
+		Connections:      counter("connections", "Connections opened to workers."),
+		DialFailures:     counter("dial_failures", "Connections to workers that could not be opened."),
+		Requests:         counter("requests", "Requests of which at least one byte was written."),
+		Stale:            counter("stale", "Reused connections found closed before a byte was written."),
+		ReplaysPrevented: counter("replays_prevented", "Requests not sent again after a part of them had been written."),
+		Silent:           counter("silent", "Connections closed as silent with a task on them."),
+		IdleClosed:       counter("idle_closed", "Idle connections closed because an older request got no answer."),
+		Crossed:          counter("crossed", "Replies that named another task."),
+	}})
+}
+
+// connectionsPerInstance is this instance's part of a worker's connection limit, at least one.
+func (lo *controlLoop) connectionsPerInstance(limit int) int {
+	return max(1, limit/max(1, lo.sharing))
+}
--- /dev/null
+++ b/lovageentry/counts.go
@@ -0,0 +1,112 @@
+package lovageentry
+
+import (
+	"io"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"lovagestack/lovagebackend"
+	"lovagestack/lovagejob"
+	"lovagestack/lovagemetric"
+	"lovagestack/lovagepeer"
+)
+
+// counts holds the counters of an instance.
+type counts struct {
+	registry         *lovagemetric.Registry
+	sync             metrics.Registry // of lovagesync
+	events           metrics.Counter
+	admitted         metrics.Counter
+	tasksStarted     metrics.Counter
+	tasksNotSent     metrics.Counter
+	forwards         metrics.Counter
+	forwardsFailed   metrics.Counter
+	accepts          metrics.Counter
+	resultCopies     metrics.Counter
+	slotsAsks        metrics.Counter
+	slotsReturns     metrics.Counter
+	heartbeats       metrics.Counter
+	heartbeatsFailed metrics.Counter
+	tableReads       metrics.Counter
+	tableWrites      metrics.Counter
+	tableFailed      metrics.Counter
+	restarts         metrics.Counter
+	answered         lovagemetric.CounterFamily
+	tasksEnded       lovagemetric.CounterFamily
+	taskTime         *lovagemetric.Timer
+}
+
+func newCounts(re *lovagemetric.Registry) *counts {
+	counter := func(name, help string) metrics.Counter { return re.Counter(name, help).With() }
+	return &counts{
+		registry:         re,
+		sync:             metrics.NewRegistry(),
+		events:           counter("control_events", "Events that the control loop handled."),
+		admitted:         counter("jobs_admitted", "Jobs whose key was accepted here."),
+		tasksStarted:     counter("tasks_started", "Task requests sent to workers."),
+		tasksNotSent:     counter("tasks_not_sent", "Tasks whose worker was no longer declared; nothing was sent."),
+		forwards:         counter("forwards", "Requests sent on to the instance that decides their key."),
+		forwardsFailed:   counter("forwards_failed", "Forwards without an answer."),
+		accepts:          counter("accepts", "Batches of keys sent to replicas."),
+		resultCopies:     counter("result_copies", "Batches of answers sent to replicas."),
+		slotsAsks:        counter("slots_asks", "Requests for slots sent to peers."),
+		slotsReturns:     counter("slots_returns", "Borrowed slots given back, in messages."),
+		heartbeats:       counter("heartbeats", "Heartbeats sent."),
+		heartbeatsFailed: counter("heartbeats_failed", "Heartbeats without a reply."),
+		tableReads:       counter("table_reads", "Reads of the table by the ledger."),
+		tableWrites:      counter("table_writes", "Transactions of the ledger."),
+		tableFailed:      counter("table_failed", "Table operations of the ledger that failed."),
+		restarts:         counter("service_restarts", "Services of the supervisor tree that failed and were restarted."),
+		answered:         re.Counter("answers", "Answers given.", lovagemetric.LabelOutcome),
+		tasksEnded:       re.Counter("tasks_ended", "Ends of task requests.", lovagemetric.LabelState),
+		taskTime:         re.Timer("task_time", "Time from sending a task to its end.").With(),
+	}
+}
+
+// registerGauges adds the values that are read when the metrics are.
+func (co *counts) registerGauges(in *Instance) {
+	co.registry.GaugeFunc("requests_in_flight", "Requests of callers and peers in progress.", func() float64 {
+		return float64(in.inFlight.value())
+	})
+	co.registry.GaugeFunc("control_backlog", "Events that wait for the control loop.", func() float64 {
+		return float64(len(in.control.events))
+	})
+	co.registry.GaugeFunc("applied_revision", "Revision of the configuration in force here.", func() float64 {
+		return float64(in.store.Revision())
+	})
+	for name, help := range map[string]string{
+		"sync.table.failed":    "Reads of the resources that failed.",
+		"sync.calls.failed":    "Calls to peers about resources that failed.",
+		"sync.changes.refused": "Changes from peers that did not fit.",
+	} {
+		counter := metrics.GetOrRegisterCounter(name, co.sync)
+		co.registry.CounterFunc(metricName(name), help, func() float64 { return float64(counter.Count()) })
+	}
+}
+
+// metricName turns a name of go-metrics into one of the text format.
+func metricName(name string) string {
+	out := []byte(name)
+	for i, c := range out {
+		if c == '.' {
+			out[i] = '_'
+		}
+	}
+	return string(out)
+}
+
+// Counter returns the counter of a peer mesh.
+func (co *counts) Counter(name, kind string) lovagepeer.Counter {
+	return lovagemetric.PeerCounters{Registry: co.registry}.Counter(name, kind)
+}
+
+func (co *counts) answers(ou lovagejob.Outcome) { co.answered.With(string(ou)).Inc(1) }
+
+func (co *counts) taskEnded(st lovagebackend.State, took time.Duration) {
+	co.tasksEnded.With(string(st)).Inc(1)
+	co.taskTime.Observe(took)
+}
+
+// WriteMetrics writes the instance's metrics in the Prometheus text format.
+func (in *Instance) WriteMetrics(w io.Writer) error { return in.counts.registry.WriteText(w) }
--- /dev/null
+++ b/lovageentry/instance.go
@@ -0,0 +1,302 @@
+package lovageentry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/thejerf/suture/v4"
+	"go.uber.org/zap"
+
+	"lovagestack/lovagebackend"
+	"lovagestack/lovageconfig"
+	"lovagestack/lovagedispatch"
+	"lovagestack/lovagejob"
+	"lovagestack/lovageledger"
+	"lovagestack/lovagemember"
+	"lovagestack/lovagemessage"
+	"lovagestack/lovagemetric"
+	"lovagestack/lovagepeer"
+	"lovagestack/lovageplatform"
+	"lovagestack/lovageresource"
+	"lovagestack/lovagesync"
+	"lovagestack/lovagetrace"
+)
+
+// Platform is what an instance uses of the users' platform.
+type Platform interface {
+	Read(ctx context.Context, keys ...string) ([]lovageplatform.Row, error)
+	Scan(ctx context.Context, prefix string) ([]lovageplatform.Row, error)
+	Commit(ctx context.Context, tx lovageplatform.Transaction) (lovageplatform.CommitResult, error)
+	GetObject(ctx context.Context, name string) ([]byte, error)
+	PutObject(ctx context.Context, name string, data []byte) error
+	DeleteObject(ctx context.Context, name string) error
+	Instances(ctx context.Context) ([]lovageplatform.Instance, error)
+}
+
+// Options are the dependencies of an Instance.
+type Options struct {
+	Settings lovageconfig.Settings
+	Platform Platform
+	Log      *zap.Logger            // nil logs nothing
+	Metrics  *lovagemetric.Registry // nil uses a registry of its own
+	Tracer   *lovagetrace.Tracer
+	Policy   lovagedispatch.Policy // empty means lending; others serve comparison
+	Seed     uint64                // of the instance's random choices; 0 draws one
+}
+
+// Instance is one entry instance. Its exported methods may be called from several goroutines.
+type Instance struct {
+	settings    lovageconfig.Settings
+	id          string // settings.ID and a suffix drawn at start, so that a restarted process is a new instance
+	peerAddress string
+	platform    Platform
+	log         *zap.Logger
+	tracer      *lovagetrace.Tracer
+	counts      *counts
+
+	control      *controlLoop
+	mesh         *lovagepeer.Mesh
+	backend      *lovagebackend.Client
+	store        *lovageresource.Store
+	keeper       *lovagesync.Keeper
+	table        *tableAccess
+	ledgerWriter *lovageplatform.Writer
+	addresses    addressBook
+	servers      []Server
+	inFlight     gauge // requests of callers and peers
+	jobsHeld     gauge // admitted jobs that have not ended or have tasks at workers
+	stopping     atomic.Bool
+	handedOver   atomic.Bool
+
+	lifetime context.Context // ends when the instance has stopped
+	end      context.CancelFunc
+	stopped  <-chan struct{}
+}
+
+// keptChanges bounds the change log from which a watch can resume.
+const keptChanges = 10_000
+
+// New returns an instance that does nothing until Serve is called. The peer address is bound at once, so that the
+// error of an address in use comes here.
+func New(op Options) (*Instance, error) {
+	if op.Log == nil {
+		op.Log = zap.NewNop()
+	}
+	if op.Metrics == nil {
+		op.Metrics = lovagemetric.New()
+	}
+	if op.Seed == 0 {
+		op.Seed = rand.Uint64()
+	}
+	if op.Policy == "" {
+		op.Policy = lovagedispatch.Lending
+	}
+	rng := rand.New(rand.NewPCG(op.Seed, uint64(time.Now().UnixNano())))
+	se := op.Settings
+	in := &Instance{
+		settings: se, id: se.ID + "-" + suffix(rng), platform: op.Platform, tracer: op.Tracer,
+		counts: newCounts(op.Metrics),
+	}
+	in.log = op.Log.With(zap.String("instance", in.id))
+	in.lifetime, in.end = context.WithCancel(context.Background())
+	in.stopped = in.lifetime.Done()
+	in.mesh = lovagepeer.New(lovagepeer.Options{
+		Instance: in.id, DataCentre: se.DataCentre, Listen: se.Addresses.Peer.String(),
+		AppliedRevision: func() int64 { return in.store.Revision() },
+		Counters:        in.counts, SessionUp: in.sessionUp, SessionDown: in.sessionDown,
+	}, (*peerHandler)(in))
+	address, err := in.mesh.Listen()
+	if err != nil {
+		return nil, err
+	}
+	in.peerAddress = address
+	in.backend = newBackend(op.Metrics)
+	in.store = lovageresource.NewStore(keptChanges)
+	in.ledgerWriter = lovageplatform.NewWriter(op.Platform, in.id, lovageplatform.WriterSettings{})
+	in.table = newTableAccess(in)
+	in.keeper = lovagesync.New(lovagesync.DefaultSettings(in.id), lovagesync.Parts{
+		Table: op.Platform, Objects: op.Platform,
+		Writer: lovageplatform.NewWriter(op.Platform, in.id+"-sync", lovageplatform.WriterSettings{}),
+		Peers:  (*syncPeers)(in), Store: in.store, Log: in.log, Metrics: in.counts.sync,
+	})
+	in.control = newControlLoop(in, op.Policy, rng)
+	in.counts.registerGauges(in)
+	return in, nil
+}
+
+// suffixLength is the number of letters and digits that tell the processes of one instance apart.
+const suffixLength = 6
+
+func suffix(rng *rand.Rand) string {
+	const letters = "abcdefghijklmnopqrstuvwxyz0123456789"
+	out := make([]byte, suffixLength)
+	for i := range out {
+		out[i] = letters[rng.IntN(len(letters))]
+	}
+	return string(out)
+}
+
+func newControlLoop(in *Instance, policy lovagedispatch.Policy, rng *rand.Rand) *controlLoop {
+	se := in.settings
+	dispatch := lovagedispatch.DefaultSettings(in.id, se.DataCentre)
+	dispatch.Policy = policy
+	dispatch.MaxTotalTasks = se.Limits.QueuedTasks
+	return &controlLoop{
+		in: in, log: in.log, events: make(chan event, eventBacklog), now: time.Now(),
+		core: lovagedispatch.New(dispatch, rng),
+		ledger: lovageledger.New(lovageledger.Settings{
+			Instance: in.id, DataCentre: se.DataCentre, Address: in.peerAddress, Rand: rng,
+			LeaseTTL: se.Lease.TTL, RenewEvery: se.Lease.Renewal,
+		}),
+		member: lovagemember.New(lovagemember.Settings{
+			Instance: in.id, DataCentre: se.DataCentre, Address: in.peerAddress,
+			SuspectAfter: se.Heartbeat.Suspect, GoneAfter: se.Heartbeat.Gone,
+		}),
+		requests: make(map[uint64]*request), abandons: make(map[uint64]*abandon), jobs: make(map[uint64]*job),
+		byKey: make(map[lovagejob.Key]*job), offers: make(map[lovagejob.Key]*offer), calls: make(map[uint64]chan<- any),
+		members: memberView{leaving: make(map[string]bool)}, drained: make(chan struct{}),
+	}
+}
+
+// Server is an API server that the instance supervises and shuts down.
+type Server interface {
+	Serve(ctx context.Context) error
+	Drain()                             // asks callers to close their connections
+	Shutdown(ctx context.Context) error // stops listening and waits for the requests in progress
+}
+
+// AddServer adds a server, before Serve is called. Servers are shut down in the order in which they were added.
+func (in *Instance) AddServer(srv Server) { in.servers = append(in.servers, srv) }
+
+// ID returns the ID of this process of the instance.
+func (in *Instance) ID() string { return in.id }
+
+// Keeper returns what operators' requests are served from.
+func (in *Instance) Keeper() *lovagesync.Keeper { return in.keeper }
+
+// running is the context of everything that must go on until the instance has stopped.
+func (in *Instance) running() context.Context { return in.lifetime }
+
+// Serve runs the instance until ctx ends and then shuts down gracefully: it hands over its ranges and finishes what is
+// in flight, for at most settings.Shutdown.Deadline. It returns the number of requests that were cut.
+func (in *Instance) Serve(ctx context.Context) (cut int, err error) {
+	sup := suture.New("entry", suture.Spec{EventHook: in.superviseEvent, Timeout: 5 * time.Second})
+	traffic := suture.New("traffic", suture.Spec{EventHook: in.superviseEvent})
+	traffic.Add(in.mesh)
+	platform := suture.New("platform", suture.Spec{EventHook: in.superviseEvent})
+	platform.Add(&tableReader{in.table})
+	platform.Add(&tableWriter{in.table})
+	platform.Add(&listReader{in: in})
+	platform.Add(in.keeper)
+	control := suture.New("control", suture.Spec{EventHook: in.superviseEvent})
+	control.Add(in.control)
+	control.Add(&resourceWatcher{in: in})
+	servers := suture.New("servers", suture.Spec{EventHook: in.superviseEvent})
+	for _, srv := range in.servers {
+		servers.Add(srv)
+	}
+	servers.Add(in.tracer)
+	sup.Add(control)
+	sup.Add(servers)
+	sup.Add(traffic)
+	sup.Add(platform)
+	done := sup.ServeBackground(in.lifetime)
+	for _, seed := range in.settings.Peers.Seeds {
+		if address := seed.String(); address != in.peerAddress {
+			in.mesh.Connect("", address)
+		}
+	}
+	in.log.Info("instance started", zap.String("dataCentre", in.settings.DataCentre), zap.String("peer", in.peerAddress))
+	select {
+	case <-ctx.Done():
+		cut = in.shutDown()
+	case err = <-done:
+		err = errors.Wrap(err, "the supervisor stopped")
+	}
+	in.end()
+	in.backend.Close()
+	if err == nil {
+		<-done
+	}
+	in.log.Info("instance stopped", zap.Int("cut", cut))
+	return cut, err
+}
+
+func (in *Instance) superviseEvent(ev suture.Event) {
+	if in.lifetime.Err() != nil {
+		return
+	}
+	in.counts.restarts.Inc(1)
+	in.log.Error("service of the instance failed and is restarted", zap.String("event", ev.String()))
+}
+
+func (in *Instance) sessionUp(peer string) {
+	in.control.post(in.running(), &memberEvent{lovagemember.SessionUp{Instance: peer}})
+}
+
+func (in *Instance) sessionDown(peer string, refused bool) {
+	in.control.post(in.running(), &memberEvent{lovagemember.SessionDown{Instance: peer, Refused: refused}})
+}
+
+// call sends a request to a peer within a span of its own.
+func (in *Instance) call(ctx context.Context, address string, req *lovagemessage.Request) (*lovagemessage.Response, error) {
+	if address == "" {
+		return nil, errors.New("the peer's address is not known")
+	}
+	ctx, span := in.tracer.Start(ctx, lovagetrace.PeerHop)
+	span.SetString("kind", lovagepeer.Kind(req))
+	// The message may be shared between peers, so the copy and not the original gets the trace context.
+	req = &lovagemessage.Request{Body: req.Body}
+	in.tracer.InjectRequest(ctx, req)
+	res, err := in.mesh.Call(ctx, address, req)
+	span.End(err)
+	return res, err
+}
+
+// syncPeers is the view of the instance that the Keeper uses.
+type syncPeers Instance
+
+// Peers returns the instances that are not known to be gone.
+func (sp *syncPeers) Peers() []lovagesync.Peer { return sp.addresses.Peers() }
+
+// Call sends a request to a peer.
+func (sp *syncPeers) Call(ctx context.Context, address string, req *lovagemessage.Request) (*lovagemessage.Response, error) {
+	return (*Instance)(sp).call(ctx, address, req)
+}
+
+// peerHandler serves the requests of peers.
+type peerHandler Instance
+
+// Handle serves one request. It is called on a goroutine of its own.
+func (ph *peerHandler) Handle(ctx context.Context, from string, req *lovagemessage.Request) (*lovagemessage.Response, error) {
+	in := (*Instance)(ph)
+	ctx = in.tracer.ExtractRequest(ctx, req)
+	switch body := req.GetBody().(type) {
+	case *lovagemessage.Request_Heartbeat:
+		return in.handleHeartbeat(ctx, from, body.Heartbeat)
+	case *lovagemessage.Request_Submit:
+		return in.handleSubmit(ctx, body.Submit)
+	case *lovagemessage.Request_Ask:
+		return in.handleAsk(ctx, body.Ask)
+	case *lovagemessage.Request_Cancel:
+		return in.handleCancel(ctx, body.Cancel)
+	case *lovagemessage.Request_Mint:
+		return in.handleMint(ctx, body.Mint)
+	case *lovagemessage.Request_Accept:
+		return in.handleAccept(ctx, from, body.Accept)
+	case *lovagemessage.Request_ResultCopy:
+		return in.handleResultCopy(ctx, from, body.ResultCopy)
+	case *lovagemessage.Request_Transfer:
+		return in.handleTransfer(ctx, from, body.Transfer)
+	case *lovagemessage.Request_SlotsAsk:
+		return in.handleSlotsAsk(ctx, from, body.SlotsAsk)
+	case *lovagemessage.Request_SlotsReturn:
+		return in.handleSlotsReturn(ctx, from, body.SlotsReturn)
+	case *lovagemessage.Request_ConfigDelta, *lovagemessage.Request_ConfigAsk:
+		return in.keeper.Handle(ctx, from, req)
+	}
+	return nil, errors.Newf("request %q is not known", lovagepeer.Kind(req))
+}
--- /dev/null
+++ b/lovageentry/job.go
@@ -0,0 +1,194 @@
+package lovageentry
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"go.opentelemetry.io/otel/trace"
+
+	"lovagestack/lovagebackend"
+	"lovagestack/lovagedispatch"
+	"lovagestack/lovagejob"
+	"lovagestack/lovageledger"
+	"lovagestack/lovagetrace"
+)
+
+// job is an admitted submission.
+type job struct {
+	id       uint64
+	key      lovagejob.Key
+	keyText  string
+	sub      *lovagejob.Submission
+	span     trace.SpanContext // parent of the task spans
+	admitted time.Time
+	results  []lovagejob.TaskResult
+	running  map[int]context.CancelFunc
+	ended    bool
+}
+
+// admit starts an admitted key in the dispatch core.
+func (lo *controlLoop) admit(cm lovageledger.Admit) {
+	of := lo.offers[cm.Key]
+	if of == nil {
+		// Nothing was started and nothing can be, so refusing the key for good is true.
+		lo.stepLedger(&lovageledger.JobEnded{Key: cm.Key, Answer: lovagejob.Answer{
+			Key: cm.Key, Outcome: lovagejob.NotRun, Reason: "the submission's content is no longer held",
+		}})
+		return
+	}
+	delete(lo.offers, cm.Key)
+	lo.lastJob++
+	jo := &job{
+		id: lo.lastJob, key: cm.Key, keyText: cm.Key.String(), sub: of.sub,
+		span: trace.SpanContextFromContext(of.ctx), admitted: lo.now,
+		results: make([]lovagejob.TaskResult, len(of.sub.Tasks)),
+		running: make(map[int]context.CancelFunc),
+	}
+	lo.jobs[jo.id] = jo
+	lo.byKey[cm.Key] = jo
+	lo.in.counts.admitted.Inc(1)
+	lo.in.jobsHeld.add(1)
+	lo.stepCore(lovagedispatch.Submit{
+		Job: jo.id, Service: of.sub.Service, Team: of.sub.Team, Deadline: of.sub.Deadline,
+		DeclaredRunTime: of.sub.DeclaredRunTime, DeclaredCores: of.sub.DeclaredCores,
+		DeclaredMemoryBytes: of.sub.DeclaredMemoryBytes, DeclaredAccelerators: of.sub.DeclaredAccelerators,
+		Tasks: len(of.sub.Tasks),
+	})
+}
+
+func (lo *controlLoop) cancelJob(cm lovageledger.CancelJob) {
+	if jo := lo.byKey[cm.Key]; jo != nil {
+		lo.stepCore(lovagedispatch.Cancel{Job: jo.id})
+	}
+}
+
+// startTask sends a task to a worker from a goroutine of its own.
+func (lo *controlLoop) startTask(cm lovagedispatch.StartTask) {
+	jo := lo.jobs[cm.Job]
+	wo, ok := lo.workers[cm.Worker]
+	if jo == nil || !ok {
+		// The core knows only jobs and workers that it was given, so this means that the worker's pool has just
+		// been changed. Nothing was sent.
+		lo.in.counts.tasksNotSent.Inc(1)
+		go (&lostTask{lo: lo, ev: lovagedispatch.TaskEnded{
+			Job: cm.Job, Task: cm.Task, Worker: cm.Worker, State: lovagedispatch.NotStarted, Err: "worker is not declared",
+		}}).run()
+		return
+	}
+	ctx, cancel := context.WithCancel(trace.ContextWithSpanContext(lo.in.running(), jo.span))
+	lo.in.tracer.Record(ctx, lovagetrace.QueueWait, jo.admitted, lo.now)
+	jo.running[cm.Task] = cancel
+	lo.in.counts.tasksStarted.Inc(1)
+	tr := &taskRun{
+		lo: lo, job: cm.Job, task: cm.Task, worker: cm.Worker, ctx: ctx, cancel: cancel,
+		req: lovagebackend.Request{
+			Worker: cm.Worker, Address: wo.address, Connections: lo.connectionsPerInstance(wo.connections),
+			Service:  jo.sub.Service,
+			Task:     jo.keyText + "/" + strconv.Itoa(cm.Task),
+			Epoch:    fmt.Sprintf("%s/%d/%d", jo.key.DataCentre, jo.key.Range, jo.key.Epoch),
+			Deadline: jo.sub.Deadline, Payload: jo.sub.Tasks[cm.Task].Payload,
+		},
+	}
+	go tr.run()
+}
+
+func (lo *controlLoop) stopTask(cm lovagedispatch.StopTask) {
+	if jo := lo.jobs[cm.Job]; jo != nil {
+		if cancel := jo.running[cm.Task]; cancel != nil {
+			cancel()
+		}
+	}
+}
+
+// lostTask reports the end of a task that could not be sent.
+type lostTask struct {
+	lo *controlLoop
+	ev lovagedispatch.TaskEnded
+}
+
+func (lt *lostTask) run() { lt.lo.post(lt.lo.in.running(), lt) }
+
+func (lt *lostTask) apply(lo *controlLoop) { lo.stepCore(lt.ev) }
+
+// taskRun is one task at a worker. run sends it and reports its end to the control loop.
+type taskRun struct {
+	lo     *controlLoop
+	job    uint64
+	task   int
+	worker string
+	ctx    context.Context
+	cancel context.CancelFunc
+	req    lovagebackend.Request
+	res    lovagebackend.Result
+	took   time.Duration
+}
+
+func (tr *taskRun) run() {
+	defer tr.cancel()
+	started := time.Now()
+	ctx, span := tr.lo.in.tracer.Start(tr.ctx, lovagetrace.WorkerCall)
+	span.SetString("task", tr.req.Task)
+	span.SetString("worker", tr.worker)
+	tr.res = tr.lo.in.backend.Run(ctx, tr.req)
+	span.End(tr.res.Err)
+	tr.took = time.Since(started)
+	// The control loop must learn of the end even while the instance shuts down, so this does not use tr.ctx.
+	tr.lo.post(tr.lo.in.running(), tr)
+}
+
+func (tr *taskRun) apply(lo *controlLoop) {
+	jo := lo.jobs[tr.job]
+	ev := lovagedispatch.TaskEnded{
+		Job: tr.job, Task: tr.task, Worker: tr.worker, State: lovagedispatch.TaskState(tr.res.State), Leaving: tr.res.Leaving,
+	}
+	if tr.res.Err != nil {
+		ev.Err = tr.res.Err.Error()
+	} else if tr.res.State == lovagebackend.Failed {
+		ev.Err = fmt.Sprintf("worker replied with status %d", tr.res.Status)
+	}
+	if jo != nil {
+		delete(jo.running, tr.task)
+		if tr.res.State == lovagebackend.Succeeded {
+			jo.results[tr.task] = lovagejob.TaskResult{
+				Task: tr.task, Worker: tr.worker, Status: tr.res.Status, Body: tr.res.Body,
+			}
+		}
+	}
+	lo.in.counts.taskEnded(tr.res.State, tr.took)
+	if tr.res.Leaving {
+		lo.workerSaysLeaving(tr.worker)
+	}
+	lo.stepCore(ev)
+	if jo != nil {
+		lo.forget(jo)
+	}
+}
+
+// finishJob gives the ledger the last word on a job.
+func (lo *controlLoop) finishJob(cm lovagedispatch.FinishJob) {
+	jo := lo.jobs[cm.Job]
+	if jo == nil || jo.ended {
+		return
+	}
+	jo.ended = true
+	ans := lovagejob.Answer{
+		Key: jo.key, Outcome: cm.Outcome, Reason: cm.Reason, RetryAt: cm.RetryAt, Tasks: len(jo.sub.Tasks), Started: cm.Started,
+	}
+	if cm.Outcome == lovagejob.Complete {
+		ans.Results = jo.results
+	}
+	jo.results = make([]lovagejob.TaskResult, len(jo.sub.Tasks)) // late results must not reach the answer
+	delete(lo.byKey, jo.key)
+	lo.stepLedger(&lovageledger.JobEnded{Key: jo.key, Answer: ans})
+	lo.forget(jo)
+}
+
+// forget drops an ended job once no task of it is at a worker.
+func (lo *controlLoop) forget(jo *job) {
+	if jo.ended && len(jo.running) == 0 && lo.jobs[jo.id] == jo {
+		delete(lo.jobs, jo.id)
+		lo.in.jobsHeld.add(-1)
+	}
+}
--- /dev/null
+++ b/lovageentry/loop.go
@@ -0,0 +1,184 @@
+package lovageentry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lovagestack/lovagedispatch"
+	"lovagestack/lovagejob"
+	"lovagestack/lovageledger"
+	"lovagestack/lovagemember"
+)
+
+const (
+	// eventBacklog bounds the events that wait for the control loop. Senders block when it is full, which slows the
+	// traffic goroutines and not the control loop.
+	eventBacklog = 8192
+
+	// tickInterval is the resolution of the ledger's and the membership's timers; the ledger asks for 100 ms at most.
+	tickInterval = 50 * time.Millisecond
+)
+
+// event is an input of the control loop. apply runs on the control loop and must not block.
+type event interface {
+	apply(lo *controlLoop)
+}
+
+// controlLoop owns the control state of an instance. All fields are touched by the goroutine of run only, except for
+// the events channel.
+type controlLoop struct {
+	in     *Instance
+	events chan event
+	log    *zap.Logger
+
+	now    time.Time // time of the event being applied
+	core   *lovagedispatch.Core
+	ledger *lovageledger.Ledger
+	member *lovagemember.Core
+
+	requests      map[uint64]*request
+	lastRequest   uint64
+	jobs          map[uint64]*job
+	byKey         map[lovagejob.Key]*job
+	lastJob       uint64
+	offers        map[lovagejob.Key]*offer
+	abandons      map[uint64]*abandon
+	calls         map[uint64]chan<- any
+	lastCall      uint64
+	members       memberView
+	workers       map[string]workerInfo
+	services      map[string]serviceInfo
+	wakeAt        time.Time
+	wake          *time.Timer
+	drained       chan struct{}
+	draining      bool
+	sharing       int // live instances that share the workers of the own data centre
+	nextHeartbeat time.Time
+	workerStates  map[string]lovagemember.State
+}
+
+// post hands an event to the control loop. It reports false if ctx ended first.
+func (lo *controlLoop) post(ctx context.Context, ev event) bool {
+	select {
+	case lo.events <- ev:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Serve runs the control loop until ctx ends.
+func (lo *controlLoop) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	lo.wake = time.NewTimer(time.Hour)
+	defer lo.wake.Stop()
+	for {
+		select {
+		case ev := <-lo.events:
+			lo.now = time.Now()
+			ev.apply(lo)
+			lo.in.counts.events.Inc(1)
+		case <-ticker.C:
+			lo.now = time.Now()
+			lo.tick()
+		case <-lo.wake.C:
+			lo.now = time.Now()
+			lo.wakeAt = time.Time{}
+			lo.stepCore(lovagedispatch.Tick{})
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (lo *controlLoop) tick() {
+	lo.stepMember(lovagemember.Tick{})
+	lo.stepLedger(&lovageledger.Tick{})
+	lo.heartbeatIfDue()
+}
+
+// stepCore steps the dispatch core and carries out its commands.
+func (lo *controlLoop) stepCore(ev lovagedispatch.Event) {
+	out := lo.core.Step(lo.now, ev, nil)
+	for _, cm := range out {
+		lo.runCoreCommand(cm)
+	}
+}
+
+// stepLedger steps the ledger and carries out its commands.
+func (lo *controlLoop) stepLedger(ev lovageledger.Event) {
+	out := lo.ledger.Step(lo.now, ev, nil)
+	for _, cm := range out {
+		lo.runLedgerCommand(cm)
+	}
+}
+
+// stepMember steps the membership view and carries out its commands.
+func (lo *controlLoop) stepMember(ev lovagemember.Event) {
+	out := lo.member.Step(lo.now, ev, nil)
+	for _, cm := range out {
+		lo.runMemberCommand(cm)
+	}
+}
+
+func (lo *controlLoop) runCoreCommand(cm lovagedispatch.Command) {
+	switch cm := cm.(type) {
+	case lovagedispatch.StartTask:
+		lo.startTask(cm)
+	case lovagedispatch.StopTask:
+		lo.stopTask(cm)
+	case lovagedispatch.FinishJob:
+		lo.finishJob(cm)
+	case lovagedispatch.AskSlots:
+		lo.askSlots(cm)
+	case lovagedispatch.LendSlots:
+		lo.lendSlots(cm)
+	case lovagedispatch.ReturnSlots:
+		lo.returnSlots(cm)
+	case lovagedispatch.WakeAt:
+		lo.wakeNoLaterThan(cm.At)
+	}
+}
+
+func (lo *controlLoop) runLedgerCommand(cm lovageledger.Command) {
+	switch cm := cm.(type) {
+	case lovageledger.Minted:
+		lo.minted(cm)
+	case lovageledger.Admit:
+		lo.admit(cm)
+	case lovageledger.Reply:
+		lo.reply(cm)
+	case lovageledger.Forward:
+		lo.forward(cm)
+	case lovageledger.CancelJob:
+		lo.cancelJob(cm)
+	case lovageledger.SendAccept:
+		lo.sendAccept(cm)
+	case lovageledger.ReplyAccept:
+		lo.answerCall(cm.Call, cm)
+	case lovageledger.SendResult:
+		lo.sendResult(cm)
+	case lovageledger.SendTransfer:
+		lo.sendTransfer(cm)
+	case lovageledger.ReplyTransfer:
+		lo.answerCall(cm.Call, cm)
+	case lovageledger.ReadTable:
+		lo.in.table.read(cm)
+	case lovageledger.CommitTable:
+		lo.in.table.commit(cm)
+	case lovageledger.Drained:
+		lo.rangesHandedOver(cm)
+	}
+}
+
+// wakeNoLaterThan sets the timer of the dispatch core, unless an earlier time is set already.
+func (lo *controlLoop) wakeNoLaterThan(at time.Time) {
+	if !lo.wakeAt.IsZero() && !at.Before(lo.wakeAt) {
+		return
+	}
+	lo.wakeAt = at
+	lo.wake.Reset(max(0, at.Sub(lo.now)))
+}
--- /dev/null
+++ b/lovageentry/member.go
@@ -0,0 +1,205 @@
+package lovageentry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lovagestack/lovagedispatch"
+	"lovagestack/lovageledger"
+	"lovagestack/lovagemember"
+	"lovagestack/lovageplatform"
+	"lovagestack/lovagesync"
+)
+
+// memberView is the control loop's copy of the membership.
+type memberView struct {
+	members     map[string]lovagemember.Member // by instance ID
+	leaving     map[string]bool                // workers that this instance found leaving
+	dataCentres map[string]string              // of members
+}
+
+func (mv *memberView) address(id string) string { return mv.members[id].Address }
+
+// addressBook is the part of the membership that traffic goroutines read.
+type addressBook struct {
+	mu    sync.RWMutex
+	peers map[string]string // instance ID to address, without instances that are gone
+}
+
+func (ab *addressBook) get(id string) string {
+	ab.mu.RLock()
+	defer ab.mu.RUnlock()
+	return ab.peers[id]
+}
+
+func (ab *addressBook) set(peers map[string]string) {
+	ab.mu.Lock()
+	defer ab.mu.Unlock()
+	ab.peers = peers
+}
+
+// Peers returns the instances that are not known to be gone.
+func (ab *addressBook) Peers() []lovagesync.Peer {
+	ab.mu.RLock()
+	defer ab.mu.RUnlock()
+	out := make([]lovagesync.Peer, 0, len(ab.peers))
+	for id, address := range ab.peers {
+		out = append(out, lovagesync.Peer{ID: id, Address: address})
+	}
+	return out
+}
+
+// memberEvent is an event of the membership core that comes from a traffic goroutine.
+type memberEvent struct{ ev lovagemember.Event }
+
+func (me *memberEvent) apply(lo *controlLoop) { lo.stepMember(me.ev) }
+
+func (lo *controlLoop) runMemberCommand(cm lovagemember.Command) {
+	switch cm := cm.(type) {
+	case lovagemember.MembersChanged:
+		lo.membersChanged(cm)
+	case lovagemember.WorkersChanged:
+		lo.workersChanged(cm)
+	case lovagemember.WorkerLeaving:
+		lo.log.Info("worker is leaving", zap.String("worker", cm.Worker), zap.String("source", string(cm.Source)))
+		lo.stepCore(lovagedispatch.WorkerLeaving{Worker: cm.Worker})
+	case lovagemember.DialPeer:
+		lo.in.mesh.Connect(cm.Instance, cm.Address)
+	case lovagemember.DropPeer:
+		lo.in.mesh.Disconnect(cm.Address)
+	}
+}
+
+// membersChanged tells both cores and the traffic goroutines about the new view.
+func (lo *controlLoop) membersChanged(cm lovagemember.MembersChanged) {
+	members := make(map[string]lovagemember.Member)
+	addresses := make(map[string]string)
+	dataCentres := make(map[string]string)
+	var forCore []lovagedispatch.Member
+	var forLedger []lovageledger.Member
+	for _, dc := range cm.DataCentres {
+		if dc.Name == lo.in.settings.DataCentre {
+			lo.sharing = len(dc.Live())
+		}
+		for _, me := range dc.Members {
+			members[me.Instance] = me
+			dataCentres[me.Instance] = dc.Name
+			if me.Shares() {
+				forCore = append(forCore, lovagedispatch.Member{ID: me.Instance, DataCentre: dc.Name})
+			}
+			if me.Instance == lo.in.id {
+				continue
+			}
+			forLedger = append(forLedger, ledgerMember(me, dc.Name, lo.in.settings.DataCentre))
+			if me.State != lovagemember.Gone && me.Address != "" {
+				addresses[me.Instance] = me.Address
+			}
+			lo.logMember(me)
+		}
+	}
+	lo.members.members, lo.members.dataCentres = members, dataCentres
+	lo.in.addresses.set(addresses)
+	lo.stepCore(lovagedispatch.MembersChanged{Members: forCore})
+	lo.stepLedger(&lovageledger.MembersChanged{Members: forLedger})
+}
+
+// Round trips that order data centres when a replica is chosen: within a data centre and between two of them. The
+// users state about 1.4 ms one way between data centres.
+const (
+	roundTripNear = 200 * time.Microsecond
+	roundTripFar  = 2800 * time.Microsecond
+)
+
+func ledgerMember(me lovagemember.Member, dataCentre, own string) lovageledger.Member {
+	out := lovageledger.Member{ID: me.Instance, DataCentre: dataCentre, RoundTrip: roundTripFar}
+	if dataCentre == own {
+		out.RoundTrip = roundTripNear
+	}
+	switch me.State {
+	case lovagemember.Live:
+		out.State = lovageledger.MemberLive
+	case lovagemember.Leaving:
+		out.State, out.Leaving = lovageledger.MemberLive, true
+	case lovagemember.Suspect, lovagemember.Unheard:
+		out.State = lovageledger.MemberSuspect
+	case lovagemember.Gone:
+		out.State = lovageledger.MemberGone
+	}
+	return out
+}
+
+// logMember logs a change of a peer's state.
+func (lo *controlLoop) logMember(me lovagemember.Member) {
+	if before := lo.members.members[me.Instance].State; before != me.State {
+		lo.log.Info("peer changed state", zap.String("peer", me.Instance), zap.String("before", string(before)),
+			zap.String("now", string(me.State)), zap.Bool("refused", me.Refused))
+	}
+}
+
+// workerSaysLeaving passes on the leaving header of a worker's reply.
+func (lo *controlLoop) workerSaysLeaving(worker string) {
+	lo.members.leaving[worker] = true
+	lo.stepMember(lovagemember.WorkerReplied{Worker: worker, Leaving: true})
+}
+
+// listReader polls the platform's list of instances.
+type listReader struct {
+	in *Instance
+}
+
+// listInterval is the time between two reads of the platform's list; the list itself lags by more.
+const listInterval = 2 * time.Second
+
+// Serve reads the list until ctx ends.
+func (lr *listReader) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(listInterval)
+	defer ticker.Stop()
+	failing := false
+	for {
+		list, err := lr.read(ctx)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if (err != nil) != failing {
+			failing = err != nil
+			lr.in.log.Info("platform list changed state", zap.Bool("reachable", !failing), zap.Error(err))
+		}
+		if err == nil {
+			lr.in.control.post(ctx, &listRead{list: list})
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (lr *listReader) read(ctx context.Context) ([]lovageplatform.Instance, error) {
+	ctx, cancel := context.WithTimeout(ctx, lr.in.settings.Platform.Timeout)
+	defer cancel()
+	return lr.in.platform.Instances(ctx)
+}
+
+// listRead is a successful read of the platform's list.
+type listRead struct{ list []lovageplatform.Instance }
+
+// apply replaces the platform's names of entry instances by the IDs under which their processes run now: a restarted
+// process has a new ID at the same address.
+func (lr *listRead) apply(lo *controlLoop) {
+	ids := make(map[string]string, len(lo.members.members))
+	for id, me := range lo.members.members {
+		if me.State != lovagemember.Gone {
+			ids[me.Address] = id
+		}
+	}
+	for i := range lr.list {
+		if id := ids[lr.list[i].Address]; id != "" && lr.list[i].Kind == lovageplatform.KindEntry {
+			lr.list[i].ID = id
+		}
+	}
+	lo.stepMember(lovagemember.ListRead{Instances: lr.list})
+}
--- /dev/null
+++ b/lovageentry/replicate.go
@@ -0,0 +1,236 @@
+package lovageentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lovagestack/lovagejob"
+	"lovagestack/lovageledger"
+	"lovagestack/lovagemessage"
+)
+
+// replicationTimeout bounds one call to a replica. A call that failed may have been handled; the ledger sends it again.
+const replicationTimeout = 2 * time.Second
+
+// ledgerCall is a call of the ledger to a peer. run makes the call and reports its outcome to the control loop.
+type ledgerCall struct {
+	lo      *controlLoop
+	address string
+	req     *lovagemessage.Request
+	event   func(res *lovagemessage.Response, err error) lovageledger.Event
+	outcome lovageledger.Event
+}
+
+func (lc *ledgerCall) run() {
+	ctx, cancel := context.WithTimeout(lc.lo.in.running(), replicationTimeout)
+	defer cancel()
+	var res *lovagemessage.Response
+	err := errors.New("the peer's address is not known")
+	if lc.address != "" {
+		res, err = lc.lo.in.call(ctx, lc.address, lc.req)
+	}
+	lc.outcome = lc.event(res, err)
+	lc.lo.post(lc.lo.in.running(), lc)
+}
+
+func (lc *ledgerCall) apply(lo *controlLoop) { lo.stepLedger(lc.outcome) }
+
+func (lo *controlLoop) sendAccept(cm lovageledger.SendAccept) {
+	msg := &lovagemessage.Accept{DataCentre: cm.Range.DataCentre, Range: int32(cm.Range.Index), Epoch: cm.Epoch}
+	for _, ak := range cm.Keys {
+		msg.Keys = append(msg.Keys, &lovagemessage.AcceptKey{Key: ak.Key.String(), Fingerprint: ak.Fingerprint})
+	}
+	lo.in.counts.accepts.Inc(1)
+	lc := &ledgerCall{
+		lo: lo, address: lo.members.address(cm.Peer),
+		req: &lovagemessage.Request{Body: &lovagemessage.Request_Accept{Accept: msg}},
+		event: func(res *lovagemessage.Response, err error) lovageledger.Event {
+			return &lovageledger.AcceptReplied{
+				Peer: cm.Peer, Range: cm.Range, Batch: cm.Batch, Failed: err != nil || res.GetAccept() == nil,
+				Accepted: res.GetAccept().GetAccepted(), Epoch: res.GetAccept().GetEpoch(),
+			}
+		},
+	}
+	go lc.run()
+}
+
+func (lo *controlLoop) sendResult(cm lovageledger.SendResult) {
+	msg := &lovagemessage.ResultCopy{
+		DataCentre: cm.Range.DataCentre, Range: int32(cm.Range.Index), Records: fromRecords(cm.Records),
+	}
+	lo.in.counts.resultCopies.Inc(1)
+	lc := &ledgerCall{
+		lo: lo, address: lo.members.address(cm.Peer),
+		req: &lovagemessage.Request{Body: &lovagemessage.Request_ResultCopy{ResultCopy: msg}},
+		event: func(_ *lovagemessage.Response, err error) lovageledger.Event {
+			return &lovageledger.ResultReplied{Peer: cm.Peer, Range: cm.Range, Batch: cm.Batch, Failed: err != nil}
+		},
+	}
+	go lc.run()
+}
+
+func (lo *controlLoop) sendTransfer(cm lovageledger.SendTransfer) {
+	ch := cm.Chunk
+	msg := &lovagemessage.Transfer{
+		Range: fromRange(ch.Range), Records: fromRecords(ch.Records), Transfer: ch.Transfer, Chunk: int32(ch.Chunk),
+		Last: ch.Last, Owner: ch.Owner, DroppedBefore: unixMilli(ch.DroppedBefore),
+	}
+	lc := &ledgerCall{
+		lo: lo, address: lo.members.address(cm.Peer),
+		req: &lovagemessage.Request{Body: &lovagemessage.Request_Transfer{Transfer: msg}},
+		event: func(res *lovagemessage.Response, err error) lovageledger.Event {
+			return &lovageledger.TransferReplied{
+				Peer: cm.Peer, Range: ch.Range.Range, Transfer: ch.Transfer, Chunk: ch.Chunk, Failed: err != nil,
+				Accepted: res.GetTransfer().GetAccepted(),
+			}
+		},
+	}
+	go lc.run()
+}
+
+// ledgerRequest is a peer's call to the ledger. The ledger's reply command answers it by the call number.
+type ledgerRequest struct {
+	event   func(call uint64) lovageledger.Event
+	replies chan any
+}
+
+func (lr *ledgerRequest) apply(lo *controlLoop) {
+	lo.lastCall++
+	lo.calls[lo.lastCall] = lr.replies
+	lo.stepLedger(lr.event(lo.lastCall))
+}
+
+// answerCall hands the ledger's reply to the waiting handler of a peer's request.
+func (lo *controlLoop) answerCall(call uint64, reply any) {
+	if replies, ok := lo.calls[call]; ok {
+		delete(lo.calls, call)
+		replies <- reply
+	}
+}
+
+func (in *Instance) askLedger(ctx context.Context, event func(call uint64) lovageledger.Event) (any, error) {
+	lr := &ledgerRequest{event: event, replies: make(chan any, 1)}
+	if !in.control.post(ctx, lr) {
+		return nil, ctx.Err()
+	}
+	select {
+	case rp := <-lr.replies:
+		return rp, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (in *Instance) handleAccept(ctx context.Context, from string, msg *lovagemessage.Accept) (*lovagemessage.Response, error) {
+	keys := make([]lovageledger.AcceptKey, 0, len(msg.GetKeys()))
+	for _, ak := range msg.GetKeys() {
+		key, err := lovagejob.ParseKey(ak.GetKey())
+		if err != nil {
+			return nil, errors.Wrap(err, "decode an accept")
+		}
+		keys = append(keys, lovageledger.AcceptKey{Key: key, Fingerprint: ak.GetFingerprint()})
+	}
+	id := lovageledger.RangeID{DataCentre: msg.GetDataCentre(), Index: int(msg.GetRange())}
+	rp, err := in.askLedger(ctx, func(call uint64) lovageledger.Event {
+		return &lovageledger.PeerAccept{Call: call, Peer: from, Range: id, Epoch: msg.GetEpoch(), Keys: keys}
+	})
+	if err != nil {
+		return nil, err
+	}
+	ra, _ := rp.(lovageledger.ReplyAccept)
+	return &lovagemessage.Response{Body: &lovagemessage.Response_Accept{
+		Accept: &lovagemessage.AcceptReply{Accepted: ra.Accepted, Epoch: ra.Epoch},
+	}}, nil
+}
+
+func (in *Instance) handleTransfer(ctx context.Context, from string, msg *lovagemessage.Transfer) (*lovagemessage.Response, error) {
+	records, err := toRecords(msg.GetRecords())
+	if err != nil {
+		return nil, err
+	}
+	chunk := lovageledger.Transfer{
+		Transfer: msg.GetTransfer(), Chunk: int(msg.GetChunk()), Last: msg.GetLast(), Owner: msg.GetOwner(),
+		Range: toRange(msg.GetRange()), DroppedBefore: fromUnixMilli(msg.GetDroppedBefore()), Records: records,
+	}
+	rp, err := in.askLedger(ctx, func(call uint64) lovageledger.Event {
+		return &lovageledger.PeerTransfer{Call: call, Peer: from, Chunk: chunk}
+	})
+	if err != nil {
+		return nil, err
+	}
+	rt, _ := rp.(lovageledger.ReplyTransfer)
+	return &lovagemessage.Response{Body: &lovagemessage.Response_Transfer{
+		Transfer: &lovagemessage.TransferReply{Accepted: rt.Accepted},
+	}}, nil
+}
+
+// ledgerNotice is a peer's message to the ledger that needs no reply.
+type ledgerNotice struct{ ev lovageledger.Event }
+
+func (ln *ledgerNotice) apply(lo *controlLoop) { lo.stepLedger(ln.ev) }
+
+func (in *Instance) handleResultCopy(ctx context.Context, from string, msg *lovagemessage.ResultCopy) (*lovagemessage.Response, error) {
+	records, err := toRecords(msg.GetRecords())
+	if err != nil {
+		return nil, err
+	}
+	id := lovageledger.RangeID{DataCentre: msg.GetDataCentre(), Index: int(msg.GetRange())}
+	if !in.control.post(ctx, &ledgerNotice{&lovageledger.PeerResult{Peer: from, Range: id, Records: records}}) {
+		return nil, ctx.Err()
+	}
+	return &lovagemessage.Response{Body: &lovagemessage.Response_ResultCopy{ResultCopy: &lovagemessage.ResultCopyReply{}}}, nil
+}
+
+func fromRecords(records []lovageledger.Record) []*lovagemessage.Record {
+	out := make([]*lovagemessage.Record, len(records))
+	for i := range records {
+		rec := &records[i]
+		out[i] = &lovagemessage.Record{Key: rec.Key.String(), State: string(rec.State), Fingerprint: rec.Fingerprint}
+		if rec.State == lovageledger.StateEnded {
+			out[i].Answer = lovagemessage.FromAnswer(&rec.Answer)
+		}
+	}
+	return out
+}
+
+func toRecords(msgs []*lovagemessage.Record) ([]lovageledger.Record, error) {
+	out := make([]lovageledger.Record, len(msgs))
+	for i, msg := range msgs {
+		key, err := lovagejob.ParseKey(msg.GetKey())
+		if err != nil {
+			return nil, errors.Wrap(err, "decode a record")
+		}
+		out[i] = lovageledger.Record{
+			Key: key, State: lovageledger.RecordState(msg.GetState()), Fingerprint: msg.GetFingerprint(),
+		}
+		switch out[i].State {
+		case lovageledger.StateAccepted:
+		case lovageledger.StateEnded:
+			if out[i].Answer, err = lovagemessage.ToAnswer(msg.GetAnswer()); err != nil {
+				return nil, err
+			}
+		default:
+			return nil, errors.Newf("decode a record: state %q is not known", msg.GetState())
+		}
+	}
+	return out, nil
+}
+
+func fromRange(rs lovageledger.RangeState) *lovagemessage.RangeState {
+	return &lovagemessage.RangeState{
+		DataCentre: rs.Range.DataCentre, Range: int32(rs.Range.Index), Epoch: rs.Row.Epoch, CompleteSince: rs.Row.CompleteSince,
+		Owner: rs.Row.Owner, Replica: rs.Row.Replica, Version: rs.Version,
+	}
+}
+
+func toRange(msg *lovagemessage.RangeState) lovageledger.RangeState {
+	return lovageledger.RangeState{
+		Range: lovageledger.RangeID{DataCentre: msg.GetDataCentre(), Index: int(msg.GetRange())},
+		Row: lovageledger.Row{
+			Owner: msg.GetOwner(), Replica: msg.GetReplica(), Epoch: msg.GetEpoch(), CompleteSince: msg.GetCompleteSince(),
+		},
+		Version: msg.GetVersion(),
+	}
+}
--- /dev/null
+++ b/lovageentry/request.go
@@ -0,0 +1,226 @@
+package lovageentry
+
+import (
+	"context"
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"lovagestack/lovagejob"
+	"lovagestack/lovageledger"
+)
+
+// answerGrace is added to a job's deadline to get the time until which a submission waits for its answer: tasks that
+// started before the deadline may end after it.
+const answerGrace = 10 * time.Second
+
+// FaultError says that a request itself is wrong, so that asking again cannot help.
+type FaultError struct {
+	Fault  lovageledger.Fault
+	Reason string
+}
+
+// Error returns the reason.
+func (fe *FaultError) Error() string { return fe.Reason }
+
+// reply is what a request of a caller or a peer gets.
+type reply struct {
+	answer lovagejob.Answer
+	keys   []lovagejob.Key
+	peers  []string // for a Mint that no own range can serve
+	fault  lovageledger.Fault
+}
+
+// requestKind says what a request asks for.
+type requestKind string
+
+const (
+	kindSubmit requestKind = "submit"
+	kindAsk    requestKind = "ask"
+	kindCancel requestKind = "cancel"
+	kindMint   requestKind = "mint"
+)
+
+// request is a caller's or a peer's request while the control loop works on it.
+type request struct {
+	kind        requestKind
+	ctx         context.Context // ends when nobody waits for the reply any more; carries the span
+	sub         *lovagejob.Submission
+	key         lovagejob.Key
+	fingerprint uint64
+	hops        int
+	waitUntil   time.Time
+	count       int
+	repeatable  bool
+	replies     chan reply // buffered, gets exactly one reply
+}
+
+// offer is a submission whose key has not been admitted yet.
+type offer struct {
+	sub         *lovagejob.Submission
+	fingerprint uint64
+	ctx         context.Context
+	received    time.Time
+	waiting     int // requests that the ledger has not replied to
+}
+
+// apply registers the request and hands it to the ledger.
+func (re *request) apply(lo *controlLoop) {
+	lo.lastRequest++
+	id := lo.lastRequest
+	lo.requests[id] = re
+	switch re.kind {
+	case kindMint:
+		lo.stepLedger(&lovageledger.Mint{Request: id, Count: re.count, Repeatable: re.repeatable})
+	case kindSubmit:
+		lo.offer(re)
+		lo.stepLedger(&lovageledger.Submit{
+			Request: id, Key: re.key, Fingerprint: re.fingerprint, Hops: re.hops, WaitUntil: re.waitUntil,
+		})
+	case kindAsk:
+		lo.stepLedger(&lovageledger.Ask{Request: id, Key: re.key, Hops: re.hops, WaitUntil: re.waitUntil})
+	case kindCancel:
+		lo.stepLedger(&lovageledger.Cancel{Request: id, Key: re.key, Hops: re.hops, WaitUntil: re.waitUntil})
+	}
+	if lo.requests[id] != nil {
+		ab := &abandon{lo: lo, request: id}
+		ab.stop = context.AfterFunc(re.ctx, ab.run)
+		lo.abandons[id] = ab
+	}
+}
+
+// offer keeps the submission's content until the ledger admits or answers its key.
+func (lo *controlLoop) offer(re *request) {
+	of := lo.offers[re.key]
+	if of == nil {
+		of = &offer{sub: re.sub, fingerprint: re.fingerprint, ctx: re.ctx, received: lo.now}
+		lo.offers[re.key] = of
+	}
+	of.waiting++
+}
+
+// abandon tells the control loop that nobody waits for a request any more.
+type abandon struct {
+	lo      *controlLoop
+	request uint64
+	stop    func() bool
+}
+
+func (ab *abandon) run() {
+	ab.lo.post(ab.lo.in.running(), ab)
+}
+
+func (ab *abandon) apply(lo *controlLoop) {
+	if re := lo.requests[ab.request]; re != nil {
+		lo.stepLedger(&lovageledger.Abandoned{Request: ab.request})
+		lo.take(ab.request)
+		if re.kind != kindSubmit {
+			return
+		}
+		// The ledger may still admit the key, so the content is kept until the sweep removes it.
+	}
+}
+
+// take removes a request that gets its reply now. It returns nil if the request is gone.
+func (lo *controlLoop) take(id uint64) *request {
+	re := lo.requests[id]
+	delete(lo.requests, id)
+	if ab := lo.abandons[id]; ab != nil {
+		ab.stop()
+		delete(lo.abandons, id)
+	}
+	return re
+}
+
+// release drops the content of a submission that was answered without being admitted.
+func (lo *controlLoop) release(re *request) {
+	of := lo.offers[re.key]
+	if re.kind != kindSubmit || of == nil {
+		return
+	}
+	of.waiting--
+	if of.waiting <= 0 {
+		delete(lo.offers, re.key)
+	}
+}
+
+// sweepOffers drops the content of submissions whose callers have gone and whose deadline has passed. The ledger does
+// not admit a key after that long without a table change, and admit refuses a key without content.
+func (lo *controlLoop) sweepOffers() {
+	for key, of := range lo.offers {
+		if lo.now.After(of.sub.Deadline.Add(answerGrace)) {
+			delete(lo.offers, key)
+		}
+	}
+}
+
+func (lo *controlLoop) minted(cm lovageledger.Minted) {
+	if re := lo.take(cm.Request); re != nil {
+		re.replies <- reply{keys: cm.Keys, peers: cm.Peers}
+	}
+}
+
+func (lo *controlLoop) reply(cm lovageledger.Reply) {
+	re := lo.take(cm.Request)
+	if re == nil {
+		return
+	}
+	if cm.Answer.Outcome != lovagejob.Pending {
+		lo.release(re)
+	}
+	re.replies <- reply{answer: cm.Answer, fault: cm.Fault}
+}
+
+func (lo *controlLoop) forward(cm lovageledger.Forward) {
+	re := lo.take(cm.Request)
+	if re == nil {
+		return
+	}
+	lo.release(re)
+	fo := &forwarder{in: lo.in, re: re, log: lo.log}
+	for _, id := range cm.Targets {
+		if address := lo.members.address(id); address != "" {
+			fo.targets = append(fo.targets, target{id: id, address: address})
+		}
+	}
+	go fo.run()
+}
+
+// do hands a request to the control loop and waits for its reply.
+func (in *Instance) do(ctx context.Context, re *request) (reply, error) {
+	re.ctx = ctx
+	re.replies = make(chan reply, 1)
+	if !in.control.post(ctx, re) {
+		return reply{}, errors.Wrapf(ctx.Err(), "%s: hand the request to the control loop", re.kind)
+	}
+	select {
+	case rp := <-re.replies:
+		return rp, nil
+	case <-ctx.Done():
+		return reply{}, errors.Wrapf(ctx.Err(), "%s: wait for the answer", re.kind)
+	case <-in.stopped:
+		return reply{}, errors.Newf("%s: the instance has stopped", re.kind)
+	}
+}
+
+// fingerprint hashes what a submission asks for, so that a key that is used again with other content is recognised.
+func fingerprint(sub *lovagejob.Submission) uint64 {
+	di := xxhash.New()
+	var number [8]byte
+	writeInt := func(n int64) {
+		binary.LittleEndian.PutUint64(number[:], uint64(n))
+		_, _ = di.Write(number[:])
+	}
+	writeBytes := func(b []byte) {
+		writeInt(int64(len(b)))
+		_, _ = di.Write(b)
+	}
+	writeBytes([]byte(sub.Service))
+	writeBytes([]byte(sub.Team))
+	for i := range sub.Tasks {
+		writeBytes(sub.Tasks[i].Payload)
+	}
+	return di.Sum64() | 1 // 0 stands for "not known"
+}
--- /dev/null
+++ b/lovageentry/resources.go
@@ -0,0 +1,165 @@
+package lovageentry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lovagestack/lovagedispatch"
+	"lovagestack/lovagemember"
+	"lovagestack/lovageresource"
+)
+
+// workerInfo is what the control loop needs to send a task to a worker.
+type workerInfo struct {
+	address     string
+	connections int
+	declared    lovagedispatch.Worker
+}
+
+// resourceWatcher hands the applied resources to the control loop after each change.
+type resourceWatcher struct {
+	in *Instance
+}
+
+// Serve watches the store until ctx ends.
+func (rw *resourceWatcher) Serve(ctx context.Context) error {
+	applied := int64(-1)
+	for {
+		changed := rw.in.store.Changed()
+		if revision := rw.in.store.Revision(); revision != applied {
+			if !rw.in.control.post(ctx, rw.load()) {
+				return ctx.Err()
+			}
+			applied = revision
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// load reads all resources of one revision. A change between two reads is harmless: it is followed by another load.
+func (rw *resourceWatcher) load() *resourcesLoaded {
+	rl := &resourcesLoaded{workers: make(map[string]workerInfo), revision: rw.in.store.Revision()}
+	pools, _ := rw.in.store.List(lovageresource.KindPool)
+	byService := make(map[string][]string)
+	for i := range pools {
+		rl.addPool(&pools[i], byService)
+	}
+	services, _ := rw.in.store.List(lovageresource.KindService)
+	for i := range services {
+		sp, ok := services[i].Spec.(lovageresource.Service)
+		if !ok || len(byService[services[i].Name]) == 0 {
+			continue // a service without a pool cannot run anywhere
+		}
+		rl.services = append(rl.services, lovagedispatch.Service{
+			Name: services[i].Name, Pools: byService[services[i].Name], Weight: weightOf(sp.Weight),
+			MaxQueuedTasks: sp.QueuedTasks, RetryRatio: sp.RetryBudget,
+		})
+		rl.maxRunTimes = append(rl.maxRunTimes, serviceInfo{name: services[i].Name, maxRunTime: time.Duration(sp.MaxRunTime)})
+	}
+	teams, _ := rw.in.store.List(lovageresource.KindTeam)
+	for i := range teams {
+		if sp, ok := teams[i].Spec.(lovageresource.Team); ok {
+			rl.teams = append(rl.teams, lovagedispatch.Team{
+				Name: teams[i].Name, Weight: sp.Weight, MaxRunning: sp.RunningTasks, MaxQueuedTasks: sp.QueuedTasks,
+			})
+		}
+	}
+	return rl
+}
+
+func weightOf(we lovageresource.Weight) lovagedispatch.Weight {
+	if we == lovageresource.WeightMessages {
+		return lovagedispatch.FewerMessages
+	}
+	return lovagedispatch.ResponseTime
+}
+
+// serviceInfo is what the control loop needs of a service beyond the dispatch core.
+type serviceInfo struct {
+	name       string
+	maxRunTime time.Duration
+}
+
+// resourcesLoaded is the state of all resources at a revision.
+type resourcesLoaded struct {
+	revision    int64
+	workers     map[string]workerInfo
+	services    []lovagedispatch.Service
+	teams       []lovagedispatch.Team
+	maxRunTimes []serviceInfo
+}
+
+func (rl *resourcesLoaded) addPool(re *lovageresource.Resource, byService map[string][]string) {
+	sp, ok := re.Spec.(lovageresource.Pool)
+	if !ok {
+		return
+	}
+	for _, name := range sp.Services {
+		byService[name] = append(byService[name], re.Name)
+	}
+	for _, wo := range sp.Workers {
+		rl.workers[wo.ID] = workerInfo{
+			address: wo.Address.String(), connections: wo.Connections,
+			declared: lovagedispatch.Worker{
+				ID: wo.ID, DataCentre: sp.DataCentre, Pool: re.Name, Slots: wo.Slots, Cores: wo.Cores,
+				MemoryBytes: wo.MemoryBytes, Accelerators: wo.Accelerators,
+			},
+		}
+	}
+}
+
+func (rl *resourcesLoaded) apply(lo *controlLoop) {
+	lo.log.Info("configuration applied", zap.Int64("revision", rl.revision), zap.Int("workers", len(rl.workers)),
+		zap.Int("services", len(rl.services)), zap.Int("teams", len(rl.teams)))
+	lo.workers = rl.workers
+	lo.services = make(map[string]serviceInfo, len(rl.maxRunTimes))
+	for _, si := range rl.maxRunTimes {
+		lo.services[si.name] = si
+	}
+	declared := make([]lovagemember.DeclaredWorker, 0, len(rl.workers))
+	for id, wi := range rl.workers {
+		declared = append(declared, lovagemember.DeclaredWorker{
+			Worker: id, DataCentre: wi.declared.DataCentre, Address: wi.address,
+		})
+	}
+	lo.stepCore(lovagedispatch.ServicesChanged{Services: rl.services})
+	lo.stepCore(lovagedispatch.TeamsChanged{Teams: rl.teams})
+	lo.stepMember(lovagemember.PoolsChanged{Workers: declared})
+	lo.giveWorkers()
+}
+
+// workersChanged takes over the membership's view of the declared workers.
+func (lo *controlLoop) workersChanged(cm lovagemember.WorkersChanged) {
+	lo.workerStates = make(map[string]lovagemember.State, len(cm.Workers))
+	for _, wo := range cm.Workers {
+		lo.workerStates[wo.Worker] = wo.State
+		if wo.State == lovagemember.Live {
+			delete(lo.members.leaving, wo.Worker)
+		}
+	}
+	lo.giveWorkers()
+}
+
+// giveWorkers tells the dispatch core about all declared workers and which of them are leaving.
+func (lo *controlLoop) giveWorkers() {
+	workers := make([]lovagedispatch.Worker, 0, len(lo.workers))
+	for id, wi := range lo.workers {
+		wo := wi.declared
+		wo.Leaving = lo.workerStates[id] == lovagemember.Leaving
+		workers = append(workers, wo)
+	}
+	slices.SortFunc(workers, func(a, b lovagedispatch.Worker) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	lo.stepCore(lovagedispatch.WorkersChanged{Workers: workers})
+}
--- /dev/null
+++ b/lovageentry/shutdown.go
@@ -0,0 +1,112 @@
+package lovageentry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lovagestack/lovagedispatch"
+	"lovagestack/lovageledger"
+	"lovagestack/lovagemember"
+)
+
+// drainPoll is the interval at which a shutdown looks whether requests are still in flight.
+const drainPoll = 20 * time.Millisecond
+
+// gauge counts things in progress.
+type gauge struct{ n atomic.Int64 }
+
+func (ga *gauge) add(n int64) { ga.n.Add(n) }
+
+func (ga *gauge) value() int64 { return ga.n.Load() }
+
+// Ready reports whether the balancer should send requests to this instance, and if not, why.
+func (in *Instance) Ready() (bool, []string) {
+	var reasons []string
+	if in.stopping.Load() {
+		reasons = append(reasons, "the instance is shutting down")
+	}
+	if ok, reason := in.keeper.Ready(); !ok {
+		reasons = append(reasons, reason)
+	}
+	return len(reasons) == 0, reasons
+}
+
+func (in *Instance) isReady() bool {
+	ready, _ := in.Ready()
+	return ready
+}
+
+// shutDown stops taking new work, hands the ranges over and waits for what is in flight. It returns the number of
+// requests that were still in flight at the deadline.
+//
+// The order matters: the balancer still sends requests during its lag, so they are served until it has passed; the
+// ranges go only when no job of theirs is running, because a job's end belongs to the owner of its key.
+func (in *Instance) shutDown() int {
+	deadline := time.Now().Add(in.settings.Shutdown.Deadline)
+	ctx, cancel := context.WithDeadline(in.running(), deadline)
+	defer cancel()
+	in.stopping.Store(true)
+	in.log.Info("shutdown started", zap.Time("deadline", deadline))
+	in.control.post(ctx, &leaving{})
+	for _, srv := range in.servers {
+		srv.Drain()
+	}
+	sleep(ctx, in.settings.Shutdown.BalancerLag)
+	for _, srv := range in.servers {
+		if err := srv.Shutdown(ctx); err != nil {
+			in.log.Error("requests were cut", zap.Error(err))
+		}
+	}
+	in.awaitIdle(ctx)
+	in.control.post(ctx, &drain{})
+	select {
+	case <-in.control.drained:
+	case <-ctx.Done():
+	}
+	in.awaitIdle(ctx)
+	return int(in.inFlight.value())
+}
+
+func (in *Instance) awaitIdle(ctx context.Context) {
+	for in.inFlight.value()+in.jobsHeld.value() > 0 && ctx.Err() == nil {
+		sleep(ctx, drainPoll)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	ti := time.NewTimer(d)
+	defer ti.Stop()
+	select {
+	case <-ti.C:
+	case <-ctx.Done():
+	}
+}
+
+// leaving tells the peers, with the next heartbeat, that this instance takes no new shares and mints no keys.
+type leaving struct{}
+
+func (*leaving) apply(lo *controlLoop) {
+	lo.draining = true
+	lo.stepMember(lovagemember.Drain{})
+	lo.nextHeartbeat = time.Time{}
+	lo.heartbeatIfDue()
+}
+
+// drain hands the ranges over.
+type drain struct{}
+
+func (*drain) apply(lo *controlLoop) {
+	lo.stepCore(lovagedispatch.Drain{})
+	lo.stepLedger(&lovageledger.Drain{})
+}
+
+func (lo *controlLoop) rangesHandedOver(cm lovageledger.Drained) {
+	if lo.in.handedOver.Swap(true) {
+		return
+	}
+	lo.log.Info("key ranges handed over", zap.Int("left", cm.Left))
+	close(lo.drained)
+}
--- /dev/null
+++ b/lovageentry/table.go
@@ -0,0 +1,123 @@
+package lovageentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"lovagestack/lovageledger"
+	"lovagestack/lovageplatform"
+)
+
+// commitTimeout bounds one transaction of the ledger. After it the transaction is ambiguous; the ledger then reads
+// back before it decides.
+const commitTimeout = 3 * time.Second
+
+// tableBacklog bounds the ledger's table operations that wait. The ledger has at most a few outstanding per range.
+const tableBacklog = 4096
+
+// tableAccess carries out the ledger's table operations, one goroutine for reads and one for transactions.
+type tableAccess struct {
+	in      *Instance
+	reads   chan lovageledger.ReadTable
+	commits chan lovageledger.CommitTable
+}
+
+func newTableAccess(in *Instance) *tableAccess {
+	return &tableAccess{
+		in: in, reads: make(chan lovageledger.ReadTable, tableBacklog), commits: make(chan lovageledger.CommitTable, tableBacklog),
+	}
+}
+
+// read queues a read. It runs on the control loop, so a full queue fails the read at once instead of blocking.
+func (ta *tableAccess) read(cm lovageledger.ReadTable) {
+	select {
+	case ta.reads <- cm:
+	default:
+		go (&tableOutcome{in: ta.in, ev: &lovageledger.TableRead{ID: cm.ID, Failed: true}}).run()
+	}
+}
+
+// commit queues a transaction; a full queue means that it is never sent, which is a conflict to the ledger.
+func (ta *tableAccess) commit(cm lovageledger.CommitTable) {
+	select {
+	case ta.commits <- cm:
+	default:
+		go (&tableOutcome{in: ta.in, ev: &lovageledger.TableCommitted{ID: cm.ID, State: lovageledger.Conflict}}).run()
+	}
+}
+
+// tableOutcome reports the end of a table operation to the control loop.
+type tableOutcome struct {
+	in *Instance
+	ev lovageledger.Event
+}
+
+func (to *tableOutcome) run() { to.in.control.post(to.in.running(), to) }
+
+func (to *tableOutcome) apply(lo *controlLoop) { lo.stepLedger(to.ev) }
+
+// tableReader serves the reads.
+type tableReader struct{ *tableAccess }
+
+// Serve reads until ctx ends.
+func (tr *tableReader) Serve(ctx context.Context) error {
+	for {
+		select {
+		case cm := <-tr.reads:
+			rctx, cancel := context.WithTimeout(ctx, tr.in.settings.Platform.Timeout)
+			rows, err := tr.in.platform.Scan(rctx, cm.Prefix)
+			cancel()
+			tr.in.counts.tableReads.Inc(1)
+			if err != nil {
+				tr.in.counts.tableFailed.Inc(1)
+				tr.in.log.Debug("table read failed", zap.String("prefix", cm.Prefix), zap.Error(err))
+			}
+			to := &tableOutcome{in: tr.in, ev: &lovageledger.TableRead{ID: cm.ID, Failed: err != nil, Rows: rows}}
+			to.run()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// tableWriter serves the transactions, one at a time.
+type tableWriter struct{ *tableAccess }
+
+// Serve commits until ctx ends.
+func (tw *tableWriter) Serve(ctx context.Context) error {
+	for {
+		select {
+		case cm := <-tw.commits:
+			to := &tableOutcome{in: tw.in, ev: tw.commitOne(ctx, cm)}
+			to.run()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (tw *tableWriter) commitOne(ctx context.Context, cm lovageledger.CommitTable) *lovageledger.TableCommitted {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	out := &lovageledger.TableCommitted{ID: cm.ID}
+	res, err := tw.in.ledgerWriter.Commit(ctx, cm.Transaction)
+	tw.in.counts.tableWrites.Inc(1)
+	switch {
+	case err == nil && res.Committed:
+		out.State, out.Versions = lovageledger.Committed, res.Versions
+	case err == nil:
+		out.State, out.Conflicts = lovageledger.Conflict, res.Conflicts
+	case errors.Is(err, lovageplatform.ErrAmbiguous):
+		out.State = lovageledger.Ambiguous
+	default:
+		out.State = lovageledger.Conflict // the Writer says that it had and will have no effect
+	}
+	if err != nil {
+		tw.in.counts.tableFailed.Inc(1)
+		tw.in.log.Debug("table transaction failed", zap.String("state", string(out.State)), zap.Error(err))
+	}
+	return out
+}
--- /dev/null
+++ b/lovagestack/entry.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"lovagestack/lovageapi"
+	"lovagestack/lovageconfig"
+	"lovagestack/lovageentry"
+	"lovagestack/lovagejob"
+	"lovagestack/lovagemetric"
+	"lovagestack/lovageplatform"
+	"lovagestack/lovagetrace"
+)
+
+// entryCommand runs one entry instance.
+type entryCommand struct {
+	Settings string `arg:"--settings,required" placeholder:"FILE" help:"TOML settings of the instance"`
+}
+
+// help documents the signals.
+func (*entryCommand) help() string {
+	return `The first SIGTERM or SIGINT starts a graceful shutdown: the instance becomes not ready, hands its key ranges over
+and finishes what is in flight. A second signal ends the process at once. Exit status 1 means that requests were cut.`
+}
+
+// run serves until ctx ends with the first signal and then shuts down gracefully.
+func (ec *entryCommand) run(ctx context.Context, en *environment) int {
+	settings, findings := lovageconfig.Load(ec.Settings)
+	if len(findings) > 0 {
+		for _, fi := range findings {
+			_, _ = fmt.Fprintln(en.stderr, fi)
+		}
+		return exitBadInput
+	}
+	log, err := newLogger(settings.Log.Level)
+	if err != nil {
+		return en.fail(exitBadInput, err)
+	}
+	defer func() { _ = log.Sync() }()
+	cut, err := serveEntry(ctx, settings, log)
+	switch {
+	case err != nil:
+		log.Error("instance failed", zap.Error(err))
+		return exitFailed
+	case cut > 0:
+		log.Error("shutdown deadline passed", zap.Int("cut", cut))
+		return exitFailed
+	}
+	return exitOK
+}
+
+// serveEntry runs an instance against the platform that the settings name.
+func serveEntry(ctx context.Context, settings lovageconfig.Settings, log *zap.Logger) (cut int, err error) {
+	addresses := make([]string, len(settings.Platform.Addresses))
+	for i, address := range settings.Platform.Addresses {
+		addresses[i] = address.String()
+	}
+	platform, err := lovageplatform.NewClient(lovageplatform.ClientSettings{
+		Addresses: addresses, Timeout: settings.Platform.Timeout, ID: settings.ID,
+	})
+	if err != nil {
+		return 0, errors.Wrap(err, "set up the platform client")
+	}
+	defer platform.Close()
+	in, err := newEntry(ctx, settings, platform, log)
+	if err != nil {
+		return 0, err
+	}
+	return in.Serve(ctx)
+}
+
+// newEntry joins an instance with its API servers.
+func newEntry(
+	ctx context.Context, settings lovageconfig.Settings, platform lovageentry.Platform, log *zap.Logger,
+) (*lovageentry.Instance, error) {
+	trace := lovagetrace.Settings{
+		Instance: settings.ID, DataCentre: settings.DataCentre, SampleRatio: settings.Trace.Ratio, File: settings.Trace.File,
+	}
+	if settings.Trace.OTLP.IsValid() {
+		trace.Endpoint = "http://" + settings.Trace.OTLP.String() + "/v1/traces"
+	}
+	tracer, err := lovagetrace.New(ctx, trace)
+	if err != nil {
+		return nil, errors.Wrap(err, "set up traces")
+	}
+	re := lovagemetric.New()
+	re.RegisterProcess()
+	in, err := lovageentry.New(lovageentry.Options{
+		Settings: settings, Platform: platform, Log: log, Metrics: re, Tracer: tracer,
+	})
+	if err != nil {
+		return nil, err
+	}
+	api := lovageapi.DefaultSettings()
+	api.Limits = lovagejob.Limits{
+		MaxTasks: settings.Limits.TasksPerJob, MaxPayloadBytes: settings.Limits.PayloadBytes,
+		MaxDeadline: settings.Limits.MaxDeadline,
+	}
+	api.BodyBytes = settings.Limits.BodyBytes
+	api.CallerRequests, api.OperatorRequests = settings.Limits.CallerRequests, settings.Limits.OperatorRequests
+	caller, err := lovageapi.NewCaller(api, in, log)
+	if err != nil {
+		return nil, err
+	}
+	operator, err := lovageapi.NewOperator(api, in.Keeper(), in, log)
+	if err != nil {
+		return nil, err
+	}
+	if err := caller.Listen(settings.Addresses.Caller.String()); err != nil {
+		return nil, err
+	}
+	if err := operator.Listen(settings.Addresses.Operator.String()); err != nil {
+		return nil, err
+	}
+	in.AddServer(caller)
+	in.AddServer(operator)
+	return in, nil
+}
+
+// newLogger writes JSON lines to standard error.
+func newLogger(level string) (*zap.Logger, error) {
+	lv, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, errors.Wrap(err, "log level")
+	}
+	config := zap.NewProductionConfig()
+	config.Level = zap.NewAtomicLevelAt(lv)
+	config.Sampling = nil // lines are written for changes of state only
+	config.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	return config.Build()
+}
--- a/lovagestack/main.go
+++ b/lovagestack/main.go
@@ -45,6 +45,7 @@
 
 // arguments are the subcommands and the arguments that all of them have.
 type arguments struct {
+	Entry   *entryCommand   `arg:"subcommand:entry" help:"run an entry instance"`
 	Check   *checkCommand   `arg:"subcommand:check" help:"check settings and resource files"`
 	Apply   *applyCommand   `arg:"subcommand:apply" help:"declare the resources of files"`
 	Get     *getCommand     `arg:"subcommand:get" help:"show resources"`
@@ -76,6 +77,7 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	context.AfterFunc(ctx, stop) // the second signal gets its default effect: it ends the process
 	en := &environment{stdin: os.Stdin, stdout: os.Stdout, stderr: os.Stderr}
 	status := runMain(ctx, os.Args[1:], en)
 	stop()
