lovagestack: add the dev command; apply run time limits and team quotas per data centre

Cause: a newcomer had no command to try; a service's maximum run time was read and not applied; a team's quota of running tasks was given whole to each instance, so a data centre with n instances allowed n times the quota. Ruled out: one instance that counts a team's running tasks for all others; it adds a message per task. Change: dev runs platform, instance and sample workers in one process; a task's request ends at the earlier of the job's deadline and the run time limit; each live instance of a data centre gets an equal part of the quota, at least one. An uneven load leaves a part of a quota unused.

--- a/lovageentry/job.go
+++ b/lovageentry/job.go
@@ -88,12 +88,21 @@
 			Service:  jo.sub.Service,
 			Task:     jo.keyText + "/" + strconv.Itoa(cm.Task),
 			Epoch:    fmt.Sprintf("%s/%d/%d", jo.key.DataCentre, jo.key.Range, jo.key.Epoch),
-			Deadline: jo.sub.Deadline, Payload: jo.sub.Tasks[cm.Task].Payload,
+			Deadline: lo.taskDeadline(jo), Payload: jo.sub.Tasks[cm.Task].Payload,
 		},
 	}
 	go tr.run()
 }
 
+// taskDeadline is the time at which a task that starts now is stopped.
+func (lo *controlLoop) taskDeadline(jo *job) time.Time {
+	deadline := jo.sub.Deadline
+	if limit := lo.services[jo.sub.Service].maxRunTime; limit > 0 && lo.now.Add(limit).Before(deadline) {
+		deadline = lo.now.Add(limit)
+	}
+	return deadline
+}
+
 func (lo *controlLoop) stopTask(cm lovagedispatch.StopTask) {
 	if jo := lo.jobs[cm.Job]; jo != nil {
 		if cancel := jo.running[cm.Task]; cancel != nil {
--- a/lovageentry/loop.go
+++ b/lovageentry/loop.go
@@ -55,6 +55,7 @@
 	drained       chan struct{}
 	draining      bool
 	sharing       int // live instances that share the workers of the own data centre
+	teams         []lovagedispatch.Team
 	nextHeartbeat time.Time
 	workerStates  map[string]lovagemember.State
 }
--- a/lovageentry/member.go
+++ b/lovageentry/member.go
@@ -81,8 +81,9 @@
 	var forCore []lovagedispatch.Member
 	var forLedger []lovageledger.Member
 	for _, dc := range cm.DataCentres {
-		if dc.Name == lo.in.settings.DataCentre {
-			lo.sharing = len(dc.Live())
+		if sharing := len(dc.Live()); dc.Name == lo.in.settings.DataCentre && sharing != lo.sharing {
+			lo.sharing = sharing
+			defer lo.giveTeams()
 		}
 		for _, me := range dc.Members {
 			members[me.Instance] = me
--- a/lovageentry/resources.go
+++ b/lovageentry/resources.go
@@ -129,12 +129,25 @@
 			Worker: id, DataCentre: wi.declared.DataCentre, Address: wi.address,
 		})
 	}
+	lo.teams = rl.teams
 	lo.stepCore(lovagedispatch.ServicesChanged{Services: rl.services})
-	lo.stepCore(lovagedispatch.TeamsChanged{Teams: rl.teams})
+	lo.giveTeams()
 	lo.stepMember(lovagemember.PoolsChanged{Workers: declared})
 	lo.giveWorkers()
 }
 
+// giveTeams tells the dispatch core about the teams. A quota of running tasks holds for a data centre, so each of its
+// live instances gets an equal part, at least one task; instances that share a quota unevenly leave a part of it unused.
+func (lo *controlLoop) giveTeams() {
+	teams := slices.Clone(lo.teams)
+	for i := range teams {
+		if teams[i].MaxRunning > 0 {
+			teams[i].MaxRunning = max(1, teams[i].MaxRunning/max(1, lo.sharing))
+		}
+	}
+	lo.stepCore(lovagedispatch.TeamsChanged{Teams: teams})
+}
+
 // workersChanged takes over the membership's view of the declared workers.
 func (lo *controlLoop) workersChanged(cm lovagemember.WorkersChanged) {
 	lo.workerStates = make(map[string]lovagemember.State, len(cm.Workers))
--- /dev/null
+++ b/lovagestack/dev.go
@@ -0,0 +1,215 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"lovagestack/lovageapi"
+	"lovagestack/lovageconfig"
+	"lovagestack/lovagefake"
+	"lovagestack/lovagejob"
+	"lovagestack/lovageplatform"
+	"lovagestack/lovageresource"
+)
+
+// devCommand runs an embedded platform, one entry instance and sample workers in one process.
+type devCommand struct {
+	Once     bool   `arg:"--once" help:"submit a sample ticketing job, print its answer and end"`
+	Caller   string `arg:"--caller" default:"127.0.0.1:7001" placeholder:"ADDRESS" help:"caller API; with --once a free port is used"`
+	Operator string `arg:"--operator" default:"127.0.0.1:7002" placeholder:"ADDRESS" help:"operator API; with --once a free port is used"`
+	Workers  int    `arg:"--workers" default:"6" help:"number of sample workers"`
+}
+
+// help documents that nothing is kept.
+func (*devCommand) help() string {
+	return `Everything lives in this process and is lost at its end. The sample workers differ threefold in speed.`
+}
+
+const (
+	devDataCentre = "kandla"
+	devService    = "ticket"
+	devTeam       = "gate"
+	devTimeout    = 30 * time.Second // of the sample job and the wait for the instance
+)
+
+// devSpeeds are the speeds of the sample workers, taken in turn.
+var devSpeeds = []float64{1, 0.5, 1.5}
+
+// devStack is what the command runs.
+type devStack struct {
+	memory  *lovageplatform.Memory
+	workers []*lovagefake.Worker
+	pool    lovageresource.Pool
+	served  chan error
+	api     *lovageapi.Client // caller API
+	admin   *lovageapi.Client // operator API
+}
+
+func (cmd *devCommand) run(ctx context.Context, en *environment) int {
+	if cmd.Workers < 1 {
+		return en.fail(exitBadInput, errors.Newf("--workers is %d, want at least 1", cmd.Workers))
+	}
+	if cmd.Once {
+		cmd.Caller, cmd.Operator = "127.0.0.1:0", "127.0.0.1:0"
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	ds := &devStack{memory: lovageplatform.NewMemory(), served: make(chan error, 1)}
+	defer ds.close(cancel)
+	if err := ds.start(ctx, cmd); err != nil {
+		return en.fail(exitFailed, err)
+	}
+	if err := ds.declare(ctx); err != nil {
+		return en.fail(exitFailed, errors.Wrap(err, "declare the sample resources"))
+	}
+	if !cmd.Once {
+		_, _ = fmt.Fprintf(en.stdout, devHint, cmd.Caller, cmd.Operator)
+		<-ctx.Done()
+		return exitOK
+	}
+	return ds.sampleJob(ctx, en)
+}
+
+const devHint = `The dispatcher is running. Try in another terminal:
+  lovagestack submit --caller %[1]s --service ticket --team gate --payload '{"girth":212}'
+  lovagestack get --operator %[2]s Pool
+  lovagestack watch --operator %[2]s
+  curl http://%[2]s/metrics
+End it with Ctrl-C.
+`
+
+// close ends the instance before its workers.
+func (ds *devStack) close(cancel context.CancelFunc) {
+	cancel()
+	if ds.api != nil {
+		ds.api.Close()
+		ds.admin.Close()
+		<-ds.served
+	}
+	for _, wo := range ds.workers {
+		wo.Close()
+	}
+}
+
+func (ds *devStack) start(ctx context.Context, cmd *devCommand) error {
+	ds.pool = lovageresource.Pool{DataCentre: devDataCentre, Services: []string{devService}}
+	for i := range cmd.Workers {
+		wo := lovagefake.NewWorker(lovagefake.WorkerSettings{
+			ID: fmt.Sprintf("%s-w%d", devDataCentre, i), DataCentre: devDataCentre, Speed: devSpeeds[i%len(devSpeeds)],
+		})
+		address, err := wo.Listen("127.0.0.1:0")
+		if err != nil {
+			return errors.Wrap(err, "start a sample worker")
+		}
+		ds.workers = append(ds.workers, wo)
+		in := wo.Instance()
+		ds.memory.PutInstance(in)
+		ds.pool.Workers = append(ds.pool.Workers, lovageresource.Worker{
+			ID: in.ID, Address: netip.MustParseAddrPort(address), Slots: 8, Connections: 64,
+		})
+	}
+	settings := lovageconfig.Defaults()
+	settings.ID, settings.DataCentre = "dev", devDataCentre
+	settings.Shutdown.BalancerLag = 0
+	for _, it := range []struct {
+		target *netip.AddrPort
+		text   string
+	}{
+		{&settings.Addresses.Caller, cmd.Caller},
+		{&settings.Addresses.Operator, cmd.Operator},
+		{&settings.Addresses.Peer, "127.0.0.1:0"},
+	} {
+		address, err := netip.ParseAddrPort(it.text)
+		if err != nil {
+			return errors.Wrapf(err, "address %q", it.text)
+		}
+		*it.target = address
+	}
+	en, err := newEntry(ctx, settings, ds.memory, zap.NewNop())
+	if err != nil {
+		return err
+	}
+	cmd.Caller, cmd.Operator = en.caller.Address(), en.operator.Address()
+	ds.api, ds.admin = lovageapi.NewClient(cmd.Caller), lovageapi.NewClient(cmd.Operator)
+	go en.run(ctx, ds.served)
+	return nil
+}
+
+// declare puts the sample service, team and pool.
+func (ds *devStack) declare(ctx context.Context) error {
+	service := lovageresource.DefaultService()
+	service.RunTime = lovageresource.Duration(200 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, devTimeout)
+	defer cancel()
+	for _, re := range []lovageresource.Resource{
+		{Kind: lovageresource.KindService, Name: devService, Spec: service},
+		{Kind: lovageresource.KindTeam, Name: devTeam, Spec: lovageresource.DefaultTeam()},
+		{Kind: lovageresource.KindPool, Name: "yard", Spec: ds.pool},
+	} {
+		if res, err := ds.admin.Put(ctx, re); err != nil {
+			return errors.Wrapf(err, "%s %s", re.Kind, re.Name)
+		} else if res.Outcome != lovageresource.Accepted {
+			return errors.Newf("%s %s: %s", re.Kind, re.Name, res.Outcome)
+		}
+	}
+	return nil
+}
+
+// Payloads of the sample job: the girth check, the price and the confirmation against the gate register.
+var devPayloads = []string{
+	`{"step":"girth","runTime":"120ms"}`, `{"step":"price","runTime":"80ms"}`, `{"step":"gate","runTime":"200ms"}`,
+}
+
+// sampleJob submits a ticket and prints the answer and its response time over the ideal: the run time of its longest
+// task on the fastest worker. The round trip on loopback is left out, so the figure is a little too high.
+func (ds *devStack) sampleJob(ctx context.Context, en *environment) int {
+	ctx, cancel := context.WithTimeout(ctx, devTimeout)
+	defer cancel()
+	key, err := ds.mint(ctx)
+	if err != nil {
+		return en.failCall(errors.Wrap(err, "mint a key"), false)
+	}
+	jo := lovageapi.JobRequest{
+		Key: key.String(), Service: devService, Team: devTeam, Deadline: time.Now().Add(devTimeout),
+	}
+	for _, text := range devPayloads {
+		jo.Tasks = append(jo.Tasks, lovageapi.TaskRequest{Payload: json.RawMessage(text)})
+	}
+	submitted := time.Now()
+	answer, err := ds.api.Submit(ctx, jo)
+	if err != nil {
+		return en.failCall(errors.Wrap(err, "submit the sample job"), true)
+	}
+	response := time.Since(submitted)
+	status := printAnswer(en, &answer)
+	ideal := 200 * time.Millisecond
+	fastest := 0.0
+	for i := range ds.workers {
+		fastest = max(fastest, devSpeeds[i%len(devSpeeds)])
+	}
+	ideal = time.Duration(float64(ideal) / fastest)
+	if !en.json {
+		_, _ = fmt.Fprintf(en.stdout, "response %s, ideal %s, response over ideal %.3f\n",
+			response.Round(time.Millisecond/10), ideal.Round(time.Millisecond/10), float64(response)/float64(ideal))
+	}
+	return status
+}
+
+// mint waits until the instance has claimed a key range and knows the sample resources.
+func (ds *devStack) mint(ctx context.Context) (lovagejob.Key, error) {
+	var last error
+	for ctx.Err() == nil {
+		keys, err := ds.api.Mint(ctx, 1, false)
+		if err == nil && len(keys) == 1 {
+			return keys[0], nil
+		}
+		last = err
+		time.Sleep(20 * time.Millisecond)
+	}
+	return lovagejob.Key{}, errors.CombineErrors(ctx.Err(), last)
+}
--- /dev/null
+++ b/lovagestack/dev_test.go
@@ -0,0 +1,19 @@
+package main
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a newcomer's first command that fails or prints a partial answer.
+func TestDevOnce(t *testing.T) {
+	var stdout, stderr bytes.Buffer
+	en := &environment{stdin: strings.NewReader(""), stdout: &stdout, stderr: &stderr}
+	status := runMain(t.Context(), []string{"dev", "--once"}, en)
+	must.Eq(t, exitOK, status, must.Sprintf("%s%s", stdout.String(), stderr.String()))
+	must.StrContains(t, stdout.String(), "complete: 3 tasks, 3 started")
+	must.StrContains(t, stdout.String(), "response over ideal")
+}
--- a/lovagestack/entry.go
+++ b/lovagestack/entry.go
@@ -67,17 +67,29 @@
 		return 0, errors.Wrap(err, "set up the platform client")
 	}
 	defer platform.Close()
-	in, err := newEntry(ctx, settings, platform, log)
+	es, err := newEntry(ctx, settings, platform, log)
 	if err != nil {
 		return 0, err
 	}
-	return in.Serve(ctx)
+	return es.Serve(ctx)
+}
+
+// entryServers is an instance with its API servers.
+type entryServers struct {
+	*lovageentry.Instance
+	caller, operator *lovageapi.Server
+}
+
+// run serves until ctx ends and then sends the error.
+func (es *entryServers) run(ctx context.Context, served chan<- error) {
+	_, err := es.Serve(ctx)
+	served <- err
 }
 
 // newEntry joins an instance with its API servers.
 func newEntry(
 	ctx context.Context, settings lovageconfig.Settings, platform lovageentry.Platform, log *zap.Logger,
-) (*lovageentry.Instance, error) {
+) (*entryServers, error) {
 	trace := lovagetrace.Settings{
 		Instance: settings.ID, DataCentre: settings.DataCentre, SampleRatio: settings.Trace.Ratio, File: settings.Trace.File,
 	}
@@ -119,7 +131,7 @@
 	}
 	in.AddServer(caller)
 	in.AddServer(operator)
-	return in, nil
+	return &entryServers{Instance: in, caller: caller, operator: operator}, nil
 }
 
 // newLogger writes JSON lines to standard error.
--- a/lovagestack/main.go
+++ b/lovagestack/main.go
@@ -52,6 +52,7 @@
 	Watch   *watchCommand   `arg:"subcommand:watch" help:"follow all changes of resources"`
 	Delete  *deleteCommand  `arg:"subcommand:delete" help:"delete a resource"`
 	Submit  *submitCommand  `arg:"subcommand:submit" help:"submit a job and wait for its answer"`
+	Dev     *devCommand     `arg:"subcommand:dev" help:"run a platform, an instance and sample workers in one process"`
 	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
 
 	Output string `arg:"-o,--output" default:"table" placeholder:"FORMAT" help:"table or json"`
