lovageplatform: refuse replies that do not fit, add Latency

Cause: the client took any rows and versions that the platform's reply held, so a reply of another request could pass as its own. Tests and trials had no platform with the users' limits of requests per second. Ruled out: an ID echoed by the platform, because its protocol is given; a limit in lovagefake only, because tests without HTTP need it too. Change: Read, Scan and Commit check the reply against the request. Latency bounds reads and writes per second and takes time for each. Conclusion: a crossed reply is refused unless it holds the same keys.

--- a/lovageplatform/client.go
+++ b/lovageplatform/client.go
@@ -95,26 +95,23 @@
 	if err := cl.json(ctx, call{op: "read", path: "/v1/table/read", read: true}, readRequest{Keys: keys}, &reply); err != nil {
 		return nil, err
 	}
-	found := make(map[string]Row, len(reply.Rows))
-	for _, ro := range reply.Rows {
-		found[ro.Key] = ro
-	}
-	out := make([]Row, len(keys))
-	for i, key := range keys {
-		ro, ok := found[key]
-		if !ok {
-			return nil, &Error{Operation: "read", Effect: EffectAmbiguous, Err: errors.Newf("reply lacks row %q", key)}
-		}
-		out[i] = ro
+	rows, err := orderRows(reply.Rows, keys)
+	if err != nil {
+		return nil, &Error{Operation: "read", Effect: EffectAmbiguous, Err: err}
 	}
-	return out, nil
+	return rows, nil
 }
 
 // Scan returns the rows whose key starts with the prefix, in key order.
 func (cl *Client) Scan(ctx context.Context, prefix string) ([]Row, error) {
 	var reply readReply
-	err := cl.json(ctx, call{op: "scan", path: "/v1/table/read", read: true}, readRequest{Prefix: &prefix}, &reply)
-	return reply.Rows, err
+	if err := cl.json(ctx, call{op: "scan", path: "/v1/table/read", read: true}, readRequest{Prefix: &prefix}, &reply); err != nil {
+		return nil, err
+	}
+	if err := checkScan(reply.Rows, prefix); err != nil {
+		return nil, &Error{Operation: "scan", Effect: EffectAmbiguous, Err: err}
+	}
+	return reply.Rows, nil
 }
 
 // Commit sends the transaction once. A failed check is not an error; the result then holds the conflicting rows. The
@@ -124,11 +121,8 @@
 	if err := cl.json(ctx, call{op: "commit", path: "/v1/table/commit"}, tx, &res); err != nil {
 		return CommitResult{}, err
 	}
-	if res.Committed == (len(res.Conflicts) > 0) {
-		return CommitResult{}, &Error{
-			Operation: "commit", Effect: EffectAmbiguous,
-			Err: errors.Newf("reply says committed %t with %d conflicts", res.Committed, len(res.Conflicts)),
-		}
+	if err := checkCommit(tx, res); err != nil {
+		return CommitResult{}, &Error{Operation: "commit", Effect: EffectAmbiguous, Err: err}
 	}
 	return res, nil
 }
--- /dev/null
+++ b/lovageplatform/latency_test.go
@@ -0,0 +1,46 @@
+package lovageplatform
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a bound that lets more writes through than it says, and against an effect that is reported as none
+// when the context ends while a request waits or is answered.
+func TestLatencyBoundsAndTellsTheTruth(t *testing.T) {
+	memory := NewMemory()
+	la := NewLatency(memory, LatencySettings{WritesPerSecond: 100})
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	start := time.Now()
+	errs := make([]error, 100)
+	var running sync.WaitGroup
+	for i := range errs {
+		running.Go(func() {
+			_, errs[i] = la.Commit(ctx, Transaction{Writes: []Write{{Key: fmt.Sprint(i)}}})
+		})
+	}
+	running.Wait()
+	for i, err := range errs {
+		rows, readErr := memory.Read(context.Background(), fmt.Sprint(i))
+		must.NoError(t, readErr)
+		switch {
+		case err == nil:
+			must.Eq(t, 1, rows[0].Version)
+		case errors.Is(err, ErrNotSent):
+			must.Eq(t, 0, rows[0].Version)
+		default:
+			must.ErrorIs(t, err, ErrAmbiguous)
+		}
+	}
+	rows, err := memory.Scan(context.Background(), "")
+	must.NoError(t, err)
+	must.Positive(t, len(rows))
+	must.LessEq(t, 3+int(100*time.Since(start).Seconds()), len(rows))
+}
