lovageplatform, lovagebackend: read again after a closed connection, follow a changed limit

Cause: a read through a connection that the platform had closed meanwhile failed, because http.Transport does not send a POST again. The worker client kept the connection limit of the first request for good. The stand-in platform had no limits, although real processes are to be tried within them. Ruled out: sending reads as GET (the protocol says POST); a fresh connection for each read (a round trip more). Change: a read is tried at least twice. A changed Request.Connections takes a new transport, 0 keeps the limit. Conclusion: commits are still sent once by Client; Writer sends them again.

--- a/lovagebackend/client.go
+++ b/lovagebackend/client.go
@@ -28,7 +28,7 @@
 
 // Settings configures a Client. Zero fields take the default named beside them.
 type Settings struct {
-	Connections  int           // connections to a worker whose requests name no limit, 64
+	Connections  int           // connections to a worker if no request named a limit, 64
 	DialTimeout  time.Duration // 1 s; a round trip takes about 1 ms
 	IdleAge      time.Duration // idle connections are closed after it, 15 s
 	KeepAlive    time.Duration // idle time before and pause between TCP keepalive probes, 3 s
@@ -142,11 +142,23 @@
 		return nil
 	}
 	wo := cl.workers[re.Address]
-	if wo == nil {
-		connections := re.Connections
-		if connections <= 0 {
-			connections = cl.se.Connections
+	connections := re.Connections
+	switch {
+	case connections > 0:
+	case wo != nil:
+		connections = wo.connections
+	default:
+		connections = cl.se.Connections
+	}
+	if wo != nil && wo.connections != connections {
+		// http.Transport cannot change its limit. Requests in flight end on the connections they have.
+		wo.replaced = true
+		if wo.users == 0 {
+			wo.transport.CloseIdleConnections()
 		}
+		wo = nil
+	}
+	if wo == nil {
 		wo = newWorker(cl, connections)
 		cl.workers[re.Address] = wo
 	}
@@ -158,7 +170,7 @@
 	cl.mu.Lock()
 	wo.users--
 	wo.lastUsed = cl.since(time.Now())
-	last := cl.closed && wo.users == 0
+	last := (cl.closed || wo.replaced) && wo.users == 0
 	cl.mu.Unlock()
 	if last {
 		wo.transport.CloseIdleConnections()
--- a/lovagebackend/client_test.go
+++ b/lovagebackend/client_test.go
@@ -281,3 +281,32 @@
 		_ = co.Close()
 	}
 }
+
+// Guards against a reply that is believed although it was cut, at any byte: a cut 503 must not pass as not started.
+func TestReplyCutAtEveryByte(t *testing.T) {
+	cl := newClient(t, lovagebackend.Settings{})
+	for _, tt := range []struct {
+		header string
+		whole  lovagebackend.State
+		noBody lovagebackend.State
+	}{
+		{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", lovagebackend.Succeeded, lovagebackend.Unknown},
+		{"HTTP/1.1 500 No\r\nContent-Length: 4\r\n\r\n", lovagebackend.Failed, lovagebackend.Failed},
+		{"HTTP/1.1 503 No\r\nContent-Length: 4\r\nLovage-Not-Started: true\r\n\r\n", lovagebackend.NotStarted, lovagebackend.NotStarted},
+	} {
+		reply := tt.header + "body"
+		for n := range len(reply) + 1 {
+			want := lovagebackend.Unknown
+			switch {
+			case n == len(reply):
+				want = tt.whole
+			case n >= len(tt.header):
+				want = tt.noBody
+			}
+			addr, _ := rawWorker(t, reply[:n])
+			res := cl.Run(context.Background(), task(addr, "k/0", "{}"))
+			must.Eq(t, want, res.State, must.Sprintf("reply %q", reply[:n]))
+			must.Eq(t, n == len(reply), string(res.Body) == "body")
+		}
+	}
+}
--- a/lovagebackend/result.go
+++ b/lovagebackend/result.go
@@ -36,7 +36,7 @@
 type Request struct {
 	Worker      string // ID, for error messages
 	Address     string // IP address and port
-	Connections int    // most connections to the worker, from its limit and the number of instances; 0 for the default
+	Connections int    // most connections to the worker, from its limit and the number of instances; 0: as before
 	Service     string
 	Task        string // key and task index
 	Epoch       string
--- a/lovagebackend/worker.go
+++ b/lovagebackend/worker.go
@@ -11,10 +11,14 @@
 
 // worker holds the connections to one address.
 type worker struct {
-	client    *Client
-	transport *http.Transport
-	users     int   // requests in flight; guarded by client.mu
-	lastUsed  int64 // nanoseconds since client.start; guarded by client.mu
+	client      *Client
+	transport   *http.Transport
+	connections int // most connections
+
+	// The fields below are guarded by client.mu.
+	users    int   // requests in flight
+	lastUsed int64 // nanoseconds since client.start
+	replaced bool  // another worker has taken its place with a new limit
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
@@ -22,7 +26,7 @@
 }
 
 func newWorker(cl *Client, connections int) *worker {
-	wo := &worker{client: cl, conns: map[*conn]struct{}{}, inFlight: map[*attempt]struct{}{}}
+	wo := &worker{client: cl, connections: connections, conns: map[*conn]struct{}{}, inFlight: map[*attempt]struct{}{}}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	wo.transport = &http.Transport{
--- a/lovagefake/platform.go
+++ b/lovagefake/platform.go
@@ -45,6 +45,7 @@
 // not affect.
 type Platform struct {
 	memory  *lovageplatform.Memory
+	store   store
 	mux     *http.ServeMux
 	mu      sync.Mutex
 	faults  PlatformFaults
@@ -55,16 +56,34 @@
 	stop    sync.Once
 }
 
+// store carries out the requests of the platform protocol.
+type store interface {
+	Read(ctx context.Context, keys ...string) ([]lovageplatform.Row, error)
+	Scan(ctx context.Context, prefix string) ([]lovageplatform.Row, error)
+	Commit(ctx context.Context, tx lovageplatform.Transaction) (lovageplatform.CommitResult, error)
+	GetObject(ctx context.Context, name string) ([]byte, error)
+	PutObject(ctx context.Context, name string, data []byte) error
+	DeleteObject(ctx context.Context, name string) error
+}
+
 // listAt is the list of instances as it was from a time on.
 type listAt struct {
 	at   time.Time
 	list []lovageplatform.Instance
 }
 
-// NewPlatform returns a platform without faults. Instances have to be added with PutInstance for ListLag to see them.
-func NewPlatform(memory *lovageplatform.Memory) *Platform {
+// NewPlatform returns a platform without faults and limits. Instances have to be added with PutInstance for ListLag to
+// see them.
+func NewPlatform(memory *lovageplatform.Memory) *Platform { return newPlatform(memory, memory) }
+
+// NewLimitedPlatform returns a platform with the speed and the limits of lovageplatform.Latency.
+func NewLimitedPlatform(memory *lovageplatform.Memory, se lovageplatform.LatencySettings) *Platform {
+	return newPlatform(memory, lovageplatform.NewLatency(memory, se))
+}
+
+func newPlatform(memory *lovageplatform.Memory, st store) *Platform {
 	pl := &Platform{
-		memory: memory, mux: http.NewServeMux(), timers: map[*time.Timer]struct{}{}, stopped: make(chan struct{}),
+		memory: memory, store: st, mux: http.NewServeMux(), timers: map[*time.Timer]struct{}{}, stopped: make(chan struct{}),
 	}
 	pl.noteList()
 	pl.mux.HandleFunc("POST /v1/table/read", pl.read)
@@ -245,9 +264,9 @@
 	var rows []lovageplatform.Row
 	var err error
 	if in.Prefix != nil {
-		rows, err = pl.memory.Scan(req.Context(), *in.Prefix)
+		rows, err = pl.store.Scan(req.Context(), *in.Prefix)
 	} else {
-		rows, err = pl.memory.Read(req.Context(), in.Keys...)
+		rows, err = pl.store.Read(req.Context(), in.Keys...)
 	}
 	if err != nil {
 		writeError(rw, http.StatusInternalServerError, err)
@@ -284,7 +303,7 @@
 
 // apply commits whatever becomes of the caller, because a request that was received takes effect.
 func (pl *Platform) apply(tx lovageplatform.Transaction) (lovageplatform.CommitResult, error) {
-	res, err := pl.memory.Commit(context.Background(), tx)
+	res, err := pl.store.Commit(context.Background(), tx)
 	if err == nil && !res.Committed {
 		pl.add(func(co *PlatformCounters) { co.Conflicts++ })
 	}
@@ -308,7 +327,7 @@
 
 func (pl *Platform) getObject(rw http.ResponseWriter, req *http.Request) {
 	pl.add(func(co *PlatformCounters) { co.Objects++ })
-	data, err := pl.memory.GetObject(req.Context(), req.PathValue("name"))
+	data, err := pl.store.GetObject(req.Context(), req.PathValue("name"))
 	if err != nil {
 		writeError(rw, http.StatusNotFound, err)
 		return
@@ -324,7 +343,7 @@
 		return
 	}
 	pl.add(func(co *PlatformCounters) { co.Objects++ })
-	if err := pl.memory.PutObject(context.Background(), req.PathValue("name"), data); err != nil {
+	if err := pl.store.PutObject(context.Background(), req.PathValue("name"), data); err != nil {
 		writeError(rw, http.StatusBadRequest, err)
 		return
 	}
@@ -334,7 +353,7 @@
 
 func (pl *Platform) deleteObject(rw http.ResponseWriter, req *http.Request) {
 	pl.add(func(co *PlatformCounters) { co.Objects++ })
-	if err := pl.memory.DeleteObject(context.Background(), req.PathValue("name")); err != nil {
+	if err := pl.store.DeleteObject(context.Background(), req.PathValue("name")); err != nil {
 		writeError(rw, http.StatusBadRequest, err)
 		return
 	}
--- a/lovageplatform/client.go
+++ b/lovageplatform/client.go
@@ -31,7 +31,8 @@
 
 // Client speaks to the platform over HTTP. Its methods are safe for concurrent use.
 //
-// Reads are tried once at each address. A write goes on to the next address only if no byte of it was written.
+// A read is tried at each address, and at least twice, because the platform may have closed an idle connection. A write
+// goes on to the next address only if no byte of it was written.
 type Client struct {
 	se   ClientSettings
 	http *http.Client
@@ -215,8 +216,12 @@
 // do tries the addresses in turn, beginning with the one that answered last.
 func (cl *Client) do(ctx context.Context, ca call, body []byte) ([]byte, error) {
 	first := int(cl.last.Load())
+	tries := len(cl.se.Addresses)
+	if ca.read {
+		tries = max(tries, 2)
+	}
 	var last error
-	for i := range cl.se.Addresses {
+	for i := range tries {
 		at := (first + i) % len(cl.se.Addresses)
 		data, err := cl.attempt(ctx, cl.se.Addresses[at], ca, body)
 		if err == nil {
--- a/lovageplatform/client_test.go
+++ b/lovageplatform/client_test.go
@@ -173,3 +173,17 @@
 	must.NoError(t, err)
 	must.Eq(t, int64(3), rows[0].Version)
 }
+
+// Guards against a read that fails because the platform had closed an idle connection.
+func TestReadOnClosedConnection(t *testing.T) {
+	_, addr := startPlatform(t)
+	re, err := lovagefake.NewRelay(addr)
+	must.NoError(t, err)
+	defer re.Close()
+	cl := newClient(t, lovageplatform.ClientSettings{Addresses: []string{re.Address()}})
+	for range 50 {
+		_, err := cl.Read(context.Background(), "a")
+		must.NoError(t, err)
+		re.Cut()
+	}
+}
--- a/lovageplatform/platform.go
+++ b/lovageplatform/platform.go
@@ -4,7 +4,21 @@
 // The package exists so that everything that has to be agreed on or has to last goes through one place. It keeps no
 // state of its own and takes no decisions: which rows mean what is the business of lovageledger, lovageresource and
 // lovagemember. Client speaks to the platform over HTTP; Memory keeps everything in the process, for the dev command
-// and for tests.
+// and for tests; Latency is a Memory with the speed and the limits of a real platform.
+//
+// # Usage
+//
+//	cl, err := lovageplatform.NewClient(lovageplatform.ClientSettings{Addresses: addresses, ID: "kandla-e0"})
+//	wr := lovageplatform.NewWriter(cl, "kandla-e0", lovageplatform.WriterSettings{})
+//	res, err := wr.Commit(ctx, lovageplatform.Transaction{
+//		Checks: []lovageplatform.Check{{Key: "head", Version: 7}},
+//		Writes: []lovageplatform.Write{{Key: "head", Value: value}},
+//	})
+//	switch {
+//	case errors.Is(err, lovageplatform.ErrAmbiguous): // ctx ended first; Settle or the next Commit finds out
+//	case err != nil: // no effect
+//	case !res.Committed: // no effect; res.Conflicts holds the rows as they are
+//	}
 package lovageplatform
 
 // Row is one row of the table. Version 1 is the first write; each later write adds one. A row that does not exist has
--- a/lovagestandin/main.go
+++ b/lovagestandin/main.go
@@ -36,7 +36,8 @@
 }
 
 type platformCommand struct {
-	Listen string `arg:"--listen" default:"127.0.0.1:9000"`
+	Listen  string `arg:"--listen" default:"127.0.0.1:9000"`
+	Limited bool   `arg:"--limited" help:"take the time of a real platform, with 2000 reads and 400 writes a second"`
 }
 
 func main() {
@@ -62,7 +63,11 @@
 }
 
 func (co *platformCommand) run(ctx context.Context) error {
-	pl := lovagefake.NewPlatform(lovageplatform.NewMemory())
+	memory := lovageplatform.NewMemory()
+	pl := lovagefake.NewPlatform(memory)
+	if co.Limited {
+		pl = lovagefake.NewLimitedPlatform(memory, lovageplatform.LatencySettings{})
+	}
 	defer pl.Close()
 	sv, err := serve("platform", co.Listen, pl)
 	if err != nil {
