lovagebackend: use one client in the every-byte test

Cause: 160 repetitions of the tests by four processes at once failed with "bind: address already in use": closed connections in TIME_WAIT held 24,667 of the machine's 28,232 ephemeral ports. Ruled out: closing with RST in the stand-in, because the end of a connection by FIN is the case in which http.Transport may send a request again. Change: TestCloseReusedAtEveryByte opens one client instead of 340. The failed repetitions had no other failure than bind.

--- a/lovagebackend/replay_test.go
+++ b/lovagebackend/replay_test.go
@@ -38,9 +38,9 @@
 	wo, addr := startWorker(t, lovagefake.WorkerSettings{ID: "w"})
 	states := map[lovagebackend.State]int{}
 	var replays counter
+	cl := newClient(t, lovagebackend.Settings{Counters: lovagebackend.Counters{ReplaysPrevented: &replays}})
 	const beyondRequest = 340 // longer than the whole request, which the last steps show by succeeding
 	for at := 1; at <= beyondRequest; at++ {
-		cl := lovagebackend.New(lovagebackend.Settings{Counters: lovagebackend.Counters{ReplaysPrevented: &replays}})
 		must.Eq(t, lovagebackend.Succeeded, cl.Run(context.Background(), task(addr, fmt.Sprintf("first-%d", at), noTime)).State)
 		wo.SetFaults(lovagefake.WorkerFaults{CloseReusedAt: at})
 		id := fmt.Sprintf("second-%d", at)
@@ -48,7 +48,6 @@
 		wo.SetFaults(lovagefake.WorkerFaults{})
 		states[res.State]++
 		checkStarts(t, res, wo.StartCounts()[id])
-		cl.Close()
 	}
 	must.Positive(t, states[lovagebackend.Unknown])
 	must.Positive(t, states[lovagebackend.Succeeded])
