--- a/lovageplatform/client.go
+++ b/lovageplatform/client.go
@@ -31,7 +31,8 @@
 
 // Client speaks to the platform over HTTP. Its methods are safe for concurrent use.
 //
-// Reads are tried once at each address. A write goes on to the next address only if no byte of it was written.
+// A read is tried at each address, and at least twice, because the platform may have closed an idle connection. A write
+// goes on to the next address only if no byte of it was written.
 type Client struct {
 	se   ClientSettings
 	http *http.Client
@@ -95,26 +96,23 @@
 	if err := cl.json(ctx, call{op: "read", path: "/v1/table/read", read: true}, readRequest{Keys: keys}, &reply); err != nil {
 		return nil, err
 	}
-	found := make(map[string]Row, len(reply.Rows))
-	for _, ro := range reply.Rows {
-		found[ro.Key] = ro
-	}
-	out := make([]Row, len(keys))
-	for i, key := range keys {
-		ro, ok := found[key]
-		if !ok {
-			return nil, &Error{Operation: "read", Effect: EffectAmbiguous, Err: errors.Newf("reply lacks row %q", key)}
-		}
-		out[i] = ro
+	rows, err := orderRows(reply.Rows, keys)
+	if err != nil {
+		return nil, &Error{Operation: "read", Effect: EffectAmbiguous, Err: err}
 	}
-	return out, nil
+	return rows, nil
 }
 
 // Scan returns the rows whose key starts with the prefix, in key order.
 func (cl *Client) Scan(ctx context.Context, prefix string) ([]Row, error) {
 	var reply readReply
-	err := cl.json(ctx, call{op: "scan", path: "/v1/table/read", read: true}, readRequest{Prefix: &prefix}, &reply)
-	return reply.Rows, err
+	if err := cl.json(ctx, call{op: "scan", path: "/v1/table/read", read: true}, readRequest{Prefix: &prefix}, &reply); err != nil {
+		return nil, err
+	}
+	if err := checkScan(reply.Rows, prefix); err != nil {
+		return nil, &Error{Operation: "scan", Effect: EffectAmbiguous, Err: err}
+	}
+	return reply.Rows, nil
 }
 
 // Commit sends the transaction once. A failed check is not an error; the result then holds the conflicting rows. The
@@ -124,11 +122,8 @@
 	if err := cl.json(ctx, call{op: "commit", path: "/v1/table/commit"}, tx, &res); err != nil {
 		return CommitResult{}, err
 	}
-	if res.Committed == (len(res.Conflicts) > 0) {
-		return CommitResult{}, &Error{
-			Operation: "commit", Effect: EffectAmbiguous,
-			Err: errors.Newf("reply says committed %t with %d conflicts", res.Committed, len(res.Conflicts)),
-		}
+	if err := checkCommit(tx, res); err != nil {
+		return CommitResult{}, &Error{Operation: "commit", Effect: EffectAmbiguous, Err: err}
 	}
 	return res, nil
 }
@@ -221,8 +216,12 @@
 // do tries the addresses in turn, beginning with the one that answered last.
 func (cl *Client) do(ctx context.Context, ca call, body []byte) ([]byte, error) {
 	first := int(cl.last.Load())
+	tries := len(cl.se.Addresses)
+	if ca.read {
+		tries = max(tries, 2)
+	}
 	var last error
-	for i := range cl.se.Addresses {
+	for i := range tries {
 		at := (first + i) % len(cl.se.Addresses)
 		data, err := cl.attempt(ctx, cl.se.Addresses[at], ca, body)
 		if err == nil {
