lovageload: generate seeded open-loop load and report response over ideal

Cause: policies and versions have to be compared under the same workload, without coordinated omission. Ruled out: an ideal that runs all tasks of a job on the one fastest slot at once, because jobs of hundreds of tasks would then never come near it; quantiles from a sample, because p99.9 needs all values. Change: Model with seeded Poisson arrivals and bursts, Ideal over free slots, Run against a Target, HTTPTarget for the caller API, scraping of counters, tables as text and JSON, an SVG plot. TestRateForLoad: the offered work of two hours is within 0.56 to 0.64 of the capacity for a load of 0.6. A first form of TestStallCountsFromTheIntendedTime asked for a maximum of exactly 10 and got 10.007: the histogram keeps three digits, so the bound is now 10 to 10.01. Conclusion: no dispatcher was measured yet. Payload, reply of POST /v1/keys and the counters behind Messages have to be matched with lovagefake and lovageapi.

--- /dev/null
+++ b/lovageload/arrivals.go
@@ -0,0 +1,40 @@
+package lovageload
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// arrivals returns the times of a Poisson process with a rate in events a second that is higher during bursts.
+func arrivals(rng *rand.Rand, rate float64, burst Burst, duration time.Duration) []time.Duration {
+	var out []time.Duration
+	for at := time.Duration(0); ; {
+		at = advance(at, rng.ExpFloat64()/rate, burst)
+		if at >= duration {
+			return out
+		}
+		out = append(out, at)
+	}
+}
+
+// advance returns the time at which the integral of the relative rate since at reaches seconds. The relative rate is
+// burst.Factor during bursts and 1 otherwise, so a unit exponential variate gives an exact arrival.
+func advance(at time.Duration, seconds float64, burst Burst) time.Duration {
+	if burst.Every <= 0 || burst.Length <= 0 {
+		return at + time.Duration(seconds*float64(time.Second))
+	}
+	for {
+		phase := at % burst.Every
+		relative, end := 1.0, burst.Every-burst.Length
+		if phase >= end {
+			relative, end = burst.Factor, burst.Every
+		}
+		span := (end - phase).Seconds()
+		if available := span * relative; available < seconds {
+			seconds -= available
+			at += end - phase
+			continue
+		}
+		return at + time.Duration(seconds/relative*float64(time.Second))
+	}
+}
--- /dev/null
+++ b/lovageload/counters.go
@@ -0,0 +1,81 @@
+package lovageload
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ParseCounters reads metrics in the Prometheus text format and returns their values by name and labels as written.
+func ParseCounters(r io.Reader) (map[string]float64, error) {
+	out := make(map[string]float64)
+	sc := bufio.NewScanner(r)
+	for line := 1; sc.Scan(); line++ {
+		text := strings.TrimSpace(sc.Text())
+		if text == "" || text[0] == '#' {
+			continue
+		}
+		// Label values may contain spaces, so the value is what follows the labels.
+		from := max(strings.LastIndexByte(text, '}')+1, 0)
+		space := strings.IndexByte(text[from:], ' ')
+		if space < 0 {
+			return nil, errors.Newf("metrics, line %d: %q has no value", line, text)
+		}
+		fields := strings.Fields(text[from+space:]) // value and, optionally, a time
+		if len(fields) == 0 {
+			return nil, errors.Newf("metrics, line %d: %q has no value", line, text)
+		}
+		value, err := strconv.ParseFloat(fields[0], 64)
+		if err != nil {
+			return nil, errors.Wrapf(err, "metrics, line %d", line)
+		}
+		out[text[:from+space]] = value
+	}
+	return out, errors.Wrap(sc.Err(), "read metrics")
+}
+
+// SumByName adds up the series of each name, over all label values.
+func SumByName(counters map[string]float64) map[string]float64 {
+	out := make(map[string]float64)
+	for key, value := range counters {
+		name, _, _ := strings.Cut(key, "{")
+		out[name] += value
+	}
+	return out
+}
+
+// ScrapeCounters reads the metrics at the URLs and adds them up, series by series.
+func ScrapeCounters(ctx context.Context, client *http.Client, urls []string) (map[string]float64, error) {
+	out := make(map[string]float64)
+	for _, url := range urls {
+		counters, err := scrape(ctx, client, url)
+		if err != nil {
+			return nil, errors.Wrapf(err, "scrape %s", url)
+		}
+		for key, value := range counters {
+			out[key] += value
+		}
+	}
+	return out, nil
+}
+
+func scrape(ctx context.Context, client *http.Client, url string) (map[string]float64, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("status %d", resp.StatusCode)
+	}
+	return ParseCounters(resp.Body)
+}
--- /dev/null
+++ b/lovageload/ideal.go
@@ -0,0 +1,63 @@
+package lovageload
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Worker is a worker as the ideal sees it: its speed relative to a worker of speed 1, and its free slots.
+type Worker struct {
+	Speed float64
+	Slots int
+}
+
+// Ideal returns the least response time that a job could have: the network round trip, plus the time until the last of
+// its tasks has run on the fastest slots that are free at submission. The longest task comes first, and each goes to
+// the slot where it ends first, which may be one that an earlier task has used. Without any free slot, one slot of the
+// fastest worker counts as free. The work of a task is its time on a worker of speed 1.
+func Ideal(roundTrip time.Duration, work []time.Duration, workers []Worker) time.Duration {
+	work = slices.Clone(work)
+	slices.SortFunc(work, func(a, b time.Duration) int { return cmp.Compare(b, a) })
+	slots := fastestSlots(workers, len(work))
+	if len(slots) == 0 {
+		return roundTrip
+	}
+	var last float64
+	for _, wk := range work {
+		best, end := 0, math.Inf(1)
+		for i, sl := range slots {
+			if e := sl.free + float64(wk)/sl.speed; e < end {
+				best, end = i, e
+			}
+			if sl.free == 0 {
+				break // the slots behind it are as free and no faster
+			}
+		}
+		slots[best].free = end
+		last = max(last, end)
+	}
+	return roundTrip + time.Duration(last)
+}
+
+// slot is a free slot and the time at which it is free again, in nanoseconds from submission.
+type slot struct{ speed, free float64 }
+
+// fastestSlots returns up to n free slots, fastest first.
+func fastestSlots(workers []Worker, n int) []slot {
+	workers = slices.Clone(workers)
+	slices.SortFunc(workers, func(a, b Worker) int { return cmp.Compare(b.Speed, a.Speed) })
+	var slots []slot
+	for _, wo := range workers {
+		for range wo.Slots {
+			if len(slots) < n && wo.Speed > 0 {
+				slots = append(slots, slot{speed: wo.Speed})
+			}
+		}
+	}
+	if len(slots) == 0 && len(workers) > 0 && workers[0].Speed > 0 {
+		slots = append(slots, slot{speed: workers[0].Speed})
+	}
+	return slots
+}
--- /dev/null
+++ b/lovageload/model.go
@@ -0,0 +1,240 @@
+package lovageload
+
+import (
+	"encoding/json"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lovagestack/lovagejob"
+)
+
+// Service is one kind of task of a workload. Run times are log-uniform between the bounds, on a worker of speed 1.
+type Service struct {
+	Name, Team             string
+	Weight                 float64 // share of the jobs, relative to the other services
+	MinRunTime, MaxRunTime time.Duration
+	Repeatable             bool
+}
+
+// Model describes a workload. The same model gives the same jobs.
+type Model struct {
+	Seed     uint64
+	Rate     float64 // jobs a second on average, bursts aside
+	Duration time.Duration
+	Burst    Burst
+	Services []Service
+
+	MaxTasks       int // tasks a job are 1 to MaxTasks with a probability that falls as tasks^-TaskExponent
+	TaskExponent   float64
+	DeclaredFactor float64 // declared run times are wrong by up to this factor either way, log-uniform
+
+	StragglerShare  float64 // of the tasks
+	StragglerFactor float64 // by which a straggler takes longer, on any worker
+
+	CancelShare float64       // of the jobs
+	CancelAfter time.Duration // cancelled jobs are cancelled at a time uniform in 0 to CancelAfter
+	Deadline    time.Duration // from the intended send time
+}
+
+// Burst multiplies the rate by Factor for Length at the end of each period of Every. The zero Burst is none.
+type Burst struct {
+	Every, Length time.Duration
+	Factor        float64
+}
+
+// DefaultModel is the users' workload: most tasks of 50 ms to 1 s and a few of several seconds, jobs of up to 350
+// tasks skewed to small ones, declared run times wrong by up to ten times, 1% stragglers, 1% of the jobs cancelled.
+// The shape between those bounds is assumed, not measured at the users.
+func DefaultModel(seed uint64) Model {
+	ms := time.Millisecond
+	return Model{
+		Seed: seed, Rate: 10, Duration: time.Minute,
+		Services: []Service{
+			{Name: "stock", Team: "shops", Weight: 0.30, MinRunTime: 50 * ms, MaxRunTime: 150 * ms, Repeatable: true},
+			{Name: "price", Team: "shops", Weight: 0.30, MinRunTime: 80 * ms, MaxRunTime: 400 * ms, Repeatable: true},
+			{Name: "ticket", Team: "gate", Weight: 0.25, MinRunTime: 100 * ms, MaxRunTime: time.Second},
+			{Name: "proof", Team: "press", Weight: 0.13, MinRunTime: 300 * ms, MaxRunTime: time.Second, Repeatable: true},
+			{Name: "reorder", Team: "press", Weight: 0.02, MinRunTime: 2 * time.Second, MaxRunTime: 8 * time.Second},
+		},
+		MaxTasks: 350, TaskExponent: 1.8, DeclaredFactor: 10,
+		StragglerShare: 0.01, StragglerFactor: 4,
+		CancelShare: 0.01, CancelAfter: 500 * ms,
+		Deadline: time.Minute,
+	}
+}
+
+// Task is one task of a generated job.
+type Task struct {
+	RunTime   time.Duration // on a worker of speed 1, without straggling
+	Straggler float64       // factor by which it takes longer; 1 for most
+}
+
+// Work returns the time that the task takes on a worker of speed 1.
+func (ta Task) Work() time.Duration { return time.Duration(float64(ta.RunTime) * ta.Straggler) }
+
+// Job is one generated job.
+type Job struct {
+	At              time.Duration // intended send time from the start
+	Service, Team   string
+	Repeatable      bool
+	DeclaredRunTime time.Duration
+	Deadline        time.Duration // from the start
+	CancelAt        time.Duration // from the start; 0: not cancelled
+	Tasks           []Task
+}
+
+// Payload is the JSON payload of a generated task. The worker is to run for WorkMillis divided by its speed.
+type Payload struct {
+	WorkMillis float64 `json:"workMillis"`
+}
+
+// Submission returns the job as it is submitted by a run that began at start.
+func (jo *Job) Submission(start time.Time) (*lovagejob.Submission, error) {
+	sub := &lovagejob.Submission{
+		Service: jo.Service, Team: jo.Team, Repeatable: jo.Repeatable,
+		Deadline: start.Add(jo.Deadline), DeclaredRunTime: jo.DeclaredRunTime,
+		Tasks: make([]lovagejob.Task, len(jo.Tasks)),
+	}
+	for i, ta := range jo.Tasks {
+		payload, err := json.Marshal(Payload{WorkMillis: float64(ta.Work()) / float64(time.Millisecond)})
+		if err != nil {
+			return nil, errors.Wrap(err, "encode the payload of a task")
+		}
+		sub.Tasks[i].Payload = payload
+	}
+	return sub, nil
+}
+
+// Work returns the work of all tasks on a worker of speed 1.
+func (jo *Job) Work() time.Duration {
+	var sum time.Duration
+	for _, ta := range jo.Tasks {
+		sum += ta.Work()
+	}
+	return sum
+}
+
+// Validate returns what is wrong with the model, or nil.
+func (mo *Model) Validate() error {
+	var sum float64
+	for _, se := range mo.Services {
+		if se.Weight < 0 || se.MinRunTime <= 0 || se.MaxRunTime < se.MinRunTime {
+			return errors.Newf("service %q needs a weight of at least 0 and run times 0 < min <= max", se.Name)
+		}
+		sum += se.Weight
+	}
+	switch {
+	case sum <= 0:
+		return errors.New("the weights of the services add up to nothing")
+	case mo.Rate <= 0 || mo.Duration <= 0:
+		return errors.Newf("rate %g and duration %s have to be positive", mo.Rate, mo.Duration)
+	case mo.MaxTasks < 1:
+		return errors.Newf("a job cannot have at most %d tasks", mo.MaxTasks)
+	case mo.DeclaredFactor < 1 || mo.StragglerFactor < 1:
+		return errors.New("the factors for declared run times and stragglers have to be at least 1")
+	case mo.Burst.Every < 0 || mo.Burst.Length < 0 || mo.Burst.Length > mo.Burst.Every || mo.Burst.Factor < 0:
+		return errors.New("a burst has to be shorter than its period, with a factor of at least 0")
+	}
+	return nil
+}
+
+// Jobs returns the jobs in the order of their times.
+func (mo *Model) Jobs() ([]Job, error) {
+	if err := mo.Validate(); err != nil {
+		return nil, err
+	}
+	// The arrivals have a source of their own, so that a change of the job mix leaves them as they are.
+	times := arrivals(rand.New(rand.NewPCG(mo.Seed, 1)), mo.Rate, mo.Burst, mo.Duration)
+	dr := mo.drawer(rand.New(rand.NewPCG(mo.Seed, 2)))
+	jobs := make([]Job, len(times))
+	for i, at := range times {
+		jobs[i] = dr.job(at)
+	}
+	return jobs, nil
+}
+
+// drawer draws jobs at random.
+type drawer struct {
+	mo       *Model
+	rng      *rand.Rand
+	services []float64 // cumulative weights
+	tasks    []float64 // cumulative weights of 1, 2, ... tasks
+}
+
+func (mo *Model) drawer(rng *rand.Rand) *drawer {
+	dr := &drawer{mo: mo, rng: rng}
+	var sum float64
+	for _, se := range mo.Services {
+		sum += se.Weight
+		dr.services = append(dr.services, sum)
+	}
+	sum = 0
+	for n := 1; n <= mo.MaxTasks; n++ {
+		sum += math.Pow(float64(n), -mo.TaskExponent)
+		dr.tasks = append(dr.tasks, sum)
+	}
+	return dr
+}
+
+// pick returns an index with the probability of its share of the cumulative weights.
+func (dr *drawer) pick(cumulative []float64) int {
+	at := dr.rng.Float64() * cumulative[len(cumulative)-1]
+	return min(sort.SearchFloat64s(cumulative, at), len(cumulative)-1)
+}
+
+// logUniform returns a factor between 1/most and most.
+func (dr *drawer) logUniform(most float64) float64 { return math.Pow(most, 2*dr.rng.Float64()-1) }
+
+func (dr *drawer) job(at time.Duration) Job {
+	mo := dr.mo
+	se := mo.Services[dr.pick(dr.services)]
+	jo := Job{
+		At: at, Service: se.Name, Team: se.Team, Repeatable: se.Repeatable, Deadline: at + mo.Deadline,
+		Tasks: make([]Task, dr.pick(dr.tasks)+1),
+	}
+	var sum time.Duration
+	for i := range jo.Tasks {
+		ta := Task{Straggler: 1}
+		spread := float64(se.MaxRunTime) / float64(se.MinRunTime)
+		ta.RunTime = time.Duration(float64(se.MinRunTime) * math.Pow(spread, dr.rng.Float64()))
+		if dr.rng.Float64() < mo.StragglerShare {
+			ta.Straggler = mo.StragglerFactor
+		}
+		jo.Tasks[i] = ta
+		sum += ta.RunTime
+	}
+	jo.DeclaredRunTime = time.Duration(float64(sum) / float64(len(jo.Tasks)) * dr.logUniform(mo.DeclaredFactor))
+	if dr.rng.Float64() < mo.CancelShare {
+		jo.CancelAt = at + time.Duration(dr.rng.Float64()*float64(mo.CancelAfter)) + 1
+	}
+	return jo
+}
+
+// meanWorkSample is the number of jobs that MeanWork draws; the mean of the default model then varies by about 2%
+// between seeds, because few jobs hold much of the work.
+const meanWorkSample = 100_000
+
+// MeanWork returns the mean work of a job on a worker of speed 1, estimated from a sample. Cancelled jobs count whole.
+func (mo *Model) MeanWork() time.Duration {
+	dr := mo.drawer(rand.New(rand.NewPCG(mo.Seed, 3)))
+	var sum float64
+	for range meanWorkSample {
+		jo := dr.job(0)
+		sum += jo.Work().Seconds()
+	}
+	return time.Duration(sum / meanWorkSample * float64(time.Second))
+}
+
+// RateForLoad returns the rate in jobs a second whose work, outside of bursts, is the share load of what the workers
+// can do.
+func (mo *Model) RateForLoad(load float64, workers []Worker) float64 {
+	var capacity float64
+	for _, wo := range workers {
+		capacity += wo.Speed * float64(wo.Slots)
+	}
+	return load * capacity / mo.MeanWork().Seconds()
+}
--- /dev/null
+++ b/lovageload/model_test.go
@@ -0,0 +1,162 @@
+package lovageload
+
+import (
+	"encoding/json"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const ms = time.Millisecond
+
+// Guards against arrival times that drift at the edges of bursts.
+func TestAdvance(t *testing.T) {
+	burst := Burst{Every: 10 * time.Second, Length: 2 * time.Second, Factor: 4}
+	for _, tc := range []struct {
+		at, want time.Duration
+		seconds  float64
+		burst    Burst
+	}{
+		{time.Second, 2500 * ms, 1.5, Burst{}},
+		{0, 5 * time.Second, 5, burst},
+		{0, 8 * time.Second, 8, burst},                                                     // just to the burst
+		{7 * time.Second, 8250 * ms, 2, burst},                                             // 1 before, 1 at fourfold rate
+		{8 * time.Second, 11 * time.Second, 9, burst},                                      // 8 within the burst, 1 after
+		{0, 28 * time.Second, 8 + 8 + 8 + 8 + 8, burst},                                    // two whole periods and 8 s
+		{0, 12 * time.Second, 10, Burst{Every: 10 * time.Second, Length: 2 * time.Second}}, // factor 0: none in bursts
+	} {
+		must.Eq(t, tc.want, advance(tc.at, tc.seconds, tc.burst), must.Sprintf("%+v", tc))
+	}
+}
+
+// Guards against a rate that is off, and against arrivals that are not the same for the same seed.
+func TestArrivals(t *testing.T) {
+	model := DefaultModel(7)
+	model.Rate, model.Duration = 100, 100*time.Second
+	model.Burst = Burst{Every: 10 * time.Second, Length: time.Second, Factor: 5}
+	jobs, err := model.Jobs()
+	must.NoError(t, err)
+	again, err := model.Jobs()
+	must.NoError(t, err)
+	must.Eq(t, jobs, again)
+	inBurst := 0
+	for i, jo := range jobs {
+		must.True(t, i == 0 || jobs[i-1].At <= jo.At)
+		if jo.At%(10*time.Second) >= 9*time.Second {
+			inBurst++
+		}
+	}
+	// 5000 in bursts and 9000 outside are expected; the bounds are 6 standard deviations.
+	must.Between(t, 5000-425, inBurst, 5000+425)
+	must.Between(t, 9000-570, len(jobs)-inBurst, 9000+570)
+}
+
+// Guards against a workload outside of its own bounds, or without the rare cases that it is to hold.
+func TestDefaultModel(t *testing.T) {
+	model := DefaultModel(3)
+	model.Rate = 500
+	jobs, err := model.Jobs()
+	must.NoError(t, err)
+	var tasks, stragglers, cancelled, small, long, large int
+	for _, jo := range jobs {
+		var sum float64
+		for _, ta := range jo.Tasks {
+			must.Between(t, 50*ms, ta.RunTime, 8*time.Second)
+			sum += ta.RunTime.Seconds()
+			if ta.Straggler > 1 {
+				stragglers++
+			}
+			if ta.RunTime > time.Second {
+				long++
+			}
+		}
+		n := len(jo.Tasks)
+		must.Between(t, 1, n, 350)
+		tasks += n
+		if n <= 3 {
+			small++
+		}
+		if n > 100 {
+			large++
+		}
+		wrong := jo.DeclaredRunTime.Seconds() / (sum / float64(n))
+		must.Between(t, 0.0999, wrong, 10.001)
+		if jo.CancelAt > 0 {
+			must.Greater(t, jo.At, jo.CancelAt)
+			cancelled++
+		}
+	}
+	must.Between(t, 0.007, float64(stragglers)/float64(tasks), 0.013)
+	must.Between(t, 0.007, float64(cancelled)/float64(len(jobs)), 0.013)
+	must.Between(t, 0.70, float64(small)/float64(len(jobs)), 0.90)
+	must.Positive(t, long)
+	must.Positive(t, large)
+}
+
+// Guards against a load that is not the share of the capacity that it is said to be.
+func TestRateForLoad(t *testing.T) {
+	model := DefaultModel(5)
+	workers := []Worker{{Speed: 1, Slots: 8}, {Speed: 2.5, Slots: 8}} // 28 seconds of work a second
+	model.Rate, model.Duration = model.RateForLoad(0.6, workers), 2*time.Hour
+	jobs, err := model.Jobs()
+	must.NoError(t, err)
+	var work float64
+	for _, jo := range jobs {
+		work += jo.Work().Seconds()
+	}
+	must.Between(t, 0.56, work/(28*model.Duration.Seconds()), 0.64)
+}
+
+// Guards against an ideal that is not the least possible response time, which would make the dispatcher look better.
+func TestIdeal(t *testing.T) {
+	for name, tc := range map[string]struct {
+		work    []time.Duration
+		workers []Worker
+		want    time.Duration
+	}{
+		"fastest free worker":             {[]time.Duration{100 * ms}, []Worker{{1, 8}, {2, 1}, {4, 0}}, 50 * ms},
+		"none free":                       {[]time.Duration{100 * ms}, []Worker{{1, 0}, {4, 0}}, 25 * ms},
+		"no workers":                      {[]time.Duration{100 * ms}, nil, 0},
+		"longest task on the fastest":     {[]time.Duration{100 * ms, 400 * ms}, []Worker{{1, 1}, {2, 1}}, 200 * ms},
+		"fast slot twice beats slow once": {[]time.Duration{100 * ms, 100 * ms}, []Worker{{1, 1}, {4, 1}}, 50 * ms},
+		"more tasks than slots":           {[]time.Duration{30 * ms, 20 * ms, 10 * ms}, []Worker{{1, 2}}, 30 * ms},
+		"last task decides":               {[]time.Duration{10 * ms, time.Second, 20 * ms}, []Worker{{1, 8}}, time.Second},
+	} {
+		must.Eq(t, tc.want+ms, Ideal(ms, tc.work, tc.workers), must.Sprint(name))
+	}
+}
+
+// Guards against percentiles or means that are off by more than the histogram's precision.
+func TestQuantiles(t *testing.T) {
+	di := newDist(1_000_000_000, 1e-3)
+	must.Eq(t, Quantiles{}, di.quantiles())
+	for i := 1; i <= 10000; i++ {
+		di.add(float64(i) / 1000)
+	}
+	got := di.quantiles()
+	for _, tc := range []struct{ want, got float64 }{
+		{5.0005, got.Mean}, {5, got.P50}, {9.9, got.P99}, {9.99, got.P999}, {10, got.Max},
+	} {
+		must.LessEq(t, 0.001, math.Abs(tc.got-tc.want)/tc.want, must.Sprintf("%+v", got))
+	}
+	di.add(1e12) // beyond the range
+	must.Greater(t, 900_000, di.quantiles().Max)
+}
+
+// Guards against a submission that differs from the generated job.
+func TestSubmission(t *testing.T) {
+	start := time.Unix(1_796_000_000, 0)
+	jo := Job{
+		Service: "stock", Team: "shops", Repeatable: true, DeclaredRunTime: 70 * ms, Deadline: time.Minute,
+		Tasks: []Task{{RunTime: 50 * ms, Straggler: 1}, {RunTime: 50 * ms, Straggler: 4}},
+	}
+	sub, err := jo.Submission(start)
+	must.NoError(t, err)
+	must.Eq(t, start.Add(time.Minute), sub.Deadline)
+	var payload Payload
+	must.NoError(t, json.Unmarshal(sub.Tasks[1].Payload, &payload))
+	must.Eq(t, 200.0, payload.WorkMillis)
+	must.Eq(t, 250*ms, jo.Work())
+}
--- /dev/null
+++ b/lovageload/report.go
@@ -0,0 +1,169 @@
+package lovageload
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"lovagestack/lovagejob"
+)
+
+// Outcomes of jobs for which there was no answer.
+const (
+	OutcomeError   = "error"   // the target returned an error
+	OutcomeNotSent = "notSent" // too many jobs were in progress
+)
+
+// Quantiles are the quantiles of a distribution.
+type Quantiles struct {
+	Mean float64 `json:"mean"`
+	P50  float64 `json:"p50"`
+	P99  float64 `json:"p99"`
+	P999 float64 `json:"p999"`
+	Max  float64 `json:"max"`
+}
+
+// Report is the result of a run. The quantiles are over the measured jobs with a complete answer that were not to be
+// cancelled; Outcomes counts all measured jobs.
+type Report struct {
+	Name     string           `json:"name"`
+	Seed     uint64           `json:"seed"`
+	Rate     float64          `json:"jobsPerSecond"`
+	Jobs     int64            `json:"jobs"`
+	Tasks    int64            `json:"tasks"`
+	Outcomes map[string]int64 `json:"outcomes"`
+
+	ResponseSeconds Quantiles `json:"responseSeconds"`
+	OverIdeal       Quantiles `json:"responseOverIdeal"`
+	LateSeconds     Quantiles `json:"sentLateSeconds"` // how late the generator sent; part of the response time
+	Curve           []Point   `json:"overIdealCurve"`  // response over ideal (Y) by percentile (X, 0 to 100)
+
+	Messages     Messages `json:"messages"`
+	CancelFailed int64    `json:"cancelFailed"`
+}
+
+// Messages counts the messages that a system under test sent, by use.
+type Messages struct {
+	Useful    int64 `json:"useful"`
+	Refused   int64 `json:"refused"`
+	Probed    int64 `json:"probed"`
+	Forwarded int64 `json:"forwarded"`
+	Polled    int64 `json:"polled"`
+	Duplicate int64 `json:"duplicate"`
+}
+
+// Wasted returns the number of messages that were not useful.
+func (me Messages) Wasted() int64 {
+	return me.Refused + me.Probed + me.Forwarded + me.Polled + me.Duplicate
+}
+
+func (me Messages) sub(other Messages) Messages {
+	return Messages{
+		Useful:    me.Useful - other.Useful,
+		Refused:   me.Refused - other.Refused,
+		Probed:    me.Probed - other.Probed,
+		Forwarded: me.Forwarded - other.Forwarded,
+		Polled:    me.Polled - other.Polled,
+		Duplicate: me.Duplicate - other.Duplicate,
+	}
+}
+
+// PerTask returns the messages per task, useful and wasted.
+func (re *Report) PerTask() (useful, wasted float64) {
+	if re.Tasks == 0 {
+		return 0, 0
+	}
+	return float64(re.Messages.Useful) / float64(re.Tasks), float64(re.Messages.Wasted()) / float64(re.Tasks)
+}
+
+// measurement is what is known of one job after its answer.
+type measurement struct {
+	job                   *Job
+	measured              bool // not part of the warm-up
+	late, ideal, response time.Duration
+	outcome               string
+}
+
+// recorder collects measurements. Histograms keep three significant digits: durations in µs up to an hour, ratios in
+// thousandths up to a million.
+type recorder struct {
+	mu                    sync.Mutex
+	response, ratio, late dist
+	outcomes              map[string]int64
+	jobs, tasks           int64
+	cancelFailed          atomic.Int64
+}
+
+// dist is a histogram with an exact mean.
+type dist struct {
+	histogram *hdrhistogram.Histogram
+	unit      float64 // value of one count of the histogram
+	sum       float64
+	n         int64
+}
+
+func newDist(most int64, unit float64) dist {
+	return dist{histogram: hdrhistogram.New(1, most, 3), unit: unit}
+}
+
+func (di *dist) add(value float64) {
+	di.sum += value
+	di.n++
+	count := min(max(int64(value/di.unit+0.5), 0), di.histogram.HighestTrackableValue())
+	_ = di.histogram.RecordValue(count) // cannot fail within the range
+}
+
+func (di *dist) quantiles() Quantiles {
+	if di.n == 0 {
+		return Quantiles{}
+	}
+	at := func(q float64) float64 { return float64(di.histogram.ValueAtQuantile(q)) * di.unit }
+	return Quantiles{
+		Mean: di.sum / float64(di.n), P50: at(50), P99: at(99), P999: at(99.9), Max: float64(di.histogram.Max()) * di.unit,
+	}
+}
+
+func newRecorder() *recorder {
+	hour := time.Hour.Microseconds()
+	return &recorder{
+		response: newDist(hour, 1e-6), late: newDist(hour, 1e-6), ratio: newDist(1_000_000_000, 1e-3),
+		outcomes: make(map[string]int64),
+	}
+}
+
+func (rec *recorder) add(me measurement) {
+	if !me.measured {
+		return
+	}
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.jobs++
+	rec.tasks += int64(len(me.job.Tasks))
+	rec.outcomes[me.outcome]++
+	rec.late.add(max(0, me.late.Seconds()))
+	if me.outcome != string(lovagejob.Complete) || me.job.CancelAt > 0 || me.ideal <= 0 {
+		return
+	}
+	rec.response.add(me.response.Seconds())
+	rec.ratio.add(me.response.Seconds() / me.ideal.Seconds())
+}
+
+// curvePercentiles are the points of Report.Curve.
+var curvePercentiles = []float64{0, 10, 20, 30, 40, 50, 60, 70, 80, 90, 95, 98, 99, 99.5, 99.9, 99.99, 100}
+
+func (rec *recorder) report() *Report {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	re := &Report{
+		Jobs: rec.jobs, Tasks: rec.tasks, Outcomes: rec.outcomes, CancelFailed: rec.cancelFailed.Load(),
+		ResponseSeconds: rec.response.quantiles(), OverIdeal: rec.ratio.quantiles(), LateSeconds: rec.late.quantiles(),
+	}
+	if rec.ratio.n > 0 {
+		for _, pe := range curvePercentiles {
+			re.Curve = append(re.Curve, Point{X: pe, Y: float64(rec.ratio.histogram.ValueAtQuantile(pe)) * rec.ratio.unit})
+		}
+	}
+	return re
+}
--- /dev/null
+++ b/lovageload/run.go
@@ -0,0 +1,173 @@
+package lovageload
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lovagestack/lovagejob"
+)
+
+// Target is the system under test.
+type Target interface {
+	// Submit submits a job and waits for its answer. A submission without a key gets one from the target.
+	Submit(ctx context.Context, sub *lovagejob.Submission) (lovagejob.Answer, error)
+	// Mint returns a key for a job that is to be cancelled later.
+	Mint(ctx context.Context, repeatable bool) (lovagejob.Key, error)
+	// Cancel cancels the job of a key.
+	Cancel(ctx context.Context, key lovagejob.Key) error
+}
+
+// Options configure a run.
+type Options struct {
+	Name   string // of the row in tables and of the line in plots
+	Model  Model
+	Target Target
+
+	RoundTrip time.Duration   // network round trip between caller and worker, part of the ideal
+	Free      func() []Worker // workers with their slots that are free now; called before each job is sent
+	Messages  func() Messages // counts of the system so far; may be nil
+	WarmUp    time.Duration   // jobs intended before this are sent but not measured
+
+	MaxOutstanding int           // jobs in progress beyond which jobs are not sent but counted as failed; default 20000
+	AnswerTimeout  time.Duration // beyond the deadline of a job, after which its answer is given up; default 10 s
+}
+
+func (op Options) withDefaults() Options {
+	if op.MaxOutstanding <= 0 {
+		op.MaxOutstanding = 20000
+	}
+	if op.AnswerTimeout <= 0 {
+		op.AnswerTimeout = 10 * time.Second
+	}
+	return op
+}
+
+// Run sends the jobs of the model and waits for their answers. If ctx ends, it returns its error and no report.
+func Run(ctx context.Context, op Options) (*Report, error) {
+	op = op.withDefaults()
+	if op.Target == nil || op.Free == nil {
+		return nil, errors.New("a load run needs a target and the free workers")
+	}
+	jobs, err := op.Model.Jobs()
+	if err != nil {
+		return nil, errors.Wrap(err, "generate the jobs")
+	}
+	ru := &run{op: op, rec: newRecorder(), start: time.Now()}
+	if op.Messages != nil && op.WarmUp <= 0 {
+		ru.before = op.Messages()
+	}
+	ru.send(ctx, jobs)
+	ru.wg.Wait()
+	if err := ctx.Err(); err != nil {
+		return nil, errors.Wrap(err, "load run")
+	}
+	re := ru.rec.report()
+	re.Name, re.Rate, re.Seed = op.Name, op.Model.Rate, op.Model.Seed
+	if op.Messages != nil {
+		re.Messages = op.Messages().sub(ru.before)
+	}
+	return re, nil
+}
+
+// run is a run in progress.
+type run struct {
+	op          Options
+	rec         *recorder
+	start       time.Time
+	before      Messages
+	outstanding atomic.Int64
+	wg          sync.WaitGroup
+}
+
+// send starts each job at its intended time.
+func (ru *run) send(ctx context.Context, jobs []Job) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	warm := ru.op.WarmUp <= 0
+	for i := range jobs {
+		jo := &jobs[i]
+		if wait := time.Until(ru.start.Add(jo.At)); wait > 0 {
+			timer.Reset(wait)
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+				return
+			}
+		}
+		if !warm && jo.At >= ru.op.WarmUp {
+			warm = true
+			if ru.op.Messages != nil {
+				ru.before = ru.op.Messages()
+			}
+		}
+		me := measurement{job: jo, measured: warm, late: time.Since(ru.start.Add(jo.At))}
+		if ru.outstanding.Load() >= int64(ru.op.MaxOutstanding) {
+			me.outcome = OutcomeNotSent
+			ru.rec.add(me)
+			continue
+		}
+		me.ideal = Ideal(ru.op.RoundTrip, works(jo), ru.op.Free())
+		ru.outstanding.Add(1)
+		ru.wg.Go(func() {
+			defer ru.outstanding.Add(-1)
+			ru.submit(ctx, me)
+		})
+	}
+}
+
+func works(jo *Job) []time.Duration {
+	out := make([]time.Duration, len(jo.Tasks))
+	for i, ta := range jo.Tasks {
+		out[i] = ta.Work()
+	}
+	return out
+}
+
+// submit runs one job and records it. The response time counts from the intended send time.
+func (ru *run) submit(ctx context.Context, me measurement) {
+	ctx, cancel := context.WithDeadline(ctx, ru.start.Add(me.job.Deadline+ru.op.AnswerTimeout))
+	defer cancel()
+	answer, err := ru.exchange(ctx, me.job)
+	me.response = time.Since(ru.start.Add(me.job.At))
+	me.outcome = string(answer.Outcome)
+	if err != nil {
+		me.outcome = OutcomeError
+	}
+	ru.rec.add(me)
+}
+
+func (ru *run) exchange(ctx context.Context, jo *Job) (lovagejob.Answer, error) {
+	sub, err := jo.Submission(ru.start)
+	if err != nil {
+		return lovagejob.Answer{}, err
+	}
+	if jo.CancelAt > 0 {
+		if sub.Key, err = ru.op.Target.Mint(ctx, jo.Repeatable); err != nil {
+			return lovagejob.Answer{}, errors.Wrap(err, "mint a key")
+		}
+		stop := ru.cancelLater(ctx, jo, sub.Key)
+		defer stop()
+	}
+	answer, err := ru.op.Target.Submit(ctx, sub)
+	return answer, errors.Wrap(err, "submit a job")
+}
+
+// cancelLater cancels a job at its time. The returned function gives up the cancellation, or waits for it.
+func (ru *run) cancelLater(ctx context.Context, jo *Job, key lovagejob.Key) (stop func()) {
+	done := make(chan struct{})
+	timer := time.AfterFunc(time.Until(ru.start.Add(jo.CancelAt)), func() {
+		defer close(done)
+		if err := ru.op.Target.Cancel(ctx, key); err != nil {
+			ru.rec.cancelFailed.Add(1)
+		}
+	})
+	return func() {
+		if !timer.Stop() {
+			<-done
+		}
+	}
+}
--- /dev/null
+++ b/lovageload/run_test.go
@@ -0,0 +1,236 @@
+package lovageload
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"encoding/xml"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+
+	"lovagestack/lovagejob"
+)
+
+// fakeTarget answers with a function and notes cancellations.
+type fakeTarget struct {
+	submit    func(sub *lovagejob.Submission) (lovagejob.Answer, error)
+	cancelled chan lovagejob.Key
+}
+
+func (ft fakeTarget) Submit(_ context.Context, sub *lovagejob.Submission) (lovagejob.Answer, error) {
+	return ft.submit(sub)
+}
+
+func (ft fakeTarget) Mint(context.Context, bool) (lovagejob.Key, error) {
+	return lovagejob.Key{DataCentre: "kandla", Epoch: 1, Nonce: "a"}, nil
+}
+
+func (ft fakeTarget) Cancel(_ context.Context, key lovagejob.Key) error {
+	ft.cancelled <- key
+	return nil
+}
+
+func complete(*lovagejob.Submission) (lovagejob.Answer, error) {
+	return lovagejob.Answer{Outcome: lovagejob.Complete}, nil
+}
+
+// send runs given jobs in a bubble of virtual time.
+func send(op Options, jobs []Job) *Report {
+	op.Free = func() []Worker { return []Worker{{Speed: 1, Slots: 1}} }
+	ru := &run{op: op.withDefaults(), rec: newRecorder(), start: time.Now()}
+	ru.send(context.Background(), jobs)
+	ru.wg.Wait()
+	return ru.rec.report()
+}
+
+func oneTask(at, runTime time.Duration) Job {
+	return Job{At: at, Deadline: time.Hour, Tasks: []Task{{RunTime: runTime, Straggler: 1}}}
+}
+
+// Guards against coordinated omission: jobs whose turn comes while the target stalls are sent on time, and their
+// response times count from the intended time.
+func TestStallCountsFromTheIntendedTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		target := fakeTarget{submit: func(sub *lovagejob.Submission) (lovagejob.Answer, error) {
+			time.Sleep(time.Until(start.Add(time.Second))) // stalls for the first second
+			return complete(sub)
+		}}
+		var jobs []Job
+		for i := range 10 {
+			jobs = append(jobs, oneTask(time.Duration(i)*100*ms, 100*ms))
+		}
+		re := send(Options{Target: target}, jobs)
+		must.Eq(t, map[string]int64{"complete": 10}, re.Outcomes)
+		must.Eq(t, 0.55, re.ResponseSeconds.Mean) // 1.0, 0.9, ... 0.1 s
+		must.Eq(t, 5.5, re.OverIdeal.Mean)
+		must.Zero(t, re.LateSeconds.Max)
+		must.Between(t, 10, re.Curve[len(re.Curve)-1].Y, 10.01) // three digits
+	})
+}
+
+// Guards against a generator that waits for the target, and against jobs that vanish from the report.
+func TestOutcomesAreAllCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var n atomic.Int64
+		target := fakeTarget{submit: func(sub *lovagejob.Submission) (lovagejob.Answer, error) {
+			switch n.Add(1) {
+			case 1:
+				time.Sleep(time.Hour)
+			case 2:
+				return lovagejob.Answer{}, errors.New("connection lost")
+			case 3:
+				return lovagejob.Answer{Outcome: lovagejob.NotRun}, nil
+			}
+			return complete(sub)
+		}}
+		jobs := []Job{oneTask(0, ms), oneTask(ms, ms), oneTask(2*ms, ms), oneTask(3*ms, ms)}
+		re := send(Options{Target: target, MaxOutstanding: 2}, jobs)
+		must.Eq(t, map[string]int64{"complete": 2, "error": 1, "notRun": 1}, re.Outcomes)
+		n.Store(0)
+		re = send(Options{Target: target, MaxOutstanding: 1}, jobs)
+		must.Eq(t, map[string]int64{"complete": 1, OutcomeNotSent: 3}, re.Outcomes)
+	})
+}
+
+// Guards against a cancellation that is not sent, is sent early, or whose job counts as a response.
+func TestCancellation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		target := fakeTarget{cancelled: make(chan lovagejob.Key, 2)}
+		target.submit = func(sub *lovagejob.Submission) (lovagejob.Answer, error) {
+			if sub.Key.IsZero() {
+				return complete(sub)
+			}
+			must.Eq(t, sub.Key, <-target.cancelled)
+			must.Eq(t, 300*ms, time.Since(start))
+			return lovagejob.Answer{Outcome: lovagejob.Cancelled}, nil
+		}
+		cancelled := oneTask(100*ms, 100*ms)
+		cancelled.CancelAt = 300 * ms
+		re := send(Options{Target: target, RoundTrip: ms}, []Job{oneTask(0, 100*ms), cancelled})
+		must.Eq(t, map[string]int64{"complete": 1, "cancelled": 1}, re.Outcomes)
+		must.Zero(t, re.ResponseSeconds.Max)
+	})
+}
+
+// Guards against a warm-up that is measured, and against messages that are not per task.
+func TestRunMeasuresAfterTheWarmUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		model := DefaultModel(1)
+		model.Rate, model.Duration, model.CancelShare = 20, 20*time.Second, 0
+		jobs, err := model.Jobs()
+		must.NoError(t, err)
+		var want, messages int64
+		for _, jo := range jobs {
+			if jo.At >= 10*time.Second {
+				want++
+			}
+		}
+		re, err := Run(context.Background(), Options{
+			Name: "x", Model: model, WarmUp: 10 * time.Second,
+			Target: fakeTarget{submit: func(sub *lovagejob.Submission) (lovagejob.Answer, error) {
+				atomic.AddInt64(&messages, int64(len(sub.Tasks)))
+				return complete(sub)
+			}},
+			Free:     func() []Worker { return nil },
+			Messages: func() Messages { n := atomic.LoadInt64(&messages); return Messages{Useful: n, Polled: n, Refused: n} },
+		})
+		must.NoError(t, err)
+		must.Eq(t, want, re.Jobs)
+		useful, wasted := re.PerTask()
+		must.Eq(t, 1.0, useful)
+		must.Eq(t, 2.0, wasted)
+	})
+}
+
+// Guards against tables and plots that drop a report or are not well-formed.
+func TestTableAndPlot(t *testing.T) {
+	reports := []*Report{{
+		Name: "a<b", Rate: 12.5, Jobs: 3, Tasks: 8, Outcomes: map[string]int64{"failed": 1, "complete": 2},
+		OverIdeal: Quantiles{Mean: 1.0625}, Messages: Messages{Useful: 12, Refused: 1},
+		Curve: []Point{{0, 1}, {50, 1.05}, {99, 2}, {100, 3}},
+	}, {Name: "empty"}}
+	var text, js, svg bytes.Buffer
+	must.NoError(t, WriteTable(&text, reports))
+	must.StrContains(t, text.String(), "complete:2 failed:1")
+	must.Eq(t, "a<b 12.5 3 8 1.062", strings.Join(strings.Fields(strings.Split(text.String(), "\n")[1])[:5], " "))
+	must.NoError(t, WriteJSON(&js, reports))
+	var back []*Report
+	must.NoError(t, json.Unmarshal(js.Bytes(), &back))
+	must.Eq(t, reports[0], back[0])
+	must.NoError(t, CurvePlot("p & q", reports).WriteSVG(&svg))
+	dec := xml.NewDecoder(bytes.NewReader(svg.Bytes()))
+	for {
+		if _, err := dec.Token(); errors.Is(err, io.EOF) {
+			break
+		} else if err != nil {
+			t.Fatal(err)
+		}
+	}
+	must.StrContains(t, svg.String(), "a&lt;b")
+	// Percentile 0 is at the left edge and 100 at the right; the ratio 1 is at the bottom and 3 at the top.
+	must.StrContains(t, svg.String(), `points="70.0,425.0 `)
+	must.StrContains(t, svg.String(), ` 780.0,40.0"`)
+}
+
+// Guards against counters of one instance that replace those of another, and labels that break the parser.
+func TestScrapeCounters(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "# TYPE x counter\nx_total{kind=\"a b\"} 2\nx_total{kind=\"c\"} 1.5 1700000000\ny 4\n\n")
+	}))
+	defer server.Close()
+	got, err := ScrapeCounters(context.Background(), server.Client(), []string{server.URL, server.URL})
+	must.NoError(t, err)
+	must.Eq(t, map[string]float64{`x_total{kind="a b"}`: 4, `x_total{kind="c"}`: 3, "y": 8}, got)
+	must.Eq(t, map[string]float64{"x_total": 7, "y": 8}, SumByName(got))
+	for _, bad := range []string{"x", "x{a=\"b\"}", "x y"} {
+		_, err := ParseCounters(strings.NewReader(bad))
+		must.Error(t, err, must.Sprint(bad))
+	}
+}
+
+// Guards against a target that does not speak the caller API.
+func TestHTTPTarget(t *testing.T) {
+	key := lovagejob.Key{DataCentre: "kandla", Range: 1, Epoch: 2, Minted: time.UnixMilli(5).UTC(), Nonce: "a"}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.Method + " " + r.URL.Path {
+		case "POST /v1/keys":
+			_ = json.NewEncoder(w).Encode(map[string]any{"keys": []lovagejob.Key{key}})
+		case "POST /v1/jobs":
+			var sub lovagejob.Submission
+			if err := json.NewDecoder(r.Body).Decode(&sub); err != nil || sub.Service != "stock" {
+				w.WriteHeader(http.StatusBadRequest)
+				return
+			}
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_ = json.NewEncoder(w).Encode(lovagejob.Answer{Key: sub.Key, Outcome: lovagejob.NotRun})
+		case "DELETE /v1/jobs/" + key.String():
+		default:
+			w.WriteHeader(http.StatusNotFound)
+		}
+	}))
+	defer server.Close()
+	ht := NewHTTPTarget([]string{server.URL})
+	ctx := context.Background()
+	got, err := ht.Mint(ctx, true)
+	must.NoError(t, err)
+	must.Eq(t, key, got)
+	answer, err := ht.Submit(ctx, &lovagejob.Submission{Key: key, Service: "stock"})
+	must.NoError(t, err)
+	must.Eq(t, lovagejob.Answer{Key: key, Outcome: lovagejob.NotRun}, answer)
+	_, err = ht.Submit(ctx, &lovagejob.Submission{Service: "other"})
+	must.Error(t, err)
+	must.NoError(t, ht.Cancel(ctx, key))
+	must.Error(t, ht.Cancel(ctx, lovagejob.Key{}))
+	ht.Client.CloseIdleConnections()
+}
