lovagepeer: keep responses that arrived before the end of a session

Cause: TestAwaitIdle found that a graceful shutdown lost a response: closing a TCP connection with unread bytes resets it, and the peer ended its session at the first error although responses were waiting in its buffers. Ruled out: CloseWrite before Close, because yamux still writes window updates and then closes the connection itself. Change: AwaitIdle waits for calls and handlers in both directions and then for a pong of each peer, which proves that everything sent has been received. A session whose connection fails ends only after its read loops have read what had arrived. Requests and responses are counted when they are written. Frames are decoded in the read buffer. The relay of the tests also drops one direction only or stops reading; a stranger on the port is tested. Conclusion: an instance that shuts down stops taking on work, calls AwaitIdle and then ends Serve.

--- a/lovagepeer/conn.go
+++ b/lovagepeer/conn.go
@@ -19,6 +19,8 @@
 	co       *counters
 	header   [yamuxHeaderBytes]byte // owned by the writing goroutine of yamux
 	held     bool
+	parts    [2][]byte    // memory of bufs
+	bufs     net.Buffers  // reused by Write
 	lastRead atomic.Int64 // Unix nanoseconds
 }
 
@@ -49,8 +51,8 @@
 	}
 	cc.held = false
 	cc.co.bytesSent.Inc(yamuxHeaderBytes)
-	bufs := net.Buffers{cc.header[:], p}
-	n, err := bufs.WriteTo(cc.Conn)
+	cc.bufs = append(cc.parts[:0], cc.header[:], p)
+	n, err := cc.bufs.WriteTo(cc.Conn)
 	return max(0, int(n)-yamuxHeaderBytes), err
 }
 
--- a/lovagepeer/fault_test.go
+++ b/lovagepeer/fault_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -16,29 +19,43 @@
 	"lovagestack/lovagemessage"
 )
 
-// Guards against a silent session that is kept: it must end on both sides and a new one must work.
+// Guards against a session that is kept although bytes no longer pass, in both directions, in one of them, or because
+// the other side no longer reads. The session must end and a new one must work, also for calls from the other side.
 func TestSilentSessionIsReplaced(t *testing.T) {
-	counts := newTestCounters()
-	var notices noticeLog
-	_, ab, _ := serve(t, Options{Instance: "b"}, echo)
-	re := newRelay(t, ab)
-	ma, _, _ := serve(t, Options{
-		Instance: "a", Counters: counts, SessionUp: notices.up, SessionDown: notices.down,
-	}, echo)
-	ma.Connect("b", re.address())
-	ctx := testContext(t)
-	must.NoError(t, callErr(ma, ctx, re.address(), "before"))
-	re.silenceOpen()
-	start := time.Now()
-	err := callErr(ma, ctx, re.address(), "lost")
-	must.Error(t, err)
-	must.False(t, errors.Is(err, ErrNotSent), must.Sprint("the relay may have passed it on"))
-	t.Logf("silent session closed after %s", time.Since(start).Round(time.Millisecond))
-	for callErr(ma, ctx, re.address(), "after") != nil {
-		must.NoError(t, ctx.Err())
+	for name, set := range map[string]func(fa *fault){
+		"both directions": func(fa *fault) { fa.dropTo.Store(true); fa.dropFrom.Store(true) },
+		"to the peer":     func(fa *fault) { fa.dropTo.Store(true) },
+		"from the peer":   func(fa *fault) { fa.dropFrom.Store(true) },
+		"stalled":         func(fa *fault) { fa.stall.Store(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			counts := newTestCounters()
+			var notices noticeLog
+			mb, ab, _ := serve(t, Options{Instance: "b"}, echo)
+			re := newRelay(t, ab)
+			ma, aa, _ := serve(t, Options{
+				Instance: "a", Counters: counts, SessionUp: notices.up, SessionDown: notices.down,
+			}, echo)
+			ma.Connect("b", re.address())
+			ctx := testContext(t)
+			must.NoError(t, callErr(ma, ctx, re.address(), "before"))
+			re.breakOpen(set)
+			start := time.Now()
+			err := callErr(ma, ctx, re.address(), "lost"+string(make([]byte, 8<<20)))
+			must.Error(t, err)
+			must.False(t, errors.Is(err, ErrNotSent), must.Sprint("the relay may have passed it on"))
+			t.Logf("session closed after %s", time.Since(start).Round(time.Millisecond))
+			for callErr(ma, ctx, re.address(), "after") != nil {
+				must.NoError(t, ctx.Err())
+			}
+			must.Positive(t, counts.get(CounterSessionsClosed))
+			notices.await(t, "up b", "down b false", "up b")
+			for callErr(mb, ctx, aa, "back") != nil {
+				must.NoError(t, ctx.Err())
+			}
+		})
 	}
-	must.Positive(t, counts.get(CounterSessionsSilent))
-	notices.await(t, "up b", "down b false", "up b")
 }
 
 // noticeLog records session callbacks.
@@ -264,3 +281,46 @@
 	// 4 transfers of 32 MiB in all take far longer than 20 round trips unless accepts queue behind them.
 	must.Greater(t, 20, accepts)
 }
+
+// Guards against a stranger on the port that disturbs the Mesh or holds a goroutine for ever.
+func TestStrangerOnThePort(t *testing.T) {
+	_, ab, _ := serve(t, Options{Instance: "b"}, echo)
+	ma, _, _ := serve(t, Options{Instance: "a"}, echo)
+	for _, text := range []string{"", "GET / HTTP/1.1\r\n\r\n", string(make([]byte, 1000))} {
+		co, err := net.Dial("tcp", ab)
+		must.NoError(t, err)
+		_, err = co.Write([]byte(text))
+		must.NoError(t, err)
+		must.NoError(t, callErr(ma, testContext(t), ab, "x"))
+		must.NoError(t, co.SetReadDeadline(time.Now().Add(hangLimit)))
+		_, err = io.Copy(io.Discard, co) // until the Mesh closes the connection
+		must.False(t, errors.Is(err, os.ErrDeadlineExceeded))
+		_ = co.Close()
+	}
+}
+
+// Guards against a shutdown that cuts a request in progress, in either direction.
+func TestAwaitIdle(t *testing.T) {
+	entered, release := make(chan struct{}), make(chan struct{})
+	mb, ab, stopB := serve(t, Options{Instance: "b"}, handlerFunc(func(
+		ctx context.Context, from string, req *lovagemessage.Request,
+	) (*lovagemessage.Response, error) {
+		close(entered)
+		<-release
+		return echo(ctx, from, req)
+	}))
+	ma, _, _ := serve(t, Options{Instance: "a"}, echo)
+	result := make(chan error, 1)
+	go func() { result <- callErr(ma, testContext(t), ab, string(make([]byte, 4<<20))) }()
+	<-entered
+	for _, me := range []*Mesh{ma, mb} {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		must.ErrorIs(t, me.AwaitIdle(ctx), context.DeadlineExceeded)
+		cancel()
+	}
+	close(release)
+	must.NoError(t, mb.AwaitIdle(testContext(t)))
+	stopB()
+	must.NoError(t, <-result)
+	must.NoError(t, ma.AwaitIdle(testContext(t)))
+}
--- a/lovagepeer/handshake.go
+++ b/lovagepeer/handshake.go
@@ -1,9 +1,7 @@
 package lovagepeer
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"math/rand/v2"
 	"net"
 	"time"
@@ -239,11 +237,3 @@
 	}
 	return me.op.AppliedRevision()
 }
-
-func readFrame(re *bufio.Reader, maxBytes int) (*lovagemessage.Frame, error) {
-	var prefix [lengthBytes]byte
-	if _, err := io.ReadFull(re, prefix[:]); err != nil {
-		return nil, err
-	}
-	return readBody(re, prefix, maxBytes)
-}
--- a/lovagepeer/mesh.go
+++ b/lovagepeer/mesh.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -144,14 +145,8 @@
 	me.ctx = nil
 	_ = me.listener.Close()
 	me.listener = nil
-	var sessions []*session
-	for _, pe := range me.peers {
-		if pe.sess != nil {
-			sessions = append(sessions, pe.sess)
-		}
-	}
 	me.mu.Unlock()
-	for _, se := range sessions {
+	for _, se := range me.sessions() {
 		se.close(errors.New("this instance is shutting down"))
 	}
 	me.wg.Wait()
@@ -209,7 +204,65 @@
 		return nil, notSent(errors.Wrapf(err, "call peer %s", address))
 	}
 	resp, err := se.call(ctx, req)
-	return resp, errors.Wrapf(err, "call peer %s", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "call peer %s", address)
+	}
+	return resp, nil
+}
+
+// idlePollInterval is how often AwaitIdle looks.
+const idlePollInterval = 5 * time.Millisecond
+
+// AwaitIdle waits until no request is in progress in either direction and every peer has received what was
+// sent to it. A graceful shutdown calls it after the instance has stopped taking on work and before it ends the
+// context of Serve. Its error is that of ctx.
+func (me *Mesh) AwaitIdle(ctx context.Context) error {
+	ticker := time.NewTicker(idlePollInterval)
+	defer ticker.Stop()
+	for {
+		if me.idle() {
+			me.flush()
+			if me.idle() {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "wait for requests of peers in progress")
+		case <-ticker.C:
+		}
+	}
+}
+
+func (me *Mesh) idle() bool {
+	for _, se := range me.sessions() {
+		if !se.idle() {
+			return false
+		}
+	}
+	return true
+}
+
+// flush waits until every peer has received what was written, because closing a connection may discard bytes that are
+// still on their way. A pong proves it; a peer that sends none loses its session anyway.
+func (me *Mesh) flush() {
+	var wg sync.WaitGroup
+	for _, se := range me.sessions() {
+		wg.Go(func() { _, _ = se.ya.Ping() })
+	}
+	wg.Wait()
+}
+
+func (me *Mesh) sessions() []*session {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	var out []*session
+	for _, pe := range me.peers {
+		if pe.sess != nil {
+			out = append(out, pe.sess)
+		}
+	}
+	return out
 }
 
 // session returns the session with an address and dials if needed.
--- a/lovagepeer/relay_test.go
+++ b/lovagepeer/relay_test.go
@@ -16,17 +16,23 @@
 	target string
 	wg     sync.WaitGroup
 
-	mu      sync.Mutex
-	conns   []net.Conn
-	silence *atomic.Bool // of the connections made so far
-	limit   atomic.Int64 // closes a connection once so many bytes have passed to the target; 0: never
+	mu    sync.Mutex
+	conns []net.Conn
+	fault *fault       // of the connections made since the last fault
+	limit atomic.Int64 // closes a connection once so many bytes have passed to the target; 0: never
+}
+
+// fault is what a relay does to its connections, for ever.
+type fault struct {
+	dropTo, dropFrom atomic.Bool // read and drop the bytes to or from the target
+	stall            atomic.Bool // stop reading, so that writes block
 }
 
 func newRelay(tb testing.TB, target string) *relay {
 	tb.Helper()
 	li, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(tb, err)
-	re := &relay{li: li, target: target, silence: new(atomic.Bool)}
+	re := &relay{li: li, target: target, fault: new(fault)}
 	re.wg.Go(re.loop)
 	tb.Cleanup(re.close)
 	return re
@@ -47,21 +53,27 @@
 		}
 		re.mu.Lock()
 		re.conns = append(re.conns, in, out)
-		silence := re.silence
+		fa := re.fault
 		re.mu.Unlock()
-		re.wg.Go(func() { re.copy(out, in, silence, true) })
-		re.wg.Go(func() { re.copy(in, out, silence, false) })
+		re.wg.Go(func() { re.copy(out, in, fa, true) })
+		re.wg.Go(func() { re.copy(in, out, fa, false) })
 	}
 }
 
-// copy passes bytes on until silenced, and then reads and drops them. It does not pass on the end of a silenced
-// connection either.
-func (re *relay) copy(to, from net.Conn, silence *atomic.Bool, toTarget bool) {
+// copy passes bytes on until there is a fault. It does not pass on the end of a faulty connection either.
+func (re *relay) copy(to, from net.Conn, fa *fault, toTarget bool) {
+	drop := &fa.dropFrom
+	if toTarget {
+		drop = &fa.dropTo
+	}
 	buf := make([]byte, 16<<10)
 	var passed int64
 	for {
 		n, err := from.Read(buf)
-		if silence.Load() {
+		if fa.stall.Load() {
+			return
+		}
+		if drop.Load() {
 			if err != nil {
 				return
 			}
@@ -80,12 +92,12 @@
 	}
 }
 
-// silenceOpen makes the open connections silent for ever; later ones work.
-func (re *relay) silenceOpen() {
+// breakOpen puts a fault on the open connections; later ones work.
+func (re *relay) breakOpen(set func(fa *fault)) {
 	re.mu.Lock()
 	defer re.mu.Unlock()
-	re.silence.Store(true)
-	re.silence = new(atomic.Bool)
+	set(re.fault)
+	re.fault = new(fault)
 }
 
 func (re *relay) close() {
--- a/lovagepeer/session.go
+++ b/lovagepeer/session.go
@@ -38,7 +38,7 @@
 	handling atomic.Int64 // requests of the peer being handled
 
 	mu      sync.Mutex
-	err     error // why the session ended; set before ctx ends
+	err     error // why the session ends; set before ctx ends
 	nextID  uint64
 	pending map[uint64]chan *lovagemessage.Response
 }
@@ -73,39 +73,64 @@
 		se.me.wg.Add(1)
 		go func() {
 			defer se.me.wg.Done()
-			se.close(loop())
+			if err := loop(); err != nil {
+				se.fail(err)
+			}
 		}()
 	}
+	var readers sync.WaitGroup
+	readers.Add(len(se.streams))
 	for i := range se.streams {
-		run(func() error { return se.readLoop(i) })
+		run(func() error {
+			defer readers.Done()
+			return se.readLoop(i)
+		})
 		run(func() error { return se.writers[i].loop(se.ctx.Done()) })
 	}
 	run(se.keepAlive)
-	se.me.wg.Add(1)
-	go func() {
-		defer se.me.wg.Done()
+	run(func() error { // what had arrived before a failure is still read
+		readers.Wait()
+		se.close(nil)
+		return nil
+	})
+	run(func() error {
 		se.finish()
-	}()
+		return nil
+	})
+}
+
+// fail ends the connection. The session ends when what has already arrived has been read, so that a response is not
+// lost because the peer closed right after it.
+func (se *session) fail(err error) {
+	se.note(err)
+	_ = se.ya.Close()
+}
+
+// note keeps the first reason for the end of the session.
+func (se *session) note(err error) {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	if se.err == nil {
+		se.err = err
+	}
 }
 
 // finish releases the connection when the session's context has ended.
 func (se *session) finish() {
 	<-se.ctx.Done()
-	se.close(se.ctx.Err())
+	se.close(se.ctx.Err()) // the context of Serve may have ended first
 	_ = se.conn.Close()
 	_ = se.ya.Close()
 	se.me.ended(se)
 }
 
-// close ends the session once; later calls do nothing.
+// close ends the session at once. Later calls do nothing. An error of nil stands for a reason that was noted before.
 func (se *session) close(err error) {
 	se.once.Do(func() {
 		if err == nil {
 			err = errors.New("session closed")
 		}
-		se.mu.Lock()
-		se.err = err
-		se.mu.Unlock()
+		se.note(err)
 		if se.cancel != nil {
 			se.cancel()
 			return
@@ -162,20 +187,37 @@
 	}
 }
 
-func readBody(re io.Reader, prefix [lengthBytes]byte, maxBytes int) (*lovagemessage.Frame, error) {
-	size := binary.BigEndian.Uint32(prefix[:])
+// readFrame reads a frame. Decoding copies what it keeps, so a frame that fits is decoded in the reader's buffer.
+func readFrame(re *bufio.Reader, maxBytes int) (*lovagemessage.Frame, error) {
+	prefix, err := re.Peek(lengthBytes)
+	if err != nil {
+		return nil, err
+	}
+	size := binary.BigEndian.Uint32(prefix)
 	if uint64(size) > uint64(maxBytes) {
 		return nil, errors.Newf("frame of %d bytes is larger than the limit of %d", size, maxBytes)
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(re, data); err != nil {
+	if _, err := re.Discard(lengthBytes); err != nil {
+		return nil, err
+	}
+	var data []byte
+	if int(size) <= re.Size() {
+		data, err = re.Peek(int(size))
+	} else {
+		data = make([]byte, size)
+		_, err = io.ReadFull(re, data)
+	}
+	if err != nil {
 		return nil, err
 	}
 	fr := &lovagemessage.Frame{}
 	if err := proto.Unmarshal(data, fr); err != nil {
 		return nil, errors.Wrap(err, "decode a frame")
 	}
-	return fr, nil
+	if int(size) <= re.Size() {
+		_, err = re.Discard(int(size))
+	}
+	return fr, err
 }
 
 // settle hands a response to the call that waits for it, if there still is one.
@@ -224,12 +266,11 @@
 			return
 		}
 	}
+	of.sent = se.me.counts.responsesSent[kind]
 	if err := se.writerFor(kind, of).push(of); err != nil {
 		// A response that is dropped would leave the peer's call waiting for ever.
 		se.close(err)
-		return
 	}
-	se.me.counts.responsesSent[kind].Inc(1)
 }
 
 func (se *session) writerFor(kind string, of *outFrame) *writer {
@@ -253,12 +294,12 @@
 		return nil, notSent(err)
 	}
 	kind := Kind(req)
+	of.sent = se.me.counts.requestsSent[kind]
 	if err := se.writerFor(kind, of).push(of); err != nil {
 		return nil, notSent(err)
 	}
 	select {
 	case resp := <-waiting:
-		se.me.counts.requestsSent[kind].Inc(1)
 		return checkResponse(resp)
 	case <-ctx.Done():
 		err = ctx.Err()
@@ -270,7 +311,6 @@
 	if of.drop() {
 		return nil, notSent(err)
 	}
-	se.me.counts.requestsSent[kind].Inc(1)
 	return nil, err
 }
 
@@ -285,6 +325,14 @@
 	return nil, err
 }
 
+// idle reports whether no request is in progress in either direction and everything has been written.
+func (se *session) idle() bool {
+	se.mu.Lock()
+	calls := len(se.pending)
+	se.mu.Unlock()
+	return calls == 0 && se.handling.Load() == 0 && se.writers[0].idle() && se.writers[1].idle()
+}
+
 func (se *session) register(waiting chan *lovagemessage.Response) (uint64, error) {
 	se.mu.Lock()
 	defer se.mu.Unlock()
--- a/lovagepeer/writer.go
+++ b/lovagepeer/writer.go
@@ -31,6 +31,7 @@
 // outFrame is an encoded frame on its way to a stream.
 type outFrame struct {
 	data  []byte // length prefix and message
+	sent  Counter
 	state atomic.Int32
 }
 
@@ -48,7 +49,7 @@
 		return nil, errors.Wrap(err, "encode a frame")
 	}
 	binary.BigEndian.PutUint32(data, uint32(len(data)-lengthBytes))
-	return &outFrame{data: data}, nil
+	return &outFrame{data: data, sent: noCounter{}}, nil
 }
 
 // writer writes the frames of one stream. Frames that are queued while a write is in progress go out together.
@@ -61,7 +62,8 @@
 
 	mu    sync.Mutex
 	queue []*outFrame
-	bytes int
+	bytes int  // of queue
+	busy  bool // a write is in progress
 }
 
 func newWriter(st *yamux.Stream, op *Options, writes Counter) *writer {
@@ -86,6 +88,13 @@
 	return nil
 }
 
+// idle reports whether everything pushed has been written.
+func (wr *writer) idle() bool {
+	wr.mu.Lock()
+	defer wr.mu.Unlock()
+	return len(wr.queue) == 0 && !wr.busy
+}
+
 // loop writes until a write fails or done is closed.
 func (wr *writer) loop(done <-chan struct{}) error {
 	var queue, spare []*outFrame
@@ -100,10 +109,14 @@
 		runtime.Gosched()
 		wr.mu.Lock()
 		queue, wr.queue, wr.bytes = wr.queue, spare[:0], 0
+		wr.busy = true
 		wr.mu.Unlock()
 		if err := wr.writeAll(queue, buf); err != nil {
 			return err
 		}
+		wr.mu.Lock()
+		wr.busy = false
+		wr.mu.Unlock()
 		clear(queue)
 		spare = queue
 	}
@@ -114,6 +127,7 @@
 		if !of.state.CompareAndSwap(stateQueued, stateTaken) {
 			continue
 		}
+		of.sent.Inc(1)
 		if len(buf)+len(of.data) > maxBatchBytes {
 			if err := wr.write(buf); err != nil {
 				return err
