lovagedispatch: count returned slots from the start of the loan

Cause: a borrower may give a loan back in two parts. If the first ReturnSlots arrives twice, the lender took back the slots that the borrower was still using, and both could start a task on them. Ruled out: a number per return message; it needs a new wire field, while a count from the start of the loan is safe when repeated, lost or out of order. Change: ReturnSlots and SlotsReturned carry the slots given back so far per worker. New tests connect three cores by messages that are lost, repeated, late and out of order, and check after each step that no worker runs more tasks than it has slots and, at the end, that every slot came back without a message. Deaths of borrower and lender, the choice of the peer and the weight "fewerMessages" have tests of their own. An earlier failure of the new test was its own: all cores drew the same loan numbers. Each now has its own seed. Conclusion: the wire format is unchanged; the integrator passes the counts through.

--- a/lovagedispatch/checker_test.go
+++ b/lovagedispatch/checker_test.go
@@ -42,7 +42,8 @@
 
 type seenLoan struct {
 	until time.Time
-	slots map[string]int
+	given map[string]int
+	slots map[string]int // not returned
 	used  map[string]int
 }
 
@@ -102,12 +103,12 @@
 	case SlotsLent:
 		ke := loanKey{ev.From, ev.Loan}
 		if ch.loans[ke] == nil {
-			ch.loans[ke] = &seenLoan{until: ev.Until, slots: slotMap(ev.Slots), used: map[string]int{}}
+			ch.loans[ke] = &seenLoan{until: ev.Until, given: slotMap(ev.Slots), slots: slotMap(ev.Slots), used: map[string]int{}}
 		}
 	case SlotsReturned:
 		if lo := ch.lent[ev.Loan]; lo != nil {
 			for _, sl := range ev.Slots {
-				lo.slots[sl.Worker] -= min(sl.Slots, lo.slots[sl.Worker])
+				lo.slots[sl.Worker] = max(0, min(lo.slots[sl.Worker], lo.given[sl.Worker]-sl.Slots))
 			}
 		}
 	}
@@ -180,7 +181,7 @@
 			if cm.Loan == 0 || ch.lent[cm.Loan] != nil {
 				continue
 			}
-			ch.lent[cm.Loan] = &seenLoan{until: cm.Until, slots: slotMap(cm.Slots)}
+			ch.lent[cm.Loan] = &seenLoan{until: cm.Until, given: slotMap(cm.Slots), slots: slotMap(cm.Slots)}
 			for _, sl := range cm.Slots {
 				if wo := ch.workers[sl.Worker]; wo.own+ch.lentOf(sl.Worker) > ch.share(wo) {
 					ch.fault("lent %d slots of %s beyond the share", sl.Slots, sl.Worker)
@@ -189,7 +190,7 @@
 		case ReturnSlots:
 			if lo := ch.loans[loanKey{cm.To, cm.Loan}]; lo != nil {
 				for _, sl := range cm.Slots {
-					lo.slots[sl.Worker] -= sl.Slots
+					lo.slots[sl.Worker] = min(lo.slots[sl.Worker], lo.given[sl.Worker]-sl.Slots)
 				}
 			}
 		}
--- a/lovagedispatch/command.go
+++ b/lovagedispatch/command.go
@@ -53,8 +53,9 @@
 	Until time.Time // time until which the borrower may start tasks on the slots
 }
 
-// ReturnSlots gives borrowed slots back to their lender. Losing it does no harm: the lender takes the slots back when
-// the loan has ended.
+// ReturnSlots gives borrowed slots back to their lender. Slots holds, for each worker named, the number of the loan's
+// slots given back so far, so a repeated or overtaken message does no harm. Neither does losing it: the lender takes the
+// slots back when the loan has ended.
 type ReturnSlots struct {
 	To    string
 	Loan  uint64
--- a/lovagedispatch/event.go
+++ b/lovagedispatch/event.go
@@ -108,7 +108,7 @@
 	Until time.Time // end of the loan, on this instance's clock
 }
 
-// SlotsReturned gives back slots of a loan made by this instance.
+// SlotsReturned gives back slots of a loan made by this instance, counted as in [ReturnSlots].
 type SlotsReturned struct {
 	From  string
 	Loan  uint64
--- a/lovagedispatch/lend.go
+++ b/lovagedispatch/lend.go
@@ -148,7 +148,9 @@
 	for _, sl := range ev.Slots {
 		for i := range le.slots {
 			if le.slots[i].wo.spec.ID == sl.Worker {
-				co.takeBack(le, &le.slots[i], min(max(sl.Slots, 0), le.slots[i].slots))
+				ls := &le.slots[i]
+				before := ls.given - ls.slots // slots that were given back already
+				co.takeBack(le, ls, min(max(sl.Slots-before, 0), ls.slots))
 			}
 		}
 	}
--- /dev/null
+++ b/lovagedispatch/lending_test.go
@@ -0,0 +1,299 @@
+package lovagedispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// network connects several cores through messages that may be late, lost, repeated and out of order.
+type network struct {
+	drs  []*driver
+	mail []letter
+}
+
+type letter struct {
+	to int
+	ev Event
+}
+
+func newNetwork() *network {
+	nw := &network{}
+	for _, me := range testMembers {
+		dr := newDriver(DefaultSettings(me.ID, me.DataCentre))
+		dr.nextJob = uint64(len(nw.drs)) << 32
+		dr.step(MembersChanged{Members: testMembers})
+		dr.step(WorkersChanged{Workers: testWorkers(16, 2)})
+		dr.step(ServicesChanged{Services: testServices})
+		nw.drs = append(nw.drs, dr)
+	}
+	return nw
+}
+
+// collect turns the commands of a core into letters.
+func (nw *network) collect() {
+	index := map[string]int{"e1": 0, "e2": 1, "e3": 2}
+	for i, dr := range nw.drs {
+		from := testMembers[i].ID
+		for _, cm := range dr.sent {
+			switch cm := cm.(type) {
+			case AskSlots:
+				nw.mail = append(nw.mail, letter{index[cm.To], SlotsAsked{from, cm.Ask, cm.Service, cm.Slots, cm.Until}})
+			case LendSlots:
+				nw.mail = append(nw.mail, letter{index[cm.To], SlotsLent{from, cm.Ask, cm.Loan, cm.Slots, cm.Until}})
+			case ReturnSlots:
+				nw.mail = append(nw.mail, letter{index[cm.To], SlotsReturned{from, cm.Loan, cm.Slots}})
+			}
+		}
+		dr.sent = nil
+	}
+}
+
+func (nw *network) deliver(i int, keep bool) {
+	le := nw.mail[i]
+	if !keep {
+		nw.mail = append(nw.mail[:i], nw.mail[i+1:]...)
+	}
+	nw.drs[le.to].step(le.ev)
+	nw.collect()
+}
+
+func (nw *network) heartbeats() {
+	for i, from := range nw.drs {
+		for j, to := range nw.drs {
+			if i != j {
+				to.step(PeerLoad{Instance: testMembers[i].ID, Load: from.co.Load()})
+			}
+		}
+	}
+	nw.collect()
+}
+
+func (nw *network) pass(du time.Duration) {
+	for _, dr := range nw.drs {
+		dr.pass(du)
+	}
+	nw.collect()
+}
+
+// oversubscribed returns a worker with more tasks in flight than slots. Tasks that outlive their loan and its grace
+// time do not count: the lender uses the slot again by then, and the worker refuses what is too much.
+func (nw *network) oversubscribed() string {
+	used := map[string]int{}
+	for _, dr := range nw.drs {
+		for _, fl := range dr.flying {
+			counts := fl.start.Loan == 0
+			for ke, lo := range dr.ch.loans {
+				counts = counts || ke.id == fl.start.Loan && dr.now.Before(lo.until.Add(dr.ch.se.LoanGrace))
+			}
+			if counts {
+				used[fl.start.Worker]++
+			}
+		}
+	}
+	for _, wo := range testWorkers(16, 2) {
+		if used[wo.ID] > wo.Slots {
+			return fmt.Sprintf("worker %s runs %d tasks", wo.ID, used[wo.ID])
+		}
+	}
+	return ""
+}
+
+// Guards against slots that are used by two instances or lost for ever, whatever happens to the messages.
+func TestLendingBetweenCores(t *testing.T) {
+	borrowed := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		nw := newNetwork()
+		anyMail := func(rt *rapid.T) int { return rapid.IntRange(0, len(nw.mail)-1).Draw(rt, "letter") }
+		deliver := func(rt *rapid.T) {
+			if len(nw.mail) > 0 {
+				nw.deliver(anyMail(rt), false)
+			}
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"submit": func(rt *rapid.T) {
+				dr := nw.drs[rapid.IntRange(0, 2).Draw(rt, "instance")]
+				dr.submit(rapid.SampledFrom([]string{"both", "ponly", "qonly"}).Draw(rt, "service"), "a", rapid.IntRange(1, 25).Draw(rt, "tasks"), 20*time.Second)
+				nw.collect()
+			},
+			"end": func(rt *rapid.T) {
+				dr := nw.drs[rapid.IntRange(0, 2).Draw(rt, "instance")]
+				if n := len(dr.flying); n > 0 {
+					dr.end(rapid.IntRange(0, n-1).Draw(rt, "task"), rapid.SampledFrom([]TaskState{Succeeded, Succeeded, NotStarted}).Draw(rt, "state"))
+				}
+				nw.collect()
+			},
+			"heartbeats": func(*rapid.T) { nw.heartbeats() },
+			"deliver":    deliver,
+			"deliver2":   deliver,
+			"lose": func(rt *rapid.T) {
+				if len(nw.mail) > 0 {
+					i := anyMail(rt)
+					nw.mail = append(nw.mail[:i], nw.mail[i+1:]...)
+				}
+			},
+			"repeat": func(rt *rapid.T) {
+				if len(nw.mail) > 0 {
+					nw.deliver(anyMail(rt), true)
+				}
+			},
+			"pass": func(rt *rapid.T) {
+				nw.pass(time.Duration(rapid.IntRange(1, 900).Draw(rt, "ms")) * time.Millisecond)
+			},
+			"": func(rt *rapid.T) {
+				for _, dr := range nw.drs {
+					failOnFaults(rt, dr.ch)
+					borrowed += len(dr.co.loans)
+				}
+				if fault := nw.oversubscribed(); fault != "" {
+					rt.Fatal(fault)
+				}
+			},
+		})
+		nw.settle(rt)
+	})
+	must.Greater(t, 1000, borrowed, must.Sprint("the test must see loans"))
+}
+
+// settle ends all tasks and lets the time of all loans pass without another message.
+func (nw *network) settle(rt *rapid.T) {
+	for _, dr := range nw.drs {
+		for len(dr.flying) > 0 {
+			dr.end(0, Succeeded)
+		}
+		dr.pass(30 * time.Second)
+		for len(dr.flying) > 0 {
+			dr.end(0, Succeeded)
+		}
+		dr.pass(5 * time.Second)
+		if n := len(dr.co.jobs) + len(dr.co.loans) + len(dr.co.lent) + len(dr.co.lentAsks); n != 0 {
+			rt.Fatalf("%d jobs, %d loans and %d lent loans left", len(dr.co.jobs), len(dr.co.loans), len(dr.co.lent))
+		}
+		for _, wo := range dr.co.list {
+			if wo.inFlight() != 0 || wo.lent != 0 || len(wo.loans) != 0 {
+				rt.Fatalf("worker %s: %d in flight, %d lent, %d borrowed", wo.spec.ID, wo.inFlight(), wo.lent, len(wo.loans))
+			}
+		}
+		failOnFaults(rt, dr.ch)
+	}
+}
+
+// askFrom returns the ask that the core has sent, if any.
+func (dr *driver) askFrom() (as AskSlots, ok bool) {
+	for _, cm := range dr.sent {
+		if as, ok = cm.(AskSlots); ok {
+			return as, true
+		}
+	}
+	return as, false
+}
+
+// Guards against an ask to the wrong peer: the idlest one of the own data centre comes first, another data centre is
+// asked when the own one is full or has no worker of the service.
+func TestAskGoesToIdlestPeer(t *testing.T) {
+	for _, tt := range []struct {
+		service string
+		idle    map[string]int
+		want    string
+	}{
+		{"s", map[string]int{"e2": 3, "e3": 9, "e4": 50}, "e3"},
+		{"s", map[string]int{"e2": 0, "e3": 0, "e4": 50}, "e4"},
+		{"far", map[string]int{"e4": 5}, "e4"},
+		{"s", map[string]int{"e2": 0}, ""},
+	} {
+		dr := newDriver(DefaultSettings("e1", "kandla"))
+		dr.step(MembersChanged{Members: []Member{{"e1", "kandla"}, {"e2", "kandla"}, {"e3", "kandla"}, {"e4", "navlakhi"}}})
+		dr.step(WorkersChanged{Workers: []Worker{
+			{ID: "w0", DataCentre: "kandla", Pool: "p", Slots: 6},
+			{ID: "w1", DataCentre: "navlakhi", Pool: "q", Slots: 6},
+			{ID: "w2", DataCentre: "navlakhi", Pool: "p", Slots: 6},
+		}})
+		dr.step(ServicesChanged{Services: []Service{{Name: "s"}, {Name: "far", Pools: []string{"q"}}}})
+		for id, n := range tt.idle {
+			dr.step(PeerLoad{Instance: id, Load: Load{Services: []ServiceLoad{{tt.service, n, 0}}}})
+		}
+		dr.submit(tt.service, "a", 10, time.Minute)
+		as, _ := dr.askFrom()
+		must.Eq(t, tt.want, as.To)
+		if tt.want == "" {
+			continue
+		}
+		dr.step(SlotsLent{From: as.To, Ask: as.Ask, Loan: 7, Slots: []LentSlots{{"w2", 2}}, Until: as.Until})
+		if tt.service == "s" {
+			must.Eq(t, StartTask{Job: 1, Task: 3, Worker: "w2", Loan: 7}, dr.flying[len(dr.flying)-1].start)
+		}
+		dr.must(t)
+	}
+}
+
+// Guards against a service that prefers fewer messages and yet asks at every short wait.
+func TestFewerMessagesAsksLater(t *testing.T) {
+	asks := map[string]int{}
+	for _, service := range []string{"s", "t"} {
+		dr := oneInstance(10, 4, nil)
+		dr.step(MembersChanged{Members: []Member{{"e1", "kandla"}, {"e2", "kandla"}}})
+		dr.step(PeerLoad{Instance: "e2", Load: Load{Services: []ServiceLoad{{service, 20, 0}}}})
+		dr.submit(service, "a", 22, time.Minute)
+		must.Greater(t, 0, dr.co.queued)
+		_, ok := dr.askFrom()
+		asks[service] = len(dr.sent)
+		must.Eq(t, service == "s", ok, must.Sprintf("service %s", service))
+	}
+	must.Eq(t, map[string]int{"s": 1, "t": 0}, asks)
+}
+
+// Guards against slots that a dead borrower keeps, and slots of a dead lender that the borrower goes on using.
+func TestLoanSurvivesDeath(t *testing.T) {
+	members := []Member{{"e1", "kandla"}, {"e2", "kandla"}}
+	lender := oneInstance(4, 4, nil)
+	lender.step(MembersChanged{Members: members})
+	ask := SlotsAsked{From: "e2", Ask: 3, Service: "s", Slots: 50, Until: epoch.Add(time.Second)}
+	out := lender.step(ask)
+	lend := out[0].(LendSlots)
+	must.Eq(t, Command(lend), lender.step(ask)[0], must.Sprint("a repeated ask gets the same loan"))
+	must.Eq(t, 4, lender.co.Load().FreeSlots, must.Sprint("half of 8 free slots are lent"))
+	lender.step(MembersChanged{Members: members[:1]}) // the borrower is gone, all 16 slots are the lender's
+	must.Eq(t, 12, lender.co.Load().FreeSlots)
+	lender.pass(1900 * time.Millisecond)
+	must.Eq(t, 12, lender.co.Load().FreeSlots, must.Sprint("the borrower may be cut off and still run tasks"))
+	lender.pass(200 * time.Millisecond)
+	must.Eq(t, 16, lender.co.Load().FreeSlots)
+	lender.step(SlotsReturned{From: "e2", Loan: lend.Loan, Slots: lend.Slots})
+	must.Eq(t, 16, lender.co.Load().FreeSlots, must.Sprint("a late return counts for nothing"))
+	lender.must(t)
+
+	borrower := oneInstance(4, 4, nil)
+	borrower.step(MembersChanged{Members: members})
+	borrower.step(PeerLoad{Instance: "e2", Load: Load{Services: []ServiceLoad{{"s", 8, 0}}}})
+	borrower.submit("s", "a", 100, time.Minute)
+	as, _ := borrower.askFrom()
+	borrower.step(SlotsLent{From: "e2", Ask: as.Ask, Loan: 7, Slots: []LentSlots{{"w0", 2}, {"w1", 1}}, Until: as.Until})
+	must.Len(t, 11, borrower.flying)
+	borrower.step(MembersChanged{Members: append(members[:1:1], Member{"e3", "kandla"})})
+	for i := len(borrower.flying) - 1; i >= 0; i-- {
+		if borrower.flying[i].start.Loan != 0 {
+			borrower.end(i, Succeeded)
+		}
+	}
+	must.MapEmpty(t, borrower.co.loans)
+	for _, fl := range borrower.flying {
+		must.Eq(t, 0, fl.start.Loan)
+	}
+	borrower.must(t)
+}
+
+// Guards against a repeated return that frees slots which the borrower still uses.
+func TestRepeatedReturn(t *testing.T) {
+	lender := oneInstance(1, 8, nil)
+	lender.step(MembersChanged{Members: []Member{{"e1", "kandla"}, {"e2", "kandla"}}})
+	lend := lender.step(SlotsAsked{From: "e2", Ask: 3, Service: "s", Slots: 50, Until: epoch.Add(time.Second)})[0].(LendSlots)
+	must.Eq(t, []LentSlots{{"w0", 2}}, lend.Slots)
+	for _, tt := range []struct{ returned, free int }{{1, 3}, {1, 3}, {0, 3}, {2, 4}, {1, 4}, {9, 4}} {
+		lender.step(SlotsReturned{From: "e2", Loan: lend.Loan, Slots: []LentSlots{{"w0", tt.returned}}})
+		must.Eq(t, tt.free, lender.co.Load().FreeSlots)
+	}
+	lender.must(t)
+}
--- a/lovagedispatch/loan.go
+++ b/lovagedispatch/loan.go
@@ -110,18 +110,9 @@
 	if lo.over {
 		return
 	}
-	var free []LentSlots
-	for _, ls := range lo.slots {
-		if n := ls.free(); n > 0 {
-			free = append(free, LentSlots{Worker: ls.wo.spec.ID, Slots: n})
-		}
-	}
 	lo.over = true
-	if len(free) > 0 {
-		co.returnSlots(lo, free)
-	}
+	co.returnSlots(lo)
 	for _, ls := range lo.slots {
-		ls.slots = ls.used
 		if ls.used == 0 {
 			co.unlinkLoan(ls)
 		}
@@ -132,13 +123,21 @@
 	}
 }
 
-// returnSlots sends slots back unless the lender is gone, or takes them back by itself in time and fewer messages are
-// wanted.
-func (co *Core) returnSlots(lo *loan, slots []LentSlots) {
+// returnSlots sends all slots back that are not in use. It sends nothing if the lender is gone, or if the lender takes
+// the slots back by itself before long and fewer messages are wanted.
+func (co *Core) returnSlots(lo *loan) {
 	if co.peers[lo.from] == nil || lo.sv.fewerMessages() && co.now >= lo.until {
 		return
 	}
-	co.emit(ReturnSlots{To: lo.from, Loan: lo.id, Slots: slots})
+	slots := make([]LentSlots, 0, len(lo.slots))
+	for _, ls := range lo.slots {
+		if n := ls.slots - ls.used; n > 0 {
+			slots = append(slots, LentSlots{Worker: ls.wo.spec.ID, Slots: n})
+		}
+	}
+	if len(slots) > 0 {
+		co.emit(ReturnSlots{To: lo.from, Loan: lo.id, Slots: slots})
+	}
 }
 
 func (co *Core) unlinkLoan(ls *loanSlots) {
@@ -164,15 +163,9 @@
 	if lo.used > 0 {
 		return
 	}
-	late := make([]LentSlots, 0, len(lo.slots))
-	for _, it := range lo.slots {
-		if it.slots > 0 {
-			late = append(late, LentSlots{Worker: it.wo.spec.ID, Slots: it.slots})
-		}
-	}
 	delete(co.loans, loanKey{lo.from, lo.id})
 	if co.now < lo.until.after(co.se.LoanGrace) {
-		co.returnSlots(lo, late)
+		co.returnSlots(lo)
 	}
 }
 
--- a/lovagedispatch/machine_test.go
+++ b/lovagedispatch/machine_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"pgregory.net/rapid"
 )
 
@@ -47,7 +48,8 @@
 }
 
 func newDriver(se Settings) *driver {
-	return &driver{co: New(se, rand.New(rand.NewPCG(1, 2))), ch: newChecker(se), now: epoch}
+	seed := xxhash.Sum64String(se.Instance) // instances draw different loan numbers
+	return &driver{co: New(se, rand.New(rand.NewPCG(1, seed))), ch: newChecker(se), now: epoch}
 }
 
 func (dr *driver) step(ev Event) []Command {
--- a/lovagedispatch/worker.go
+++ b/lovagedispatch/worker.go
@@ -139,7 +139,7 @@
 		free = ownFree + wo.freeBorrowed()
 		capacity = wo.own - wo.lent
 		for _, ls := range wo.loans {
-			capacity += ls.slots
+			capacity += ls.used + ls.free()
 		}
 		capacity = max(0, capacity)
 		if wo.health.state == probing {
