lovagedispatch: tell failing jobs from failing workers by their rates

Cause: the new tests showed that a service whose jobs all fail got two of ten workers ejected after its rate stopped counting, that a bad worker which is rarely chosen was never ejected because its evidence faded, and that a worker on probe was not chosen for its probe because it still ranked last. Ruled out: evidence that fades with time: a worker that fails everything then costs a job every 10 s for ever. Change: a failure is no evidence if a third of the jobs of its service or team, or a third of the other workers, fail anyway; only a success takes evidence away, while the lower rank of a suspect still fades; a worker on probe ranks by its speed alone. Before: TestFailingJobsEjectNobody found 2 ejected workers, TestEjectionAndProbe none while the worker failed and one for ever after it had recovered. Conclusion: in the tests a worker that fails everything gets 4 to 20 of 4,000 tasks, and failing jobs eject nobody.

--- a/lovagedispatch/health.go
+++ b/lovagedispatch/health.go
@@ -18,8 +18,11 @@
 const (
 	// ejectionEvidence is the logarithm of how unlikely a worker's failures in a row must be if the worker were as
 	// good as the others: about 1 in 160,000. Each failure adds the logarithm of the failure rate that the job's
-	// service or team has anyway, so jobs that fail everywhere add almost nothing.
+	// service or team has anyway. Only a success takes the evidence away.
 	ejectionEvidence = 12.0
+	// inconclusiveRate is the failure rate of a service or team, or the part of the pool's other workers that fail,
+	// from which on a failure says nothing about the worker.
+	inconclusiveRate = 1.0 / 3
 	minFailureRate   = 0.01 // floor of a learned failure rate; the least number of failures in a row is then 3
 	priorFailureRate = 0.2  // of a service or team without outcomes
 	failureWeight    = 0.05 // weight of one outcome in a failure rate
@@ -37,7 +40,7 @@
 	round    int  // ejections in a row, sets the back-off
 	until    instant
 
-	streak      int     // failures in a row, one per job
+	streak      int     // failures in a row, one per job; halved while the worker gets no task
 	evidence    float64 // see ejectionEvidence
 	lastFailure instant
 	recent      [4]uint64 // jobs whose failure was counted
@@ -47,8 +50,13 @@
 }
 
 // penalty makes a suspect come after workers that are up to four times slower. The next tasks then go to others,
-// which tells failing jobs from a failing worker.
-func (wo *worker) penalty() float64 { return 1 + min(3, 0.5*float64(wo.health.streak)) }
+// which tells failing jobs from a failing worker. A worker on probe has none, or it would not get its task.
+func (wo *worker) penalty() float64 {
+	if wo.health.state == probing {
+		return 1
+	}
+	return 1 + min(3, 0.5*float64(wo.health.streak))
+}
 
 // failureRate is a moving average of outcomes.
 type failureRate float64
@@ -113,16 +121,23 @@
 
 func (co *Core) reinstate(wo *worker) {
 	wo.grp.pool.removeEjected(wo)
-	co.clearStreak(wo)
+	co.setStreak(wo, 0)
+	wo.health.evidence = 0
 	wo.health.state, wo.health.probeOut, wo.health.round = healthy, false, 0
 	co.update(wo)
 }
 
-func (co *Core) clearStreak(wo *worker) {
-	if wo.health.streak > 0 && wo.grp != nil && !wo.leaving {
-		wo.grp.pool.suspects--
+// setStreak keeps the number of suspects of the pool.
+func (co *Core) setStreak(wo *worker, streak int) {
+	if wo.grp != nil && !wo.leaving {
+		if wo.health.streak > 0 {
+			wo.grp.pool.suspects--
+		}
+		if streak > 0 {
+			wo.grp.pool.suspects++
+		}
 	}
-	wo.health.streak, wo.health.evidence = 0, 0
+	wo.health.streak = streak
 }
 
 // judgeSuccess notes that a task succeeded on the worker.
@@ -132,7 +147,8 @@
 	wo.health.refusals = 0
 	switch wo.health.state {
 	case healthy:
-		co.clearStreak(wo)
+		co.setStreak(wo, 0)
+		wo.health.evidence = 0
 	case probing:
 		if probe {
 			co.reinstate(wo)
@@ -172,22 +188,22 @@
 	}
 	copy(wo.health.recent[1:], wo.health.recent[:])
 	wo.health.recent[0] = jo.id
-	if wo.health.streak == 0 {
-		po.suspects++
-	}
-	wo.health.streak++
-	wo.health.evidence -= math.Log(min(rate, 1))
+	co.setStreak(wo, wo.health.streak+1)
 	wo.health.lastFailure = co.now
+	if rate >= inconclusiveRate {
+		return
+	}
+	wo.health.evidence -= math.Log(rate)
 	if wo.health.evidence >= ejectionEvidence && len(po.ejected) < po.maxEjected() {
 		po.ejected = append(po.ejected, wo)
 		co.eject(wo)
 	}
 }
 
-// probeFailed ejects a worker again, unless the job is one that fails on most workers: then the probe says nothing and
-// another one is made.
+// probeFailed ejects a worker again, unless the job is one that fails anyway: then the probe says nothing and another
+// one is made.
 func (co *Core) probeFailed(wo *worker, rate float64) {
-	if rate > 0.5 {
+	if rate >= inconclusiveRate {
 		wo.health.probeOut = false
 		return
 	}
--- /dev/null
+++ b/lovagedispatch/health_test.go
@@ -0,0 +1,171 @@
+package lovagedispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// play submits jobs of one task at a steady pace for a time and ends each task as the function says.
+func (dr *driver) play(du, gap time.Duration, team func(n int) string, run func(worker, team string) (time.Duration, TaskState)) {
+	end := dr.now.Add(du)
+	for n := 0; dr.now.Before(end); n++ {
+		tm := team(n)
+		id := dr.submit("s", tm, 1, 10*time.Second)
+		dr.teamOf[id] = tm
+		next := dr.now.Add(gap)
+		for {
+			first, at := -1, next
+			for i, fl := range dr.flying {
+				took, _ := run(fl.start.Worker, dr.teamOf[fl.start.Job])
+				if due := fl.at.Add(took); due.Before(at) {
+					first, at = i, due
+				}
+			}
+			if dr.wakeAt.After(dr.now) && dr.wakeAt.Before(at) {
+				dr.now = dr.wakeAt
+				dr.step(Tick{})
+				continue
+			}
+			if at.After(dr.now) {
+				dr.now = at
+			}
+			if first < 0 {
+				break
+			}
+			_, state := run(dr.flying[first].start.Worker, dr.teamOf[dr.flying[first].start.Job])
+			dr.end(first, state)
+		}
+	}
+}
+
+func (dr *driver) ejectedWorkers() (ids []string) {
+	for _, wo := range dr.co.list {
+		if wo.health.state != healthy {
+			ids = append(ids, wo.spec.ID)
+		}
+	}
+	return ids
+}
+
+func teamA(int) string { return "a" }
+
+// Guards against a worker that fails everything and goes on getting tasks, and against one that is never tried again.
+func TestEjectionAndProbe(t *testing.T) {
+	dr := oneInstance(10, 1, nil)
+	bad, got := true, 0
+	run := func(worker, _ string) (time.Duration, TaskState) {
+		if worker == "w3" && bad {
+			return time.Millisecond, Failed
+		}
+		return 50 * time.Millisecond, Succeeded
+	}
+	dr.play(20*time.Second, 5*time.Millisecond, teamA, run) // more than 9 workers can do
+	must.Eq(t, []string{"w3"}, dr.ejectedWorkers())
+	for _, tm := range dr.ch.jobs {
+		if tm.worker[0] == "w3" {
+			got++
+		}
+	}
+	must.Between(t, 4, got, 20, must.Sprint("3 failures in a row or a few more, then a probe after 1, 2, 4 and 8 s"))
+	bad = false
+	dr.play(40*time.Second, 7*time.Millisecond, teamA, run)
+	must.SliceEmpty(t, dr.ejectedWorkers())
+	must.Eq(t, 0, dr.co.list[3].health.streak)
+	dr.must(t)
+}
+
+// Guards against good workers being ejected because a team's jobs, or all jobs of a service, always fail.
+func TestFailingJobsEjectNobody(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		team func(int) string
+		gap  time.Duration
+	}{
+		{"every job", func(int) string { return "bad" }, 9 * time.Millisecond},
+		{"every second job", func(n int) string { return []string{"a", "bad"}[n%2] }, 9 * time.Millisecond},
+		{"one at a time", func(n int) string { return []string{"a", "bad"}[min(1, n/200)] }, 200 * time.Millisecond},
+		{"in bursts", func(n int) string { return []string{"a", "bad"}[n/20%2] }, 9 * time.Millisecond},
+	} {
+		dr := oneInstance(10, 2, nil)
+		for range 100 {
+			dr.play(time.Second, tt.gap, tt.team, func(_, team string) (time.Duration, TaskState) {
+				if team == "bad" {
+					return 10 * time.Millisecond, Failed
+				}
+				return 50 * time.Millisecond, Succeeded
+			})
+			must.SliceEmpty(t, dr.ejectedWorkers(), must.Sprint(tt.name))
+		}
+		dr.must(t)
+	}
+}
+
+// Guards against more than a fifth of a pool being ejected, also when the pool shrinks afterwards.
+func TestEjectionCap(t *testing.T) {
+	dr := oneInstance(10, 1, nil)
+	dr.play(20*time.Second, 4*time.Millisecond, teamA, func(worker, _ string) (time.Duration, TaskState) {
+		if worker <= "w3" {
+			return time.Millisecond, Failed
+		}
+		return 30 * time.Millisecond, Succeeded
+	})
+	must.Len(t, 2, dr.ejectedWorkers(), must.Sprint("4 of 10 workers fail everything"))
+	dr.step(WorkerLeaving{Worker: "w9"})
+	must.Len(t, 1, dr.ejectedWorkers())
+	dr.must(t)
+}
+
+// Guards against a straggler that is taken for dead, that gets as much as the others, or that never gets a task again
+// after it has recovered.
+func TestStragglerIsSlowed(t *testing.T) {
+	dr := oneInstance(10, 1, nil)
+	slow := 10
+	count := func(from uint64) (n int) {
+		for id, jo := range dr.ch.jobs {
+			if id > from && jo.worker[0] == "w3" {
+				n++
+			}
+		}
+		return n
+	}
+	run := func(worker, _ string) (time.Duration, TaskState) {
+		if worker == "w3" {
+			return time.Duration(slow) * 50 * time.Millisecond, Succeeded
+		}
+		return 50 * time.Millisecond, Succeeded
+	}
+	dr.play(30*time.Second, 8*time.Millisecond, teamA, run)
+	from := dr.nextJob
+	dr.play(10*time.Second, 8*time.Millisecond, teamA, run)
+	must.SliceEmpty(t, dr.ejectedWorkers())
+	must.Less(t, 40, count(from), must.Sprint("an even part is 125 of 1,250 tasks"))
+	slow = 1
+	dr.play(240*time.Second, 8*time.Millisecond, teamA, run)
+	from = dr.nextJob
+	dr.play(10*time.Second, 5300*time.Microsecond, teamA, run)
+	must.Greater(t, 100, count(from), must.Sprint("at a load of 0.94 an even part is 189 of 1,887 tasks"))
+	dr.must(t)
+}
+
+// Guards against a slow slot taken although a faster one is expected to be free sooner, and against a task that waits
+// without end for one that does not become free.
+func TestSlowSlotIsLeftIdle(t *testing.T) {
+	dr := oneInstance(2, 2, nil)
+	dr.co.services["s"].mean, dr.co.services["s"].samples = 0.1, 100
+	dr.co.list[1].setFactor(8)
+	dr.co.update(dr.co.list[1])
+	dr.submit("s", "a", 3, time.Minute)
+	must.Len(t, 2, dr.flying, must.Sprint("the third task waits 0.05 s for a fast slot instead of 0.8 s on a slow one"))
+	must.Eq(t, "w0", dr.flying[0].start.Worker)
+	dr.end(0, Succeeded)
+	must.Eq(t, "w0", dr.flying[1].start.Worker)
+	dr.submit("s", "a", 1, time.Minute)
+	must.Len(t, 2, dr.flying)
+	dr.pass(time.Second)
+	must.Eq(t, "w1", dr.flying[2].start.Worker, must.Sprint("the fast slots did not become free"))
+	dr.submit("s", "a", 100, time.Minute)
+	must.Len(t, 4, dr.flying, must.Sprint("with a long queue the slow slots are used"))
+	dr.must(t)
+}
--- a/lovagedispatch/learn.go
+++ b/lovagedispatch/learn.go
@@ -69,11 +69,7 @@
 		he := &wo.health
 		if he.streak > 0 && he.state == healthy && co.now >= he.lastFailure.after(suspicionTime) {
 			he.lastFailure = co.now
-			he.evidence /= 2
-			if he.streak /= 2; he.streak == 0 {
-				he.streak = 1
-				co.clearStreak(wo)
-			}
+			co.setStreak(wo, he.streak/2)
 			changed = true
 		}
 		if changed {
--- a/lovagedispatch/machine_test.go
+++ b/lovagedispatch/machine_test.go
@@ -43,13 +43,14 @@
 	nextJob uint64
 	wakeAt  time.Time
 
+	teamOf   map[uint64]string
 	nextLoan uint64
 	lastLent SlotsLent
 }
 
 func newDriver(se Settings) *driver {
 	seed := xxhash.Sum64String(se.Instance) // instances draw different loan numbers
-	return &driver{co: New(se, rand.New(rand.NewPCG(1, seed))), ch: newChecker(se), now: epoch}
+	return &driver{co: New(se, rand.New(rand.NewPCG(1, seed))), ch: newChecker(se), now: epoch, teamOf: map[uint64]string{}}
 }
 
 func (dr *driver) step(ev Event) []Command {
