lovagedispatch: make the least-in-flight baseline spread over equal workers

Cause: ties were broken by a random number drawn when a worker changed; a worker that drew a high number stayed unused until all others were busy. One of five equal workers got 658 of 2,000 tasks. Change: ties go to the worker chosen longest ago, with a little randomness. Tests for fair queueing, order within a team, ageing, the spread of the baselines and the cover of the shares. Measured: TestPoliciesSpread now finds 330 to 470 tasks per worker for all three baselines.

--- /dev/null
+++ b/lovagedispatch/fair_test.go
@@ -0,0 +1,106 @@
+package lovagedispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against teams that get a share other than that of their weights while all of them have work, and against
+// credit for a team that was away.
+func TestWeightedFairQueueing(t *testing.T) {
+	dr := oneInstance(4, 2, nil)
+	dr.step(TeamsChanged{Teams: []Team{{Name: "a", Weight: 3}, {Name: "b"}, {Name: "c", MaxRunning: 1}}})
+	count := func(rounds int) map[string]int {
+		before := map[string]int{}
+		for range rounds {
+			st := dr.flying[0].start
+			dr.now = dr.now.Add(10 * time.Millisecond)
+			dr.end(0, Succeeded)
+			before[dr.ch.jobs[st.Job].team]++
+		}
+		return before
+	}
+	for range 90 {
+		dr.submit("s", "a", 20, time.Hour)
+		dr.submit("s", "b", 20, time.Hour)
+	}
+	got := count(400)
+	must.Between(t, 290, got["a"], 310)
+	dr.submit("s", "c", 300, time.Hour)
+	got = count(800) // c comes last and has the weight of b, but runs one task at a time
+	must.Between(t, 80, got["c"], 100, must.Sprintf("%v", got))
+	must.Between(t, 2.8, float64(got["a"])/float64(got["b"]), 3.2)
+	dr.must(t)
+}
+
+// Guards against long jobs before short ones, and against a long job that short ones hold up for ever.
+func TestShortestRemainingJobWithAgeing(t *testing.T) {
+	dr := oneInstance(1, 1, nil)
+	dr.submit("s", "a", 1, time.Hour)
+	long := dr.submit("s", "a", 40, time.Hour)
+	short := dr.submit("s", "a", 2, time.Hour)
+	dr.end(0, Succeeded)
+	must.Eq(t, short, dr.flying[0].start.Job)
+	started := time.Duration(0)
+	for n := 0; started == 0 && n < 1000; n++ {
+		dr.submit("s", "a", 1, time.Hour)
+		dr.now = dr.now.Add(10 * time.Millisecond)
+		dr.end(0, Succeeded)
+		if dr.flying[0].start.Job == long {
+			started = dr.now.Sub(epoch)
+		}
+	}
+	// 40 tasks of 0.2 s, soon learned to be 0.01 s, against 20 s of credit for each second of waiting.
+	must.Between(t, 20*time.Millisecond, started, time.Second)
+	dr.must(t)
+}
+
+// Guards against a policy that prefers some workers although it should not.
+func TestPoliciesSpread(t *testing.T) {
+	for _, po := range []Policy{Random, RoundRobin, LeastInFlight} {
+		dr := oneInstance(5, 4, func(se *Settings) { se.Policy = po })
+		got, last := map[string]int{}, 0
+		for n := range 2000 {
+			dr.submit("s", "a", 1, time.Hour)
+			worker := dr.flying[len(dr.flying)-1].start.Worker
+			got[worker]++
+			if i := int(worker[1] - '0'); po == RoundRobin && n > 5 {
+				must.Eq(t, (last+1)%5, i)
+			}
+			last = int(worker[1] - '0')
+			if n%3 == 2 {
+				dr.end(0, Succeeded)
+				dr.end(0, Succeeded)
+				dr.end(0, Succeeded)
+			}
+		}
+		for worker, n := range got {
+			must.Between(t, 330, n, 470, must.Sprintf("%s: worker %s", po, worker))
+		}
+		must.MapLen(t, 5, got)
+		dr.must(t)
+	}
+}
+
+// Guards against shares that overlap or leave slots to nobody.
+func TestSharesCoverAllSlots(t *testing.T) {
+	for n := 1; n <= 9; n++ {
+		members := make([]string, n)
+		for i := range members {
+			members[i] = fmt.Sprintf("e%d", i)
+		}
+		for w := range 50 {
+			worker, sum := fmt.Sprintf("w%d", w), 0
+			for _, me := range members {
+				got := shareOf(worker, 8, members, me)
+				must.Between(t, 8/n, got, (8+n-1)/n)
+				sum += got
+			}
+			must.Eq(t, 8, sum)
+			must.Eq(t, 0, shareOf(worker, 8, members, "other"))
+		}
+	}
+}
--- a/lovagedispatch/rank.go
+++ b/lovagedispatch/rank.go
@@ -76,7 +76,7 @@
 	case Random:
 		return &randomRank{rng: rng}
 	case RoundRobin:
-		return &roundRobinRank{}
+		return roundRobinRank{}
 	case LeastInFlight:
 		return leastInFlightRank{rng: rng}
 	case Lending, Shares, Alone:
@@ -109,21 +109,26 @@
 func (*randomRank) cost(rank, _, _ float64) float64       { return rank }
 func (ra *randomRank) chosen(rank float64)                { ra.last = max(ra.last, rank) }
 func (*randomRank) waits() bool                           { return false }
-func (*roundRobinRank) cost(rank, _, _ float64) float64   { return rank }
-func (*roundRobinRank) waits() bool                       { return false }
+func (roundRobinRank) cost(rank, _, _ float64) float64    { return rank }
+func (roundRobinRank) waits() bool                        { return false }
 func (leastInFlightRank) cost(rank, _, _ float64) float64 { return rank }
 func (leastInFlightRank) chosen(float64)                  {}
 func (leastInFlightRank) waits() bool                     { return false }
 
 // roundRobinRank chooses the worker that was chosen longest ago.
-type roundRobinRank struct{ turn float64 }
+type roundRobinRank struct{}
 
-func (ra *roundRobinRank) rank(wo *worker) float64 { return wo.lastTurn }
-func (ra *roundRobinRank) chosen(float64)          { ra.turn++ }
+func (roundRobinRank) rank(wo *worker) float64 { return wo.lastTurn }
+func (roundRobinRank) chosen(float64)          {}
 
-// leastInFlightRank chooses the worker with the fewest tasks of this instance, at random among equals.
+// leastInFlightRank chooses the worker with the fewest tasks of this instance. Among equals it prefers those chosen long
+// ago, with some randomness so that instances do not choose alike. Randomness alone would keep a worker that drew a high
+// number out of use until all others are busy.
 type leastInFlightRank struct{ rng *rand.Rand }
 
+// inFlightStep is worth more than any turn. A float64 holds it exactly for up to 4,096 tasks per worker and 2^40 turns.
+const inFlightStep = 1 << 40
+
 func (ra leastInFlightRank) rank(wo *worker) float64 {
-	return float64(wo.inFlight()) + 0.5*ra.rng.Float64()
+	return inFlightStep*float64(wo.inFlight()) + wo.lastTurn + 4*ra.rng.Float64()
 }
