--- a/lovageapi/client.go
+++ b/lovageapi/client.go
@@ -24,6 +24,13 @@
 // ErrNotSent matches errors of calls that cannot have reached the instance.
 var ErrNotSent = errors.New("the request was not sent")
 
+// notSentError matches ErrNotSent. errors.Mark would not do, as the standard library's errors.Is does not see marks.
+type notSentError struct{ error }
+
+func (er *notSentError) Unwrap() error { return er.error }
+
+func (er *notSentError) Is(target error) bool { return target == ErrNotSent }
+
 // maxLineBytes bounds one line of a watch. A Pool with 10,000 workers has about 2 MB.
 const maxLineBytes = 64 << 20
 
@@ -197,7 +204,7 @@
 		enc := json.NewEncoder(&buf)
 		enc.SetEscapeHTML(false) // keeps payloads as they are, except for white space
 		if err := enc.Encode(in); err != nil {
-			return nil, errors.Mark(errors.Wrap(err, "encode the request"), ErrNotSent)
+			return nil, &notSentError{errors.Wrap(err, "encode the request")}
 		}
 		body = &buf
 	}
@@ -207,12 +214,12 @@
 	})
 	req, err := http.NewRequestWithContext(ctx, method, cl.base+path, body)
 	if err != nil {
-		return nil, errors.Mark(err, ErrNotSent)
+		return nil, &notSentError{err}
 	}
 	res, err := cl.http.Do(req)
 	if err != nil {
 		if !connected.Load() {
-			return nil, errors.Mark(err, ErrNotSent)
+			return nil, &notSentError{err}
 		}
 		return nil, err
 	}
--- /dev/null
+++ b/lovageapi/operator_test.go
@@ -0,0 +1,116 @@
+package lovageapi
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+
+	"lovagestack/lovageresource"
+)
+
+func teamResource(name string, revision int64) lovageresource.Resource {
+	return lovageresource.Resource{
+		Kind: lovageresource.KindTeam, Name: name, Revision: revision, Spec: lovageresource.DefaultTeam(),
+	}
+}
+
+// Guards against a result that reaches the operator as another one.
+func TestWriteOutcomes(t *testing.T) {
+	ta := startAPI(t, DefaultSettings())
+	cl := NewClient(ta.operator.listenTest(t))
+	defer cl.Close()
+	for outcome, status := range map[lovageresource.WriteOutcome]int{
+		lovageresource.Accepted: 200, lovageresource.Unchanged: 200, lovageresource.Conflict: 409,
+		lovageresource.Unavailable: 503, lovageresource.Ambiguous: 504, "": 504,
+	} {
+		must.Eq(t, status, writeStatus(outcome))
+		if outcome == "" {
+			continue
+		}
+		ta.resources.forced = lovageresource.WriteResult{Outcome: outcome, Revision: 7, Reason: "as the test says"}
+		got, err := cl.Put(context.Background(), teamResource("a", 1))
+		must.NoError(t, err)
+		must.Eq(t, ta.resources.forced, got)
+		got, err = cl.Delete(context.Background(), lovageresource.KindTeam, "a", 1)
+		must.NoError(t, err)
+		must.Eq(t, ta.resources.forced, got)
+	}
+	ta.health.reasons = []string{"resources are not loaded yet"}
+	res, err := http.Get(ta.operatorURL + "/readyz")
+	must.NoError(t, err)
+	must.NoError(t, res.Body.Close())
+	must.Eq(t, http.StatusServiceUnavailable, res.StatusCode)
+	res, err = http.Get(ta.operatorURL + "/debug/pprof/goroutine?debug=1")
+	must.NoError(t, err)
+	must.NoError(t, res.Body.Close())
+	must.Eq(t, http.StatusOK, res.StatusCode)
+}
+
+// listenTest serves on a free port until the test ends.
+func (srv *Server) listenTest(t *testing.T) string {
+	must.NoError(t, srv.Listen("127.0.0.1:0"))
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go srv.Serve(ctx) //nolint:errcheck // ends with the context
+	return srv.Address()
+}
+
+// Guards against a watch that loses changes, or that ends without saying why or where to go on.
+func TestResourceWatch(t *testing.T) {
+	ta := startAPI(t, DefaultSettings())
+	cl := NewClient(ta.operator.listenTest(t))
+	defer cl.Close()
+	lines := make(chan WatchLine, 1000)
+	ended := make(chan error, 1)
+	go func() {
+		ended <- cl.Watch(context.Background(), 0, func(line WatchLine) error {
+			lines <- line
+			return nil
+		})
+	}()
+	must.Eq(t, WatchLine{Revision: 0}, <-lines)
+	for revision := int64(1); revision <= 50; revision++ {
+		re := teamResource("a", revision-1)
+		must.Eq(t, lovageresource.Accepted, ta.resources.Put(t.Context(), re).Outcome)
+		if line := <-lines; line.Change == nil || line.Change.Revision != revision {
+			t.Fatalf("change %d came as %+v", revision, line)
+		}
+	}
+	must.NoError(t, ta.operator.Shutdown(t.Context()))
+	must.Eq(t, "the server is shutting down", (<-lines).End)
+	must.NoError(t, <-ended)
+}
+
+// Guards against a watcher that is cut loose silently when the changes it needs are gone.
+func TestWatchTooOld(t *testing.T) {
+	ta := startAPI(t, DefaultSettings())
+	cl := NewClient(ta.operator.listenTest(t))
+	defer cl.Close()
+	var last WatchLine
+	err := cl.Watch(context.Background(), 0, func(line WatchLine) error {
+		last = line
+		if line.Revision == 0 && line.Change == nil && line.Error == "" {
+			data := []byte(`{"revision":90,"resources":[]}`) // a snapshot hides the changes before it
+			ok, err := ta.resources.Restore(data)
+			must.True(t, ok)
+			return err
+		}
+		return nil
+	})
+	must.NoError(t, err)
+	must.StrContains(t, last.Error, "revision 0 is too old")
+	var re *ReplyError
+	must.True(t, errors.As(cl.Watch(context.Background(), 5, nil), &re))
+	must.Eq(t, http.StatusGone, re.Status)
+	must.Eq(t, 90, re.Revision)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	must.Error(t, cl.Watch(ctx, 95, func(line WatchLine) error { // ahead of this instance: nothing to send yet
+		must.Eq(t, WatchLine{Revision: 95}, line)
+		return nil
+	}))
+}
--- a/lovageapi/reply.go
+++ b/lovageapi/reply.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -76,30 +77,12 @@
 	return data, true
 }
 
-// decode sets target from JSON and returns all faults. A text without faults is decoded by encoding/json; only for a
-// faulty one the slower decoder of lovageconfig finds every fault and its place.
-func decode(data []byte, target any) []lovageconfig.Finding {
-	err := strictUnmarshal(data, target)
-	if err == nil {
-		return nil
-	}
-	doc, findings := lovageconfig.ParseJSON("", data)
-	if doc != nil {
-		findings = append(findings, doc.Decode(target)...)
-	}
-	if len(findings) == 0 {
-		findings = []lovageconfig.Finding{{Problem: err.Error()}}
-	}
-	lovageconfig.SortFindings(findings)
-	return findings
-}
-
 // queryFindings reports query parameters that the call does not have.
 func queryFindings(ctx iris.Context, known ...string) []lovageconfig.Finding {
 	var out []lovageconfig.Finding
 	for name, values := range ctx.Request().URL.Query() {
 		switch {
-		case !contains(known, name):
+		case !slices.Contains(known, name):
 			out = append(out, lovageconfig.Finding{Field: name, Problem: "is not a parameter of this call"})
 		case len(values) > 1:
 			out = append(out, lovageconfig.Finding{Field: name, Problem: "occurs twice"})
--- a/lovageapi/wire.go
+++ b/lovageapi/wire.go
@@ -1,18 +1,13 @@
 package lovageapi
 
 import (
-	"bytes"
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
-	"io"
-	"slices"
 	"strconv"
 	"time"
 	"unicode/utf8"
 
-	"github.com/cockroachdb/errors"
-
 	"lovagestack/lovageconfig"
 	"lovagestack/lovagejob"
 )
@@ -166,18 +161,3 @@
 	}
 	return append(out, data...)
 }
-
-// strictUnmarshal decodes exactly one JSON value without unknown fields.
-func strictUnmarshal(data []byte, target any) error {
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(target); err != nil {
-		return err
-	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return errors.New("there is more text after the end of the JSON value")
-	}
-	return nil
-}
-
-func contains(list []string, item string) bool { return slices.Contains(list, item) }
--- a/lovagestack/apply.go
+++ b/lovagestack/apply.go
@@ -58,7 +58,8 @@
 		res, err := cmd.applyOne(ctx, cl, re)
 		exit := writeExit(res.Outcome)
 		if err != nil {
-			exit = en.failCall(errors.Wrapf(err, "apply %s %q", re.Kind, re.Name), true)
+			var reading *readError
+			exit = en.failCall(errors.Wrapf(err, "apply %s %q", re.Kind, re.Name), !errors.As(err, &reading))
 			if res.Outcome = lovageresource.Unavailable; exit == exitUnknown {
 				res.Outcome = lovageresource.Ambiguous
 			}
@@ -76,6 +77,11 @@
 	return status
 }
 
+// readError is the error of a call that cannot have changed anything.
+type readError struct{ error }
+
+func (er *readError) Unwrap() error { return er.error }
+
 // applyOne writes one resource, based on the revision in its file or the one found now.
 func (cmd *applyCommand) applyOne(ctx context.Context, cl *lovageapi.Client, re lovageresource.Resource) (
 	lovageresource.WriteResult, error,
@@ -88,7 +94,7 @@
 		switch {
 		case errors.As(err, &missing) && missing.Status == 404:
 		case err != nil:
-			return lovageresource.WriteResult{}, errors.Mark(err, lovageapi.ErrNotSent) // reading changes nothing
+			return lovageresource.WriteResult{}, &readError{err}
 		default:
 			re.Revision = current.Revision
 		}
