--- /dev/null
+++ b/lovageapi/bench_test.go
@@ -0,0 +1,36 @@
+package lovageapi
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+// BenchmarkSubmit measures what the caller API adds to a job that ends at once, without the network.
+func BenchmarkSubmit(b *testing.B) {
+	for _, tasks := range []int{1, 350} {
+		for _, size := range []int{100, 4_000} {
+			b.Run(fmt.Sprintf("tasks=%d/bytes=%d", tasks, size), func(b *testing.B) {
+				se := DefaultSettings()
+				se.Now = testClock
+				srv, err := NewCaller(se, &fakeJobs{}, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				task := `{"payload":{"log":"` + strings.Repeat("x", size) + `"}}`
+				body := job(testKey("a1").String(), "["+strings.Repeat(task+",", tasks-1)+task+"]")
+				b.SetBytes(int64(len(body)))
+				b.ReportAllocs()
+				for b.Loop() {
+					rec := httptest.NewRecorder()
+					srv.Handler().ServeHTTP(rec, httptest.NewRequest(http.MethodPost, "/v1/jobs", strings.NewReader(body)))
+					if rec.Code != http.StatusOK {
+						b.Fatal(rec.Body)
+					}
+				}
+			})
+		}
+	}
+}
--- a/lovageapi/caller.go
+++ b/lovageapi/caller.go
@@ -213,5 +213,9 @@
 	if !an.RetryAt.IsZero() && status >= 400 {
 		setRetryAfter(ctx, an.RetryAt.Sub(api.srv.now()))
 	}
-	writeBytes(ctx, status, appendAnswer(nil, an))
+	size := 512 + len(an.Reason)
+	for i := range an.Results {
+		size += 128 + len(an.Results[i].Body)
+	}
+	writeBytes(ctx, status, appendAnswer(make([]byte, 0, size), an))
 }
--- a/lovageapi/caller_test.go
+++ b/lovageapi/caller_test.go
@@ -63,6 +63,8 @@
 	}{
 		{"unknown field", "/v1/jobs", strings.Replace(good, `"team"`, `"colour":1,"team"`, 1), 400, `"field":"colour"`},
 		{"other case", "/v1/jobs", strings.Replace(good, `"team"`, `"Team"`, 1), 400, `"field":"Team"`},
+		{"field of a task", "/v1/jobs", strings.Replace(good, `"team"`, `"payload":1,"team"`, 1), 400, `"field":"payload"`},
+		{"field of a job", "/v1/jobs", job(key, `[{"payload":1,"team":"c"}]`), 400, `"field":"tasks[0].team"`},
 		{"key twice", "/v1/jobs", strings.Replace(good, `"team":"b"`, `"team":"b","team":"c"`, 1), 400, `"problem":"occurs twice"`},
 		{"payload twice", "/v1/jobs", job(key, `[{"payload":1,"payload":2}]`), 400, `tasks[0].payload`},
 		{"more text", "/v1/jobs", good + "x", 400, "more text"},
--- a/lovageapi/decode.go
+++ b/lovageapi/decode.go
@@ -1,9 +1,8 @@
 package lovageapi
 
 import (
-	"bytes"
 	"encoding/json"
-	"io"
+	"fmt"
 	"reflect"
 	"slices"
 	"strings"
@@ -14,13 +13,28 @@
 	"lovagestack/lovageconfig"
 )
 
+const (
+	// maxExplained bounds the bodies of which every fault is found. The tree and the places take about 20 times the
+	// size of the text, and many faulty bodies of the full size must not exhaust the memory.
+	maxExplained = 1 << 20
+	maxFindings  = 1000 // in one reply; a client that sends more faults has one fault
+)
+
 // decode sets target, a pointer to a struct, from JSON and returns all faults. A text without faults is decoded by
 // encoding/json; only for a faulty one the slower decoder of lovageconfig finds every fault and its place.
 func decode(data []byte, target any) []lovageconfig.Finding {
-	err := strictUnmarshal(data, target)
-	if err == nil && exactKeys(data, fieldNames(reflect.TypeOf(target).Elem())) {
+	err := json.Unmarshal(data, target)
+	if err == nil && exactKeys(data, namesOf(reflect.TypeOf(target).Elem())) {
 		return nil
 	}
+	if len(data) > maxExplained {
+		if err == nil {
+			err = errors.New("a key is not known or occurs twice")
+		}
+		return []lovageconfig.Finding{{
+			Problem: fmt.Sprintf("%s (only the first fault is reported for a body of more than %d bytes)", err, maxExplained),
+		}}
+	}
 	doc, findings := lovageconfig.ParseJSON("", data)
 	if doc != nil {
 		findings = append(findings, doc.Decode(reflect.New(reflect.TypeOf(target).Elem()).Interface())...)
@@ -35,44 +49,34 @@
 	return findings
 }
 
-// strictUnmarshal decodes exactly one JSON value without unknown fields.
-func strictUnmarshal(data []byte, target any) error {
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(target); err != nil {
-		return err
-	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return errors.New("there is more text after the end of the JSON value")
-	}
-	return nil
-}
+// keyNames are the names that objects may have at depth 1, the outer object, and at depth 3, the objects in its lists.
+type keyNames [4][]string
 
-// nameCache holds the result of fieldNames by type.
+// nameCache holds the result of namesOf by type.
 var nameCache sync.Map
 
-// fieldNames returns the JSON names in a struct, and in structs that it holds lists of.
-func fieldNames(ty reflect.Type) []string {
+// namesOf returns the JSON names in a struct, and in the structs that it holds lists of.
+func namesOf(ty reflect.Type) *keyNames {
 	if names, ok := nameCache.Load(ty); ok {
-		return names.([]string)
+		return names.(*keyNames)
 	}
-	var out []string
+	out := &keyNames{}
 	for field := range ty.Fields() {
 		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
-		out = append(out, name)
+		out[1] = append(out[1], name)
 		if field.Type.Kind() == reflect.Slice && field.Type.Elem().Kind() == reflect.Struct {
-			out = append(out, fieldNames(field.Type.Elem())...)
+			out[3] = append(out[3], namesOf(field.Type.Elem())[1]...)
 		}
 	}
 	nameCache.Store(ty, out)
 	return out
 }
 
-// exactKeys reports whether the keys of the outer object, and of the objects in its lists, are spelled as the names
-// and occur once. encoding/json accepts other case and drops all but one of equal keys. The text must be valid JSON.
-func exactKeys(data []byte, names []string) bool {
+// exactKeys reports whether each key of the outer object, and of the objects in its lists, is one of the names and
+// occurs once. encoding/json ignores the case of keys and drops all but one of equal keys. The text must be valid JSON.
+func exactKeys(data []byte, names *keyNames) bool {
 	depth := 0
-	var seen [4][]string // keys of the open object at each depth; a task of a job is at depth 3
+	var seen keyNames // of the open object at each depth
 	for i := 0; i < len(data); i++ {
 		switch data[i] {
 		case '{', '[':
@@ -91,11 +95,11 @@
 			if (depth != 1 && depth != 3) || !isKey(data[i+1:]) {
 				continue
 			}
-			at := slices.Index(names, string(data[first:i]))
-			if at < 0 || slices.Contains(seen[depth], names[at]) {
+			at := slices.Index(names[depth], string(data[first:i]))
+			if at < 0 || slices.Contains(seen[depth], names[depth][at]) {
 				return false
 			}
-			seen[depth] = append(seen[depth], names[at])
+			seen[depth] = append(seen[depth], names[depth][at])
 		}
 	}
 	return true
--- a/lovageapi/fakes_test.go
+++ b/lovageapi/fakes_test.go
@@ -20,6 +20,8 @@
 // testNow is the time at which the examples of docs/api.md take place.
 var testNow = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
 
+func testClock() time.Time { return testNow }
+
 // fakeJobs answers by key and otherwise as the functions say.
 type fakeJobs struct {
 	mu      sync.Mutex
@@ -165,7 +167,7 @@
 func startAPI(t *testing.T, se Settings) *testAPI {
 	t.Helper()
 	if se.Now == nil {
-		se.Now = func() time.Time { return testNow }
+		se.Now = testClock
 	}
 	ta := &testAPI{
 		jobs: &fakeJobs{answers: maps.Clone(exampleAnswers)}, resources: newFakeResources(), health: &fakeHealth{},
--- a/lovageapi/reply.go
+++ b/lovageapi/reply.go
@@ -1,8 +1,8 @@
 package lovageapi
 
 import (
+	"bytes"
 	"encoding/json"
-	"io"
 	"math"
 	"net/http"
 	"slices"
@@ -27,6 +27,9 @@
 }
 
 func writeFindings(ctx iris.Context, findings []lovageconfig.Finding) {
+	if more := len(findings) - maxFindings; more > 0 {
+		findings = append(findings[:maxFindings:maxFindings], lovageconfig.Finding{Problem: strconv.Itoa(more) + " more findings"})
+	}
 	writeJSON(ctx, http.StatusBadRequest, ErrorReply{Error: "the request has faults; nothing was started", Findings: findings})
 }
 
@@ -63,7 +66,10 @@
 func (srv *Server) readBody(ctx iris.Context) ([]byte, bool) {
 	rc := http.NewResponseController(ctx.ResponseWriter().Naive())
 	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	data, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter().Naive(), ctx.Request().Body, srv.bodyMax))
+	var buf bytes.Buffer
+	// A client that only claims a length gets no more than 64 KB for it.
+	buf.Grow(int(min(max(ctx.Request().ContentLength, 0), 64<<10)) + bytes.MinRead)
+	_, err := buf.ReadFrom(http.MaxBytesReader(ctx.ResponseWriter().Naive(), ctx.Request().Body, srv.bodyMax))
 	_ = rc.SetReadDeadline(time.Time{}) // otherwise the deadline would end the request while it waits
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -74,7 +80,7 @@
 		writeError(ctx, http.StatusBadRequest, "the body cannot be read: "+err.Error())
 		return nil, false
 	}
-	return data, true
+	return buf.Bytes(), true
 }
 
 // queryFindings reports query parameters that the call does not have.
