lovageresource, lovagesync: align tunables and counters with the packages that read them

Cause: the first configuration had fields that lovagedispatch has no setting for, so declaring them would have no effect, and lovagesync counted in a go-metrics registry, which lovagemetric does not take. Ruled out: keeping the fields for later, as a declared value without effect misleads operators. Change: admission, ejection and lending hold what lovagedispatch.Settings has; lovagesync asks for counters through the interface that lovagepeer uses. Measured: go test -race ./lovageresource ./lovagesync ./lovageapi ./lovagestack passes. Conclusion: each field maps to one setting.

--- a/lovageresource/configuration.go
+++ b/lovageresource/configuration.go
@@ -13,35 +13,31 @@
 
 // Admission tunes which jobs are refused at once.
 type Admission struct {
-	CheckDeadline bool     `json:"checkDeadline"` // refuse jobs that cannot meet their deadline; default true
-	RetryAfter    Duration `json:"retryAfter"`    // least retry time given with a refusal; default 100ms
+	QueuedTasks int `json:"queuedTasks"` // bound per instance for a service or team without its own; default 100000
 }
 
-// Ejection tunes when a worker gets no tasks because of its outcomes.
+// Ejection tunes when a worker that was ejected because of its outcomes is probed.
 type Ejection struct {
-	Failures   int      `json:"failures"`   // failures in a row that eject a worker; default 5
 	BackOff    Duration `json:"backOff"`    // until the first probe; doubles with each failed probe; default 1s
-	MaxBackOff Duration `json:"maxBackOff"` // default 30s
-	MaxShare   float64  `json:"maxShare"`   // of a pool that may be ejected; default 0.2
+	MaxBackOff Duration `json:"maxBackOff"` // default 1m
 }
 
 // Lending tunes how instances borrow slots from each other.
 type Lending struct {
-	Enabled bool     `json:"enabled"` // default true
-	Batch   int      `json:"batch"`   // most slots in one loan; default 32
-	Term    Duration `json:"term"`    // a loan ends after this time; default 1s
+	Enabled bool     `json:"enabled"` // default true; otherwise each instance uses its own share only
+	Slots   int      `json:"slots"`   // most slots in one loan; default 64
+	Term    Duration `json:"term"`    // a loan ends after this time; default 2s
 }
 
-// DefaultConfiguration returns the values in force without a declared configuration.
+// DefaultConfiguration returns the values in force without a declared configuration. The figures of admission, ejection
+// and lending are those of lovagedispatch.DefaultSettings, the others those of the design page, section 5.
 func DefaultConfiguration() Configuration {
 	return Configuration{
 		KeyLifetime:     Duration(15 * time.Minute),
 		AnswerRetention: Duration(time.Minute),
-		Admission:       Admission{CheckDeadline: true, RetryAfter: Duration(100 * time.Millisecond)},
-		Ejection: Ejection{
-			Failures: 5, BackOff: Duration(time.Second), MaxBackOff: Duration(30 * time.Second), MaxShare: 0.2,
-		},
-		Lending: Lending{Enabled: true, Batch: 32, Term: Duration(time.Second)},
+		Admission:       Admission{QueuedTasks: 100_000},
+		Ejection:        Ejection{BackOff: Duration(time.Second), MaxBackOff: Duration(time.Minute)},
+		Lending:         Lending{Enabled: true, Slots: 64, Term: Duration(2 * time.Second)},
 	}
 }
 
@@ -54,14 +50,12 @@
 	if sp.AnswerRetention > sp.KeyLifetime {
 		add("answerRetention", "%s is longer than keyLifetime, which is %s", sp.AnswerRetention, sp.KeyLifetime)
 	}
-	checkDuration(add, "admission.retryAfter", sp.Admission.RetryAfter, time.Millisecond, time.Minute)
-	checkRange(add, "ejection.failures", int64(sp.Ejection.Failures), 1, 1000)
+	checkRange(add, "admission.queuedTasks", int64(sp.Admission.QueuedTasks), 1, maxCount)
 	checkDuration(add, "ejection.backOff", sp.Ejection.BackOff, time.Millisecond, time.Hour)
 	checkDuration(add, "ejection.maxBackOff", sp.Ejection.MaxBackOff, time.Millisecond, time.Hour)
 	if sp.Ejection.BackOff > sp.Ejection.MaxBackOff {
 		add("ejection.backOff", "%s is longer than maxBackOff, which is %s", sp.Ejection.BackOff, sp.Ejection.MaxBackOff)
 	}
-	checkShare(add, "ejection.maxShare", sp.Ejection.MaxShare)
-	checkRange(add, "lending.batch", int64(sp.Lending.Batch), 1, 10_000)
+	checkRange(add, "lending.slots", int64(sp.Lending.Slots), 1, 10_000)
 	checkDuration(add, "lending.term", sp.Lending.Term, 10*time.Millisecond, time.Minute)
 }
--- a/lovagesync/keeper.go
+++ b/lovagesync/keeper.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"lovagestack/lovagemessage"
@@ -42,6 +41,25 @@
 	Call(ctx context.Context, address string, req *lovagemessage.Request) (*lovagemessage.Response, error)
 }
 
+// Counter is a count that only increases. The counters of go-metrics satisfy it.
+type Counter = interface{ Inc(n int64) }
+
+// Counters supplies the counters of a Keeper. New asks for each one once, with an empty kind.
+type Counters interface {
+	Counter(name, kind string) Counter
+}
+
+// Names of counters.
+const (
+	CounterTableFailed    = "sync_table_failed"    // polls and loads that the table did not answer as needed
+	CounterCallsFailed    = "sync_calls_failed"    // calls to peers
+	CounterChangesRefused = "sync_changes_refused" // changes that did not follow the applied revision
+)
+
+type noCounter struct{}
+
+func (noCounter) Inc(int64) {}
+
 // Settings are the timings and bounds of a Keeper.
 type Settings struct {
 	ID            string        // of this instance
@@ -76,13 +94,13 @@
 
 // Parts are what a Keeper works with.
 type Parts struct {
-	Table   Table
-	Objects Objects
-	Writer  Writer
-	Peers   Peers
-	Store   *lovageresource.Store
-	Log     *zap.Logger
-	Metrics metrics.Registry // counters sync.*; may be nil
+	Table    Table
+	Objects  Objects
+	Writer   Writer
+	Peers    Peers
+	Store    *lovageresource.Store
+	Log      *zap.Logger // may be nil
+	Counters Counters    // may be nil
 }
 
 // Keeper keeps a store current. Its methods may be called from several goroutines.
@@ -101,9 +119,9 @@
 	accepted int64             // latest revision accepted through this instance
 
 	snapshotDue time.Time // since when a snapshot is missing; used by run only
-	tableFailed metrics.Counter
-	callFailed  metrics.Counter
-	refused     metrics.Counter
+	tableFailed Counter
+	callFailed  Counter
+	refused     Counter
 }
 
 type report struct {
@@ -113,8 +131,11 @@
 
 // New returns a Keeper; Serve must run for it to do its work.
 func New(se Settings, pa Parts) *Keeper {
-	if pa.Metrics == nil {
-		pa.Metrics = metrics.NewRegistry()
+	counter := func(name string) Counter {
+		if pa.Counters == nil {
+			return noCounter{}
+		}
+		return pa.Counters.Counter(name, "")
 	}
 	if pa.Log == nil {
 		pa.Log = zap.NewNop()
@@ -125,13 +146,11 @@
 		wake:        make(chan struct{}, 1),
 		ahead:       map[string]bool{},
 		reports:     map[string]report{},
-		tableFailed: metrics.NewRegisteredCounter("sync.table.failed", pa.Metrics),
-		callFailed:  metrics.NewRegisteredCounter("sync.calls.failed", pa.Metrics),
-		refused:     metrics.NewRegisteredCounter("sync.changes.refused", pa.Metrics),
+		tableFailed: counter(CounterTableFailed),
+		callFailed:  counter(CounterCallsFailed),
+		refused:     counter(CounterChangesRefused),
 	}
 	ke.push = newPusher(ke)
-	store := pa.Store
-	_ = pa.Metrics.Register("sync.revision", metrics.NewFunctionalGauge(store.Revision))
 	return ke
 }
 
