--- /dev/null
+++ b/lovageapi/decode.go
@@ -0,0 +1,118 @@
+package lovageapi
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"lovagestack/lovageconfig"
+)
+
+const (
+	// maxExplained bounds the bodies of which every fault is found. The tree and the places take about 20 times the
+	// size of the text, and many faulty bodies of the full size must not exhaust the memory.
+	maxExplained = 1 << 20
+	maxFindings  = 1000 // in one reply; a client that sends more faults has one fault
+)
+
+// decode sets target, a pointer to a struct, from JSON and returns all faults. A text without faults is decoded by
+// encoding/json; only for a faulty one the slower decoder of lovageconfig finds every fault and its place.
+func decode(data []byte, target any) []lovageconfig.Finding {
+	err := json.Unmarshal(data, target)
+	if err == nil && exactKeys(data, namesOf(reflect.TypeOf(target).Elem())) {
+		return nil
+	}
+	if len(data) > maxExplained {
+		if err == nil {
+			err = errors.New("a key is not known or occurs twice")
+		}
+		return []lovageconfig.Finding{{
+			Problem: fmt.Sprintf("%s (only the first fault is reported for a body of more than %d bytes)", err, maxExplained),
+		}}
+	}
+	doc, findings := lovageconfig.ParseJSON("", data)
+	if doc != nil {
+		findings = append(findings, doc.Decode(reflect.New(reflect.TypeOf(target).Elem()).Interface())...)
+	}
+	findings = slices.DeleteFunc(findings, func(fi lovageconfig.Finding) bool {
+		return strings.Contains(fi.Field, "].payload.") || strings.Contains(fi.Field, "].payload[") // not ours to judge
+	})
+	if len(findings) == 0 && err != nil {
+		findings = []lovageconfig.Finding{{Problem: err.Error()}}
+	}
+	lovageconfig.SortFindings(findings)
+	return findings
+}
+
+// keyNames are the names that objects may have at depth 1, the outer object, and at depth 3, the objects in its lists.
+type keyNames [4][]string
+
+// nameCache holds the result of namesOf by type.
+var nameCache sync.Map
+
+// namesOf returns the JSON names in a struct, and in the structs that it holds lists of.
+func namesOf(ty reflect.Type) *keyNames {
+	if names, ok := nameCache.Load(ty); ok {
+		return names.(*keyNames)
+	}
+	out := &keyNames{}
+	for field := range ty.Fields() {
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		out[1] = append(out[1], name)
+		if field.Type.Kind() == reflect.Slice && field.Type.Elem().Kind() == reflect.Struct {
+			out[3] = append(out[3], namesOf(field.Type.Elem())[1]...)
+		}
+	}
+	nameCache.Store(ty, out)
+	return out
+}
+
+// exactKeys reports whether each key of the outer object, and of the objects in its lists, is one of the names and
+// occurs once. encoding/json ignores the case of keys and drops all but one of equal keys. The text must be valid JSON.
+func exactKeys(data []byte, names *keyNames) bool {
+	depth := 0
+	var seen keyNames // of the open object at each depth
+	for i := 0; i < len(data); i++ {
+		switch data[i] {
+		case '{', '[':
+			if depth++; depth < len(seen) {
+				seen[depth] = seen[depth][:0]
+			}
+		case '}', ']':
+			depth--
+		case '"':
+			first := i + 1
+			for i++; data[i] != '"'; i++ {
+				if data[i] == '\\' {
+					i++
+				}
+			}
+			if (depth != 1 && depth != 3) || !isKey(data[i+1:]) {
+				continue
+			}
+			at := slices.Index(names[depth], string(data[first:i]))
+			if at < 0 || slices.Contains(seen[depth], names[depth][at]) {
+				return false
+			}
+			seen[depth] = append(seen[depth], names[depth][at])
+		}
+	}
+	return true
+}
+
+// isKey reports whether the text after a string makes it the key of an object.
+func isKey(rest []byte) bool {
+	for _, c := range rest {
+		switch c {
+		case ' ', '\t', '\r', '\n':
+		default:
+			return c == ':'
+		}
+	}
+	return false
+}
--- a/lovageapi/reply.go
+++ b/lovageapi/reply.go
@@ -1,10 +1,11 @@
 package lovageapi
 
 import (
+	"bytes"
 	"encoding/json"
-	"io"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -26,6 +27,9 @@
 }
 
 func writeFindings(ctx iris.Context, findings []lovageconfig.Finding) {
+	if more := len(findings) - maxFindings; more > 0 {
+		findings = append(findings[:maxFindings:maxFindings], lovageconfig.Finding{Problem: strconv.Itoa(more) + " more findings"})
+	}
 	writeJSON(ctx, http.StatusBadRequest, ErrorReply{Error: "the request has faults; nothing was started", Findings: findings})
 }
 
@@ -62,7 +66,10 @@
 func (srv *Server) readBody(ctx iris.Context) ([]byte, bool) {
 	rc := http.NewResponseController(ctx.ResponseWriter().Naive())
 	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	data, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter().Naive(), ctx.Request().Body, srv.bodyMax))
+	var buf bytes.Buffer
+	// A client that only claims a length gets no more than 64 KB for it.
+	buf.Grow(int(min(max(ctx.Request().ContentLength, 0), 64<<10)) + bytes.MinRead)
+	_, err := buf.ReadFrom(http.MaxBytesReader(ctx.ResponseWriter().Naive(), ctx.Request().Body, srv.bodyMax))
 	_ = rc.SetReadDeadline(time.Time{}) // otherwise the deadline would end the request while it waits
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -73,25 +80,7 @@
 		writeError(ctx, http.StatusBadRequest, "the body cannot be read: "+err.Error())
 		return nil, false
 	}
-	return data, true
-}
-
-// decode sets target from JSON and returns all faults. A text without faults is decoded by encoding/json; only for a
-// faulty one the slower decoder of lovageconfig finds every fault and its place.
-func decode(data []byte, target any) []lovageconfig.Finding {
-	err := strictUnmarshal(data, target)
-	if err == nil {
-		return nil
-	}
-	doc, findings := lovageconfig.ParseJSON("", data)
-	if doc != nil {
-		findings = append(findings, doc.Decode(target)...)
-	}
-	if len(findings) == 0 {
-		findings = []lovageconfig.Finding{{Problem: err.Error()}}
-	}
-	lovageconfig.SortFindings(findings)
-	return findings
+	return buf.Bytes(), true
 }
 
 // queryFindings reports query parameters that the call does not have.
@@ -99,7 +88,7 @@
 	var out []lovageconfig.Finding
 	for name, values := range ctx.Request().URL.Query() {
 		switch {
-		case !contains(known, name):
+		case !slices.Contains(known, name):
 			out = append(out, lovageconfig.Finding{Field: name, Problem: "is not a parameter of this call"})
 		case len(values) > 1:
 			out = append(out, lovageconfig.Finding{Field: name, Problem: "occurs twice"})
--- /dev/null
+++ b/lovagedispatch/learn.go
@@ -0,0 +1,98 @@
+package lovagedispatch
+
+import (
+	"math"
+	"time"
+)
+
+// Learning rates.
+const (
+	// trustedSamples is the number of run times after which a service's learned mean replaces declared run times.
+	trustedSamples = 8
+	// meanWeight is the weight of a new run time in a service's means after the first 200. One task in a hundred may run
+	// twenty times as long as the others, which moves the mean by a tenth.
+	meanWeight = 0.005
+	// factorWeight is the weight of a new run time in a worker's speed factor. The factor is learned from logarithms,
+	// which keeps such tasks from drowning the differences between workers: with run times that vary by a factor of
+	// 1.8, it is known to 4%.
+	factorWeight = 0.01
+	// recentWeight is the weight in a second average that follows a change within about ten tasks. If it differs by
+	// more than recentChange, about three times its own variation, the worker's speed is taken to have changed.
+	recentWeight = 0.1
+	recentChange = 0.5
+	// factorPrior is the number of samples that the assumption of average speed counts for.
+	factorPrior = 10
+	minRunTime  = 50 * time.Microsecond
+	// speedTime is the time after which a slow worker that got no task is assumed to be a little faster, so that a
+	// straggler is tried again.
+	speedTime = 10 * time.Second
+	// housekeepingPeriod is the period of the scan over all workers.
+	housekeepingPeriod = time.Second
+)
+
+// taskTime returns the expected run time of a task on a worker of average speed, in seconds.
+func (co *Core) taskTime(sv *service, declared time.Duration) float64 {
+	switch {
+	case sv.samples >= trustedSamples:
+		return sv.mean
+	case declared > 0:
+		return max(declared, minRunTime).Seconds()
+	case sv.samples > 0:
+		return sv.mean
+	}
+	return co.se.DefaultRunTime.Seconds()
+}
+
+// learn takes the run time of a succeeded task into account.
+func (co *Core) learn(sv *service, wo *worker, took time.Duration) {
+	seconds := took.Seconds()
+	if wo.grp != nil {
+		seconds -= wo.grp.latency
+	}
+	seconds = max(seconds, minRunTime.Seconds())
+	sv.samples++
+	weight := max(meanWeight, 1/float64(sv.samples))
+	sv.mean += weight * (seconds/wo.factor - sv.mean)
+	logTime := math.Log(seconds)
+	sv.logMean += weight * (logTime - math.Log(wo.factor) - sv.logMean)
+	if sv.samples == 1 {
+		return
+	}
+	wo.samples++
+	wo.lastSample = co.now
+	logFactor := math.Log(wo.factor)
+	seen := logTime - sv.logMean
+	wo.recent += max(recentWeight, 1/float64(wo.samples+factorPrior)) * (seen - wo.recent)
+	if math.Abs(wo.recent-logFactor) > recentChange {
+		logFactor = wo.recent
+	} else {
+		logFactor += max(factorWeight, 1/float64(wo.samples+factorPrior)) * (seen - logFactor)
+	}
+	wo.setFactor(math.Exp(logFactor))
+}
+
+// housekeeping trusts slow and suspect workers a little more when they have not been used for a while. It runs once a
+// second and costs time linear in the number of workers.
+type housekeeping struct{}
+
+func (ti housekeeping) fire(co *Core) {
+	for _, wo := range co.list {
+		changed := false
+		if wo.factor > 1 && co.now >= wo.lastSample.after(speedTime) && wo.inFlight() == 0 {
+			wo.setFactor(1 + 0.8*(wo.factor-1))
+			wo.recent = math.Log(wo.factor)
+			wo.lastSample = co.now
+			changed = true
+		}
+		he := &wo.health
+		if he.streak > 0 && he.state == healthy && co.now >= he.lastFailure.after(suspicionTime) {
+			he.lastFailure = co.now
+			co.setStreak(wo, he.streak/2)
+			changed = true
+		}
+		if changed {
+			co.update(wo)
+		}
+	}
+	co.setTimer(co.now.after(housekeepingPeriod), ti)
+}
