--- a/lovageledger/claim.go
+++ b/lovageledger/claim.go
@@ -226,8 +226,8 @@
 	failed := rg.try.change
 	rg.try = nil
 	rg.retryAt = le.now.Add(le.se.RetryAfter)
-	if rg.own != nil && failed == changeHandOver {
-		rg.own.sent = nil
+	if rg.own != nil && failed == changeAdd {
+		le.endAddition(rg)
 	}
 	le.unblock(rg)
 	le.flushAccepts(rg)
--- a/lovageledger/lease.go
+++ b/lovageledger/lease.go
@@ -123,9 +123,9 @@
 	return !le.live(id) && le.expired(id)
 }
 
-// longGoneAfter is how many TTLs an expired instance row is kept, so that its owner's ranges are seen as abandoned by
-// their observers first.
-const longGoneAfter = 100
+// longGoneAfter is how many TTLs an instance row must have been seen unchanged before it is deleted. A paused instance
+// whose row was deleted writes it again.
+const longGoneAfter = 5
 
 // longGone returns an instance row to delete along with a renewal. Only the live instance with the lowest ID of its
 // data centre looks for one, so that rows of replaced instances do not accumulate and are not deleted twice.
--- a/lovageledger/ledger_test.go
+++ b/lovageledger/ledger_test.go
@@ -8,7 +8,6 @@
 	"github.com/shoenig/test/must"
 
 	"lovagestack/lovagejob"
-	"lovagestack/lovageplatform"
 )
 
 // single is one ledger with a table of its own that always answers at once.
@@ -101,8 +100,3 @@
 	must.Len(t, 1, out)
 	must.Eq(t, lovagejob.Unknown, out[0].(Reply).Answer.Outcome)
 }
-
-// fakeTable is the platform's table.
-type fakeTable struct{ rows map[string]lovageplatform.Row }
-
-func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]lovageplatform.Row{}} }
--- a/lovageledger/owner.go
+++ b/lovageledger/owner.go
@@ -165,7 +165,7 @@
 		le.attempt(rg, changeDrop, Row{Owner: le.se.Instance, Epoch: own.epoch + 1, CompleteSince: own.completeSince})
 	case le.releasable(rg):
 		le.attempt(rg, changeRelease, Row{Epoch: own.epoch + 1, CompleteSince: own.epoch + 1})
-	case own.replica == "" && own.replicated:
+	case own.replica == "" && own.replicated && (rg.store.count > 0 || !le.surplus(rg)):
 		if peer := le.replicaFor(rg); peer != "" {
 			le.beginAddition(rg, peer)
 		}
@@ -195,10 +195,16 @@
 	}
 	rg.avoid = own.sent.peer
 	rg.retryAt = le.now.Add(le.se.RetryAfter)
-	pending := own.link.pending()
-	own.sent, own.link = nil, nil
+	le.endAddition(rg)
+}
+
+// endAddition goes on without a replica. No transaction that could name one has been sent, or it has been proven not
+// to take effect.
+func (le *Ledger) endAddition(rg *keyRange) {
+	pending := rg.own.link.pending()
+	rg.own.sent, rg.own.link = nil, nil
 	for _, sk := range pending {
-		// Rule A: no replica in the row, and no transaction that could name one has been sent.
+		// Rule A: no replica in the row, and none can come to be in it without a new addition.
 		le.start(rg, sk)
 	}
 }
@@ -243,15 +249,13 @@
 	return 1
 }
 
-// releasable reports whether the range is one more than wanted and none of its keys can still be of use.
+// releasable reports whether the range is one more than wanted and hardly any of its keys can still be of use. Keys
+// that an earlier owner minted and nobody has submitted are not known here: they get a minute, and the answer
+// "unknown" after that.
 func (le *Ledger) releasable(rg *keyRange) bool {
-	if rg.store.count > 0 || len(rg.blocked) > 0 || rg.mintMax+bucketMillis > le.floor() {
-		return false
-	}
-	if le.highest-rg.ownedSince < le.se.KeyLifetime.Milliseconds()+bucketMillis {
-		return false
-	}
-	return le.surplus(rg)
+	return rg.store.count == 0 && len(rg.blocked) == 0 &&
+		max(rg.mintMax, rg.store.newest)+bucketMillis <= le.floor() &&
+		le.highest-rg.ownedSince >= bucketMillis && le.surplus(rg)
 }
 
 // surplus reports whether enough other ranges of the same kind are owned. New keys avoid surplus ranges.
--- a/lovageledger/record.go
+++ b/lovageledger/record.go
@@ -96,11 +96,12 @@
 	buckets map[int64]map[shortKey]record // by minted / bucketMillis
 	details map[shortKey]*detail
 	count   int
+	newest  int64 // highest mint time of a key that has had a record
 	floor   int64 // records of keys minted before this time may have been dropped, here or at a sender
 }
 
 func newStore() *store {
-	return &store{buckets: map[int64]map[shortKey]record{}, details: map[shortKey]*detail{}, floor: math.MinInt64}
+	return &store{buckets: map[int64]map[shortKey]record{}, details: map[shortKey]*detail{}, newest: math.MinInt64, floor: math.MinInt64}
 }
 
 func (st *store) get(sk shortKey) (record, bool) {
@@ -116,6 +117,7 @@
 	}
 	before := len(bucket)
 	bucket[sk] = re
+	st.newest = max(st.newest, sk.minted)
 	st.count += len(bucket) - before
 }
 
