--- /dev/null
+++ b/lovagehistory/record.go
@@ -0,0 +1,190 @@
+package lovagehistory
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"io"
+	"math"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Kind is the kind of an operation.
+type Kind string
+
+// Kinds of operations. The fields of Operation and Result that a kind uses are named with it.
+const (
+	Submit Kind = "submit" // Key, Content; result: Outcome, Key, Tasks, Started, Results
+	Ask    Kind = "ask"    // Key; result as for Submit
+	Cancel Kind = "cancel" // Key; result as for Submit
+	Start  Kind = "start"  // recorded by the worker: Key, Task, Content (digest of its result)
+
+	ConfigWrite Kind = "configWrite" // Name, Revision (expected, 0 to create), Content; result: State, Revision
+	ConfigRead  Kind = "configRead"  // Name; result: Revision and Content of the current resource
+	ConfigApply Kind = "configApply" // Instance, Name; result: Revision applied by the instance, Content in force there
+
+	Acquire   Kind = "acquire"   // Range, Epoch (expected; the new one is higher by 1), Instance; result: State
+	Renew     Kind = "renew"     // Range, Epoch, Instance; result: State
+	Act       Kind = "act"       // something that only the holder of Epoch may do: Range, Epoch, Instance
+	OwnerRead Kind = "ownerRead" // Range; result: Epoch, Instance
+)
+
+// State is the outcome of a conditional write.
+type State string
+
+// Outcomes of a conditional write.
+const (
+	Committed State = "committed"
+	Refused   State = "refused" // a condition did not hold, and the write never takes effect
+	Unclear   State = "unclear" // may take effect at any later time, or never
+)
+
+// Operation is what a client asked for. It is plain data, so that it survives as a JSON line.
+type Operation struct {
+	Kind     Kind   `json:"kind"`
+	Client   string `json:"client,omitempty"`
+	Key      string `json:"key,omitempty"`
+	Task     int    `json:"task,omitempty"`
+	Content  string `json:"content,omitempty"` // digest of what was submitted, written or returned by the task
+	Name     string `json:"name,omitempty"`
+	Revision int64  `json:"revision,omitempty"`
+	Range    string `json:"range,omitempty"`
+	Epoch    int64  `json:"epoch,omitempty"`
+	Instance string `json:"instance,omitempty"`
+}
+
+// Result is the response to an operation.
+type Result struct {
+	Outcome  string   `json:"outcome,omitempty"` // of a job, in the words of lovagejob
+	Key      string   `json:"key,omitempty"`
+	Tasks    int      `json:"tasks,omitempty"`
+	Started  int      `json:"started,omitempty"`
+	Results  []string `json:"results,omitempty"` // digest per task
+	State    State    `json:"state,omitempty"`
+	Revision int64    `json:"revision,omitempty"`
+	Content  string   `json:"content,omitempty"`
+	Epoch    int64    `json:"epoch,omitempty"`
+	Instance string   `json:"instance,omitempty"`
+}
+
+// Entry is an operation with its response, if one was seen. Times are Unix nanoseconds.
+type Entry struct {
+	ID        string    `json:"id"`
+	Call      int64     `json:"call,omitempty"`
+	Operation Operation `json:"operation,omitzero"`
+	Return    int64     `json:"return,omitempty"` // 0: no response was seen
+	Result    Result    `json:"result,omitzero"`
+}
+
+// Recorder writes the operations of one process. It is safe for concurrent use.
+type Recorder struct {
+	source string
+	start  time.Time
+
+	mu   sync.Mutex
+	out  *json.Encoder
+	next int
+	err  error
+}
+
+// NewRecorder returns a recorder that writes to out. The source must be unique among the processes of a run.
+func NewRecorder(source string, out io.Writer) *Recorder {
+	return &Recorder{source: source, start: time.Now(), out: json.NewEncoder(out)}
+}
+
+// now returns the wall clock at the start plus the monotonic time since, so that a clock step during the run does not
+// reorder operations.
+func (re *Recorder) now() int64 { return re.start.UnixNano() + time.Since(re.start).Nanoseconds() }
+
+// Begin records the call of an operation. The function that it returns records the response and is called at most
+// once; an operation without a response counts as possibly taking effect at any later time.
+func (re *Recorder) Begin(op Operation) func(Result) {
+	re.mu.Lock()
+	re.next++
+	id := re.source + "-" + strconv.Itoa(re.next)
+	re.write(Entry{ID: id, Call: re.now(), Operation: op})
+	re.mu.Unlock()
+	return func(result Result) {
+		at := re.now()
+		re.mu.Lock()
+		defer re.mu.Unlock()
+		re.write(Entry{ID: id, Return: at, Result: result})
+	}
+}
+
+func (re *Recorder) write(en Entry) {
+	if err := re.out.Encode(en); err != nil && re.err == nil {
+		re.err = errors.Wrap(err, "write a record")
+	}
+}
+
+// Err returns the first error that writing a record met.
+func (re *Recorder) Err() error {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	return re.err
+}
+
+// maxLineBytes bounds one line: an answer of 350 result digests of 64 bytes takes about 25 kB.
+const maxLineBytes = 1 << 20
+
+// Read joins the records of all processes and returns the operations in the order of their calls. A line cut short at
+// the end of a file is ignored, because its process may have been killed while writing it.
+func Read(files ...io.Reader) ([]Entry, error) {
+	byID := map[string]*Entry{}
+	for i, file := range files {
+		if err := readFile(file, byID); err != nil {
+			return nil, errors.Wrapf(err, "read records, file %d", i)
+		}
+	}
+	out := make([]Entry, 0, len(byID))
+	for id, en := range byID {
+		if en.Operation.Kind == "" {
+			return nil, errors.Newf("operation %q has a response but no call", id)
+		}
+		out = append(out, *en)
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Or(cmp.Compare(a.Call, b.Call), cmp.Compare(a.ID, b.ID)) })
+	return out, nil
+}
+
+func readFile(file io.Reader, byID map[string]*Entry) error {
+	lines := bufio.NewScanner(file)
+	lines.Buffer(nil, maxLineBytes)
+	var broken error
+	for n := 1; lines.Scan(); n++ {
+		if broken != nil {
+			return broken // only the last line may be cut short
+		}
+		var line Entry
+		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
+			broken = errors.Wrapf(err, "line %d", n)
+			continue
+		}
+		en := byID[line.ID]
+		if en == nil {
+			en = &Entry{ID: line.ID}
+			byID[line.ID] = en
+		}
+		if line.Operation.Kind != "" {
+			en.Call, en.Operation = line.Call, line.Operation
+		}
+		if line.Return != 0 {
+			en.Return, en.Result = line.Return, line.Result
+		}
+	}
+	return errors.Wrap(lines.Err(), "scan lines")
+}
+
+// end returns the time until which the operation may take effect.
+func (en *Entry) end() int64 {
+	if en.Return == 0 || en.Result.State == Unclear {
+		return math.MaxInt64
+	}
+	return en.Return
+}
