--- a/lovageledger/break_test.go
+++ b/lovageledger/break_test.go
@@ -58,10 +58,10 @@
 		ch.DroppedBefore = time.Time{}
 	})},
 	{name: "records are forgotten", want: "invariant", rule: eachOwned(func(_ *Ledger, rg *keyRange) {
-		for index, bucket := range rg.store.buckets {
-			for sk, re := range bucket {
+		for _, bucket := range rg.store.buckets {
+			for slot, re := range bucket {
 				if re.state == stateEnded {
-					delete(rg.store.buckets[index], sk)
+					delete(bucket, slot)
 				}
 			}
 		}
@@ -167,11 +167,11 @@
 
 func forgetFingerprints(wo *world, no *node, out []Command) []Command {
 	return eachOwned(func(_ *Ledger, rg *keyRange) {
-		for _, bucket := range rg.store.buckets {
-			for sk, re := range bucket {
-				if wo.job(sk.long(rg.id)).print != 0 {
+		for id, bucket := range rg.store.buckets {
+			for slot, re := range bucket {
+				if wo.job(id.key(slot).long(rg.id)).print != 0 {
 					re.fingerprint = 0
-					bucket[sk] = re
+					bucket[slot] = re
 				}
 			}
 		}
@@ -181,12 +181,12 @@
 // Guards against checks that cannot fail: each broken rule has to be found by the same actions and the same checks
 // that pass with the rules in force.
 func TestBrokenRulesAreFound(t *testing.T) {
-	const maxSeeds = 40
+	const maxSeeds = 80
 	for _, br := range breaks {
 		t.Run(br.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(maxSeeds) {
-				wo := newWorld(seed)
+				wo := newWorld(seed, skewOf(seed))
 				wo.breakRule, wo.breakTable = br.rule, br.table
 				draw := newRand(seed + 1000)
 				wo.run(3 * time.Second)
--- a/lovageledger/claim.go
+++ b/lovageledger/claim.go
@@ -28,16 +28,21 @@
 	if le.replicaFor(nil) != "" {
 		replicated = le.se.ReplicatedRanges
 	}
-	for _, id := range le.order {
-		rg := le.ranges[id]
-		claiming := rg.try != nil && rg.try.change == changeClaim
-		switch {
-		case rg.own != nil && rg.own.replicated, claiming && rg.claimReplicated:
+	count := func(kind bool) {
+		if kind {
 			replicated--
-		case rg.own != nil, claiming:
+		} else {
 			plain--
 		}
 	}
+	for _, rg := range le.owned {
+		count(rg.own.replicated)
+	}
+	for _, id := range le.order {
+		if rg := le.ranges[id]; rg.own == nil && rg.try != nil && rg.try.change == changeClaim {
+			count(rg.claimReplicated)
+		}
+	}
 	return plain, replicated
 }
 
@@ -119,15 +124,15 @@
 		rg.try = nil // the checked version is past: the transaction has taken effect or never will
 	}
 	if row.Owner == le.se.Instance {
-		le.owned(rg, won)
+		le.applyOwn(rg, won)
 	} else {
-		le.notOwned(rg)
+		le.applyOther(rg)
 	}
 	le.unblock(rg)
 }
 
-// owned applies a row that names this instance as the owner.
-func (le *Ledger) owned(rg *keyRange, won change) {
+// applyOwn applies a row that names this instance as the owner.
+func (le *Ledger) applyOwn(rg *keyRange, won change) {
 	complete := won == changeClaim || won == changeTakeOver ||
 		rg.own != nil && (won == changeDrop || won == changeAdd) ||
 		rg.rep != nil && rg.rep.complete && rg.row.Epoch == rg.rep.epoch+2 ||
@@ -149,7 +154,7 @@
 		le.becomeOwner(rg)
 	}
 	rg.rep, rg.inc, rg.orphan = nil, nil, false
-	rg.own = own
+	le.setOwner(rg, own)
 	if own.replica != "" {
 		own.link = &link{peer: own.replica}
 	}
@@ -169,8 +174,8 @@
 	rg.ownedSince = le.highest
 }
 
-// notOwned applies a row that names another owner, or none.
-func (le *Ledger) notOwned(rg *keyRange) {
+// applyOther applies a row that names another owner, or none.
+func (le *Ledger) applyOther(rg *keyRange) {
 	rg.orphan = false
 	le.stopOwning(rg)
 	if rep := rg.rep; rep != nil && rg.version > rep.version {
@@ -192,7 +197,7 @@
 	if own == nil {
 		return
 	}
-	rg.own = nil
+	le.setOwner(rg, nil)
 	rg.copies = resultCopies{}
 	if own.link != nil {
 		for _, sk := range own.link.pending() {
--- a/lovageledger/doc.go
+++ b/lovageledger/doc.go
@@ -21,6 +21,7 @@
 //   - A process that lost its memory uses a new instance ID.
 //   - Tick is due at least every 100 ms.
 //   - A transaction's outcome is Conflict only if it has not taken effect and never will; else it is Ambiguous.
+//   - A submission is held until its key is admitted. If it is no longer held then, it ends at once with NotRun.
 //   - Every Admit is followed by exactly one JobEnded, whose outcome is NotRun only if no task was started.
 //   - Messages may be lost, repeated, delayed and reordered, but are never altered.
 //
--- a/lovageledger/event.go
+++ b/lovageledger/event.go
@@ -18,7 +18,8 @@
 }
 
 // Submit submits a job; answered by exactly one of Reply and Forward. With WaitUntil after now the reply waits for
-// the end of the job until that time, otherwise it tells the state at once.
+// the end of the job until that time, otherwise it only waits for the replica's acknowledgement, if one is required.
+// A job may start after its submission has been answered with Unknown.
 type Submit struct {
 	Request     uint64
 	Key         lovagejob.Key
--- a/lovageledger/ledger.go
+++ b/lovageledger/ledger.go
@@ -17,7 +17,8 @@
 	highest int64 // highest time ever seen, Unix milliseconds; ages of keys are measured against it
 
 	ranges map[RangeID]*keyRange
-	order  []RangeID // the keys of ranges, in order
+	order  []RangeID   // the keys of ranges, in order
+	owned  []*keyRange // the ranges with own set, in order
 
 	members map[string]Member
 	peers   []Member // members in order of their IDs, without this instance
@@ -85,8 +86,8 @@
 	}
 }
 
-// Step applies one event and appends the commands that follow from it to out. The time is the wall clock; it may
-// jump, forwards or backwards.
+// Step applies one event and appends the commands that follow from it to out. The time comes from time.Now: its wall
+// clock, which may jump forwards or backwards, measures the age of keys, and its monotonic reading the timeouts.
 func (le *Ledger) Step(now time.Time, ev Event, out []Command) []Command {
 	le.now, le.out = now, out
 	le.highest = max(le.highest, now.UnixMilli())
@@ -154,13 +155,23 @@
 	return rg
 }
 
+// setOwner sets or ends the ownership of a range.
+func (le *Ledger) setOwner(rg *keyRange, own *ownerState) {
+	at, found := slices.BinarySearchFunc(le.owned, rg, func(a, b *keyRange) int { return a.id.compare(b.id) })
+	switch {
+	case own != nil && !found:
+		le.owned = slices.Insert(le.owned, at, rg)
+	case own == nil && found:
+		le.owned = slices.Delete(le.owned, at, at+1)
+	}
+	rg.own = own
+}
+
 // Ranges returns the ranges that the instance owns as far as it knows, for the next heartbeat.
 func (le *Ledger) Ranges() []RangeState {
-	var out []RangeState
-	for _, id := range le.order {
-		if rg := le.ranges[id]; rg.own != nil {
-			out = append(out, RangeState{Range: id, Row: rg.row, Version: rg.version})
-		}
+	out := make([]RangeState, 0, len(le.owned))
+	for _, rg := range le.owned {
+		out = append(out, RangeState{Range: rg.id, Row: rg.row, Version: rg.version})
 	}
 	return out
 }
--- a/lovageledger/owner.go
+++ b/lovageledger/owner.go
@@ -118,6 +118,7 @@
 	re.state = stateRunning
 	rg.store.put(sk, re)
 	le.emit(Admit{Key: sk.long(rg.id)})
+	le.answerBrief(rg, sk)
 }
 
 // restart starts a key that waited under an earlier epoch or for a replica that is no longer required.
@@ -264,9 +265,8 @@
 	if rg.own.replicated {
 		wanted = le.se.ReplicatedRanges
 	}
-	for _, id := range le.order {
-		other := le.ranges[id]
-		if other.own == nil || other.own.replicated != rg.own.replicated {
+	for _, other := range le.owned {
+		if other.own.replicated != rg.own.replicated {
 			continue
 		}
 		if other == rg {
--- a/lovageledger/record.go
+++ b/lovageledger/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -67,11 +68,11 @@
 	stateEnded
 )
 
-// record is what is remembered of a key for the key's lifetime.
+// record is what is remembered of a key for the key's lifetime. Its size of 16 bytes bounds the memory of an instance.
 type record struct {
 	fingerprint uint64
-	tasks       int32
-	started     int32
+	tasks       uint16
+	started     uint16
 	state       recordState
 	outcome     uint8 // index into finalOutcomes, if ended
 }
@@ -88,12 +89,33 @@
 }
 
 // bucketMillis is the width of a bucket of records by mint time. Whole buckets are dropped, so records need no queue
-// of their own; the width is the most by which a record outlives its key.
+// of their own; the width is the most by which a record outlives its key. An offset into it fits 16 bits.
 const bucketMillis = 60_000
 
+// bucketID names a bucket: the keys of one epoch that were minted within bucketMillis.
+type bucketID struct {
+	index int64 // minted / bucketMillis
+	epoch int64
+}
+
+// slotKey is a key within its bucket.
+type slotKey struct {
+	nonce  uint64
+	offset uint16
+}
+
+func (sk shortKey) split() (bucketID, slotKey) {
+	return bucketID{index: sk.minted / bucketMillis, epoch: sk.epoch},
+		slotKey{nonce: sk.nonce, offset: uint16(sk.minted % bucketMillis)}
+}
+
+func (id bucketID) key(slot slotKey) shortKey {
+	return shortKey{epoch: id.epoch, minted: id.index*bucketMillis + int64(slot.offset), nonce: slot.nonce}
+}
+
 // store holds the records of one range.
 type store struct {
-	buckets map[int64]map[shortKey]record // by minted / bucketMillis
+	buckets map[bucketID]map[slotKey]record
 	details map[shortKey]*detail
 	count   int
 	newest  int64 // highest mint time of a key that has had a record
@@ -101,30 +123,36 @@
 }
 
 func newStore() *store {
-	return &store{buckets: map[int64]map[shortKey]record{}, details: map[shortKey]*detail{}, newest: math.MinInt64, floor: math.MinInt64}
+	return &store{
+		buckets: map[bucketID]map[slotKey]record{}, details: map[shortKey]*detail{},
+		newest: math.MinInt64, floor: math.MinInt64,
+	}
 }
 
 func (st *store) get(sk shortKey) (record, bool) {
-	re, ok := st.buckets[sk.minted/bucketMillis][sk]
+	id, slot := sk.split()
+	re, ok := st.buckets[id][slot]
 	return re, ok
 }
 
 func (st *store) put(sk shortKey, re record) {
-	bucket := st.buckets[sk.minted/bucketMillis]
+	id, slot := sk.split()
+	bucket := st.buckets[id]
 	if bucket == nil {
-		bucket = map[shortKey]record{}
-		st.buckets[sk.minted/bucketMillis] = bucket
+		bucket = map[slotKey]record{}
+		st.buckets[id] = bucket
 	}
 	before := len(bucket)
-	bucket[sk] = re
+	bucket[slot] = re
 	st.newest = max(st.newest, sk.minted)
 	st.count += len(bucket) - before
 }
 
 func (st *store) remove(sk shortKey) {
-	bucket := st.buckets[sk.minted/bucketMillis]
+	id, slot := sk.split()
+	bucket := st.buckets[id]
 	before := len(bucket)
-	delete(bucket, sk)
+	delete(bucket, slot)
 	st.count += len(bucket) - before
 	delete(st.details, sk)
 }
@@ -139,44 +167,41 @@
 	return de
 }
 
-// expire drops every bucket whose keys were all minted before the floor. Details with waiters stay in their maps
-// until the waiters have been answered.
+// expire drops every bucket whose keys were all minted before the floor, except for jobs that still run: their ends
+// could not be told without their records. Waiters of dropped keys are answered when their time comes.
 func (st *store) expire(floor int64) {
 	st.floor = max(st.floor, floor)
-	for index, bucket := range st.buckets {
-		if (index+1)*bucketMillis > floor {
+	for id, bucket := range st.buckets {
+		if (id.index+1)*bucketMillis > floor {
 			continue
 		}
-		for sk, re := range bucket {
+		for slot, re := range bucket {
 			if re.state == stateRunning {
-				// A job that outlives its key keeps its record, or its end could not be told.
 				continue
 			}
-			delete(bucket, sk)
+			delete(bucket, slot)
+			delete(st.details, id.key(slot))
 			st.count--
 		}
 		if len(bucket) == 0 {
-			delete(st.buckets, index)
+			delete(st.buckets, id)
 		}
 	}
 }
 
-// bucketIndexes returns the indexes of the buckets in order.
-func (st *store) bucketIndexes() []int64 {
-	out := make([]int64, 0, len(st.buckets))
-	for index := range st.buckets {
-		out = append(out, index)
-	}
-	slices.Sort(out)
-	return out
+// bucketIDs returns the buckets in order of their times.
+func (st *store) bucketIDs() []bucketID {
+	return slices.SortedFunc(maps.Keys(st.buckets), func(a, b bucketID) int {
+		return cmp.Or(cmp.Compare(a.index, b.index), cmp.Compare(a.epoch, b.epoch))
+	})
 }
 
 // bucketKeys returns the keys of a bucket in order, so that equal runs give equal commands.
-func (st *store) bucketKeys(index int64) []shortKey {
-	bucket := st.buckets[index]
+func (st *store) bucketKeys(id bucketID) []shortKey {
+	bucket := st.buckets[id]
 	out := make([]shortKey, 0, len(bucket))
-	for sk := range bucket {
-		out = append(out, sk)
+	for slot := range bucket {
+		out = append(out, id.key(slot))
 	}
 	slices.SortFunc(out, shortKey.compare)
 	return out
@@ -198,15 +223,21 @@
 func (st *store) end(sk shortKey, re record, ans lovagejob.Answer) {
 	re.state = stateEnded
 	re.outcome = uint8(slices.Index(finalOutcomes[:], ans.Outcome))
-	re.tasks, re.started = int32(ans.Tasks), int32(ans.Started)
+	re.tasks, re.started = saturate(ans.Tasks), saturate(ans.Started)
 	st.put(sk, re)
 }
 
-// answerBytes is the memory that the results of an answer take, roughly.
+func saturate(n int) uint16 { return uint16(min(max(n, 0), math.MaxUint16)) }
+
+// detailBytes is the memory that a kept answer takes besides its results: the detail, its place in the map and in the
+// queue of kept answers.
+const detailBytes = 350
+
+// answerBytes is the memory that a kept answer takes, roughly.
 func answerBytes(ans *lovagejob.Answer) int {
-	n := 0
+	n := detailBytes + len(ans.Reason)
 	for i := range ans.Results {
-		n += len(ans.Results[i].Body) + 64
+		n += len(ans.Results[i].Body) + len(ans.Results[i].Worker) + 64
 	}
 	return n
 }
--- a/lovageledger/request.go
+++ b/lovageledger/request.go
@@ -11,7 +11,7 @@
 const maxMintAhead = time.Minute
 
 func (le *Ledger) submit(ev *Submit) {
-	wa := &waiter{request: ev.Request, key: ev.Key, until: ev.WaitUntil, hops: ev.Hops, submit: true}
+	wa := &waiter{request: ev.Request, key: ev.Key, until: ev.WaitUntil, hops: ev.Hops}
 	rg, ok := le.locate(wa)
 	if !ok {
 		return
@@ -49,6 +49,9 @@
 		return
 	}
 	rg.store.put(wa.sk, record{fingerprint: fingerprint, state: stateWaiting})
+	if !wa.until.After(le.now) {
+		wa.brief, wa.until = true, le.now.Add(le.se.ReplicaTimeout)
+	}
 	le.wait(rg, wa)
 	rg.own.link.await(le.now, wa.sk)
 	le.flushAccepts(rg)
@@ -95,7 +98,7 @@
 		return "the records of the key's epoch are lost"
 	case sk.minted < max(le.floor(), rg.store.floor):
 		return "the key is older than the lifetime of keys"
-	case sk.minted > max(le.highest, rg.mintMax)+maxMintAhead.Milliseconds():
+	case sk.minted > max(le.highest, rg.mintMax, rg.store.floor+le.se.KeyLifetime.Milliseconds())+maxMintAhead.Milliseconds():
 		return "the key's mint time lies in the future"
 	}
 	return ""
@@ -240,12 +243,11 @@
 func (le *Ledger) mintFrom(repeatable bool) *keyRange {
 	var best *keyRange
 	bestScore := 0
-	for _, id := range le.order {
-		rg := le.ranges[id]
-		if rg.own == nil || !rg.canStart() {
+	for _, rg := range le.owned {
+		if !rg.canStart() {
 			continue
 		}
-		if li := rg.own.link; li != nil && !li.healthy(le.now, le.se.AcceptTimeout) {
+		if li := rg.own.link; li != nil && (!le.live(li.peer) || !li.healthy(le.now, le.se.AcceptTimeout)) {
 			continue
 		}
 		score := 1
--- a/lovageledger/settings.go
+++ b/lovageledger/settings.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Settings configures a Ledger. The zero value of a field means its default.
+// Settings configures a Ledger. The zero value of a field means its default; a negative number of ranges means none.
 type Settings struct {
 	Instance   string     // ID of this instance; a restarted process must use a new one
 	DataCentre string     // data centre whose ranges this instance claims
@@ -20,7 +20,7 @@
 	ScanEvery       time.Duration // interval of table scans while every owner is live; default 30 s
 	KeyLifetime     time.Duration // a key older than this never starts; default 15 min
 	AnswerKept      time.Duration // time a full answer is kept after the end; default 60 s
-	MaxKeptBytes    int           // bound on the result bytes kept; the oldest go first; default 32 MiB
+	MaxKeptBytes    int           // bound on the memory of full answers; the oldest go first; default 32 MiB
 	AcceptTimeout   time.Duration // an unacknowledged accept batch is sent again after this; default 500 ms
 	ReplicaTimeout  time.Duration // a replica without acknowledgements for this long is dropped (Rule D); default 2 s
 	RetryAfter      time.Duration // back-off after a failed table or peer operation; default 1 s
--- a/lovageledger/sim_test.go
+++ b/lovageledger/sim_test.go
@@ -213,7 +213,8 @@
 func TestWorld(t *testing.T) {
 	total := map[string]int{}
 	rapid.Check(t, func(rt *rapid.T) {
-		wo := newWorld(rapid.Uint64().Draw(rt, "seed"))
+		seed := rapid.Uint64().Draw(rt, "seed")
+		wo := newWorld(seed, skewOf(seed))
 		wo.run(3 * time.Second)
 		repeat := map[string]func(*rapid.T){"": func(rt *rapid.T) {
 			wo.unanswered()
@@ -240,7 +241,7 @@
 
 // Guards against range rows, instance rows and ranges per instance that accumulate as instances are replaced.
 func TestRowsStayBounded(t *testing.T) {
-	wo := newWorld(5)
+	wo := newWorld(5, 30)
 	for round := range 60 {
 		no := wo.anyNode(wo.rng.IntN)
 		if round%3 > 0 {
--- a/lovageledger/transfer.go
+++ b/lovageledger/transfer.go
@@ -1,6 +1,7 @@
 package lovageledger
 
 import (
+	"slices"
 	"time"
 )
 
@@ -12,7 +13,7 @@
 	owner      bool
 	transfer   uint64
 	chunk      int
-	buckets    []int64 // still to be sent
+	buckets    []bucketID // still to be sent
 	keys       []shortKey
 	current    *Transfer // unacknowledged chunk
 	sentAt     time.Time
@@ -24,7 +25,7 @@
 
 func (le *Ledger) newOutgoing(rg *keyRange, peer string, owner bool) *outgoing {
 	return &outgoing{
-		peer: peer, owner: owner, transfer: le.newID(), buckets: rg.store.bucketIndexes(), progressAt: le.now,
+		peer: peer, owner: owner, transfer: le.newID(), buckets: rg.store.bucketIDs(), progressAt: le.now,
 	}
 }
 
@@ -133,13 +134,8 @@
 
 // maintainDrain hands every owned range over (Rule F) and reports when nothing is left to do.
 func (le *Ledger) maintainDrain() {
-	left, busy := 0, false
-	for _, id := range le.order {
-		rg := le.ranges[id]
-		if rg.own == nil {
-			continue
-		}
-		left++
+	left, busy := len(le.owned), false
+	for _, rg := range slices.Clone(le.owned) {
 		if le.handOver(rg) {
 			busy = true
 		}
--- a/lovageledger/waiter.go
+++ b/lovageledger/waiter.go
@@ -14,7 +14,7 @@
 	sk      shortKey
 	until   time.Time
 	hops    int
-	submit  bool
+	brief   bool // waits only for the start, not for the end
 }
 
 // requests holds every waiter by request and in order of time.
@@ -110,6 +110,19 @@
 	de.waiters = append(de.waiters, wa.request)
 }
 
+// answerBrief answers those who wait only for the start of the key's job.
+func (le *Ledger) answerBrief(rg *keyRange, sk shortKey) {
+	de := rg.store.details[sk]
+	if de == nil {
+		return
+	}
+	for _, request := range de.waiters {
+		if wa := le.requests.waiting[request]; wa != nil && wa.brief && wa.sk == sk && rangeOf(wa.key) == rg.id {
+			le.replyState(wa)
+		}
+	}
+}
+
 // answerWaiters gives the answer to all who wait for the key.
 func (le *Ledger) answerWaiters(rg *keyRange, sk shortKey, ans lovagejob.Answer) {
 	de := rg.store.details[sk]
--- a/lovageledger/world_test.go
+++ b/lovageledger/world_test.go
@@ -26,6 +26,8 @@
 	breakRule  func(wo *world, no *node, out []Command) []Command
 	breakTable bool // says "conflict" of transactions that may still take effect
 	violation  string
+	skew       int  // most by which two clocks differ, in seconds
+	idle       bool // no load besides what a test does
 
 	nextRequest uint64
 	checked     uint64 // requests up to this one have been checked for an answer
@@ -57,9 +59,13 @@
 	body       string
 }
 
-func newWorld(seed uint64) *world {
+// skewOf varies by seed how far clocks differ, in seconds; the last one exceeds the lifetime of keys.
+func skewOf(seed uint64) int { return []int{0, 30, 600}[seed%3] }
+
+func newWorld(seed uint64, skew int) *world {
 	wo := &world{
-		rng: newRand(seed), table: newFakeTable(), nodes: map[string]*node{}, cut: map[[2]string]bool{},
+		skew: skew,
+		rng:  newRand(seed), table: newFakeTable(), nodes: map[string]*node{}, cut: map[[2]string]bool{},
 		open: map[uint64]openCall{}, asked: map[uint64]*question{}, jobs: map[lovagejob.Key]*job{},
 		known: map[lovagejob.Key]bool{}, stats: map[string]int{},
 	}
@@ -77,7 +83,7 @@
 		id: fmt.Sprintf("%s-%d", name, len(wo.ids)), dc: strings.Split(name, "-")[0],
 		contact: map[string]time.Duration{}, misjudg: map[string]time.Duration{},
 	}
-	no.skew = time.Duration(wo.rng.IntN(600)-300) * time.Second
+	no.skew = time.Duration(wo.rng.IntN(wo.skew+1)-wo.skew/2) * time.Second
 	no.le = New(Settings{
 		Instance: no.id, DataCentre: no.dc, Rand: newRand(uint64(len(wo.ids))), KeyLifetime: 3 * time.Minute,
 		AnswerKept: 10 * time.Second, BatchKeys: 3, TransferRecords: 4, ScanEvery: 10 * time.Second,
@@ -138,6 +144,9 @@
 // load keeps callers busy: new jobs, resubmissions of recent ones elsewhere, and of old ones.
 func (wo *world) load() {
 	wo.after(time.Duration(50+wo.rng.IntN(400))*time.Millisecond, wo.load)
+	if wo.idle {
+		return
+	}
 	no := wo.anyNode(wo.rng.IntN)
 	before := len(wo.keys)
 	wo.step(no, &Mint{Count: 2, Repeatable: wo.rng.IntN(3) == 0})
