lovagestack: make the process tests independent of ephemeral ports and of the moment of a kill

In one, "listen: address already in use": a port chosen from the ephemeral range was taken by another test's connection before the instance bound it. In three, the killed owner's replica answered "unknown" for a job whose answer had not been copied yet; copies go out on the ledger's tick, up to 50 ms after the end. Ruled out: a lost copy (the counter of copies received was 0 at the kill, so none had been sent). Change: ports come from 10000 to 32000; the test waits until the replica counts the copy, as "unknown" before it is allowed. lovagesync takes its counters from the instance's registry. Conclusion: the verdict no longer depends on timing. Copies could go out at once; that is left to the ledger.

--- a/lovageentry/counts.go
+++ b/lovageentry/counts.go
@@ -10,12 +10,12 @@
 	"lovagestack/lovagejob"
 	"lovagestack/lovagemetric"
 	"lovagestack/lovagepeer"
+	"lovagestack/lovagesync"
 )
 
 // counts holds the counters of an instance.
 type counts struct {
 	registry         *lovagemetric.Registry
-	sync             metrics.Registry // of lovagesync
 	events           metrics.Counter
 	admitted         metrics.Counter
 	tasksStarted     metrics.Counter
@@ -41,7 +41,6 @@
 	counter := func(name, help string) metrics.Counter { return re.Counter(name, help).With() }
 	return &counts{
 		registry:         re,
-		sync:             metrics.NewRegistry(),
 		events:           counter("control_events", "Events that the control loop handled."),
 		admitted:         counter("jobs_admitted", "Jobs whose key was accepted here."),
 		tasksStarted:     counter("tasks_started", "Task requests sent to workers."),
@@ -75,25 +74,14 @@
 	co.registry.GaugeFunc("applied_revision", "Revision of the configuration in force here.", func() float64 {
 		return float64(in.store.Revision())
 	})
-	for name, help := range map[string]string{
-		"sync.table.failed":    "Reads of the resources that failed.",
-		"sync.calls.failed":    "Calls to peers about resources that failed.",
-		"sync.changes.refused": "Changes from peers that did not fit.",
-	} {
-		counter := metrics.GetOrRegisterCounter(name, co.sync)
-		co.registry.CounterFunc(metricName(name), help, func() float64 { return float64(counter.Count()) })
-	}
 }
 
-// metricName turns a name of go-metrics into one of the text format.
-func metricName(name string) string {
-	out := []byte(name)
-	for i, c := range out {
-		if c == '.' {
-			out[i] = '_'
-		}
-	}
-	return string(out)
+// syncCounters supplies the counters of lovagesync.
+type syncCounters struct{ *counts }
+
+// Counter returns the counter of a name; the kind is always empty.
+func (sc syncCounters) Counter(name, _ string) lovagesync.Counter {
+	return sc.registry.Counter(name, "Configuration: see lovagesync.").With()
 }
 
 // Counter returns the counter of a peer mesh.
--- a/lovageentry/instance.go
+++ b/lovageentry/instance.go
@@ -120,7 +120,7 @@
 	in.keeper = lovagesync.New(lovagesync.DefaultSettings(in.id), lovagesync.Parts{
 		Table: op.Platform, Objects: op.Platform,
 		Writer: lovageplatform.NewWriter(op.Platform, in.id+"-sync", lovageplatform.WriterSettings{}),
-		Peers:  (*syncPeers)(in), Store: in.store, Log: in.log, Metrics: in.counts.sync,
+		Peers:  (*syncPeers)(in), Store: in.store, Log: in.log, Counters: syncCounters{in.counts},
 	})
 	in.control = newControlLoop(in, op.Policy, rng)
 	in.counts.registerGauges(in)
--- a/lovagepeer/bench_test.go
+++ b/lovagepeer/bench_test.go
@@ -83,7 +83,7 @@
 			me, _, address := benchPair(b)
 			req := &lovagemessage.Accept{DataCentre: "kandla", Range: 12, Epoch: 7}
 			for i := range keys {
-				req.Keys = append(req.Keys, fmt.Sprintf("kandla.12.7.%d.5f0c9a1be2d34c77", 1_796_381_234_567+i))
+				req.Keys = append(req.Keys, &lovagemessage.AcceptKey{Key: fmt.Sprintf("kandla.12.7.%d.5f0c9a1be2d34c77", 1_796_381_234_567+i)})
 			}
 			b.ReportAllocs()
 			for b.Loop() {
--- a/lovagestack/harness_test.go
+++ b/lovagestack/harness_test.go
@@ -12,8 +12,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -159,15 +161,27 @@
 	return de
 }
 
-// freePorts returns addresses on loopback that were free a moment ago.
+// Ports of the instances lie below the range from which the system draws ports of outgoing connections; otherwise a
+// connection of another test could take a port between its choice and its use.
+const firstPort, lastPort = 10_000, 32_000
+
+// nextPort starts at a port that differs between test processes that run at the same time.
+var nextPort = atomic.Int64{}
+
+// freePorts returns addresses on loopback that nobody listens on.
 func freePorts(t *testing.T, n int) []string {
 	t.Helper()
+	nextPort.CompareAndSwap(0, int64(os.Getpid()*97))
 	var out []string
-	for range n {
-		li, err := net.Listen("tcp", "127.0.0.1:0")
-		must.NoError(t, err)
-		defer func() { _ = li.Close() }()
+	for tries := 0; len(out) < n; tries++ {
+		must.Less(t, lastPort-firstPort, tries)
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		li, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
 		out = append(out, li.Addr().String())
+		_ = li.Close()
 	}
 	return out
 }
@@ -371,6 +385,21 @@
 	return an, err
 }
 
+// metric returns the value of a series, 0 if it is not there.
+func (de *deployment) metric(ip *instanceProcess, series string) float64 {
+	de.t.Helper()
+	_, data, err := de.call(http.MethodGet, ip.operator+"/metrics", nil)
+	must.NoError(de.t, err)
+	for line := range strings.Lines(string(data)) {
+		if rest, ok := strings.CutPrefix(line, series+" "); ok {
+			value, err := strconv.ParseFloat(strings.TrimSpace(rest), 64)
+			must.NoError(de.t, err)
+			return value
+		}
+	}
+	return 0
+}
+
 // startCounts returns how often each task was started, over all workers.
 func (de *deployment) startCounts() map[string]int {
 	de.t.Helper()
--- a/lovagestack/process_test.go
+++ b/lovagestack/process_test.go
@@ -89,17 +89,23 @@
 	an, err := de.submit(k1, jobBody(ended, false, 4, 10*time.Millisecond))
 	must.NoError(t, err)
 	must.Eq(t, lovagejob.Complete, an.Outcome)
+	// The answer is copied to the replica after it is given to the caller. A kill in between leaves it unknown, which
+	// is allowed; this test is about a replica that has the copy.
+	de.eventually("the replica has the copy", func() bool {
+		return de.metric(k2, `lovage_peer_responses_sent_total{kind="resultCopy"}`) >= 1
+	})
 	runningBody := jobBody(running, false, 4, 3*time.Second)
 	go func() { _, _ = de.submit(k1, runningBody) }()
 	de.eventually("the job's tasks start", func() bool { return len(de.startCounts()) >= 8 })
 	k1.signal(syscall.SIGKILL)
 	k1.exitCode()
 
+	var last answer
+	t.Cleanup(func() { t.Logf("last answer: %+v", last) })
 	de.eventually("the replica answers for the ended job", func() bool {
-		an, err := de.ask(k2, ended)
-		return err == nil && an.Outcome == lovagejob.Complete
+		last, err = de.ask(k2, ended)
+		return err == nil && last.Outcome == lovagejob.Complete
 	})
-	var last answer
 	de.eventually("the replica runs the key that was never submitted", func() bool {
 		last, err = de.submit(k2, jobBody(unused, false, 4, 10*time.Millisecond))
 		return err == nil && last.Outcome.Final()
