lovagestack: test an owner paused past its lease and a platform that is down past it

Ruled out: a shorter lease for the tests; the defaults are what operators run. Change: two process tests. SIGSTOP of the owner past its lease, take-over, resubmission, SIGCONT, resubmission at the resumed owner. A platform that drops every connection for 8 s: jobs of both kinds at both instances, a refused change, an instance started meanwhile, then recovery.

--- /dev/null
+++ b/lovagestack/outage_test.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"lovagestack/lovagefake"
+	"lovagestack/lovagejob"
+)
+
+// pastLease is longer than the lease of 6 s, so that every observer has seen it expire.
+const pastLease = 8 * time.Second
+
+// faults sets the faults of the stand-in platform.
+func (de *deployment) faults(fa lovagefake.PlatformFaults) {
+	de.t.Helper()
+	status, data, err := de.call(http.MethodPut, de.platform+"/control/faults", fa)
+	must.NoError(de.t, err)
+	must.True(de.t, status < 300, must.Sprintf("set faults: status %d: %s", status, data))
+}
+
+// Guards against an owner that was paused past its lease, resumes and starts a key that the replica has taken over and
+// run meanwhile.
+func TestOwnerPausedPastItsLease(t *testing.T) {
+	de := deploy(t, 4, "kandla")
+	k1 := de.entry("kandla-1", "kandla")
+	k2 := de.entry("kandla-2", "kandla")
+	de.declare(k1, "kandla")
+	de.inForce(k2, 3)
+	unused, running := de.mintReplicated(k1), de.mintReplicated(k1)
+	runningBody := jobBody(running, false, 4, 2*time.Second)
+	go func() { _, _ = de.submit(k1, runningBody) }()
+	de.eventually("the job's tasks start", func() bool { return len(de.startCounts()) == 4 })
+	k1.signal(syscall.SIGSTOP)
+
+	unusedBody := jobBody(unused, false, 4, 10*time.Millisecond)
+	var last answer
+	de.eventually("the replica runs the key that was never submitted", func() bool {
+		var err error
+		last, err = de.submit(k2, unusedBody)
+		return err == nil && last.Outcome.Final()
+	})
+	must.Eq(t, lovagejob.Complete, last.Outcome, must.Sprintf("%s", last.Reason))
+	last, err := de.submit(k2, runningBody)
+	must.NoError(t, err)
+	must.Eq(t, lovagejob.Unknown, last.Outcome, must.Sprintf("%s", last.Reason))
+
+	time.Sleep(pastLease)
+	k1.signal(syscall.SIGCONT)
+	last, err = de.submit(k1, unusedBody)
+	must.NoError(t, err)
+	must.True(t, last.Outcome == lovagejob.Complete || last.Outcome == lovagejob.Unknown, must.Sprintf("%+v", last))
+	de.eventually("the resumed instance serves again", func() bool {
+		last, err = de.submit(k1, jobBody(de.mint(k1, true), true, 2, 10*time.Millisecond))
+		return err == nil && last.Outcome == lovagejob.Complete
+	})
+	de.checkStarts(4, unused, running)
+}
+
+// Guards against a data centre that stops serving while the platform is down for longer than a lease, against a change
+// that is called accepted in that time, and against an instance started meanwhile that serves without configuration.
+func TestPlatformDownPastTheLease(t *testing.T) {
+	de := deploy(t, 4, "kandla")
+	k1 := de.entry("kandla-1", "kandla")
+	k2 := de.entry("kandla-2", "kandla")
+	de.declare(k1, "kandla")
+	de.inForce(k2, 3)
+	de.mintReplicated(k1)
+	de.mintReplicated(k2)
+	de.faults(lovagefake.PlatformFaults{Down: true})
+	time.Sleep(pastLease)
+
+	keys := []string{}
+	for _, ip := range []*instanceProcess{k1, k2} {
+		for _, repeatable := range []bool{true, false} {
+			key := de.mint(ip, repeatable)
+			an, err := de.submit(ip, jobBody(key, repeatable, 3, 10*time.Millisecond))
+			must.NoError(t, err)
+			must.Eq(t, lovagejob.Complete, an.Outcome, must.Sprintf("%s repeatable=%v: %s", ip.id, repeatable, an.Reason))
+			keys = append(keys, key)
+		}
+	}
+	status, data, err := de.call(http.MethodPut, k1.operator+"/v1/resources/Team/late",
+		map[string]any{"kind": "Team", "name": "late", "spec": map[string]any{}})
+	must.NoError(t, err)
+	must.True(t, status >= 500, must.Sprintf("a change during the outage: status %d: %s", status, data))
+
+	k3 := de.entry("kandla-3", "kandla") // returns when it is ready
+	de.inForce(k3, 3)
+	for _, key := range keys {
+		an, err := de.ask(k3, key)
+		must.NoError(t, err)
+		must.Eq(t, lovagejob.Complete, an.Outcome, must.Sprintf("asked at the new instance: %s", an.Reason))
+	}
+
+	de.faults(lovagefake.PlatformFaults{})
+	de.eventually("changes are accepted again", func() bool {
+		status, _, err := de.call(http.MethodPut, k2.operator+"/v1/resources/Team/later",
+			map[string]any{"kind": "Team", "name": "later", "spec": map[string]any{}})
+		return err == nil && status < 300
+	})
+	de.checkStarts(3, keys...)
+}
