lovageentry: tell peers ranges and known peers only when they change

Cause: BenchmarkIdleInstance showed bytes sent to peers growing with the square of the instances: 306, 1,102, 2,961 and 11,524 B/s at 2, 4, 7 and 14. Each heartbeat named every range and every peer. 18 KB/s would be reached at 17 instances. Ruled out: session pings and polls of the table (they do not grow that way), naming a few peers in turn (a new instance is then known everywhere only after n/4 heartbeats). Change: ranges and known peers are sent when their hash differs from what the peer confirmed, and every 20 s; peers in other data centres get a heartbeat every second interval. The benchmark starts instances as processes. Processor time of about 0.08% of a core per peer is the next bound: 3% of a core at about 30 instances, with sessions between all of them.

--- a/lovageentry/heartbeat.go
+++ b/lovageentry/heartbeat.go
@@ -2,23 +2,44 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
 	"lovagestack/lovagedispatch"
 	"lovagestack/lovageledger"
 	"lovagestack/lovagemember"
 	"lovagestack/lovagemessage"
 )
 
-// heartbeatIfDue sends the instance's state to every peer that is not gone.
+// farHeartbeatFactor is the number of heartbeat intervals between two heartbeats to an instance of another data centre.
+// Idle control cost is proportional to the number of peers, and nothing that has to happen within a second depends on
+// peers elsewhere. Twice the interval of 1 s stays below the 3 s after which a peer is suspect.
+const farHeartbeatFactor = 2
+
+// topologyRefresh is the time after which a peer is told the ranges and known peers again although they have not
+// changed. Unchanged ones in each heartbeat made the bytes sent grow with the square of the number of instances.
+const topologyRefresh = 20 * time.Second
+
+// heartbeatTarget is what the control loop keeps of a peer that it sends heartbeats to.
+type heartbeatTarget struct {
+	due      time.Time
+	topology uint64    // hash of the ranges and peers that the target has confirmed
+	told     time.Time // when it did
+	used     bool      // in this round
+}
+
+// heartbeatIfDue sends the instance's state to every peer that is not gone and whose heartbeat is due.
 func (lo *controlLoop) heartbeatIfDue() {
 	if lo.now.Before(lo.nextHeartbeat) {
 		return
 	}
 	lo.nextHeartbeat = lo.now.Add(lo.in.settings.Heartbeat.Interval)
 	lo.sweepOffers()
-	req := &lovagemessage.Request{Body: &lovagemessage.Request_Heartbeat{Heartbeat: lo.heartbeatMessage()}}
 	// Seeds are instances whose ID is not known before their first heartbeat, so they are sent one by address alone.
 	targets := make(map[string]string, len(lo.members.members))
 	for _, seed := range lo.in.settings.Peers.Seeds {
@@ -29,33 +50,77 @@
 			targets[me.Address] = id
 		}
 	}
+	brief := lo.heartbeatMessage()
+	full, topology := lo.withTopology(brief)
 	for address, id := range targets {
-		if address == "" || address == lo.in.peerAddress || !lo.in.mesh.Connected(address) {
-			continue
+		if address != "" && address != lo.in.peerAddress && lo.in.mesh.Connected(address) {
+			lo.sendHeartbeat(address, id, brief, full, topology)
+		}
+	}
+	for address, ht := range lo.heartbeats {
+		if !ht.used {
+			delete(lo.heartbeats, address)
 		}
-		lo.in.counts.heartbeats.Inc(1)
-		hs := &heartbeatSender{in: lo.in, peer: id, address: address, req: req, deadline: lo.nextHeartbeat}
-		go hs.run()
+		ht.used = false
 	}
 }
 
-func (lo *controlLoop) heartbeatMessage() *lovagemessage.Heartbeat {
-	msg := &lovagemessage.Heartbeat{
-		Instance: lo.in.id, DataCentre: lo.in.settings.DataCentre, Address: lo.in.peerAddress, Leaving: lo.draining,
-		Ready: lo.in.isReady(), AppliedRevision: lo.in.store.Revision(), Load: fromLoad(lo.core.Load()),
-		LeavingWorkers: lo.leavingWorkers(),
+func (lo *controlLoop) sendHeartbeat(address, id string, brief, full *lovagemessage.Heartbeat, topology uint64) {
+	ht := lo.heartbeats[address]
+	if ht == nil {
+		ht = &heartbeatTarget{}
+		lo.heartbeats[address] = ht
+	}
+	ht.used = true
+	// Half an interval of slack keeps the timer's jitter from skipping a round.
+	if lo.now.Add(lo.in.settings.Heartbeat.Interval / 2).Before(ht.due) {
+		return
+	}
+	interval := lo.in.settings.Heartbeat.Interval
+	if id != "" && lo.members.dataCentres[id] != lo.in.settings.DataCentre {
+		interval *= farHeartbeatFactor
+	}
+	ht.due = lo.now.Add(interval)
+	msg := brief
+	if ht.topology != topology || lo.now.Sub(ht.told) >= topologyRefresh {
+		msg = full
+	}
+	lo.in.counts.heartbeats.Inc(1)
+	hs := &heartbeatSender{
+		in: lo.in, peer: id, address: address, deadline: lo.nextHeartbeat, full: msg == full, topology: topology,
+		req: &lovagemessage.Request{Body: &lovagemessage.Request_Heartbeat{Heartbeat: msg}},
 	}
+	go hs.run()
+}
+
+// withTopology returns the heartbeat with the ranges and known peers added, and a hash of these.
+func (lo *controlLoop) withTopology(brief *lovagemessage.Heartbeat) (*lovagemessage.Heartbeat, uint64) {
+	full, ok := proto.Clone(brief).(*lovagemessage.Heartbeat)
+	if !ok {
+		return brief, 0
+	}
+	di := xxhash.New()
 	for _, rs := range lo.ledger.Ranges() {
-		msg.Ranges = append(msg.Ranges, fromRange(rs))
+		full.Ranges = append(full.Ranges, fromRange(rs))
+		_, _ = fmt.Fprintln(di, rs)
 	}
-	for id, me := range lo.members.members {
-		if me.State == lovagemember.Live {
-			msg.KnownPeers = append(msg.KnownPeers, &lovagemessage.PeerState{
+	for _, id := range slices.Sorted(maps.Keys(lo.members.members)) {
+		if me := lo.members.members[id]; me.State == lovagemember.Live {
+			full.KnownPeers = append(full.KnownPeers, &lovagemessage.PeerState{
 				Instance: id, DataCentre: lo.members.dataCentres[id], Address: me.Address,
 			})
+			_, _ = fmt.Fprintln(di, id, me.Address)
 		}
 	}
-	return msg
+	return full, di.Sum64()
+}
+
+func (lo *controlLoop) heartbeatMessage() *lovagemessage.Heartbeat {
+	return &lovagemessage.Heartbeat{
+		Instance: lo.in.id, DataCentre: lo.in.settings.DataCentre, Address: lo.in.peerAddress, Leaving: lo.draining,
+		Ready: lo.in.isReady(), AppliedRevision: lo.in.store.Revision(), Load: fromLoad(lo.core.Load()),
+		LeavingWorkers: lo.leavingWorkers(),
+	}
 }
 
 func (lo *controlLoop) leavingWorkers() []string {
@@ -74,6 +139,8 @@
 	address  string
 	req      *lovagemessage.Request
 	deadline time.Time
+	full     bool   // req holds the topology
+	topology uint64 // its hash
 }
 
 func (hs *heartbeatSender) run() {
@@ -84,6 +151,9 @@
 		hs.in.counts.heartbeatsFailed.Inc(1)
 		return
 	}
+	if hs.full {
+		hs.in.control.post(ctx, hs)
+	}
 	if hs.peer == "" {
 		return // a seed; its own heartbeat will tell who it is
 	}
@@ -95,6 +165,13 @@
 	}
 }
 
+// apply notes that the peer has got the topology.
+func (hs *heartbeatSender) apply(lo *controlLoop) {
+	if ht := lo.heartbeats[hs.address]; ht != nil {
+		ht.topology, ht.told = hs.topology, lo.now
+	}
+}
+
 // heartbeatReceived is a heartbeat of a peer.
 type heartbeatReceived struct {
 	from    string
--- a/lovageentry/loop.go
+++ b/lovageentry/loop.go
@@ -57,6 +57,7 @@
 	sharing       int // live instances that share the workers of the own data centre
 	teams         []lovagedispatch.Team
 	nextHeartbeat time.Time
+	heartbeats    map[string]*heartbeatTarget // by address
 	workerStates  map[string]lovagemember.State
 }
 
--- a/lovagestack/harness_test.go
+++ b/lovagestack/harness_test.go
@@ -56,7 +56,7 @@
 
 // process is a started command with its log.
 type process struct {
-	t    *testing.T
+	t    testing.TB
 	name string
 	cmd  *exec.Cmd
 	done chan struct{}
@@ -65,7 +65,7 @@
 }
 
 // start runs a built command until the test ends.
-func start(t *testing.T, name string, args ...string) *process {
+func start(t testing.TB, name string, args ...string) *process {
 	t.Helper()
 	pr := &process{t: t, name: name, done: make(chan struct{})}
 	pr.cmd = exec.Command(filepath.Join(binaries, args[0]), args[1:]...)
@@ -121,7 +121,7 @@
 
 // deployment is a platform, workers and entry instances as processes on loopback.
 type deployment struct {
-	t         *testing.T
+	t         testing.TB
 	dir       string
 	platform  string // address
 	control   string // address of the workers' control endpoint
@@ -139,7 +139,7 @@
 }
 
 // deploy starts the platform and the workers of the data centres, with speeds that differ threefold.
-func deploy(t *testing.T, workers int, dataCentres ...string) *deployment {
+func deploy(t testing.TB, workers int, dataCentres ...string) *deployment {
 	t.Helper()
 	de := &deployment{
 		t: t, dir: t.TempDir(), instances: map[string]*instanceProcess{}, client: &http.Client{Timeout: patience},
@@ -169,7 +169,7 @@
 var nextPort = atomic.Int64{}
 
 // freePorts returns addresses on loopback that nobody listens on.
-func freePorts(t *testing.T, n int) []string {
+func freePorts(t testing.TB, n int) []string {
 	t.Helper()
 	nextPort.CompareAndSwap(0, int64(os.Getpid()*97))
 	var out []string
