--- a/lovagebackend/client.go
+++ b/lovagebackend/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -40,6 +41,9 @@
 	SilentFactor  int           // its age in units of the slowest later request of the service, 10
 	SilentReplies int           // least number of such later requests, 8
 
+	// Dial opens a TCP connection to a worker; nil uses a net.Dialer with DialTimeout, KeepAlive and UserTimeout.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 	Counters Counters
 }
 
@@ -68,6 +72,9 @@
 	setDefault(&se.SilentAfter, 10*time.Second)
 	setDefault(&se.SilentFactor, 10)
 	setDefault(&se.SilentReplies, 8)
+	if se.Dial == nil {
+		se.Dial = newDialer(se).DialContext
+	}
 	se.Counters.fill()
 	cl := &Client{
 		se: se, counters: se.Counters, start: time.Now(), workers: map[string]*worker{},
--- a/lovagebackend/worker.go
+++ b/lovagebackend/worker.go
@@ -38,16 +38,19 @@
 	return wo
 }
 
-func (wo *worker) dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	se := &wo.client.se
-	dialer := net.Dialer{
+// newDialer returns the dialer with the socket options that end silent connections.
+func newDialer(se Settings) *net.Dialer {
+	return &net.Dialer{
 		Timeout:         se.DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: se.KeepAlive, Interval: se.KeepAlive, Count: keepAliveCount},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			return setUserTimeout(raw, se.UserTimeout)
 		},
 	}
-	raw, err := dialer.DialContext(ctx, network, addr)
+}
+
+func (wo *worker) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	raw, err := wo.client.se.Dial(ctx, network, addr)
 	if err != nil {
 		wo.client.counters.DialFailures.Inc(1)
 		return nil, err
--- a/lovageentry/backends.go
+++ b/lovageentry/backends.go
@@ -6,9 +6,9 @@
 )
 
 // newBackend returns the client towards the workers, with its counters in the instance's metrics.
-func newBackend(re *lovagemetric.Registry) *lovagebackend.Client {
+func newBackend(re *lovagemetric.Registry, dial Dial) *lovagebackend.Client {
 	counter := func(name, help string) lovagebackend.Counter { return re.Counter("backend_"+name, help).With() }
-	return lovagebackend.New(lovagebackend.Settings{Counters: lovagebackend.Counters{
+	return lovagebackend.New(lovagebackend.Settings{Dial: dial, Counters: lovagebackend.Counters{
 		Connections:      counter("connections", "Connections opened to workers."),
 		DialFailures:     counter("dial_failures", "Connections to workers that could not be opened."),
 		Requests:         counter("requests", "Requests of which at least one byte was written."),
--- a/lovageentry/caller.go
+++ b/lovageentry/caller.go
@@ -100,6 +100,8 @@
 	if rp.fault != "" {
 		return rp.answer, &FaultError{Fault: rp.fault, Reason: rp.answer.Reason}
 	}
+	in.reached(StepAnswer)
+	in.pause.wait()
 	in.counts.answers(rp.answer.Outcome)
 	return rp.answer, nil
 }
--- a/lovageentry/forward.go
+++ b/lovageentry/forward.go
@@ -56,6 +56,7 @@
 }
 
 func (fo *forwarder) ask(ctx context.Context, ta target) (reply, error) {
+	fo.in.reached(StepForward)
 	fo.in.counts.forwards.Inc(1)
 	res, err := fo.in.call(ctx, ta.address, fo.message())
 	if err != nil {
--- a/lovageentry/instance.go
+++ b/lovageentry/instance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -45,8 +46,13 @@
 	Tracer   *lovagetrace.Tracer
 	Policy   lovagedispatch.Policy // empty means lending; others serve comparison
 	Seed     uint64                // of the instance's random choices; 0 draws one
+	Observer Observer              // nil: none
+	Dial     Dial                  // opens connections to peers and workers; nil uses the network directly
 }
 
+// Dial opens a connection as net.Dialer.DialContext does.
+type Dial = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Instance is one entry instance. Its exported methods may be called from several goroutines.
 type Instance struct {
 	settings    lovageconfig.Settings
@@ -70,6 +76,8 @@
 	jobsHeld     gauge // admitted jobs that have not ended or have tasks at workers
 	stopping     atomic.Bool
 	handedOver   atomic.Bool
+	observer     Observer
+	pause        pauseGate
 
 	lifetime context.Context // ends when the instance has stopped
 	end      context.CancelFunc
@@ -98,7 +106,7 @@
 	se := op.Settings
 	in := &Instance{
 		settings: se, id: se.ID + "-" + suffix(rng), platform: op.Platform, tracer: op.Tracer,
-		counts: newCounts(op.Metrics),
+		counts: newCounts(op.Metrics), observer: op.Observer,
 	}
 	in.log = op.Log.With(zap.String("instance", in.id))
 	in.lifetime, in.end = context.WithCancel(context.Background())
@@ -107,13 +115,14 @@
 		Instance: in.id, DataCentre: se.DataCentre, Listen: se.Addresses.Peer.String(),
 		AppliedRevision: func() int64 { return in.store.Revision() },
 		Counters:        in.counts, SessionUp: in.sessionUp, SessionDown: in.sessionDown,
+		Dial: op.Dial,
 	}, (*peerHandler)(in))
 	address, err := in.mesh.Listen()
 	if err != nil {
 		return nil, err
 	}
 	in.peerAddress = address
-	in.backend = newBackend(op.Metrics)
+	in.backend = newBackend(op.Metrics, op.Dial)
 	in.store = lovageresource.NewStore(keptChanges)
 	in.ledgerWriter = lovageplatform.NewWriter(op.Platform, in.id, lovageplatform.WriterSettings{})
 	in.table = newTableAccess(in)
@@ -174,31 +183,44 @@
 // ID returns the ID of this process of the instance.
 func (in *Instance) ID() string { return in.id }
 
+// PeerAddress returns the address on which the instance listens for peers.
+func (in *Instance) PeerAddress() string { return in.peerAddress }
+
 // Keeper returns what operators' requests are served from.
 func (in *Instance) Keeper() *lovagesync.Keeper { return in.keeper }
 
 // running is the context of everything that must go on until the instance has stopped.
 func (in *Instance) running() context.Context { return in.lifetime }
 
+// service gives a supervised service a name. Without it suture formats the service's fields, all the way through the
+// instance, while other goroutines change them.
+type service struct {
+	suture.Service
+	name string
+}
+
+// String returns the name.
+func (se service) String() string { return se.name }
+
 // Serve runs the instance until ctx ends and then shuts down gracefully: it hands over its ranges and finishes what is
 // in flight, for at most settings.Shutdown.Deadline. It returns the number of requests that were cut.
 func (in *Instance) Serve(ctx context.Context) (cut int, err error) {
 	sup := suture.New("entry", suture.Spec{EventHook: in.superviseEvent, Timeout: 5 * time.Second})
 	traffic := suture.New("traffic", suture.Spec{EventHook: in.superviseEvent})
-	traffic.Add(in.mesh)
+	traffic.Add(service{in.mesh, "mesh"})
 	platform := suture.New("platform", suture.Spec{EventHook: in.superviseEvent})
-	platform.Add(&tableReader{in.table})
-	platform.Add(&tableWriter{in.table})
-	platform.Add(&listReader{in: in})
-	platform.Add(in.keeper)
+	platform.Add(service{&tableReader{in.table}, "tableReader"})
+	platform.Add(service{&tableWriter{in.table}, "tableWriter"})
+	platform.Add(service{&listReader{in: in}, "listReader"})
+	platform.Add(service{in.keeper, "keeper"})
 	control := suture.New("control", suture.Spec{EventHook: in.superviseEvent})
-	control.Add(in.control)
-	control.Add(&resourceWatcher{in: in})
+	control.Add(service{in.control, "controlLoop"})
+	control.Add(service{&resourceWatcher{in: in}, "resourceWatcher"})
 	servers := suture.New("servers", suture.Spec{EventHook: in.superviseEvent})
 	for _, srv := range in.servers {
-		servers.Add(srv)
+		servers.Add(service{srv, "server"})
 	}
-	servers.Add(in.tracer)
+	servers.Add(service{in.tracer, "tracer"})
 	sup.Add(control)
 	sup.Add(servers)
 	sup.Add(traffic)
@@ -273,6 +295,7 @@
 // Handle serves one request. It is called on a goroutine of its own.
 func (ph *peerHandler) Handle(ctx context.Context, from string, req *lovagemessage.Request) (*lovagemessage.Response, error) {
 	in := (*Instance)(ph)
+	defer in.pause.wait()
 	ctx = in.tracer.ExtractRequest(ctx, req)
 	switch body := req.GetBody().(type) {
 	case *lovagemessage.Request_Heartbeat:
--- a/lovageentry/job.go
+++ b/lovageentry/job.go
@@ -38,6 +38,7 @@
 		}})
 		return
 	}
+	lo.in.reached(StepQueue)
 	delete(lo.offers, cm.Key)
 	lo.lastJob++
 	jo := &job{
@@ -77,6 +78,7 @@
 		}}).run()
 		return
 	}
+	lo.in.reached(StepChoose)
 	ctx, cancel := context.WithCancel(trace.ContextWithSpanContext(lo.in.running(), jo.span))
 	lo.in.tracer.Record(ctx, lovagetrace.QueueWait, jo.admitted, lo.now)
 	jo.running[cm.Task] = cancel
@@ -131,7 +133,9 @@
 	ctx, span := tr.lo.in.tracer.Start(tr.ctx, lovagetrace.WorkerCall)
 	span.SetString("task", tr.req.Task)
 	span.SetString("worker", tr.worker)
+	tr.lo.in.reached(StepWriteRequest)
 	tr.res = tr.lo.in.backend.Run(ctx, tr.req)
+	tr.lo.in.reached(StepReadReply)
 	span.End(tr.res.Err)
 	tr.took = time.Since(started)
 	// The control loop must learn of the end even while the instance shuts down, so this does not use tr.ctx.
--- a/lovageentry/loop.go
+++ b/lovageentry/loop.go
@@ -168,6 +168,7 @@
 	case lovageledger.ReadTable:
 		lo.in.table.read(cm)
 	case lovageledger.CommitTable:
+		lo.ledgerStep(cm)
 		lo.in.table.commit(cm)
 	case lovageledger.Drained:
 		lo.rangesHandedOver(cm)
--- /dev/null
+++ b/lovageentry/observe.go
@@ -0,0 +1,126 @@
+package lovageentry
+
+import (
+	"encoding/json"
+	"strings"
+	"sync"
+
+	"lovagestack/lovageledger"
+)
+
+// Step names a point on the path of a key, a lease or a configuration at which an Observer is called.
+type Step string
+
+// Steps, each reached immediately before the act that it names unless it says otherwise.
+const (
+	StepAccept       Step = "accept"       // the ledger gets a submission, of a caller or a peer
+	StepForward      Step = "forward"      // a request is sent on to a peer
+	StepQueue        Step = "queue"        // an accepted job enters the dispatch queue
+	StepChoose       Step = "choose"       // a worker has been chosen for a task
+	StepWriteRequest Step = "writeRequest" // a task is written to its worker
+	StepReadReply    Step = "readReply"    // the end of a task at a worker is known, the control loop has not got it
+	StepAnswer       Step = "answer"       // a caller gets its answer
+	StepRenew        Step = "renew"        // the lease row is written
+	StepTakeOver     Step = "takeOver"     // the row of another instance's range is written (Rules B and C)
+	StepHandOver     Step = "handOver"     // records go to the receiver of a range (Rule F)
+	StepApply        Step = "apply"        // a configuration revision reaches the control loop
+	StepShutDown     Step = "shutDown"     // a graceful shutdown begins
+)
+
+// Observer learns which step an instance reaches, so that a trial can inject a fault there. Reached is called on the
+// goroutine that takes the step, often the control loop, and holds it up for as long as it takes.
+type Observer interface {
+	Reached(st Step)
+}
+
+func (in *Instance) reached(st Step) {
+	if in.observer != nil {
+		in.observer.Reached(st)
+	}
+}
+
+// ledgerStep reports the step that a transaction of the ledger stands for, if it is one.
+func (lo *controlLoop) ledgerStep(cm lovageledger.CommitTable) {
+	if lo.in.observer == nil {
+		return
+	}
+	for _, wr := range cm.Transaction.Writes {
+		switch {
+		case wr.Delete:
+		case strings.HasPrefix(wr.Key, "instance/"):
+			lo.in.reached(StepRenew)
+		case strings.HasPrefix(wr.Key, "range/"):
+			var row lovageledger.Row
+			if json.Unmarshal(wr.Value, &row) == nil && row.Owner == lo.in.id && row.Epoch > 1 && !lo.owns(wr.Key) {
+				lo.in.reached(StepTakeOver)
+			}
+		}
+	}
+}
+
+func (lo *controlLoop) owns(key string) bool {
+	for _, rs := range lo.ledger.Ranges() {
+		if rs.Range.String() == key {
+			return true
+		}
+	}
+	return false
+}
+
+// Kill stops the instance without a hand-over, as the death of its process would; Serve then returns an error. It is
+// meant for trials of several instances in one process.
+func (in *Instance) Kill() { in.end() }
+
+// Pause stops the control loop and holds back the answers to callers and peers, as a stopped process would, until the
+// returned function is called. It is meant for trials; bytes that the kernel would hold back are the trial's to hold.
+func (in *Instance) Pause() (resume func()) {
+	pa := &pause{resumed: make(chan struct{}), stopped: in.stopped}
+	in.pause.set(pa)
+	go pa.run(in)
+	var once sync.Once
+	return func() {
+		once.Do(func() {
+			in.pause.set(nil)
+			close(pa.resumed)
+		})
+	}
+}
+
+// pause is an event that holds up the control loop.
+type pause struct {
+	resumed chan struct{}
+	stopped <-chan struct{}
+}
+
+func (pa *pause) run(in *Instance) { in.control.post(in.running(), pa) }
+
+func (pa *pause) apply(*controlLoop) { pa.wait() }
+
+func (pa *pause) wait() {
+	select {
+	case <-pa.resumed:
+	case <-pa.stopped:
+	}
+}
+
+// pauseGate holds the current pause.
+type pauseGate struct {
+	mu sync.Mutex
+	pa *pause
+}
+
+func (pg *pauseGate) set(pa *pause) {
+	pg.mu.Lock()
+	defer pg.mu.Unlock()
+	pg.pa = pa
+}
+
+// wait returns when the instance is not paused or has stopped.
+func (pg *pauseGate) wait() {
+	pg.mu.Lock()
+	pa := pg.pa
+	pg.mu.Unlock()
+	if pa != nil {
+		pa.wait()
+	}
+}
--- a/lovageentry/replicate.go
+++ b/lovageentry/replicate.go
@@ -73,6 +73,9 @@
 
 func (lo *controlLoop) sendTransfer(cm lovageledger.SendTransfer) {
 	ch := cm.Chunk
+	if ch.Owner {
+		lo.in.reached(StepHandOver)
+	}
 	msg := &lovagemessage.Transfer{
 		Range: fromRange(ch.Range), Records: fromRecords(ch.Records), Transfer: ch.Transfer, Chunk: int32(ch.Chunk),
 		Last: ch.Last, Owner: ch.Owner, DroppedBefore: unixMilli(ch.DroppedBefore),
--- a/lovageentry/request.go
+++ b/lovageentry/request.go
@@ -75,6 +75,7 @@
 	case kindMint:
 		lo.stepLedger(&lovageledger.Mint{Request: id, Count: re.count, Repeatable: re.repeatable})
 	case kindSubmit:
+		lo.in.reached(StepAccept)
 		lo.offer(re)
 		lo.stepLedger(&lovageledger.Submit{
 			Request: id, Key: re.key, Fingerprint: re.fingerprint, Hops: re.hops, WaitUntil: re.waitUntil,
--- a/lovageentry/resources.go
+++ b/lovageentry/resources.go
@@ -116,6 +116,7 @@
 }
 
 func (rl *resourcesLoaded) apply(lo *controlLoop) {
+	lo.in.reached(StepApply)
 	lo.log.Info("configuration applied", zap.Int64("revision", rl.revision), zap.Int("workers", len(rl.workers)),
 		zap.Int("services", len(rl.services)), zap.Int("teams", len(rl.teams)))
 	lo.workers = rl.workers
--- a/lovageentry/shutdown.go
+++ b/lovageentry/shutdown.go
@@ -48,6 +48,7 @@
 	deadline := time.Now().Add(in.settings.Shutdown.Deadline)
 	ctx, cancel := context.WithDeadline(in.running(), deadline)
 	defer cancel()
+	in.reached(StepShutDown)
 	in.stopping.Store(true)
 	in.log.Info("shutdown started", zap.Time("deadline", deadline))
 	in.control.post(ctx, &leaving{})
--- a/lovagefake/platform.go
+++ b/lovagefake/platform.go
@@ -356,3 +356,6 @@
 	pl.mu.Unlock()
 	writeJSON(rw, http.StatusOK, map[string]any{"instances": list})
 }
+
+// Memory returns the table, object store and list behind the platform, which faults do not affect.
+func (pl *Platform) Memory() *lovageplatform.Memory { return pl.memory }
--- a/lovagefake/relay.go
+++ b/lovagefake/relay.go
@@ -15,6 +15,7 @@
 	li      net.Listener
 	delay   atomic.Int64 // nanoseconds
 	refuse  atomic.Bool
+	held    atomic.Pointer[chan struct{}] // closed when the bytes may pass again; nil: they pass
 	stopped chan struct{}
 	running sync.WaitGroup
 
@@ -72,6 +73,30 @@
 // SetDelay delays the bytes of each direction by d.
 func (re *Relay) SetDelay(d time.Duration) { re.delay.Store(int64(d)) }
 
+// SetHold keeps the bytes of all connections back, without losing any, until it is called with false. It stands for a
+// process that does not run while its kernel keeps the connections up.
+func (re *Relay) SetHold(hold bool) {
+	var next *chan struct{}
+	if hold {
+		ch := make(chan struct{})
+		next = &ch
+	}
+	if before := re.held.Swap(next); before != nil {
+		close(*before)
+	}
+}
+
+// awaitRelease waits until bytes may pass.
+func (re *Relay) awaitRelease() {
+	for held := re.held.Load(); held != nil; held = re.held.Load() {
+		select {
+		case <-*held:
+		case <-re.stopped:
+			return
+		}
+	}
+}
+
 // SetRefuse sets whether new connections are closed at once.
 func (re *Relay) SetRefuse(refuse bool) { re.refuse.Store(refuse) }
 
@@ -135,6 +160,7 @@
 				ti.Stop()
 			}
 		}
+		pa.relay.awaitRelease()
 		if n > 0 && !pa.silent.Load() {
 			if _, writeErr := to.Write(buf[:n]); writeErr != nil {
 				err = writeErr
--- a/lovagefake/worker.go
+++ b/lovagefake/worker.go
@@ -30,6 +30,7 @@
 	Services    map[string]ServiceRun // services by name; one that is missing takes the default of ServiceRun
 	Seed        uint64                // a task has the same run time on each worker of the same seed
 	NoStarts    bool                  // does not record starts, for runs with millions of tasks
+	OnStart     func(task string)     // called after a task has taken its slot, before it runs; may be nil
 }
 
 // WorkerFaults are the faults of a Worker; the zero value has none.
@@ -224,6 +225,9 @@
 		return
 	}
 	reply := taskReply{Worker: wo.se.ID, Task: task, Service: req.PathValue("service"), PayloadBytes: len(payload)}
+	if wo.se.OnStart != nil {
+		wo.se.OnStart(task)
+	}
 	status, ok := wo.runTask(ctx, payload, &reply)
 	if !ok {
 		panic(http.ErrAbortHandler)
--- a/lovagepeer/handshake.go
+++ b/lovagepeer/handshake.go
@@ -45,8 +45,7 @@
 
 // dial connects to a peer and exchanges Hello messages with it.
 func (me *Mesh) dial(ctx context.Context, pe *peer) (*session, error) {
-	dialer := net.Dialer{Timeout: me.op.DialTimeout, KeepAlive: -1}
-	co, err := dialer.DialContext(ctx, "tcp", pe.address)
+	co, err := me.op.Dial(ctx, "tcp", pe.address)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
--- a/lovagepeer/options.go
+++ b/lovagepeer/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"lovagestack/lovagemessage"
@@ -39,6 +40,9 @@
 	SessionUp   func(instance string)
 	SessionDown func(instance string, refused bool)
 
+	// Dial opens a TCP connection to a peer; nil uses a net.Dialer with DialTimeout.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 	MaxFrameBytes    int           // default 32 MiB: 350 tasks of 64 KiB payload are 22 MiB
 	MaxInFlight      int           // requests in flight per session and direction, default 16384
 	MaxQueuedBytes   int           // frames waiting to be written per stream, default 64 MiB
@@ -62,6 +66,9 @@
 	setDefault(&op.PingTimeout, time.Second)
 	setDefault(&op.MinBackoff, 50*time.Millisecond)
 	setDefault(&op.MaxBackoff, time.Second)
+	if op.Dial == nil {
+		op.Dial = (&net.Dialer{Timeout: op.DialTimeout, KeepAlive: -1}).DialContext
+	}
 	return op
 }
 
--- /dev/null
+++ b/lovagetrial/caller.go
@@ -0,0 +1,129 @@
+package lovagetrial
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lovagestack/lovageapi"
+)
+
+// Caller speaks to instances as callers do and records every request about a key.
+type Caller struct {
+	de       *Deployment
+	patience time.Duration // added to the time until which an answer is due
+}
+
+// callPatience is how long after the deadline a caller still waits. An instance answers at most 10.5 s after it.
+const callPatience = 11 * time.Second
+
+// NewCaller returns a caller. It may be used by several goroutines.
+func (de *Deployment) NewCaller() *Caller { return &Caller{de: de, patience: callPatience} }
+
+// Mint returns new keys of an instance. An error leaves nothing to record, since no key is known.
+func (ca *Caller) Mint(ctx context.Context, it *Instance, count int, repeatable bool) ([]string, error) {
+	keys, err := it.Caller.Mint(ctx, count, repeatable)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]string, len(keys))
+	for i, key := range keys {
+		out[i] = key.String()
+	}
+	return out, nil
+}
+
+// payload is what the stand-in worker reads of a task.
+type payload struct {
+	RunTime string `json:"runTime"`
+	Padding string `json:"padding"`
+}
+
+// NewJob returns a submission whose payloads differ in length from each other and, mostly, from those of other keys,
+// because a worker's reply tells the length of the payload that it got.
+func NewJob(key string, repeatable bool, tasks int, runTime time.Duration, deadline time.Time) lovageapi.JobRequest {
+	jo := lovageapi.JobRequest{
+		Key: key, Service: ServiceName, Team: TeamName, Repeatable: repeatable, Deadline: deadline,
+		Tasks: make([]lovageapi.TaskRequest, tasks),
+	}
+	own := 0
+	for _, c := range []byte(key) {
+		own = (own*31 + int(c)) % 997
+	}
+	for i := range jo.Tasks {
+		text, err := json.Marshal(payload{RunTime: runTime.String(), Padding: string(bytes.Repeat([]byte{'x'}, own+i))})
+		if err != nil {
+			panic(err) // strings always encode
+		}
+		jo.Tasks[i].Payload = text
+	}
+	return jo
+}
+
+// Submit submits a job at an instance and waits for the answer.
+func (ca *Caller) Submit(ctx context.Context, it *Instance, jo lovageapi.JobRequest) (lovageapi.AnswerReply, error) {
+	rec := CallRecord{Operation: OpSubmit, Process: it.ID(), Key: jo.Key}
+	for _, ta := range jo.Tasks {
+		rec.Payloads = append(rec.Payloads, len(ta.Payload))
+	}
+	ctx, cancel := context.WithDeadline(ctx, jo.Deadline.Add(ca.patience))
+	defer cancel()
+	return ca.call(rec, func() (lovageapi.AnswerReply, error) { return it.Caller.Submit(ctx, jo) })
+}
+
+// SubmitUntilFinal submits a job at the instances in turn until an answer is final, as a caller does that needs to know.
+// The last answer is returned with ctx's error if that ends first.
+func (ca *Caller) SubmitUntilFinal(ctx context.Context, jo lovageapi.JobRequest, at ...*Instance) (lovageapi.AnswerReply, error) {
+	for i := 0; ; i++ {
+		an, err := ca.Submit(ctx, at[i%len(at)], jo)
+		if err == nil && an.Outcome.Final() {
+			return an, nil
+		}
+		if ctxErr := pauseFor(ctx, pollEvery); ctxErr != nil {
+			return an, errors.Wrapf(ctxErr, "key %s, last outcome %q (%s), last error %v", jo.Key, an.Outcome, an.Reason, err)
+		}
+	}
+}
+
+// Ask asks an instance for the answer to a key.
+func (ca *Caller) Ask(ctx context.Context, it *Instance, key string, wait time.Duration) (lovageapi.AnswerReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+ca.patience)
+	defer cancel()
+	return ca.call(CallRecord{Operation: OpAsk, Process: it.ID(), Key: key}, func() (lovageapi.AnswerReply, error) {
+		return it.Caller.Ask(ctx, key, wait)
+	})
+}
+
+// Cancel cancels a job at an instance.
+func (ca *Caller) Cancel(ctx context.Context, it *Instance, key string) (lovageapi.AnswerReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, ca.patience)
+	defer cancel()
+	return ca.call(CallRecord{Operation: OpCancel, Process: it.ID(), Key: key}, func() (lovageapi.AnswerReply, error) {
+		return it.Caller.Cancel(ctx, key)
+	})
+}
+
+func (ca *Caller) call(rec CallRecord, do func() (lovageapi.AnswerReply, error)) (lovageapi.AnswerReply, error) {
+	rec.Invoked = time.Now()
+	rec.Answer, rec.Err = do()
+	rec.Returned = time.Now()
+	rec.NotSent = errors.Is(rec.Err, lovageapi.ErrNotSent)
+	var reply *lovageapi.ReplyError
+	rec.Refused = errors.As(rec.Err, &reply)
+	ca.de.evidence.change(func(ev *Evidence) { ev.Calls = append(ev.Calls, rec) })
+	return rec.Answer, rec.Err
+}
+
+// String describes the request for a report.
+func (cr *CallRecord) String() string {
+	result := fmt.Sprintf("%s (%s) started %d of %d", cr.Answer.Outcome, cr.Answer.Reason, cr.Answer.Started, cr.Answer.Tasks)
+	if cr.Err != nil {
+		result = "error: " + cr.Err.Error()
+	}
+	return fmt.Sprintf("%s..%s %s %s at %s: %s", cr.Invoked.Format("05.000"), cr.Returned.Format("05.000"), cr.Operation,
+		cr.Key, cr.Process, result)
+}
--- /dev/null
+++ b/lovagetrial/check_test.go
@@ -0,0 +1,131 @@
+package lovagetrial
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"lovagestack/lovageapi"
+	"lovagestack/lovagejob"
+	"lovagestack/lovageresource"
+)
+
+const keyA, keyB = "kandla.1.1.1796381234567.a", "kandla.1.1.1796381234567.b"
+
+var epoch = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+// submitted is a whole and true answer to a job of two tasks.
+func submitted(key string) CallRecord {
+	ke, _ := lovagejob.ParseKey(key)
+	cr := CallRecord{
+		Operation: OpSubmit, Process: "p", Key: key, Payloads: []int{10, 11}, Invoked: epoch, Returned: epoch.Add(time.Second),
+		Answer: lovageapi.AnswerReply{Key: ke, Outcome: lovagejob.Complete, Tasks: 2, Started: 2},
+	}
+	for i := range 2 {
+		body, _ := json.Marshal(map[string]any{"task": fmt.Sprintf("%s/%d", key, i), "payloadBytes": 10 + i})
+		cr.Answer.Results = append(cr.Answer.Results, lovageapi.ResultReply{Task: i, Worker: "w", Status: 200, Body: body})
+	}
+	return cr
+}
+
+func sound() Evidence {
+	team := func(revision int64, weight float64) []lovageresource.Resource {
+		return []lovageresource.Resource{{
+			Kind: lovageresource.KindTeam, Name: "gate", Revision: revision, Spec: lovageresource.Team{Weight: weight},
+		}}
+	}
+	read := func(name string, at int, revision int64, weight float64) ReadRecord {
+		return ReadRecord{
+			Name: name, Process: name, Invoked: epoch.Add(time.Duration(at) * time.Second),
+			Returned: epoch.Add(time.Duration(at)*time.Second + 1), Revision: revision, Resources: team(revision, weight),
+		}
+	}
+	write := func(base, revision int64) WriteRecord {
+		return WriteRecord{Process: "p", Resource: team(base, 1)[0], Result: lovageresource.WriteResult{
+			Outcome: lovageresource.Accepted, Revision: revision,
+		}}
+	}
+	return Evidence{
+		Starts: map[string]int{keyA + "/0": 1, keyA + "/1": 1},
+		Calls:  []CallRecord{submitted(keyA)},
+		Writes: []WriteRecord{write(1, 2), write(2, 3)},
+		Reads:  []ReadRecord{read("k1", 0, 2, 1), read("k1", 2, 3, 2), read("k2", 3, 3, 2)},
+	}
+}
+
+// Guards against a checker that passes everything: each case makes one fact of sound evidence wrong.
+func TestCheckFindsEachViolation(t *testing.T) {
+	must.Len(t, 0, Check(sound()))
+	last := func(ev *Evidence) *CallRecord { return &ev.Calls[len(ev.Calls)-1] }
+	for _, tc := range []struct {
+		name      string
+		invariant int
+		problem   string
+		spoil     func(ev *Evidence)
+	}{
+		{"double start", 1, "2 times", func(ev *Evidence) { ev.Starts[keyA+"/1"] = 2 }},
+		{"fewer results than tasks", 2, "1 results for 2", func(ev *Evidence) { last(ev).Answer.Results = last(ev).Answer.Results[:1] }},
+		{"results in a failed answer", 2, "not complete", func(ev *Evidence) { last(ev).Answer.Outcome = lovagejob.Failed }},
+		{"complete without a start", 2, "only 1 of 2", func(ev *Evidence) { delete(ev.Starts, keyA+"/1") }},
+		{"fewer tasks than submitted", 2, "3 tasks were submitted", func(ev *Evidence) { last(ev).Payloads = []int{10, 11, 12} }},
+		{"answer of another key", 3, "belongs to key", func(ev *Evidence) { last(ev).Answer.Key = submitted(keyB).Answer.Key }},
+		{"result of another key", 3, "is that of task", func(ev *Evidence) { last(ev).Answer.Results[1] = submitted(keyB).Answer.Results[1] }},
+		{"results in another order", 3, "is that of task", func(ev *Evidence) {
+			rs := last(ev).Answer.Results
+			rs[0], rs[1] = rs[1], rs[0]
+		}},
+		{"another payload", 3, "bytes of payload", func(ev *Evidence) { last(ev).Payloads[0] = 99 }},
+		{"untrue notRun", 4, "were started although", func(ev *Evidence) {
+			cr := submitted(keyA)
+			cr.Answer.Outcome, cr.Answer.Results = lovagejob.NotRun, nil
+			ev.Calls = []CallRecord{cr}
+		}},
+		{"changed outcome", 2, "the answer changed", func(ev *Evidence) {
+			cr := submitted(keyA)
+			cr.Answer.Outcome, cr.Answer.Results = lovagejob.Failed, nil
+			ev.Calls = append(ev.Calls, cr)
+		}},
+		{"changed results", 2, "the results changed", func(ev *Evidence) {
+			cr := submitted(keyA)
+			cr.Answer.Results[0].Worker = "v"
+			ev.Calls = append(ev.Calls, cr)
+		}},
+		{"pending after the end", 2, "pending again", func(ev *Evidence) {
+			cr := submitted(keyA)
+			cr.Answer.Outcome, cr.Answer.Results, cr.Invoked = lovagejob.Pending, nil, epoch.Add(time.Minute)
+			ev.Calls = append(ev.Calls, cr)
+		}},
+		{"shutdown that cuts", 7, "cut 1 requests", func(ev *Evidence) { ev.Shutdowns = []Shutdown{{Process: "p", Cut: 1}} }},
+		{"request lost in a shutdown", 7, "cut: ", func(ev *Evidence) {
+			last(ev).Err = fmt.Errorf("EOF")
+			ev.Shutdowns = []Shutdown{{Process: "p", Began: epoch.Add(1), Ended: epoch.Add(time.Minute)}}
+		}},
+		{"reverted revision", 8, "went back from revision 3", func(ev *Evidence) {
+			re := ev.Reads[0]
+			re.Invoked, re.Returned = epoch.Add(time.Minute), epoch.Add(time.Minute+1)
+			ev.Reads = append(ev.Reads, re)
+		}},
+		{"revision of two meanings", 8, "elsewhere", func(ev *Evidence) {
+			ev.Reads[2].Resources[0].Spec = lovageresource.Team{Weight: 9}
+		}},
+		{"both racing changes accepted", 8, "two changes of revision 1", func(ev *Evidence) { ev.Writes[1].Resource.Revision = 1 }},
+		{"revision accepted twice", 8, "accepted twice", func(ev *Evidence) { ev.Writes[1].Result.Revision = 2 }},
+		{"not in force in time", 8, "not in force", func(ev *Evidence) {
+			ev.InForce = []InForceRecord{{Revision: 3, Missing: []string{"k2"}}}
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ev := sound()
+			tc.spoil(&ev)
+			found := false
+			for _, vi := range Check(ev) {
+				found = found || vi.Invariant == tc.invariant && strings.Contains(vi.Problem, tc.problem)
+			}
+			must.True(t, found, must.Sprintf("not found; found only %v", Check(ev)))
+		})
+	}
+}
--- /dev/null
+++ b/lovagetrial/deployment.go
@@ -0,0 +1,272 @@
+package lovagetrial
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"lovagestack/lovagedispatch"
+	"lovagestack/lovageentry"
+	"lovagestack/lovagefake"
+	"lovagestack/lovageplatform"
+	"lovagestack/lovageresource"
+)
+
+// Names of the resources that New declares.
+const (
+	ServiceName = "ticket"
+	TeamName    = "gate"
+)
+
+// DataCentre says what a data centre of a deployment holds.
+type DataCentre struct {
+	Name      string
+	Instances int       // named <name>-1, <name>-2 and so on
+	Speeds    []float64 // of the workers, named <name>-w0, <name>-w1 and so on
+}
+
+// Timing are the timings of a deployment. Zero fields take the defaults of ShortTiming.
+type Timing struct {
+	LeaseTTL, LeaseRenewal              time.Duration
+	Heartbeat, Suspect, Gone            time.Duration
+	PlatformTimeout                     time.Duration
+	BalancerLag, ShutdownDeadline, Boot time.Duration // Boot bounds the wait of New for readiness
+}
+
+// ShortTiming returns timings about ten times shorter than those of an instance, so that a take-over takes about a
+// second, which is the least time for which refused sessions make a peer count as gone.
+func ShortTiming() Timing {
+	return Timing{
+		LeaseTTL: 600 * time.Millisecond, LeaseRenewal: 150 * time.Millisecond,
+		Heartbeat: 100 * time.Millisecond, Suspect: 400 * time.Millisecond, Gone: 800 * time.Millisecond,
+		PlatformTimeout: 500 * time.Millisecond,
+		BalancerLag:     100 * time.Millisecond, ShutdownDeadline: 10 * time.Second, Boot: 30 * time.Second,
+	}
+}
+
+// Options describe a deployment.
+type Options struct {
+	DataCentres []DataCentre
+	Slots       int // of each worker; 0: 8
+	Connections int // of each worker; 0: 64
+	Timing      Timing
+	Seed        uint64 // of the random choices of instances and run times; 0 counts as 1
+	Direct      bool   // no relays: links have no faults and no cost of their own
+	Policy      lovagedispatch.Policy
+	Log         *zap.Logger // nil logs nothing
+
+	// Reached is called at each step of an instance, on the goroutine that takes it. May be nil.
+	Reached func(it *Instance, st lovageentry.Step)
+	// Started is called when a worker starts a task. May be nil.
+	Started func(task string)
+}
+
+// Deployment is a running deployment. Its methods may be called from several goroutines.
+type Deployment struct {
+	op       Options
+	platform *lovagefake.Platform
+	server   *http.Server
+	serving  sync.WaitGroup
+	address  string // of the platform
+	links    *links
+	workers  []*Worker
+	evidence *recorder
+
+	starting  sync.Mutex // held while a process is being started
+	mu        sync.Mutex
+	instances map[string]*Instance // by name; the process that runs now, or ran last
+	order     []string
+	past      []*Instance // every process ever started
+}
+
+// Worker is a stand-in worker with what a pool declares about it.
+type Worker struct {
+	*lovagefake.Worker
+	ID, DataCentre, Address string
+}
+
+// New starts a deployment, declares a service, a team and a pool for each data centre, and waits until every instance
+// has them and gives keys of both kinds.
+func New(op Options) (*Deployment, error) {
+	if op.Timing == (Timing{}) {
+		op.Timing = ShortTiming()
+	}
+	if op.Slots == 0 {
+		op.Slots = 8
+	}
+	if op.Connections == 0 {
+		op.Connections = 64
+	}
+	if op.Seed == 0 {
+		op.Seed = 1
+	}
+	if op.Log == nil {
+		op.Log = zap.NewNop()
+	}
+	de := &Deployment{op: op, links: newLinks(), evidence: newRecorder(), instances: map[string]*Instance{}}
+	if err := de.start(); err != nil {
+		de.Close()
+		return nil, err
+	}
+	return de, nil
+}
+
+func (de *Deployment) start() error {
+	if err := de.startPlatform(); err != nil {
+		return err
+	}
+	for _, dc := range de.op.DataCentres {
+		for i, speed := range dc.Speeds {
+			if err := de.startWorker(dc.Name, i, speed); err != nil {
+				return err
+			}
+		}
+	}
+	for _, dc := range de.op.DataCentres {
+		for i := range dc.Instances {
+			if _, err := de.StartInstance(fmt.Sprintf("%s-%d", dc.Name, i+1), dc.Name); err != nil {
+				return err
+			}
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), de.op.Timing.Boot)
+	defer cancel()
+	if err := de.declare(ctx); err != nil {
+		return err
+	}
+	return de.awaitKeys(ctx)
+}
+
+func (de *Deployment) startPlatform() error {
+	de.platform = lovagefake.NewPlatform(lovageplatform.NewMemory())
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Wrap(err, "listen for the platform")
+	}
+	de.address = li.Addr().String()
+	de.links.add(de.address, PlatformNode)
+	de.server = &http.Server{Handler: de.platform, ReadHeaderTimeout: time.Minute}
+	de.serving.Go(func() { _ = de.server.Serve(li) })
+	return nil
+}
+
+func (de *Deployment) startWorker(dc string, n int, speed float64) error {
+	id := fmt.Sprintf("%s-w%d", dc, n)
+	wo := &Worker{ID: id, DataCentre: dc, Worker: lovagefake.NewWorker(lovagefake.WorkerSettings{
+		ID: id, DataCentre: dc, Slots: de.op.Slots, Connections: de.op.Connections, Speed: speed, Seed: de.op.Seed,
+		OnStart: de.op.Started,
+	})}
+	address, err := wo.Listen("127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	wo.Address = address
+	de.workers = append(de.workers, wo)
+	de.links.add(address, id)
+	de.platform.PutInstance(wo.Instance())
+	return nil
+}
+
+// declare puts the resources through the first instance and waits until every instance has applied them.
+func (de *Deployment) declare(ctx context.Context) error {
+	list := []lovageresource.Resource{
+		{Kind: lovageresource.KindService, Name: ServiceName, Spec: defaultService()},
+		{Kind: lovageresource.KindTeam, Name: TeamName, Spec: lovageresource.DefaultTeam()},
+	}
+	for _, dc := range de.op.DataCentres {
+		pool := lovageresource.Pool{DataCentre: dc.Name, Services: []string{ServiceName}}
+		for _, wo := range de.workers {
+			if wo.DataCentre == dc.Name {
+				pool.Workers = append(pool.Workers, lovageresource.Worker{
+					ID: wo.ID, Address: netip.MustParseAddrPort(wo.Address), Slots: de.op.Slots, Connections: de.op.Connections,
+				})
+			}
+		}
+		if len(pool.Workers) > 0 {
+			list = append(list, lovageresource.Resource{Kind: lovageresource.KindPool, Name: "pool-" + dc.Name, Spec: pool})
+		}
+	}
+	op := de.NewOperator()
+	var revision int64
+	for _, re := range list {
+		for {
+			res, err := op.Put(ctx, de.Instances()[0], re)
+			if err == nil && (res.Outcome == lovageresource.Accepted || res.Outcome == lovageresource.Unchanged) {
+				revision = max(revision, res.Revision)
+				break
+			}
+			if err := pauseFor(ctx, pollEvery); err != nil {
+				return errors.Wrapf(err, "declare %s %q", re.Kind, re.Name)
+			}
+		}
+	}
+	return errors.Wrap(op.AwaitInForce(ctx, revision), "declare the resources")
+}
+
+// defaultService is a service whose tasks say in their payload how long they run.
+func defaultService() lovageresource.Service {
+	sp := lovageresource.DefaultService()
+	sp.RunTime = lovageresource.Duration(20 * time.Millisecond)
+	return sp
+}
+
+// pollEvery is the pause between two looks at a state that a trial waits for.
+const pollEvery = 10 * time.Millisecond
+
+func pauseFor(ctx context.Context, d time.Duration) error {
+	ti := time.NewTimer(d)
+	defer ti.Stop()
+	select {
+	case <-ti.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// awaitKeys waits until every instance mints keys of both kinds from its own ranges, and those of the kind that may
+// not be repeated from a range with a replica if there is more than one instance.
+func (de *Deployment) awaitKeys(ctx context.Context) error {
+	for _, it := range de.Instances() {
+		for !de.hasRanges(ctx, it) {
+			if err := pauseFor(ctx, pollEvery); err != nil {
+				return errors.Wrapf(err, "wait for the key ranges of %s", it.Name)
+			}
+		}
+	}
+	return nil
+}
+
+// Platform returns the stand-in platform, whose faults can be set.
+func (de *Deployment) Platform() *lovagefake.Platform { return de.platform }
+
+// Workers returns the stand-in workers, whose faults can be set.
+func (de *Deployment) Workers() []*Worker { return de.workers }
+
+// Close stops everything at once.
+func (de *Deployment) Close() {
+	for _, it := range de.Processes() {
+		it.Kill()
+	}
+	for _, it := range de.Processes() {
+		it.wait()
+	}
+	de.links.close()
+	for _, wo := range de.workers {
+		wo.Close()
+	}
+	if de.platform != nil {
+		de.platform.Close()
+	}
+	if de.server != nil {
+		_ = de.server.Close()
+	}
+	de.serving.Wait()
+}
--- /dev/null
+++ b/lovagetrial/deployment_test.go
@@ -0,0 +1,77 @@
+package lovagetrial
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"lovagestack/lovagejob"
+)
+
+func testDeployment(t *testing.T) *Deployment {
+	t.Helper()
+	de, err := New(Options{DataCentres: []DataCentre{
+		{Name: "kandla", Instances: 2, Speeds: []float64{1, 0.5}}, {Name: "navlakhi", Instances: 1, Speeds: []float64{1}},
+	}})
+	must.NoError(t, err)
+	t.Cleanup(de.Close)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("table and calls:\n%s", de.Report())
+		}
+	})
+	return de
+}
+
+// Guards against a deployment whose evidence does not show a whole answer at each instance, or whose killed instance
+// goes on: the replica must run the key that was not used.
+func TestKilledOwnerIsReplaced(t *testing.T) {
+	de := testDeployment(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 12*time.Second)
+	defer cancel()
+	ca := de.NewCaller()
+	owner := de.Instance("kandla-1")
+	keys, err := ca.Mint(ctx, owner, 2, false)
+	must.NoError(t, err)
+	deadline := time.Now().Add(20 * time.Second)
+	for _, it := range de.Instances() {
+		an, err := ca.SubmitUntilFinal(ctx, NewJob(keys[0], false, 3, 10*time.Millisecond, deadline), it)
+		must.NoError(t, err)
+		must.Eq(t, lovagejob.Complete, an.Outcome, must.Sprintf("%s: %s", it.Name, an.Reason))
+	}
+	owner.Kill()
+	_, err = ca.Ask(ctx, owner, keys[0], 0)
+	must.Error(t, err)
+	an, err := ca.SubmitUntilFinal(ctx, NewJob(keys[1], false, 3, 10*time.Millisecond, deadline), de.Instance("navlakhi-1"))
+	must.NoError(t, err)
+	must.Eq(t, lovagejob.Complete, an.Outcome, must.Sprintf("%s", an.Reason))
+	// The answer may not have been copied to the replica when the owner was killed.
+	an, err = ca.Ask(ctx, de.Instance("kandla-2"), keys[0], 0)
+	must.NoError(t, err)
+	must.SliceContains(t, []lovagejob.Outcome{lovagejob.Complete, lovagejob.Unknown}, an.Outcome)
+	_, err = owner.Restart()
+	must.NoError(t, err)
+	must.NoError(t, de.NewOperator().AwaitInForce(ctx, 4))
+	must.Len(t, 0, Check(de.Evidence()))
+}
+
+// Guards against a shutdown that a trial cannot observe: it must end by itself and cut nothing.
+func TestShutDownInADeployment(t *testing.T) {
+	de := testDeployment(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 12*time.Second)
+	defer cancel()
+	ca := de.NewCaller()
+	owner := de.Instance("kandla-1")
+	keys, err := ca.Mint(ctx, owner, 1, false)
+	must.NoError(t, err)
+	cut, err := owner.ShutDown()
+	must.NoError(t, err)
+	must.Zero(t, cut)
+	jo := NewJob(keys[0], false, 2, time.Millisecond, time.Now().Add(20*time.Second))
+	an, err := ca.SubmitUntilFinal(ctx, jo, de.Instance("kandla-2"))
+	must.NoError(t, err)
+	must.Eq(t, lovagejob.Complete, an.Outcome, must.Sprintf("%s", an.Reason))
+	must.Len(t, 0, Check(de.Evidence()))
+}
--- /dev/null
+++ b/lovagetrial/instance.go
@@ -0,0 +1,307 @@
+package lovagetrial
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"lovagestack/lovageapi"
+	"lovagestack/lovageconfig"
+	"lovagestack/lovageentry"
+	"lovagestack/lovageledger"
+	"lovagestack/lovageplatform"
+	"lovagestack/lovagetrace"
+)
+
+// Instance is one process of an entry instance. After Kill or ShutDown it stays as a record.
+type Instance struct {
+	Name, DataCentre string
+	Entry            *lovageentry.Instance
+	Caller, Operator *lovageapi.Client
+
+	de       *Deployment
+	servers  []*lovageapi.Server
+	node     string // end of links: the process's own ID, so that a new process has links of its own
+	platform *lovageplatform.Client
+	stop     context.CancelFunc
+	done     chan struct{}
+	cut      int // requests that a shutdown cut; valid when done is closed
+	err      error
+	faulted  atomic.Bool // a fault of the trial has hit the process
+	halted   atomic.Bool // Kill or ShutDown was called
+
+	mu      sync.Mutex
+	resume  func()
+	resumed chan struct{} // nil unless paused
+}
+
+// observer passes an instance's steps to the trial.
+type observer struct{ it atomic.Pointer[Instance] }
+
+// Reached holds the step up while the instance is paused.
+func (ob *observer) Reached(st lovageentry.Step) {
+	it := ob.it.Load()
+	if it == nil || it.halted.Load() && st != lovageentry.StepShutDown && st != lovageentry.StepHandOver {
+		return
+	}
+	if it.de.op.Reached != nil {
+		it.de.op.Reached(it, st)
+	}
+	it.awaitResume()
+}
+
+// StartInstance starts an instance whose seeds are the instances that run now. A name that ran before is a restart: a
+// new process with new addresses.
+func (de *Deployment) StartInstance(name, dataCentre string) (*Instance, error) {
+	de.starting.Lock()
+	defer de.starting.Unlock()
+	it := &Instance{Name: name, DataCentre: dataCentre, de: de, done: make(chan struct{})}
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	se := lovageconfig.Defaults()
+	se.ID, se.DataCentre = name, dataCentre
+	se.Addresses = lovageconfig.Addresses{Caller: loopback, Operator: loopback, Peer: loopback}
+	ti := de.op.Timing
+	se.Lease = lovageconfig.Lease{TTL: ti.LeaseTTL, Renewal: ti.LeaseRenewal}
+	se.Heartbeat = lovageconfig.Heartbeat{Interval: ti.Heartbeat, Suspect: ti.Suspect, Gone: ti.Gone}
+	se.Shutdown = lovageconfig.Shutdown{BalancerLag: ti.BalancerLag, Deadline: ti.ShutdownDeadline}
+	se.Platform.Timeout = ti.PlatformTimeout
+	for _, other := range de.Instances() {
+		if other.Running() {
+			se.Peers.Seeds = append(se.Peers.Seeds, netip.MustParseAddrPort(other.Entry.PeerAddress()))
+		}
+	}
+	if err := it.build(se); err != nil {
+		return nil, errors.Wrapf(err, "start instance %s", name)
+	}
+	de.links.add(it.Entry.PeerAddress(), it.node)
+	de.platform.PutInstance(lovageplatform.Instance{
+		ID: name, DataCentre: dataCentre, Kind: lovageplatform.KindEntry, Address: it.Entry.PeerAddress(),
+		State: lovageplatform.StateLive,
+	})
+	de.mu.Lock()
+	if _, ok := de.instances[name]; !ok {
+		de.order = append(de.order, name)
+	}
+	de.instances[name] = it
+	de.past = append(de.past, it)
+	de.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	it.stop = cancel
+	go it.run(ctx)
+	return it, nil
+}
+
+// build joins the instance with its platform client and its API servers.
+func (it *Instance) build(se lovageconfig.Settings) error {
+	de := it.de
+	de.mu.Lock()
+	it.node = fmt.Sprintf("%s#%d", se.ID, len(de.past)) // unique: processes are started one at a time
+	seed := de.op.Seed + uint64(len(de.past))
+	de.mu.Unlock()
+	address := de.address
+	ob := &observer{}
+	op := lovageentry.Options{Settings: se, Log: de.op.Log, Seed: seed, Policy: de.op.Policy, Observer: ob}
+	if !de.op.Direct {
+		li, _, err := de.links.relay(it.node, de.address)
+		if err != nil || li == nil {
+			return errors.CombineErrors(errors.New("no link to the platform"), err)
+		}
+		address, op.Dial = li.relay.Address(), de.links.dialer(it.node)
+	}
+	platform, err := lovageplatform.NewClient(lovageplatform.ClientSettings{
+		Addresses: []string{address}, Timeout: se.Platform.Timeout, ID: it.node,
+	})
+	if err != nil {
+		return err
+	}
+	it.platform, op.Platform = platform, platform
+	if op.Tracer, err = lovagetrace.New(context.Background(), lovagetrace.Settings{Instance: se.ID, DataCentre: se.DataCentre}); err != nil {
+		return err
+	}
+	if it.Entry, err = lovageentry.New(op); err != nil {
+		return err
+	}
+	ob.it.Store(it)
+	return it.addServers(se, de.op.Log)
+}
+
+func (it *Instance) addServers(se lovageconfig.Settings, log *zap.Logger) error {
+	caller, err := lovageapi.NewCaller(lovageapi.DefaultSettings(), it.Entry, log)
+	if err != nil {
+		return err
+	}
+	operator, err := lovageapi.NewOperator(lovageapi.DefaultSettings(), it.Entry.Keeper(), it.Entry, log)
+	if err != nil {
+		return err
+	}
+	if err := caller.Listen(se.Addresses.Caller.String()); err != nil {
+		return err
+	}
+	if err := operator.Listen(se.Addresses.Operator.String()); err != nil {
+		return err
+	}
+	it.servers = []*lovageapi.Server{caller, operator}
+	it.Entry.AddServer(caller)
+	it.Entry.AddServer(operator)
+	it.Caller, it.Operator = lovageapi.NewClient(caller.Address()), lovageapi.NewClient(operator.Address())
+	return nil
+}
+
+func (it *Instance) run(ctx context.Context) {
+	defer close(it.done)
+	it.cut, it.err = it.Entry.Serve(ctx)
+	it.de.links.remove(it.Entry.PeerAddress())
+	it.de.links.removeFrom(it.node)
+	it.platform.Close()
+}
+
+// ID returns the ID under which other instances know the process.
+func (it *Instance) ID() string { return it.Entry.ID() }
+
+// Running reports whether the process neither has ended nor was told to.
+func (it *Instance) Running() bool {
+	select {
+	case <-it.done:
+		return false
+	default:
+		return !it.halted.Load()
+	}
+}
+
+// Faulted reports whether a fault of the trial has hit the process.
+func (it *Instance) Faulted() bool { return it.faulted.Load() }
+
+func (it *Instance) wait() {
+	<-it.done
+	it.Caller.Close()
+	it.Operator.Close()
+}
+
+// Kill ends the process abruptly: its connections break first, then it stops without a hand-over.
+func (it *Instance) Kill() {
+	it.faulted.Store(true)
+	it.halted.Store(true)
+	it.de.links.remove(it.Entry.PeerAddress())
+	it.de.links.removeFrom(it.node)
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, srv := range it.servers {
+		_ = srv.Shutdown(ended) // cuts everything at once, which is its error
+	}
+	it.Entry.Kill()
+	it.Resume()
+}
+
+// Restart starts the instance as a new process, after Kill or ShutDown.
+func (it *Instance) Restart() (*Instance, error) {
+	<-it.done
+	return it.de.StartInstance(it.Name, it.DataCentre)
+}
+
+// ShutDown ends the process gracefully, waits for that, and records what was cut.
+func (it *Instance) ShutDown() (cut int, err error) {
+	it.halted.Store(true)
+	began := time.Now()
+	it.stop()
+	<-it.done
+	it.de.platform.RemoveInstance(it.Name)
+	it.de.evidence.shutdown(Shutdown{
+		Process: it.ID(), Began: began, Ended: time.Now(), Cut: it.cut, Faulted: it.faulted.Load(),
+	})
+	return it.cut, it.err
+}
+
+// Pause stops the control loop and the answers of the process and holds the bytes of its links, until Resume.
+func (it *Instance) Pause() {
+	it.mu.Lock()
+	defer it.mu.Unlock()
+	if it.resume != nil || it.halted.Load() {
+		return
+	}
+	it.faulted.Store(true)
+	it.resumed = make(chan struct{})
+	it.resume = it.Entry.Pause()
+	it.de.eachLink(it, func(ls *links, a, b string) { ls.change(a, b, func(st *linkState) { st.held = true }) })
+}
+
+// Resume ends a pause.
+func (it *Instance) Resume() {
+	it.mu.Lock()
+	defer it.mu.Unlock()
+	if it.resume == nil {
+		return
+	}
+	it.de.eachLink(it, func(ls *links, a, b string) { ls.change(a, b, func(st *linkState) { st.held = false }) })
+	it.resume()
+	close(it.resumed)
+	it.resume, it.resumed = nil, nil
+}
+
+func (it *Instance) awaitResume() {
+	it.mu.Lock()
+	resumed := it.resumed
+	it.mu.Unlock()
+	if resumed != nil {
+		<-resumed
+	}
+}
+
+// Instance returns the process that runs under a name, or ran last.
+func (de *Deployment) Instance(name string) *Instance {
+	de.mu.Lock()
+	defer de.mu.Unlock()
+	return de.instances[name]
+}
+
+// Instances returns the latest process of each instance, in the order of their first start.
+func (de *Deployment) Instances() []*Instance {
+	de.mu.Lock()
+	defer de.mu.Unlock()
+	out := make([]*Instance, 0, len(de.order))
+	for _, name := range de.order {
+		out = append(out, de.instances[name])
+	}
+	return out
+}
+
+// Running returns the instances whose process runs and was not told to end.
+func (de *Deployment) Running() []*Instance {
+	return slices.DeleteFunc(de.Instances(), func(it *Instance) bool { return !it.Running() })
+}
+
+// Processes returns every process that was ever started.
+func (de *Deployment) Processes() []*Instance {
+	de.mu.Lock()
+	defer de.mu.Unlock()
+	return slices.Clone(de.past)
+}
+
+// hasRanges reports whether the instance owns a range without and one with a replica, according to the table.
+func (de *Deployment) hasRanges(ctx context.Context, it *Instance) bool {
+	rows, err := de.platform.Memory().Scan(ctx, "range/")
+	if err != nil {
+		return false
+	}
+	plain, replicated := false, len(de.Instances()) == 1
+	for _, row := range rows {
+		var ro lovageledger.Row
+		if json.Unmarshal(row.Value, &ro) != nil || ro.Owner != it.ID() || !strings.HasPrefix(row.Key, "range/") {
+			continue
+		}
+		if ro.Replica == "" {
+			plain = true
+		} else {
+			replicated = true
+		}
+	}
+	return plain && replicated
+}
--- /dev/null
+++ b/lovagetrial/operator.go
@@ -0,0 +1,69 @@
+package lovagetrial
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lovagestack/lovageapi"
+	"lovagestack/lovageresource"
+)
+
+// inForceLimit is the time of invariant 8 for today's deployment.
+const inForceLimit = 5 * time.Second
+
+// Operator changes and reads resources as operators do and records it.
+type Operator struct{ de *Deployment }
+
+// NewOperator returns an operator. It may be used by several goroutines.
+func (de *Deployment) NewOperator() *Operator { return &Operator{de: de} }
+
+// Put changes a resource at an instance.
+func (op *Operator) Put(ctx context.Context, it *Instance, re lovageresource.Resource) (lovageresource.WriteResult, error) {
+	rec := WriteRecord{Process: it.ID(), Resource: re, Invoked: time.Now()}
+	rec.Result, rec.Err = it.Operator.Put(ctx, re)
+	rec.Returned = time.Now()
+	op.de.evidence.change(func(ev *Evidence) { ev.Writes = append(ev.Writes, rec) })
+	return rec.Result, rec.Err
+}
+
+// Read lists the resources of an instance. Only what an instance shows while it is ready is recorded, because a new
+// instance that is not ready may not have the newest revision.
+func (op *Operator) Read(ctx context.Context, it *Instance) (lovageapi.ListReply, error) {
+	ready, _ := it.Entry.Ready()
+	rec := ReadRecord{Name: it.Name, Process: it.ID(), Invoked: time.Now()}
+	li, err := it.Operator.List(ctx, "")
+	if err != nil {
+		return li, err
+	}
+	rec.Returned, rec.Revision, rec.Resources = time.Now(), li.Revision, li.Resources
+	if ready {
+		op.de.evidence.change(func(ev *Evidence) { ev.Reads = append(ev.Reads, rec) })
+	}
+	return li, nil
+}
+
+// AwaitInForce waits until every running instance shows the revision, for the limit of invariant 8 or until ctx ends,
+// and records which did not. All links must be whole.
+func (op *Operator) AwaitInForce(ctx context.Context, revision int64) error {
+	rec := InForceRecord{Revision: revision, Limit: inForceLimit}
+	ctx, cancel := context.WithTimeout(ctx, inForceLimit)
+	defer cancel()
+	for _, it := range op.de.Running() {
+		for it.Running() {
+			if li, err := op.Read(ctx, it); err == nil && li.Revision >= revision {
+				break
+			}
+			if pauseFor(ctx, pollEvery) != nil {
+				rec.Missing = append(rec.Missing, it.ID())
+				break
+			}
+		}
+	}
+	op.de.evidence.change(func(ev *Evidence) { ev.InForce = append(ev.InForce, rec) })
+	if len(rec.Missing) > 0 {
+		return errors.Newf("revision %d is not in force at %q", revision, rec.Missing)
+	}
+	return nil
+}
--- /dev/null
+++ b/lovagetrial/record.go
@@ -0,0 +1,138 @@
+package lovagetrial
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"lovagestack/lovageapi"
+	"lovagestack/lovageresource"
+)
+
+// Operation is what a caller asked for.
+type Operation string
+
+// Operations of callers.
+const (
+	OpSubmit Operation = "submit"
+	OpAsk    Operation = "ask"
+	OpCancel Operation = "cancel"
+)
+
+// CallRecord is one request of a caller about a key with what came of it.
+type CallRecord struct {
+	Operation Operation
+	Process   string // ID of the instance's process
+	Key       string
+	Payloads  []int // bytes of each task's payload, for a submission
+	Invoked   time.Time
+	Returned  time.Time
+	Answer    lovageapi.AnswerReply // without Err
+	Err       error                 // the request has no answer
+	NotSent   bool                  // Err: it cannot have reached the instance
+	Refused   bool                  // Err: the instance replied that it did not process the request
+}
+
+// WriteRecord is one change of a resource by an operator.
+type WriteRecord struct {
+	Process  string
+	Resource lovageresource.Resource // with the revision that it replaces
+	Invoked  time.Time
+	Returned time.Time
+	Result   lovageresource.WriteResult
+	Err      error
+}
+
+// ReadRecord is the state of all resources as an instance that was ready showed it.
+type ReadRecord struct {
+	Name      string // of the instance
+	Process   string
+	Invoked   time.Time
+	Returned  time.Time
+	Revision  int64
+	Resources []lovageresource.Resource
+}
+
+// InForceRecord says whether a revision reached all running instances within a time.
+type InForceRecord struct {
+	Revision int64
+	Limit    time.Duration
+	Missing  []string // processes that did not show it in time
+}
+
+// Shutdown is a graceful end of a process.
+type Shutdown struct {
+	Process      string
+	Began, Ended time.Time
+	Cut          int
+	Faulted      bool // a fault of the trial had hit the process, so that requests may have been lost
+}
+
+// Evidence is everything that a check needs.
+type Evidence struct {
+	Starts    map[string]int // by "key/task", over all workers
+	Calls     []CallRecord
+	Writes    []WriteRecord
+	Reads     []ReadRecord
+	InForce   []InForceRecord
+	Shutdowns []Shutdown
+}
+
+// recorder collects evidence.
+type recorder struct {
+	mu sync.Mutex
+	ev Evidence
+}
+
+func newRecorder() *recorder { return &recorder{} }
+
+func (re *recorder) change(fn func(ev *Evidence)) {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	fn(&re.ev)
+}
+
+func (re *recorder) shutdown(sh Shutdown) {
+	re.change(func(ev *Evidence) { ev.Shutdowns = append(ev.Shutdowns, sh) })
+}
+
+// Evidence returns what has been recorded so far and the workers' start counts now.
+func (de *Deployment) Evidence() Evidence {
+	de.evidence.mu.Lock()
+	out := de.evidence.ev
+	de.evidence.mu.Unlock()
+	out.Starts = map[string]int{}
+	for _, wo := range de.workers {
+		for task, n := range wo.StartCounts() {
+			out.Starts[task] += n
+		}
+	}
+	return out
+}
+
+// reportedCalls bounds the calls in a report; the last ones tell how a trial ended.
+const reportedCalls = 40
+
+// Report describes the rows of ranges and instances and the last calls, for a trial that failed.
+func (de *Deployment) Report() string {
+	var sb strings.Builder
+	for _, prefix := range []string{"instance/", "range/"} {
+		rows, err := de.platform.Memory().Scan(context.Background(), prefix)
+		if err != nil {
+			fmt.Fprintln(&sb, err)
+		}
+		for _, row := range rows {
+			fmt.Fprintf(&sb, "%s version %d: %s\n", row.Key, row.Version, row.Value)
+		}
+	}
+	for _, it := range de.Processes() {
+		fmt.Fprintf(&sb, "%s running=%t faulted=%t\n", it.ID(), it.Running(), it.Faulted())
+	}
+	calls := de.Evidence().Calls
+	for i := max(0, len(calls)-reportedCalls); i < len(calls); i++ {
+		fmt.Fprintln(&sb, &calls[i])
+	}
+	return sb.String()
+}
