lovageentry: credit the reply to a heartbeat to the process that sent it

Cause: the reply to a heartbeat counted as a sign of life of the ID that was expected at the address. The platform's list has names without the suffix of a process, so the name became a live member of its own and could be chosen as replica or receiver of a range. No process has that ID, so the range's keys answered "unknown" for good. In the same way a restarted process at the address of an earlier one kept the earlier one alive, which would prevent its take-over.

Ruled out: translating the list's names when it is read. It is not possible before the first heartbeat of the process.

Change: Mesh.Instance tells who was met at an address; the sender of heartbeats uses it. Members that were never heard from are not used to translate names of the list.

Conclusion: lovagestack's process tests do not put entry instances into the platform's list, so they could not see it.

--- a/lovageentry/heartbeat.go
+++ b/lovageentry/heartbeat.go
@@ -20,21 +20,21 @@
 	lo.sweepOffers()
 	req := &lovagemessage.Request{Body: &lovagemessage.Request_Heartbeat{Heartbeat: lo.heartbeatMessage()}}
 	// Seeds are instances whose ID is not known before their first heartbeat, so they are sent one by address alone.
-	targets := make(map[string]string, len(lo.members.members))
+	targets := make(map[string]struct{}, len(lo.members.members))
 	for _, seed := range lo.in.settings.Peers.Seeds {
-		targets[seed.String()] = ""
+		targets[seed.String()] = struct{}{}
 	}
-	for id, me := range lo.members.members {
+	for _, me := range lo.members.members {
 		if me.State != lovagemember.Gone {
-			targets[me.Address] = id
+			targets[me.Address] = struct{}{}
 		}
 	}
-	for address, id := range targets {
+	for address := range targets {
 		if address == "" || address == lo.in.peerAddress || !lo.in.mesh.Connected(address) {
 			continue
 		}
 		lo.in.counts.heartbeats.Inc(1)
-		hs := &heartbeatSender{in: lo.in, peer: id, address: address, req: req, deadline: lo.nextHeartbeat}
+		hs := &heartbeatSender{in: lo.in, address: address, req: req, deadline: lo.nextHeartbeat}
 		go hs.run()
 	}
 }
@@ -70,7 +70,6 @@
 // heartbeatSender sends one heartbeat to one peer and reports the reply to the control loop.
 type heartbeatSender struct {
 	in       *Instance
-	peer     string
 	address  string
 	req      *lovagemessage.Request
 	deadline time.Time
@@ -84,14 +83,17 @@
 		hs.in.counts.heartbeatsFailed.Inc(1)
 		return
 	}
-	if hs.peer == "" {
-		return // a seed; its own heartbeat will tell who it is
+	// The reply is a sign of life of the process that was met at the address, which need not be the one that was
+	// expected there: a restarted process has a new ID, and the platform's list has names instead of IDs.
+	peer := hs.in.mesh.Instance(hs.address)
+	if peer == "" {
+		return
 	}
 	hb := res.GetHeartbeat()
-	hs.in.keeper.Reported(hs.peer, hb.GetAppliedRevision())
-	hs.in.control.post(ctx, &memberEvent{lovagemember.PeerHeard{Instance: hs.peer}})
+	hs.in.keeper.Reported(peer, hb.GetAppliedRevision())
+	hs.in.control.post(ctx, &memberEvent{lovagemember.PeerHeard{Instance: peer}})
 	if workers := hb.GetLeavingWorkers(); len(workers) > 0 {
-		hs.in.control.post(ctx, &memberEvent{lovagemember.WorkerLeavingHeard{From: hs.peer, Workers: workers}})
+		hs.in.control.post(ctx, &memberEvent{lovagemember.WorkerLeavingHeard{From: peer, Workers: workers}})
 	}
 }
 
--- a/lovageentry/member.go
+++ b/lovageentry/member.go
@@ -192,7 +192,7 @@
 func (lr *listRead) apply(lo *controlLoop) {
 	ids := make(map[string]string, len(lo.members.members))
 	for id, me := range lo.members.members {
-		if me.State != lovagemember.Gone {
+		if me.State != lovagemember.Gone && me.State != lovagemember.Unheard { // Unheard: may be a name of an earlier list
 			ids[me.Address] = id
 		}
 	}
--- a/lovagepeer/mesh.go
+++ b/lovagepeer/mesh.go
@@ -190,6 +190,16 @@
 	}
 }
 
+// Instance returns the ID of the last instance met at an address, empty if there was none.
+func (me *Mesh) Instance(address string) string {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	if pe := me.peers[address]; pe != nil {
+		return pe.instance
+	}
+	return ""
+}
+
 // Connected reports whether there is a session with the instance at the address.
 func (me *Mesh) Connected(address string) bool {
 	me.mu.Lock()
