--- a/lovageentry/heartbeat.go
+++ b/lovageentry/heartbeat.go
@@ -27,6 +27,7 @@
 
 // heartbeatTarget is what the control loop keeps of a peer that it sends heartbeats to.
 type heartbeatTarget struct {
+	instance string // the process at the address; a restarted one has confirmed nothing
 	due      time.Time
 	topology uint64    // hash of the ranges and peers that the target has confirmed
 	told     time.Time // when it did
@@ -41,20 +42,20 @@
 	lo.nextHeartbeat = lo.now.Add(lo.in.settings.Heartbeat.Interval)
 	lo.sweepOffers()
 	// Seeds are instances whose ID is not known before their first heartbeat, so they are sent one by address alone.
-	targets := make(map[string]string, len(lo.members.members))
+	targets := make(map[string]struct{}, len(lo.members.members))
 	for _, seed := range lo.in.settings.Peers.Seeds {
-		targets[seed.String()] = ""
+		targets[seed.String()] = struct{}{}
 	}
-	for id, me := range lo.members.members {
+	for _, me := range lo.members.members {
 		if me.State != lovagemember.Gone {
-			targets[me.Address] = id
+			targets[me.Address] = struct{}{}
 		}
 	}
 	brief := lo.heartbeatMessage()
 	full, topology := lo.withTopology(brief)
-	for address, id := range targets {
+	for address := range targets {
 		if address != "" && address != lo.in.peerAddress && lo.in.mesh.Connected(address) {
-			lo.sendHeartbeat(address, id, brief, full, topology)
+			lo.sendHeartbeat(address, brief, full, topology)
 		}
 	}
 	for address, ht := range lo.heartbeats {
@@ -65,10 +66,11 @@
 	}
 }
 
-func (lo *controlLoop) sendHeartbeat(address, id string, brief, full *lovagemessage.Heartbeat, topology uint64) {
+func (lo *controlLoop) sendHeartbeat(address string, brief, full *lovagemessage.Heartbeat, topology uint64) {
+	met := lo.in.mesh.Instance(address)
 	ht := lo.heartbeats[address]
-	if ht == nil {
-		ht = &heartbeatTarget{}
+	if ht == nil || ht.instance != met {
+		ht = &heartbeatTarget{instance: met}
 		lo.heartbeats[address] = ht
 	}
 	ht.used = true
@@ -77,7 +79,7 @@
 		return
 	}
 	interval := lo.in.settings.Heartbeat.Interval
-	if id != "" && lo.members.dataCentres[id] != lo.in.settings.DataCentre {
+	if dc := lo.members.dataCentres[met]; dc != "" && dc != lo.in.settings.DataCentre {
 		interval *= farHeartbeatFactor
 	}
 	ht.due = lo.now.Add(interval)
@@ -87,7 +89,7 @@
 	}
 	lo.in.counts.heartbeats.Inc(1)
 	hs := &heartbeatSender{
-		in: lo.in, peer: id, address: address, deadline: lo.nextHeartbeat, full: msg == full, topology: topology,
+		in: lo.in, address: address, deadline: lo.nextHeartbeat, full: msg == full, topology: topology,
 		req: &lovagemessage.Request{Body: &lovagemessage.Request_Heartbeat{Heartbeat: msg}},
 	}
 	go hs.run()
@@ -135,7 +137,6 @@
 // heartbeatSender sends one heartbeat to one peer and reports the reply to the control loop.
 type heartbeatSender struct {
 	in       *Instance
-	peer     string
 	address  string
 	req      *lovagemessage.Request
 	deadline time.Time
@@ -154,14 +155,17 @@
 	if hs.full {
 		hs.in.control.post(ctx, hs)
 	}
-	if hs.peer == "" {
-		return // a seed; its own heartbeat will tell who it is
+	// The reply is a sign of life of the process that was met at the address, which need not be the one that was
+	// expected there: a restarted process has a new ID, and the platform's list has names instead of IDs.
+	peer := hs.in.mesh.Instance(hs.address)
+	if peer == "" {
+		return
 	}
 	hb := res.GetHeartbeat()
-	hs.in.keeper.Reported(hs.peer, hb.GetAppliedRevision())
-	hs.in.control.post(ctx, &memberEvent{lovagemember.PeerHeard{Instance: hs.peer}})
+	hs.in.keeper.Reported(peer, hb.GetAppliedRevision())
+	hs.in.control.post(ctx, &memberEvent{lovagemember.PeerHeard{Instance: peer}})
 	if workers := hb.GetLeavingWorkers(); len(workers) > 0 {
-		hs.in.control.post(ctx, &memberEvent{lovagemember.WorkerLeavingHeard{From: hs.peer, Workers: workers}})
+		hs.in.control.post(ctx, &memberEvent{lovagemember.WorkerLeavingHeard{From: peer, Workers: workers}})
 	}
 }
 
