lovageledger: free waiters at once, drop buckets whole, judge a stuck range over time

Cause: a request that had been answered stayed in the heap of waiters until its WaitUntil, up to 10 min; dropping a bucket deleted its records one by one; a drain while the table was down stopped ranges that nobody could take. Ruled out: lazy deletion from the heap, which costs memory in proportion to WaitUntil. Change: waiters leave the heap when answered; buckets are dropped whole unless jobs still run; a drain waits for the table before it closes a range; Uncopied tells when an instance may exit; a cancel answers blocked submissions.

--- a/lovageledger/copies.go
+++ b/lovageledger/copies.go
@@ -61,11 +61,12 @@
 		return
 	}
 	peer := le.copyPeer(rg)
+	me, known := le.members[peer]
 	switch {
-	case peer == "" || le.members[peer].State == MemberGone:
+	case !known || me.State == MemberGone:
 		rc.queue = nil // nobody is left who could use them
 		return
-	case !le.live(peer):
+	case me.State != MemberLive:
 		return
 	}
 	var records []Record
@@ -101,3 +102,13 @@
 	}
 	rg.copies.inFlight, rg.copies.batch = nil, 0
 }
+
+// Uncopied returns the number of ends that have not been copied to the replica or the new owner yet. An instance that
+// shuts down waits for zero, so that its last answers are known elsewhere.
+func (le *Ledger) Uncopied() int {
+	n := 0
+	for _, rg := range le.ranges {
+		n += len(rg.copies.queue) + len(rg.copies.inFlight)
+	}
+	return n
+}
--- a/lovageledger/record.go
+++ b/lovageledger/record.go
@@ -171,22 +171,35 @@
 // could not be told without their records. Waiters of dropped keys are answered when their time comes.
 func (st *store) expire(floor int64) {
 	st.floor = max(st.floor, floor)
+	dropped := false
 	for id, bucket := range st.buckets {
 		if (id.index+1)*bucketMillis > floor {
 			continue
 		}
+		running := map[slotKey]record{}
 		for slot, re := range bucket {
 			if re.state == stateRunning {
-				continue
+				running[slot] = re
 			}
-			delete(bucket, slot)
-			delete(st.details, id.key(slot))
-			st.count--
 		}
-		if len(bucket) == 0 {
+		if len(running) == len(bucket) {
+			continue
+		}
+		st.count -= len(bucket) - len(running)
+		dropped = true
+		st.buckets[id] = running
+		if len(running) == 0 {
 			delete(st.buckets, id)
 		}
 	}
+	if !dropped {
+		return
+	}
+	for sk := range st.details {
+		if _, ok := st.get(sk); !ok {
+			delete(st.details, sk)
+		}
+	}
 }
 
 // bucketIDs returns the buckets in order of their times.
--- a/lovageledger/request.go
+++ b/lovageledger/request.go
@@ -1,6 +1,7 @@
 package lovageledger
 
 import (
+	"slices"
 	"time"
 
 	"lovagestack/lovagejob"
@@ -212,10 +213,25 @@
 	case rg.own == nil:
 		le.route(rg, wa)
 	default:
+		le.unblockCancelled(rg, ev.Key)
 		le.reply(wa, le.unknown(wa.key, "no submission of this key is known"))
 	}
 }
 
+// unblockCancelled answers the blocked submissions of a key that is cancelled. Nothing has started, but another
+// instance may come to own the range, so the answer cannot be final.
+func (le *Ledger) unblockCancelled(rg *keyRange, key lovagejob.Key) {
+	rg.blocked = slices.DeleteFunc(rg.blocked, func(bs blockedSubmit) bool {
+		if bs.key != key {
+			return false
+		}
+		if wa := le.requests.waiting[bs.request]; wa != nil && wa.key == key {
+			le.replyState(wa)
+		}
+		return true
+	})
+}
+
 // mint issues keys from a range that can accept now.
 func (le *Ledger) mint(ev *Mint) {
 	rg := le.mintFrom(ev.Repeatable)
--- a/lovageledger/transfer.go
+++ b/lovageledger/transfer.go
@@ -156,6 +156,9 @@
 		le.watchHandOver(rg)
 		return true
 	}
+	if le.table.down && !own.stopped {
+		return true // the row could not be changed now, so the range goes on
+	}
 	peer, isReplica := le.receiverFor(rg)
 	if peer == "" {
 		own.closing, own.stopped = false, false
--- a/lovageledger/waiter.go
+++ b/lovageledger/waiter.go
@@ -14,6 +14,7 @@
 	sk      shortKey
 	until   time.Time
 	hops    int
+	index   int  // in the heap
 	brief   bool // waits only for the start, not for the end
 }
 
@@ -33,17 +34,18 @@
 	heap.Push(&rs.byTime, wa)
 }
 
-// drop forgets a request. Its place in the heap is freed when its time comes.
-func (rs *requests) drop(request uint64) { delete(rs.waiting, request) }
+// drop forgets a request.
+func (rs *requests) drop(request uint64) {
+	if wa := rs.waiting[request]; wa != nil {
+		delete(rs.waiting, request)
+		heap.Remove(&rs.byTime, wa.index)
+	}
+}
 
 // expire answers the waiters whose time has come with the state of their keys.
 func (rs *requests) expire(le *Ledger) {
 	for len(rs.byTime) > 0 && !rs.byTime[0].until.After(le.now) {
-		wa, ok := heap.Pop(&rs.byTime).(*waiter)
-		if !ok || rs.waiting[wa.request] != wa {
-			continue
-		}
-		le.replyState(wa)
+		le.replyState(rs.byTime[0]) // replies and thereby drops it
 	}
 }
 
@@ -51,10 +53,14 @@
 
 func (wh waiterHeap) Len() int           { return len(wh) }
 func (wh waiterHeap) Less(i, j int) bool { return wh[i].until.Before(wh[j].until) }
-func (wh waiterHeap) Swap(i, j int)      { wh[i], wh[j] = wh[j], wh[i] }
+func (wh waiterHeap) Swap(i, j int) {
+	wh[i], wh[j] = wh[j], wh[i]
+	wh[i].index, wh[j].index = i, j
+}
 
 func (wh *waiterHeap) Push(x any) {
 	if wa, ok := x.(*waiter); ok {
+		wa.index = len(*wh)
 		*wh = append(*wh, wa)
 	}
 }
