lovageledger: limit reads for keys of unknown ranges, test abandoned requests

Cause: a caller that names ranges at random caused up to five table reads a second per instance. Ruled out: remembering ranges that do not exist, which takes memory that callers control. Change: a request that cannot be routed causes at most one read per RetryAfter. Worlds abandon requests, and an answer to an abandoned request counts as a violation.

--- a/lovagehistory/jobs.go
+++ b/lovagehistory/jobs.go
@@ -66,7 +66,9 @@
 			return nil
 		}
 		st.never = true
-	case outcome == lovagejob.Complete && (st.count != out.Tasks || len(out.Results) > 0 && st.started != joined(out.Results)):
+	case outcome == lovagejob.Complete && st.count != out.Tasks:
+		return nil
+	case outcome == lovagejob.Complete && len(out.Results) > 0 && st.started != joined(out.Results):
 		return nil
 	case outcome != lovagejob.Complete && len(out.Results) > 0:
 		return nil // a partial answer
--- a/lovageledger/lease.go
+++ b/lovageledger/lease.go
@@ -136,7 +136,8 @@
 		}
 	}
 	for id, ob := range le.lease.others {
-		if le.lost(id) && ob.unchanged.Sub(ob.firstSeen) >= longGoneAfter*le.se.LeaseTTL && (key == "" || instancePrefix+id < key) {
+		old := ob.unchanged.Sub(ob.firstSeen) >= longGoneAfter*le.se.LeaseTTL
+		if old && le.lost(id) && (key == "" || instancePrefix+id < key) {
 			key, version = instancePrefix+id, ob.version
 		}
 	}
--- a/lovageledger/record.go
+++ b/lovageledger/record.go
@@ -19,7 +19,9 @@
 }
 
 func (sk shortKey) compare(other shortKey) int {
-	return cmp.Or(cmp.Compare(sk.minted, other.minted), cmp.Compare(sk.nonce, other.nonce), cmp.Compare(sk.epoch, other.epoch))
+	return cmp.Or(
+		cmp.Compare(sk.minted, other.minted), cmp.Compare(sk.nonce, other.nonce), cmp.Compare(sk.epoch, other.epoch),
+	)
 }
 
 // shorten returns the short form of a key, or false if no ledger can have minted it: a minted nonce is 16 hexadecimal
--- a/lovageledger/replica.go
+++ b/lovageledger/replica.go
@@ -132,6 +132,7 @@
 	if rec.State != StateEnded || re.state != stateForeign || !slices.Contains(finalOutcomes[:], rec.Answer.Outcome) {
 		return
 	}
+	// NotRun from a peer, Rule A: the instance that admitted the key recorded the refusal before it told anyone.
 	ans := rec.Answer
 	ans.Key = rec.Key
 	if ans.Outcome == lovagejob.Complete && len(ans.Results) == 0 {
--- a/lovageledger/request.go
+++ b/lovageledger/request.go
@@ -69,9 +69,8 @@
 	if rg := le.ranges[rangeOf(wa.key)]; rg != nil {
 		return rg, true
 	}
-	le.table.wantRanges = true
 	le.reply(wa, le.unknown(wa.key, "the range of the key is not known here"))
-	le.maintain()
+	le.lookForOwner()
 	return nil, false
 }
 
@@ -93,18 +92,24 @@
 func (le *Ledger) neverStarts(rg *keyRange, sk shortKey) string {
 	switch {
 	case sk.epoch > rg.own.epoch:
-		le.table.wantRanges = true
+		le.lookForOwner()
 		return "the key is of a later epoch than is known here"
 	case sk.epoch < rg.own.completeSince:
 		return "the records of the key's epoch are lost"
 	case sk.minted < max(le.floor(), rg.store.floor):
 		return "the key is older than the lifetime of keys"
-	case sk.minted > max(le.highest, rg.mintMax, rg.store.floor+le.se.KeyLifetime.Milliseconds())+maxMintAhead.Milliseconds():
+	case sk.minted > le.ceiling(rg):
 		return "the key's mint time lies in the future"
 	}
 	return ""
 }
 
+// ceiling returns the mint time after which a key cannot have been minted by an instance that is known here.
+func (le *Ledger) ceiling(rg *keyRange) int64 {
+	sender := rg.store.floor + le.se.KeyLifetime.Milliseconds() // the clock of an earlier owner at its last transfer
+	return max(le.highest, rg.mintMax, sender) + maxMintAhead.Milliseconds()
+}
+
 // answerRecord answers a request for a key that has a record.
 func (le *Ledger) answerRecord(rg *keyRange, wa *waiter, re record) {
 	switch {
@@ -140,7 +145,7 @@
 		}
 	}
 	if len(targets) == 0 {
-		le.table.wantRanges = true
+		le.lookForOwner()
 		le.reply(wa, le.unknown(wa.key, "no owner of the key's range is known"))
 		return
 	}
@@ -148,6 +153,15 @@
 	le.emit(Forward{Request: wa.request, Key: wa.key, Targets: targets})
 }
 
+// lookForOwner reads the range rows for a request that cannot be routed, at most once per RetryAfter, because callers
+// can name any range.
+func (le *Ledger) lookForOwner() {
+	if le.now.Sub(le.table.triedRanges) >= le.se.RetryAfter {
+		le.table.wantRanges = true
+		le.scan()
+	}
+}
+
 // block keeps a submission until the range's owner or epoch is certain again.
 func (le *Ledger) block(rg *keyRange, wa *waiter, fingerprint uint64) {
 	if len(rg.blocked) >= le.se.MaxBlocked || !wa.until.After(le.now) {
--- a/lovageledger/waiter.go
+++ b/lovageledger/waiter.go
@@ -97,7 +97,7 @@
 	case ok && re.state == stateEnded:
 		le.reply(wa, rg.store.answer(rg.id, wa.sk, re))
 	case ok && re.state == stateRunning:
-		le.reply(wa, lovagejob.Answer{Key: wa.key, Outcome: lovagejob.Pending, Tasks: int(re.tasks), Started: int(re.started)})
+		le.reply(wa, lovagejob.Answer{Key: wa.key, Outcome: lovagejob.Pending})
 	case ok && re.state == stateForeign:
 		le.reply(wa, le.unknown(wa.key, "another instance accepted the job and its end is not known here"))
 	default:
--- a/lovageledger/world_test.go
+++ b/lovageledger/world_test.go
@@ -282,6 +282,10 @@
 		wo.history.request(wo.nextRequest, &qu)
 	}
 	wo.step(no, event(wo.nextRequest))
+	if wo.rng.IntN(30) == 0 && !qu.answered && !no.paused {
+		qu.answered = true // the caller has left; an answer would be one to nobody
+		wo.step(no, &Abandoned{Request: wo.nextRequest})
+	}
 }
 
 // forwarded carries a request to its first target that can be reached.
