lovageapi: bound the rate of job watches and answer 405, test the body timeout

Cause: a job whose tasks start one after the other could fill a watch with lines as fast as Ask returns; a path with another method got 404; nothing showed that the limit on reading a body does not end a long wait for the job. Change: at least 100 ms between lines of a job watch, 405 for known paths, a test with a short body timeout, a benchmark over loopback. There was no such benchmark before.

--- a/lovageapi/bench_test.go
+++ b/lovageapi/bench_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 )
 
 // BenchmarkSubmit measures what the caller API adds to a job that ends at once, without the network.
@@ -34,3 +35,26 @@
 		}
 	}
 }
+
+// BenchmarkSubmitLoopback measures a job that ends at once over a kept connection on loopback.
+func BenchmarkSubmitLoopback(b *testing.B) {
+	se := DefaultSettings()
+	se.Now = testClock
+	srv, err := NewCaller(se, &fakeJobs{}, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := httptest.NewServer(srv.Handler())
+	defer server.Close()
+	cl := NewClient(server.Listener.Addr().String())
+	defer cl.Close()
+	jo := JobRequest{
+		Key: testKey("a1").String(), Service: "a", Team: "b", Deadline: testNow.Add(time.Second),
+		Tasks: []TaskRequest{{Payload: []byte(`{"log":4711}`)}},
+	}
+	for b.Loop() {
+		if _, err := cl.Submit(b.Context(), jo); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/lovageapi/caller.go
+++ b/lovageapi/caller.go
@@ -28,8 +28,9 @@
 
 const (
 	maxKeysPerCall = 1000
-	maxWait        = 10 * time.Minute // the longest that a deadline may lie ahead by default
-	jobWatchPeriod = 10 * time.Second // between lines of a job watch while nothing changes
+	maxWait        = 10 * time.Minute       // the longest that a deadline may lie ahead by default
+	jobWatchPeriod = 10 * time.Second       // between lines of a job watch while nothing changes
+	jobWatchPause  = 100 * time.Millisecond // least time between them, when a job's tasks start one after the other
 )
 
 // callerAPI holds the handlers of the caller API.
--- a/lovageapi/caller_test.go
+++ b/lovageapi/caller_test.go
@@ -75,6 +75,7 @@
 		{"count", "/v1/keys", `{"count":1001}`, 400, `"field":"count"`},
 		{"no body", "/v1/keys", "", 400, "ends too early"},
 		{"parameter", "/v1/keys?count=2", "{}", 400, "not a parameter"},
+		{"method", "/v1/jobs/" + key, "{}", 405, `"error":"Method Not Allowed: POST /v1/jobs/`},
 		{"path", "/v2/keys", "{}", 404, `"error":"Not Found: POST /v2/keys"`},
 	}
 	for _, tc := range cases {
@@ -130,6 +131,28 @@
 	}
 }
 
+// Guards against a body that never ends and against a limit on the body that also ends the wait for the job.
+func TestBodyTimeout(t *testing.T) {
+	ta := startAPI(t, DefaultSettings())
+	ta.caller.bodyTime = 100 * time.Millisecond
+	ta.jobs.submit = func(ctx context.Context, sub lovagejob.Submission) (lovagejob.Answer, error) {
+		if !sleep(ctx, 400*time.Millisecond) {
+			return lovagejob.Answer{}, ctx.Err()
+		}
+		return lovagejob.Answer{Key: sub.Key, Outcome: lovagejob.Failed}, nil
+	}
+	status, reply := ta.post(t, "/v1/jobs", job(testKey("a1").String(), `[{"payload":1}]`))
+	must.Eq(t, http.StatusOK, status, must.Sprint(reply))
+
+	open, rest := io.Pipe()
+	defer rest.Close() //nolint:errcheck // ends the client's write
+	res, err := http.Post(ta.callerURL+"/v1/jobs", "application/json", open)
+	if err == nil { // the reply may be lost with the connection, on which the client still writes
+		must.NoError(t, res.Body.Close())
+		must.Eq(t, http.StatusBadRequest, res.StatusCode)
+	}
+}
+
 // Guards against a shutdown that cuts requests in progress, waits for watches, or accepts new work.
 func TestShutdown(t *testing.T) {
 	se := DefaultSettings()
--- a/lovageapi/reply.go
+++ b/lovageapi/reply.go
@@ -65,7 +65,7 @@
 // readBody reads the whole body. If it gives false, the reply has been written.
 func (srv *Server) readBody(ctx iris.Context) ([]byte, bool) {
 	rc := http.NewResponseController(ctx.ResponseWriter().Naive())
-	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = rc.SetReadDeadline(time.Now().Add(srv.bodyTime))
 	var buf bytes.Buffer
 	// A client that only claims a length gets no more than 64 KB for it.
 	buf.Grow(int(min(max(ctx.Request().ContentLength, 0), 64<<10)) + bytes.MinRead)
--- a/lovageapi/server.go
+++ b/lovageapi/server.go
@@ -50,6 +50,7 @@
 	http     *http.Server
 	listener net.Listener
 	bodyMax  int64
+	bodyTime time.Duration // for reading a body; tests shorten it
 	now      func() time.Time
 	slots    chan struct{} // one token per request in progress
 	draining atomic.Bool
@@ -62,7 +63,7 @@
 		lg = zap.NewNop()
 	}
 	srv := &Server{
-		name: name, bodyMax: se.BodyBytes, now: se.Now,
+		name: name, bodyMax: se.BodyBytes, bodyTime: bodyTimeout, now: se.Now,
 		slots: make(chan struct{}, max(requests, 1)), closing: make(chan struct{}),
 	}
 	if srv.now == nil {
@@ -74,7 +75,8 @@
 	}
 	app := iris.New()
 	app.Logger().SetLevel("disable")
-	app.Configure(iris.WithoutStartupLog, iris.WithoutPathCorrection, iris.WithoutInterruptHandler)
+	app.Configure(iris.WithoutStartupLog, iris.WithoutPathCorrection, iris.WithoutInterruptHandler,
+		iris.WithFireMethodNotAllowed)
 	app.OnAnyErrorCode(func(ctx iris.Context) {
 		writeError(ctx, ctx.GetStatusCode(), http.StatusText(ctx.GetStatusCode())+": "+ctx.Method()+" "+ctx.Path())
 	})
--- a/lovageapi/watch.go
+++ b/lovageapi/watch.go
@@ -72,6 +72,7 @@
 	li := startLines(ctx)
 	waitUntil := api.srv.now()
 	for {
+		asked := time.Now()
 		an, err := api.jobs.Ask(until, key, waitUntil)
 		if until.Err() != nil {
 			return
@@ -85,7 +86,11 @@
 		if li.write(line.Bytes()) != nil || an.Outcome.Final() {
 			return
 		}
-		if an.Outcome == lovagejob.Unknown && !sleep(until, time.Second) { // Ask may return it at once
+		pause := jobWatchPause
+		if an.Outcome == lovagejob.Unknown {
+			pause = time.Second // Ask returns at once
+		}
+		if !sleep(until, pause-time.Since(asked)) {
 			return
 		}
 		waitUntil = api.srv.now().Add(jobWatchPeriod)
