lovagesync: time out each table read and show pools that declare a worker twice

Cause: one timeout of 10 s covered all reads of a catch-up, so an instance that only the table reaches could stay behind for longer than 5 s after the table answered again. A worker in two pools would have its slots counted twice unseen. Ruled out: refusing such pools on write, as two racing operators can still declare them in two transactions. Conclusion: a hanging table delays neither pushes nor the return to polling.

--- a/lovageresource/resource.go
+++ b/lovageresource/resource.go
@@ -59,6 +59,8 @@
 	InForce = "inForce"
 	// ReferencesExist: everything that the resource names is declared.
 	ReferencesExist = "referencesExist"
+	// WorkersUnique: no other pool declares a worker of the pool, whose slots would then be counted twice.
+	WorkersUnique = "workersUnique"
 )
 
 // Condition is one statement about a resource.
--- a/lovagesync/cluster_test.go
+++ b/lovagesync/cluster_test.go
@@ -19,6 +19,7 @@
 	*lovageplatform.Memory
 	mu        sync.Mutex
 	down      bool // requests fail without effect
+	silent    bool // requests get no reply and have no effect
 	loseReply int  // so many commits take effect but their reply is lost
 	noObjects bool
 }
@@ -29,31 +30,36 @@
 	change(li)
 }
 
-func (li *link) fail() error {
+func (li *link) fail(ctx context.Context) error {
 	li.mu.Lock()
-	defer li.mu.Unlock()
-	if li.down {
+	down, silent := li.down, li.silent
+	li.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return &lovageplatform.Error{Operation: "test", Effect: lovageplatform.EffectAmbiguous, Err: ctx.Err()}
+	}
+	if down {
 		return &lovageplatform.Error{Operation: "test", Effect: lovageplatform.EffectNotSent, Err: errors.New("down")}
 	}
 	return nil
 }
 
 func (li *link) Read(ctx context.Context, keys ...string) ([]lovageplatform.Row, error) {
-	if err := li.fail(); err != nil {
+	if err := li.fail(ctx); err != nil {
 		return nil, err
 	}
 	return li.Memory.Read(ctx, keys...)
 }
 
 func (li *link) Scan(ctx context.Context, prefix string) ([]lovageplatform.Row, error) {
-	if err := li.fail(); err != nil {
+	if err := li.fail(ctx); err != nil {
 		return nil, err
 	}
 	return li.Memory.Scan(ctx, prefix)
 }
 
 func (li *link) Commit(ctx context.Context, tx lovageplatform.Transaction) (lovageplatform.CommitResult, error) {
-	if err := li.fail(); err != nil {
+	if err := li.fail(ctx); err != nil {
 		return lovageplatform.CommitResult{}, err
 	}
 	res, err := li.Memory.Commit(ctx, tx)
--- a/lovagesync/faults_test.go
+++ b/lovagesync/faults_test.go
@@ -19,8 +19,8 @@
 	weight int
 }
 
-// Guards against a change that reverts, is lost or differs between instances after random faults: outages, lost
-// replies, partitions, restarts and racing operators.
+// Guards against a change that reverts, is lost or differs between instances after random faults: outages, silent
+// connections, lost replies, partitions, restarts and racing operators.
 func TestRandomFaults(t *testing.T) {
 	for seed := range int64(30) {
 		synctest.Test(t, func(t *testing.T) { runFaults(t, seed) })
@@ -47,7 +47,7 @@
 	weight := 0
 	for range 120 {
 		no := cl.nodes[nodeID(rng.Intn(size))]
-		switch rng.Intn(8) {
+		switch rng.Intn(9) {
 		case 0:
 			no.link.set(func(li *link) { li.down = !li.down })
 		case 1:
@@ -59,6 +59,8 @@
 			no.stop()
 			cl.start(no.id, small)
 			go cl.nodes[no.id].watchLoop(done, t, seed)
+		case 4:
+			no.link.set(func(li *link) { li.silent = !li.silent })
 		default:
 			weight++
 			wr := written{name: "t" + nodeID(rng.Intn(4)), weight: weight}
@@ -77,7 +79,7 @@
 		time.Sleep(time.Duration(rng.Intn(800)) * time.Millisecond)
 	}
 	for _, no := range cl.nodes {
-		no.link.set(func(li *link) { li.down, li.loseReply = false, 0 })
+		no.link.set(func(li *link) { li.down, li.silent, li.loseReply = false, false, 0 })
 		cl.setCut(no.id, false)
 	}
 	operators.Wait()
--- a/lovagesync/keeper.go
+++ b/lovagesync/keeper.go
@@ -64,8 +64,8 @@
 type Settings struct {
 	ID            string        // of this instance
 	Poll          time.Duration // between reads of the head
-	TableTimeout  time.Duration // of reading the head
-	LoadTimeout   time.Duration // of reading what is missing, which may be all resources
+	TableTimeout  time.Duration // of one read
+	LoadTimeout   time.Duration // of reading or writing a snapshot, or reading all resources
 	WriteTimeout  time.Duration // of an operator's change; after it the result is ambiguous or unavailable
 	CallTimeout   time.Duration // of one call to a peer
 	AnswerWithin  time.Duration // an instance silent for longer counts as not answering
@@ -221,12 +221,10 @@
 // readTable applies what the table has beyond the store and writes a snapshot when one is due.
 func (ke *Keeper) readTable(ctx context.Context) error {
 	applied := ke.Store.Revision() // before the read, as pushed changes may overtake it
-	rows, err := ke.readHead(ctx)
+	rows, err := ke.read(ctx, lovageresource.HeadKey, snapshotKey)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, ke.LoadTimeout)
-	defer cancel()
 	latest, err := lovageresource.ParseHead(rows[0])
 	if err != nil {
 		return err
@@ -241,14 +239,11 @@
 	return ke.maybeSnapshot(ctx, rows[1])
 }
 
-func (ke *Keeper) readHead(ctx context.Context) ([]lovageplatform.Row, error) {
+// read reads rows and makes sure that there is one for each key. Each read has its own timeout, so that a request that
+// hangs delays a poll no longer than that after the table answers again.
+func (ke *Keeper) read(ctx context.Context, keys ...string) ([]lovageplatform.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, ke.TableTimeout)
 	defer cancel()
-	return ke.read(ctx, lovageresource.HeadKey, snapshotKey)
-}
-
-// read reads rows and makes sure that there is one for each key.
-func (ke *Keeper) read(ctx context.Context, keys ...string) ([]lovageplatform.Row, error) {
 	rows, err := ke.Table.Read(ctx, keys...)
 	if err != nil {
 		return nil, errors.Wrapf(err, "read %d rows from %q on", len(keys), keys[0])
--- a/lovagesync/keeper_test.go
+++ b/lovagesync/keeper_test.go
@@ -43,6 +43,31 @@
 	})
 }
 
+// Guards against a table request that hangs and keeps an instance behind after the table answers again.
+func TestSilentTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t)
+		defer cl.stop()
+		first, hung := cl.start(nodeID(0), nil), cl.start(nodeID(1), nil)
+		time.Sleep(3 * time.Second)
+		hung.link.set(func(li *link) { li.silent = true })
+		time.Sleep(time.Minute)
+		first.put("a", 1)
+		time.Sleep(50 * time.Millisecond)
+		must.Eq(t, 1, hung.weight("a"), must.Sprint("a hanging table delayed a push"))
+		cl.setCut(hung.id, true)
+		for i := range 100 {
+			first.put("a", 2+i)
+		}
+		res := hung.Put(context.Background(), team("b", 0, 1))
+		must.Eq(t, lovageresource.Unavailable, res.Outcome)
+		time.Sleep(time.Minute)
+		hung.link.set(func(li *link) { li.silent = false })
+		time.Sleep(inForceWithin)
+		must.Eq(t, 101, hung.weight("a"))
+	})
+}
+
 // Guards against an accepted change that the operator is told was not, and the reverse.
 func TestLostReplies(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -224,6 +249,34 @@
 	})
 }
 
+// Guards against a pool whose faults only show when tasks fail.
+func TestPoolConditions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t)
+		defer cl.stop()
+		no := cl.start(nodeID(0), nil)
+		time.Sleep(time.Second)
+		for name, worker := range map[string]string{"pool-a": "w1", "pool-b": "w1", "pool-c": "w2"} {
+			res := no.Put(context.Background(), lovageresource.Resource{
+				Kind: lovageresource.KindPool, Name: name, Spec: lovageresource.Pool{
+					Services: []string{"ticket"}, Workers: []lovageresource.Worker{{ID: worker}},
+				},
+			})
+			must.Eq(t, lovageresource.Accepted, res.Outcome)
+		}
+		conditions := func(name string) []lovageresource.Condition {
+			re, ok := no.Get(lovageresource.KindPool, name)
+			must.True(t, ok)
+			return re.Status.Conditions[1:]
+		}
+		missing := lovageresource.Condition{Type: "referencesExist", Status: "false", Reason: "not declared: ticket"}
+		must.Eq(t, []lovageresource.Condition{
+			missing, {Type: "workersUnique", Status: "false", Reason: "declared by other pools too: w1 in pool-b"},
+		}, conditions("pool-a"))
+		must.Eq(t, []lovageresource.Condition{missing, {Type: "workersUnique", Status: "true"}}, conditions("pool-c"))
+	})
+}
+
 // Guards against a table that was set back, which must neither revert instances nor stop them.
 func TestTableSetBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/lovagesync/load.go
+++ b/lovagesync/load.go
@@ -114,6 +114,8 @@
 	if err != nil || sn.Object == "" {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(ctx, ke.LoadTimeout)
+	defer cancel()
 	data, err := ke.Objects.GetObject(ctx, sn.Object)
 	if err != nil {
 		return errors.Wrapf(err, "get snapshot object %q", sn.Object)
@@ -130,9 +132,9 @@
 		if err != nil {
 			return err
 		}
-		rows, err := ke.Table.Scan(ctx, lovageresource.ResourcePrefix)
+		rows, err := ke.scan(ctx)
 		if err != nil {
-			return errors.Wrap(err, "scan the resource rows")
+			return err
 		}
 		after, err := ke.read(ctx, lovageresource.HeadKey)
 		if err != nil {
@@ -161,6 +163,13 @@
 	return errors.Newf("the head changed during each of %d scans of the resource rows", attempts)
 }
 
+func (ke *Keeper) scan(ctx context.Context) ([]lovageplatform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, ke.LoadTimeout)
+	defer cancel()
+	rows, err := ke.Table.Scan(ctx, lovageresource.ResourcePrefix)
+	return rows, errors.Wrap(err, "scan the resource rows")
+}
+
 // maybeSnapshot writes a snapshot object when the revisions since the last one are enough. The instance that accepted
 // the change does it first; others only after SnapshotDelay, in case that instance has ended.
 func (ke *Keeper) maybeSnapshot(ctx context.Context, row lovageplatform.Row) error {
@@ -193,6 +202,8 @@
 // writeSnapshot writes the object, then the row that names it, and in the same transaction deletes change rows that
 // no instance needs any more.
 func (ke *Keeper) writeSnapshot(ctx context.Context, row lovageplatform.Row, old snapshotRow) error {
+	ctx, cancel := context.WithTimeout(ctx, ke.LoadTimeout)
+	defer cancel()
 	data, revision, err := ke.Store.Snapshot()
 	if err != nil {
 		return err
--- a/lovagesync/status.go
+++ b/lovagesync/status.go
@@ -93,24 +93,42 @@
 	return co, applied
 }
 
-// references says whether everything that a resource names is declared.
-func (ke *Keeper) references(re *lovageresource.Resource) (lovageresource.Condition, bool) {
-	pool, ok := re.Spec.(lovageresource.Pool)
-	if !ok {
-		return lovageresource.Condition{}, false
+// poolConditions says whether what a pool names is declared, and only once.
+func (ke *Keeper) poolConditions(name string, pool *lovageresource.Pool) []lovageresource.Condition {
+	condition := func(kind string, faults []string, what string) lovageresource.Condition {
+		co := lovageresource.Condition{Type: kind, Status: lovageresource.ConditionTrue}
+		if len(faults) > 0 {
+			co.Status = lovageresource.ConditionFalse
+			co.Reason = what + ": " + strings.Join(faults, ", ")
+		}
+		return co
 	}
-	co := lovageresource.Condition{Type: lovageresource.ReferencesExist, Status: lovageresource.ConditionTrue}
-	var missing []string
-	for _, name := range pool.Services {
-		if _, ok := ke.Store.Get(lovageresource.KindService, name); !ok {
-			missing = append(missing, name)
+	var missing, twice []string
+	for _, service := range pool.Services {
+		if _, ok := ke.Store.Get(lovageresource.KindService, service); !ok {
+			missing = append(missing, service)
 		}
 	}
-	if len(missing) > 0 {
-		co.Status = lovageresource.ConditionFalse
-		co.Reason = "not declared: " + strings.Join(missing, ", ")
+	owned := map[string]bool{}
+	for _, wo := range pool.Workers {
+		owned[wo.ID] = true
+	}
+	pools, _ := ke.Store.List(lovageresource.KindPool)
+	for _, re := range pools {
+		other, ok := re.Spec.(lovageresource.Pool)
+		if !ok || re.Name == name {
+			continue
+		}
+		for _, wo := range other.Workers {
+			if owned[wo.ID] {
+				twice = append(twice, wo.ID+" in "+re.Name)
+			}
+		}
+	}
+	return []lovageresource.Condition{
+		condition(lovageresource.ReferencesExist, missing, "not declared"),
+		condition(lovageresource.WorkersUnique, twice, "declared by other pools too"),
 	}
-	return co, true
 }
 
 // Get returns a resource with its status.
@@ -121,8 +139,8 @@
 	}
 	inForce, applied := ke.InForce(re.Revision)
 	re.Status = lovageresource.Status{Conditions: []lovageresource.Condition{inForce}, Applied: applied}
-	if co, ok := ke.references(&re); ok {
-		re.Status.Conditions = append(re.Status.Conditions, co)
+	if pool, ok := re.Spec.(lovageresource.Pool); ok {
+		re.Status.Conditions = append(re.Status.Conditions, ke.poolConditions(name, &pool)...)
 	}
 	return re, true
 }
