lovageapi: report faults of a request that only the ledger sees as findings

Cause: an error of Jobs became the outcome "unknown" with the advice to ask again. For a key that belongs to another submission asking again cannot help, and the submit command would ask until the deadline. Ruled out: importing lovageledger or lovageentry for their fault types. Change: errors that implement RequestFault get status 400 with a finding that names the field.

--- a/lovageapi/caller.go
+++ b/lovageapi/caller.go
@@ -14,7 +14,16 @@
 	"lovagestack/lovagejob"
 )
 
-// Jobs decides about jobs. An error means that nothing is known about the job; all else is an answer.
+// RequestFault is an error of Jobs about the request itself, such as a key that belongs to another submission. Asking
+// again cannot help, so the caller gets a finding and not the outcome "unknown".
+type RequestFault interface {
+	error
+	// RequestField returns the field of the request that is wrong.
+	RequestField() string
+}
+
+// Jobs decides about jobs. An error that is not a RequestFault means that nothing is known about the job; all else is
+// an answer.
 type Jobs interface {
 	// Mint returns new keys. An error means that none can be minted now.
 	Mint(ctx context.Context, count int, repeatable bool) ([]lovagejob.Key, error)
@@ -103,6 +112,9 @@
 		sub.Key = keys[0]
 	}
 	an, err := api.jobs.Submit(ctx.Request().Context(), sub)
+	if writeFault(ctx, err) {
+		return
+	}
 	an = vet(an, err, sub.Key, len(sub.Tasks))
 	api.writeAnswer(ctx, &an, answerStatus(&an))
 }
@@ -124,6 +136,9 @@
 		return
 	}
 	an, err := api.jobs.Ask(ctx.Request().Context(), key, api.srv.now().Add(wait))
+	if writeFault(ctx, err) {
+		return
+	}
 	an = vet(an, err, key, -1)
 	api.writeAnswer(ctx, &an, answerStatus(&an))
 }
@@ -135,6 +150,9 @@
 		return
 	}
 	an, err := api.jobs.Cancel(ctx.Request().Context(), key)
+	if writeFault(ctx, err) {
+		return
+	}
 	an = vet(an, err, key, -1)
 	status := answerStatus(&an)
 	if an.Outcome == lovagejob.NotRun {
@@ -143,6 +161,16 @@
 	api.writeAnswer(ctx, &an, status)
 }
 
+// writeFault writes the reply for a RequestFault and reports whether the error was one.
+func writeFault(ctx iris.Context, err error) bool {
+	var fault RequestFault
+	if !errors.As(err, &fault) {
+		return false
+	}
+	writeFindings(ctx, []lovageconfig.Finding{{Field: fault.RequestField(), Problem: fault.Error()}})
+	return true
+}
+
 func pathKey(ctx iris.Context) (lovagejob.Key, []lovageconfig.Finding) {
 	key, err := lovagejob.ParseKey(ctx.Params().Get("key"))
 	if err != nil {
--- a/lovageapi/caller_test.go
+++ b/lovageapi/caller_test.go
@@ -91,6 +91,24 @@
 	must.Eq(t, http.StatusOK, status, must.Sprint(reply))
 }
 
+// keyFault is a RequestFault.
+type keyFault struct{}
+
+func (keyFault) Error() string { return "the key belongs to another submission" }
+
+func (keyFault) RequestField() string { return "key" }
+
+// Guards against a fault of the request that is reported as an unknown outcome, about which callers would ask forever.
+func TestRequestFault(t *testing.T) {
+	ta := startAPI(t, DefaultSettings())
+	ta.jobs.submit = func(context.Context, lovagejob.Submission) (lovagejob.Answer, error) {
+		return lovagejob.Answer{}, errors.Wrap(keyFault{}, "submit")
+	}
+	status, reply := ta.post(t, "/v1/jobs", job(testKey("a1").String(), `[{"payload":1}]`))
+	must.Eq(t, http.StatusBadRequest, status)
+	must.StrContains(t, reply, `"findings":[{"field":"key","problem":"the key belongs to another submission"}]`)
+}
+
 // Guards against an answer that belongs to another request or holds only a part of the results.
 func TestAnswersAreVetted(t *testing.T) {
 	key := testKey("a1")
--- a/lovageapi/watch.go
+++ b/lovageapi/watch.go
@@ -69,14 +69,17 @@
 	}
 	until, cancel := api.srv.watchContext(ctx)
 	defer cancel()
-	li := startLines(ctx)
+	var li *lines
 	waitUntil := api.srv.now()
 	for {
 		asked := time.Now()
 		an, err := api.jobs.Ask(until, key, waitUntil)
-		if until.Err() != nil {
+		if until.Err() != nil || (li == nil && writeFault(ctx, err)) {
 			return
 		}
+		if li == nil {
+			li = startLines(ctx)
+		}
 		an = vet(an, err, key, -1)
 		var line bytes.Buffer
 		if err := json.Compact(&line, appendAnswer(nil, &an)); err != nil {
