lovagepeer: state the write timeout that applies and why writes are batched

Cause: a benchmark with 512 callers and without the Gosched of the writer failed once with "connection write timeout" after 1 s, although Options promised 1.5 s: yamux has one setting for writes and pongs. Ruled out: the processor alone (the same load with batching does not fail), TCP_NOTSENT_LOWAT (no difference without it). Change: WriteTimeout defaults to 1 s; the comments say which limit applies where and what batching is for. Conclusion: the Gosched stays. A peer that cannot be written to for 1 s loses its session, also by overload.

--- a/lovagepeer/handshake.go
+++ b/lovagepeer/handshake.go
@@ -33,7 +33,7 @@
 		AcceptBacklog:          2,
 		EnableKeepAlive:        false, // session.keepAlive pings from one side only
 		KeepAliveInterval:      me.op.PingInterval,
-		ConnectionWriteTimeout: me.op.PingTimeout, // also the timeout of yamux.Session.Ping
+		ConnectionWriteTimeout: me.op.PingTimeout, // also how long yamux waits for a pong
 		MaxStreamWindowSize:    1 << 20,           // 360 MB/s at a round trip of 2.8 ms
 		StreamOpenTimeout:      me.op.HandshakeTimeout,
 		StreamCloseTimeout:     me.op.HandshakeTimeout,
--- a/lovagepeer/options.go
+++ b/lovagepeer/options.go
@@ -44,9 +44,9 @@
 	MaxQueuedBytes   int           // frames waiting to be written per stream, default 64 MiB
 	DialTimeout      time.Duration // TCP connect, default 1 s
 	HandshakeTimeout time.Duration // from TCP connect to the end of the Hello exchange, default 1 s
-	WriteTimeout     time.Duration // one write of up to 64 KiB to a session, default 1.5 s
+	WriteTimeout     time.Duration // until the peer's window has room, and until TCP bytes are acknowledged; default 1 s
 	PingInterval     time.Duration // default 700 ms; with PingTimeout a silent session is closed within 1.7 s
-	PingTimeout      time.Duration // default 1 s
+	PingTimeout      time.Duration // for a pong, and for a write to the connection; yamux has one setting for both; default 1 s
 	MinBackoff       time.Duration // first wait after a failed dial, doubled each time, default 50 ms
 	MaxBackoff       time.Duration // default 1 s
 }
@@ -57,7 +57,7 @@
 	setDefault(&op.MaxQueuedBytes, 64<<20)
 	setDefault(&op.DialTimeout, time.Second)
 	setDefault(&op.HandshakeTimeout, time.Second)
-	setDefault(&op.WriteTimeout, 1500*time.Millisecond)
+	setDefault(&op.WriteTimeout, time.Second)
 	setDefault(&op.PingInterval, 700*time.Millisecond)
 	setDefault(&op.PingTimeout, time.Second)
 	setDefault(&op.MinBackoff, 50*time.Millisecond)
--- a/lovagepeer/writer.go
+++ b/lovagepeer/writer.go
@@ -105,7 +105,9 @@
 		case <-done:
 			return nil
 		}
-		// Frames of goroutines that are ready to run join this write; without it each of them costs a write.
+		// Frames of goroutines that are ready to run join this write. Without it, 512 callers got 72,000 calls/s at 2.4
+		// frames a write instead of 120,000 at 11, and on a loaded machine the flood of small segments overran the peer's
+		// receive queue: TCP retransmitted for so long that writes took over 1 s and sessions were lost.
 		runtime.Gosched()
 		wr.mu.Lock()
 		queue, wr.queue, wr.bytes = wr.queue, spare[:0], 0
