--- a/lovageentry/job.go
+++ b/lovageentry/job.go
@@ -28,6 +28,9 @@
 	ended    bool
 }
 
+// queueFullRetry is the retry time given when the instance holds as many jobs as it may.
+const queueFullRetry = time.Second
+
 // admit starts an admitted key in the dispatch core.
 func (lo *controlLoop) admit(cm lovageledger.Admit) {
 	of := lo.offers[cm.Key]
@@ -38,6 +41,14 @@
 		}})
 		return
 	}
+	if limit := lo.in.settings.Limits.QueuedJobs; len(lo.byKey) >= limit {
+		delete(lo.offers, cm.Key)
+		lo.stepLedger(&lovageledger.JobEnded{Key: cm.Key, Answer: lovagejob.Answer{
+			Key: cm.Key, Outcome: lovagejob.NotRun, Tasks: len(of.sub.Tasks), RetryAt: lo.now.Add(queueFullRetry),
+			Reason: fmt.Sprintf("the instance holds %d jobs, which is its limit", limit),
+		}})
+		return
+	}
 	lo.in.reached(StepQueue)
 	delete(lo.offers, cm.Key)
 	lo.lastJob++
