--- a/lovageentry/instance.go
+++ b/lovageentry/instance.go
@@ -108,6 +108,10 @@
 		settings: se, id: se.ID + "-" + suffix(rng), platform: op.Platform, tracer: op.Tracer,
 		counts: newCounts(op.Metrics), observer: op.Observer,
 	}
+	if !lovagejob.ValidName(in.id) {
+		return nil, errors.Newf("instance ID %q: the id of the settings leaves no room for the suffix of %d letters and digits",
+			in.id, suffixLength)
+	}
 	in.log = op.Log.With(zap.String("instance", in.id))
 	in.lifetime, in.end = context.WithCancel(context.Background())
 	in.stopped = in.lifetime.Done()
