--- a/lovageapi/operator_test.go
+++ b/lovageapi/operator_test.go
@@ -85,6 +85,25 @@
 	must.NoError(t, <-ended)
 }
 
+// Guards against an instance that the balancer takes for dead because watches use all its requests, and against one
+// whose clients keep their connections until it is gone.
+func TestHealthUnderLoad(t *testing.T) {
+	se := DefaultSettings()
+	se.OperatorRequests = 1
+	ta := startAPI(t, se)
+	ta.operator.slots <- struct{}{}
+	for path, status := range map[string]int{"/readyz": 200, "/healthz": 200, "/metrics": 200, "/v1/resources": 503} {
+		for _, drain := range []bool{false, true} {
+			ta.operator.draining.Store(drain)
+			res, err := http.Get(ta.operatorURL + path)
+			must.NoError(t, err)
+			must.NoError(t, res.Body.Close())
+			must.Eq(t, status, res.StatusCode, must.Sprint(path))
+			must.Eq(t, drain, res.Close, must.Sprint(path))
+		}
+	}
+}
+
 // Guards against a watcher that is cut loose silently when the changes it needs are gone.
 func TestWatchTooOld(t *testing.T) {
 	ta := startAPI(t, DefaultSettings())
--- a/lovageapi/server.go
+++ b/lovageapi/server.go
@@ -5,6 +5,7 @@
 	"log"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,13 +93,18 @@
 	return srv, app
 }
 
-// limit bounds the requests in progress and resets the deadlines that the last request left on the connection.
+// limit bounds the requests in progress and resets the deadlines that the last request left on the connection. Health,
+// metrics and profiles are not bounded: many watches must not make the balancer take the instance for a dead one.
 func (srv *Server) limit(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if srv.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+		if !strings.HasPrefix(r.URL.Path, "/v1/") {
+			next.ServeHTTP(w, r)
+			return
+		}
 		select {
 		case srv.slots <- struct{}{}:
 			defer func() { <-srv.slots }()
