lovagedispatch: hold asks until slots are free and give idle borrowed slots back one by one

Change: a lender without free slots holds the ask for up to 800 ms and answers when it has some; up to two asks of a service are open, to different peers; borrowed slots that were idle for 10 ms (250 ms with fewer messages) go back one by one; a lender waits for up to 30 s after the end of a loan while the borrower is heard of.

--- a/lovagedispatch/borrow.go
+++ b/lovagedispatch/borrow.go
@@ -11,18 +11,23 @@
 	id         string
 	dataCentre string
 	idle       map[string]int // free slots by service; -1 or less counts as none
-	heard      instant
+	heard      instant        // time of the last load summary
+	asked      instant        // time of the last ask to it
+	needy      instant        // time of its last ask
 }
 
 // peerLoadAge is the age at which a peer's load summary is no longer used. Heartbeats come every second, and a peer
 // is suspect after 3 s.
 const peerLoadAge = 3 * time.Second
 
+// needyTime is the time for which a peer that asked for slots is taken to have none, unless its load summary says
+// otherwise.
+const needyTime = time.Second
+
 // ask is a service's request for a loan that was not answered yet.
 type ask struct {
-	id    uint64 // 0 if there is none
-	to    string
-	until instant // time at which it is given up
+	id uint64
+	to string
 }
 
 // loanKey identifies a borrowed loan: loan numbers are chosen by the lender.
@@ -33,22 +38,25 @@
 
 // loan is a set of borrowed slots.
 type loan struct {
-	id    uint64
-	from  string
-	sv    *service
-	until instant // no task starts on the slots from then on
-	slots []*loanSlots
-	used  int // tasks in flight on all its slots
-	idle  instant
-	over  bool // no task may start any more
+	id      uint64
+	from    string
+	sv      *service
+	until   instant // no task starts on the slots from then on
+	slots   []*loanSlots
+	used    int     // tasks in flight on all its slots
+	idleAt  instant // time of the pending idleTimer; 0 if there is none
+	over    bool    // no task may start any more
+	changed bool    // slots were given back since the last message to the lender
 }
 
 // loanSlots is the part of a loan that concerns one worker.
 type loanSlots struct {
-	loan  *loan
-	wo    *worker
-	slots int
-	used  int
+	loan    *loan
+	wo      *worker
+	given   int // slots at the start of the loan
+	slots   int // slots not given back
+	used    int
+	lastUse instant
 }
 
 func (ls *loanSlots) free() int {
@@ -58,17 +66,27 @@
 	return ls.slots - ls.used
 }
 
+// giveBack gives back the free slots. The lender hears of it by the next returnSlots.
+func (ls *loanSlots) giveBack() {
+	if ls.slots > ls.used {
+		ls.slots = ls.used
+		ls.loan.changed = true
+	}
+}
+
 // Eagerness of borrowing by the weight of the service. A task that has to wait longer than the given part of its run
 // time plus a round trip makes the core ask for slots.
 const (
 	askRoundTrip       = 2 * time.Millisecond // the ask and its answer, in one data centre
-	eagerWaitRatio     = 0.02
+	eagerWaitRatio     = 0.1
 	sparingWaitRatio   = 0.5
+	eagerAsks          = 2 // asks of a service that may be open at once
+	sparingAsks        = 1
 	eagerAskInterval   = 2 * time.Millisecond
 	sparingAskInterval = 50 * time.Millisecond
-	// idleLoanTime is the time after which unused borrowed slots are given back. With fewer messages wanted, the loan
-	// runs to its end instead, which needs no message.
-	idleLoanTime = 50 * time.Millisecond
+	// Borrowed slots that were not used for this long are given back. The lender cannot use them meanwhile.
+	eagerIdleTime   = 10 * time.Millisecond
+	sparingIdleTime = 250 * time.Millisecond
 )
 
 // borrow asks peers for slots for the services whose queue has outgrown the slots at hand.
@@ -77,7 +95,7 @@
 		return
 	}
 	for _, cl := range co.active {
-		if sv := cl.sv; sv.ask.id == 0 && sv.askAfter <= co.now && cl.ready > 0 && sv.peerIdle > 0 {
+		if sv := cl.sv; cl.ready > 0 && sv.askAfter <= co.now && len(sv.asks) < sv.maxAsks() {
 			co.askFor(cl)
 		}
 	}
@@ -93,21 +111,23 @@
 	if cl.expectedWait() < ratio*runTime+askRoundTrip.Seconds() {
 		return
 	}
+	sv.askAfter = co.now.after(interval)
 	pe := co.idlestPeer(sv)
 	if pe == nil {
-		sv.peerIdle = 0 // until the next load summary
 		return
 	}
-	slots := min(cl.ready, co.se.MaxLoanSlots, pe.idle[sv.spec.Name])
-	pe.idle[sv.spec.Name] -= slots
-	sv.peerIdle -= slots
+	slots := min(cl.ready, co.se.MaxLoanSlots)
+	if idle := pe.idle[sv.spec.Name]; idle > 0 {
+		slots = min(slots, idle)
+		pe.idle[sv.spec.Name] -= slots
+		sv.peerIdle -= slots
+	}
 	co.askSeq++
-	sv.ask = ask{id: co.askSeq, to: pe.id, until: co.now.after(co.se.AskTimeout)}
-	sv.askAfter = co.now.after(interval)
-	co.setTimer(sv.ask.until, askTimer{sv: sv, id: sv.ask.id})
+	sv.asks = append(sv.asks, ask{id: co.askSeq, to: pe.id})
+	co.setTimer(co.now.after(co.se.AskTimeout), askTimer{sv: sv, id: co.askSeq})
 	co.setTimer(sv.askAfter, recheck{})
 	co.emit(AskSlots{
-		To: pe.id, Ask: sv.ask.id, Service: sv.spec.Name, Slots: slots, Until: co.timeOf(co.now.after(co.loanTerm(runTime))),
+		To: pe.id, Ask: co.askSeq, Service: sv.spec.Name, Slots: slots, Until: co.timeOf(co.now.after(co.loanTerm(runTime))),
 	})
 }
 
@@ -130,29 +150,56 @@
 	return max(co.se.LoanTerm, time.Duration(4*runTime*1e9))
 }
 
-// idlestPeer returns the peer with the most free slots for the service, in the own data centre if there is any.
+func (sv *service) maxAsks() int {
+	if sv.fewerMessages() {
+		return sparingAsks
+	}
+	return eagerAsks
+}
+
+// dropAsk forgets an open ask and reports whether there was one.
+func (sv *service) dropAsk(open func(ask) bool) bool {
+	before := len(sv.asks)
+	sv.asks = slices.DeleteFunc(sv.asks, open)
+	return len(sv.asks) < before
+}
+
+// idlestPeer returns the peer to ask: the one with the most free slots by its last load summary, in the own data centre
+// if there is any. If no peer is known to have free slots, it is the one that was asked longest ago, as a peer holds an
+// ask for a while until it has slots. A peer that asked for slots itself within the last second is left alone.
 func (co *Core) idlestPeer(sv *service) *peer {
 	var best *peer
 	for _, pe := range co.peerList {
-		idle := pe.idle[sv.spec.Name]
-		if idle <= 0 || co.now >= pe.heard.after(peerLoadAge) {
+		if co.now < pe.needy.after(needyTime) && pe.idle[sv.spec.Name] <= 0 ||
+			co.now >= pe.heard.after(peerLoadAge) ||
+			slices.ContainsFunc(sv.asks, func(as ask) bool { return as.to == pe.id }) {
 			continue
 		}
-		if best != nil {
-			local, bestLocal := pe.dataCentre == co.se.DataCentre, best.dataCentre == co.se.DataCentre
-			if local != bestLocal {
-				if bestLocal {
-					continue
-				}
-			} else if idle <= best.idle[sv.spec.Name] {
-				continue
-			}
+		if best == nil || co.askBefore(sv, pe, best) {
+			best = pe
 		}
-		best = pe
+	}
+	if best != nil {
+		best.asked = co.now
 	}
 	return best
 }
 
+// askBefore reports whether a is the better peer to ask than b.
+func (co *Core) askBefore(sv *service, a, b *peer) bool {
+	idleA, idleB := a.idle[sv.spec.Name], b.idle[sv.spec.Name]
+	if (idleA > 0) != (idleB > 0) {
+		return idleA > 0
+	}
+	if localA, localB := a.dataCentre == co.se.DataCentre, b.dataCentre == co.se.DataCentre; localA != localB && idleA > 0 {
+		return localA
+	}
+	if idleA > 0 {
+		return idleA > idleB
+	}
+	return a.asked < b.asked
+}
+
 // askTimer gives up an ask that was not answered.
 type askTimer struct {
 	sv *service
@@ -160,9 +207,7 @@
 }
 
 func (ti askTimer) fire(*Core) {
-	if ti.sv.ask.id == ti.id {
-		ti.sv.ask = ask{}
-	}
+	ti.sv.dropAsk(func(as ask) bool { return as.id == ti.id })
 }
 
 // peerLoad notes a peer's free slots.
@@ -201,7 +246,7 @@
 		}
 		pe := co.peers[me.ID]
 		if pe == nil {
-			pe = &peer{id: me.ID, idle: map[string]int{}, heard: -forever / 2}
+			pe = &peer{id: me.ID, idle: map[string]int{}, heard: -forever / 2, needy: -forever / 2}
 		}
 		pe.dataCentre = me.DataCentre
 		kept = append(kept, pe)
@@ -213,9 +258,7 @@
 		co.peers[pe.id] = pe
 	}
 	for _, sv := range co.serviceList {
-		if sv.ask.id != 0 && co.peers[sv.ask.to] == nil {
-			sv.ask = ask{}
-		}
+		sv.dropAsk(func(as ask) bool { return co.peers[as.to] == nil })
 	}
 	for _, lo := range co.sortedLoans() {
 		if co.peers[lo.from] == nil {
--- a/lovagedispatch/core.go
+++ b/lovagedispatch/core.go
@@ -51,6 +51,7 @@
 	loans    map[loanKey]*loan // borrowed
 	lent     map[uint64]*lentLoan
 	lentAsks map[askKey]*lentLoan
+	held     []*heldAsk
 	loanSeq  uint64
 }
 
@@ -100,6 +101,7 @@
 		co.watchDeadline(co.fresh)
 		co.fresh = nil
 	}
+	co.serveHeld()
 	co.borrow()
 	co.wake()
 	out, co.out = co.out, nil
--- a/lovagedispatch/event.go
+++ b/lovagedispatch/event.go
@@ -89,7 +89,8 @@
 	Slots  int
 }
 
-// SlotsAsked is a peer's request to borrow slots. The answer is one [LendSlots], with no slots if none is lent.
+// SlotsAsked is a peer's request to borrow slots. The answer is one [LendSlots], with no slots if none is lent. If no
+// slot is free, the answer comes when one is, at the latest after [Settings.AskHold].
 type SlotsAsked struct {
 	From    string
 	Ask     uint64 // echoed in the answer
--- a/lovagedispatch/job.go
+++ b/lovagedispatch/job.go
@@ -144,6 +144,7 @@
 	} else {
 		loanID = loan.loan.id
 		loan.used++
+		loan.lastUse = co.now
 		loan.loan.used++
 		wo.loanUsed++
 	}
--- a/lovagedispatch/lend.go
+++ b/lovagedispatch/lend.go
@@ -1,6 +1,9 @@
 package lovagedispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // askKey identifies a peer's ask.
 type askKey struct {
@@ -28,45 +31,92 @@
 // minLoanTerm is the shortest loan that is worth its messages.
 const minLoanTerm = 10 * time.Millisecond
 
-// slotsAsked lends up to half of the free slots that can run the service, all of them while draining. Nothing is lent
-// while own tasks wait for such slots. A repeated ask gets the same answer.
+// heldAsk is an ask that waits for free slots.
+type heldAsk struct {
+	ask   askKey
+	sv    *service
+	slots int
+	until instant // wanted end of the loan
+}
+
+// slotsAsked lends slots or, if there are none to spare, holds the ask until there are. A repeated ask gets the same
+// answer.
 func (co *Core) slotsAsked(ev SlotsAsked) {
 	ke := askKey{ev.From, ev.Ask}
 	if le := co.lentAsks[ke]; le != nil {
 		co.emit(le.answer(co))
 		return
 	}
-	none := LendSlots{To: ev.From, Ask: ev.Ask, Until: co.nowTime}
-	sv := co.services[ev.Service]
-	until := min(co.instantOf(ev.Until), co.now.after(co.maxLoanTerm(sv)))
-	if co.se.Policy != Lending || sv == nil || co.peers[ev.From] == nil || until < co.now.after(minLoanTerm) {
-		co.emit(none)
+	if slices.ContainsFunc(co.held, func(he *heldAsk) bool { return he.ask == ke }) {
+		return
+	}
+	sv, pe := co.services[ev.Service], co.peers[ev.From]
+	he := &heldAsk{ask: ke, sv: sv, slots: ev.Slots}
+	he.until = min(co.instantOf(ev.Until), co.now.after(co.maxLoanTerm(sv)))
+	if co.se.Policy != Lending || sv == nil || pe == nil || ev.Slots <= 0 || he.until < co.now.after(minLoanTerm) {
+		co.answerNone(ke)
 		return
 	}
+	pe.needy = co.now
+	sv.peerIdle -= max(0, pe.idle[ev.Service])
+	delete(pe.idle, ev.Service)
+	if !co.lendFor(he) {
+		co.held = append(co.held, he)
+		co.setTimer(co.now.after(co.se.AskHold), heldTimer{he: he})
+	}
+}
+
+func (co *Core) answerNone(ke askKey) {
+	co.emit(LendSlots{To: ke.from, Ask: ke.ask, Until: co.nowTime})
+}
+
+// heldTimer answers an ask that was held in vain.
+type heldTimer struct{ he *heldAsk }
+
+func (ti heldTimer) fire(co *Core) {
+	if i := slices.Index(co.held, ti.he); i >= 0 {
+		co.held = slices.Delete(co.held, i, i+1)
+		co.answerNone(ti.he.ask)
+	}
+}
+
+// serveHeld lends to the peers whose asks are held, in the order of their arrival.
+func (co *Core) serveHeld() {
+	if len(co.held) > 0 {
+		co.held = slices.DeleteFunc(co.held, co.lendFor)
+	}
+}
+
+// lendFor lends up to half of the free slots that can run the service, all of them while draining. Nothing is lent
+// while own tasks wait for such slots. It reports whether the ask is done with.
+func (co *Core) lendFor(he *heldAsk) bool {
 	spare := 0
 	for _, gr := range co.groups {
-		if sv.runsIn(gr.key.pool) && !co.needs(gr) {
+		if gr.freeOwn > 0 && he.sv.runsIn(gr.key.pool) && !co.needs(gr) {
 			spare += gr.freeOwn
 		}
 	}
 	if !co.draining {
 		spare /= 2
 	}
-	want := min(ev.Slots, spare, co.se.MaxLoanSlots)
+	want := min(he.slots, spare, co.se.MaxLoanSlots)
 	if want <= 0 {
-		co.emit(none)
-		return
+		return false
+	}
+	if co.peers[he.ask.from] == nil || he.until < co.now.after(minLoanTerm) {
+		co.answerNone(he.ask)
+		return true
 	}
 	co.loanSeq++
-	le := &lentLoan{id: co.loanSeq, ask: ke, until: until}
-	co.takeSlots(le, sv, want)
+	le := &lentLoan{id: co.loanSeq, ask: he.ask, until: he.until}
+	co.takeSlots(le, he.sv, want)
 	if le.left == 0 {
-		co.emit(none)
-		return
+		return false
 	}
-	co.lent[le.id], co.lentAsks[ke] = le, le
+	co.lent[le.id], co.lentAsks[he.ask] = le, le
 	co.setTimer(le.until.after(co.se.LoanGrace), lentTimer{le: le})
 	co.emit(le.answer(co))
+	return true
 }
 
 // maxLoanTerm bounds the term that a borrower may ask for.
@@ -172,15 +222,22 @@
 	delete(co.lentAsks, le.ask)
 }
 
-// lentTimer takes back what the borrower has not returned, for example because it died.
+// lentTimer takes back what the borrower has not returned. While the borrower is heard of, its tasks may still run: the
+// lender waits on, but not for ever, as the return may have been lost.
 type lentTimer struct{ le *lentLoan }
 
 func (ti lentTimer) fire(co *Core) {
-	if co.lent[ti.le.id] != ti.le {
+	le := ti.le
+	if co.lent[le.id] != le {
+		return
+	}
+	pe := co.peers[le.ask.from]
+	if pe != nil && co.now < pe.heard.after(peerLoadAge) && co.now < le.until.after(co.se.MaxLoanGrace) {
+		co.setTimer(co.now.after(co.se.LoanGrace), ti)
 		return
 	}
-	for i := range ti.le.slots {
-		co.takeBack(ti.le, &ti.le.slots[i], ti.le.slots[i].slots)
+	for i := range le.slots {
+		co.takeBack(le, &le.slots[i], le.slots[i].slots)
 	}
-	co.forgetLent(ti.le)
+	co.forgetLent(le)
 }
--- a/lovagedispatch/loan.go
+++ b/lovagedispatch/loan.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 )
 
 // slotsLent takes the answer to an ask. Slots that nobody waits for are given back at once: an answer to an ask that
@@ -15,7 +16,6 @@
 	}
 	sv := co.askedFor(ev)
 	if sv != nil {
-		sv.ask = ask{}
 		if len(ev.Slots) == 0 {
 			if pe := co.peers[ev.From]; pe != nil && pe.idle[sv.spec.Name] > 0 {
 				sv.peerIdle -= pe.idle[sv.spec.Name]
@@ -31,7 +31,7 @@
 		co.emit(ReturnSlots{To: ev.From, Loan: ev.Loan, Slots: slices.Clone(ev.Slots)})
 		return
 	}
-	lo := &loan{id: ev.Loan, from: ev.From, sv: sv, until: until, idle: co.now}
+	lo := &loan{id: ev.Loan, from: ev.From, sv: sv, until: until}
 	var unusable []LentSlots
 	for _, sl := range ev.Slots {
 		wo := co.workers[sl.Worker]
@@ -39,7 +39,7 @@
 			unusable = append(unusable, sl)
 			continue
 		}
-		lo.slots = append(lo.slots, &loanSlots{loan: lo, wo: wo, slots: sl.Slots})
+		lo.slots = append(lo.slots, &loanSlots{loan: lo, wo: wo, given: sl.Slots, slots: sl.Slots, lastUse: co.now})
 	}
 	if len(unusable) > 0 {
 		co.emit(ReturnSlots{To: ev.From, Loan: ev.Loan, Slots: unusable})
@@ -56,10 +56,10 @@
 	co.watchIdle(lo)
 }
 
-// askedFor returns the service whose pending ask the event answers.
+// askedFor returns the service whose open ask the event answers, and closes the ask.
 func (co *Core) askedFor(ev SlotsLent) *service {
 	for _, sv := range co.serviceList {
-		if sv.ask.id != 0 && sv.ask.id == ev.Ask && sv.ask.to == ev.From {
+		if sv.dropAsk(func(as ask) bool { return as.id == ev.Ask && as.to == ev.From }) {
 			return sv
 		}
 	}
@@ -111,33 +111,43 @@
 		return
 	}
 	lo.over = true
-	co.returnSlots(lo)
+	co.shrinkLoan(lo, forever)
+}
+
+// shrinkLoan gives back the free slots that were last used before the given time.
+func (co *Core) shrinkLoan(lo *loan, before instant) {
 	for _, ls := range lo.slots {
-		if ls.used == 0 {
-			co.unlinkLoan(ls)
+		if ls.slots > ls.used && ls.lastUse < before {
+			ls.giveBack()
+			co.update(ls.wo)
 		}
-		co.update(ls.wo)
 	}
-	if lo.used == 0 {
+	co.returnSlots(lo)
+	lo.slots = slices.DeleteFunc(lo.slots, func(ls *loanSlots) bool {
+		if ls.slots == 0 {
+			co.unlinkLoan(ls)
+		}
+		return ls.slots == 0
+	})
+	if len(lo.slots) == 0 {
+		lo.over = true
 		delete(co.loans, loanKey{lo.from, lo.id})
 	}
 }
 
-// returnSlots sends all slots back that are not in use. It sends nothing if the lender is gone, or if the lender takes
-// the slots back by itself before long and fewer messages are wanted.
+// returnSlots tells the lender which slots were given back, unless it is gone.
 func (co *Core) returnSlots(lo *loan) {
-	if co.peers[lo.from] == nil || lo.sv.fewerMessages() && co.now >= lo.until {
+	if !lo.changed || co.peers[lo.from] == nil {
 		return
 	}
+	lo.changed = false
 	slots := make([]LentSlots, 0, len(lo.slots))
 	for _, ls := range lo.slots {
-		if n := ls.slots - ls.used; n > 0 {
+		if n := ls.given - ls.slots; n > 0 {
 			slots = append(slots, LentSlots{Worker: ls.wo.spec.ID, Slots: n})
 		}
 	}
-	if len(slots) > 0 {
-		co.emit(ReturnSlots{To: lo.from, Loan: lo.id, Slots: slots})
-	}
+	co.emit(ReturnSlots{To: lo.from, Loan: lo.id, Slots: slots})
 }
 
 func (co *Core) unlinkLoan(ls *loanSlots) {
@@ -150,22 +160,14 @@
 	lo := ls.loan
 	ls.used--
 	lo.used--
-	if !lo.over {
-		if lo.used == 0 {
-			lo.idle = co.now
-			co.watchIdle(lo)
-		}
-		return
-	}
-	if ls.used == 0 {
-		co.unlinkLoan(ls)
-	}
-	if lo.used > 0 {
-		return
-	}
-	delete(co.loans, loanKey{lo.from, lo.id})
-	if co.now < lo.until.after(co.se.LoanGrace) {
-		co.returnSlots(lo)
+	ls.lastUse = co.now
+	switch {
+	case !lo.over:
+		co.watchIdle(lo)
+	case lo.used == 0:
+		co.shrinkLoan(lo, forever)
+	default:
+		ls.giveBack()
 	}
 }
 
@@ -174,17 +176,32 @@
 
 func (ti loanTimer) fire(co *Core) { co.endLoan(ti.lo) }
 
-// watchIdle gives a loan back if it stays unused.
+func (sv *service) idleTime() time.Duration {
+	if sv.fewerMessages() {
+		return sparingIdleTime
+	}
+	return eagerIdleTime
+}
+
+// watchIdle gives slots of the loan back if they stay unused.
 func (co *Core) watchIdle(lo *loan) {
-	if !lo.sv.fewerMessages() {
-		co.setTimer(lo.idle.after(idleLoanTime), idleTimer{lo: lo})
+	if lo.idleAt == 0 {
+		lo.idleAt = co.now.after(lo.sv.idleTime())
+		co.setTimer(lo.idleAt, idleTimer{lo: lo})
 	}
 }
 
+// idleTimer gives back what was not used for a while, and comes again while other slots are free.
 type idleTimer struct{ lo *loan }
 
 func (ti idleTimer) fire(co *Core) {
-	if lo := ti.lo; lo.used == 0 && co.now >= lo.idle.after(idleLoanTime) {
-		co.endLoan(lo)
+	lo := ti.lo
+	lo.idleAt = 0
+	if lo.over {
+		return
+	}
+	co.shrinkLoan(lo, co.now.after(1-lo.sv.idleTime()))
+	if slices.ContainsFunc(lo.slots, func(ls *loanSlots) bool { return ls.free() > 0 }) {
+		co.watchIdle(lo)
 	}
 }
--- a/lovagedispatch/service.go
+++ b/lovagedispatch/service.go
@@ -18,7 +18,7 @@
 	failures failureRate
 	retries  float64 // retries left
 
-	ask      ask
+	asks     []ask   // asks that were not answered yet, to different peers
 	askAfter instant // earliest time of the next ask
 	peerIdle int     // free slots of all peers by their last summaries
 }
--- a/lovagedispatch/settings.go
+++ b/lovagedispatch/settings.go
@@ -40,7 +40,9 @@
 	MaxEjectionBackOff time.Duration
 	LoanTerm           time.Duration // time for which slots are borrowed
 	LoanGrace          time.Duration // extra time for which the lender keeps lent slots unused, for tasks in flight
+	MaxLoanGrace       time.Duration // the same if the borrower is heard of and has not returned all slots
 	AskTimeout         time.Duration // time after which an unanswered ask is given up
+	AskHold            time.Duration // time for which an ask is held if no slot is free; less than AskTimeout
 	MaxLoanSlots       int           // bound on slots per loan
 }
 
@@ -66,7 +68,9 @@
 		MaxEjectionBackOff: time.Minute,
 		LoanTerm:           2 * time.Second,
 		LoanGrace:          time.Second,
-		AskTimeout:         500 * time.Millisecond,
+		MaxLoanGrace:       30 * time.Second,
+		AskTimeout:         time.Second,
+		AskHold:            800 * time.Millisecond,
 		MaxLoanSlots:       64,
 	}
 }
