lovagedispatch: test held asks, late returns and idle borrowed slots

Change: one test each for an ask that is held, a lender that waits for a living borrower but not for ever, and borrowed slots that go back while another task of their loan runs. Measured: go test ./lovagedispatch/ passes (0.7 s).

--- a/lovagedispatch/lending_test.go
+++ b/lovagedispatch/lending_test.go
@@ -286,6 +286,74 @@
 	borrower.must(t)
 }
 
+// Guards against an ask that is refused although slots become free soon after, that is never answered, or that takes
+// the slots which own tasks wait for.
+func TestAskIsHeld(t *testing.T) {
+	lender := oneInstance(1, 8, nil)
+	lender.step(MembersChanged{Members: []Member{{"e1", "kandla"}, {"e2", "kandla"}}})
+	lender.submit("s", "a", 5, time.Minute) // the own share is 4 slots
+	ask := SlotsAsked{From: "e2", Ask: 3, Service: "s", Slots: 4, Until: epoch.Add(time.Second)}
+	for range 2 {
+		lender.step(ask) // the second is a repetition
+	}
+	lender.end(0, Succeeded)
+	must.SliceEmpty(t, lender.sent, must.Sprint("the freed slot is for the own task"))
+	lender.end(0, Succeeded)
+	must.SliceEmpty(t, lender.sent, must.Sprint("half of one slot is none"))
+	lender.end(0, Succeeded)
+	must.Len(t, 1, lender.sent)
+	lend := lender.sent[0].(LendSlots)
+	must.Eq(t, []LentSlots{{"w0", 1}}, lend.Slots)
+	ask.Ask++
+	lender.step(ask)
+	must.Len(t, 1, lender.sent)
+	lender.pass(time.Second)
+	must.Eq(t, Command(LendSlots{To: "e2", Ask: 4, Until: epoch.Add(800 * time.Millisecond)}), lender.sent[1])
+	lender.must(t)
+}
+
+// Guards against a lender that uses its slots again while a living borrower's long task runs on them, and one that
+// waits for ever for a lost return.
+func TestLenderWaitsForLivingBorrower(t *testing.T) {
+	lender := oneInstance(1, 8, nil)
+	lender.step(MembersChanged{Members: []Member{{"e1", "kandla"}, {"e2", "kandla"}}})
+	lender.step(SlotsAsked{From: "e2", Ask: 3, Service: "s", Slots: 4, Until: epoch.Add(time.Second)})
+	for s := range 40 {
+		want := 2
+		if s > 30 {
+			want = 4
+		}
+		must.Eq(t, want, lender.co.Load().FreeSlots, must.Sprintf("after %d s", s))
+		lender.step(PeerLoad{Instance: "e2"})
+		lender.pass(time.Second)
+	}
+	lender.must(t)
+}
+
+// Guards against borrowed slots that stay idle because another task of their loan still runs.
+func TestIdleBorrowedSlotsGoBack(t *testing.T) {
+	dr := oneInstance(4, 4, nil)
+	dr.step(MembersChanged{Members: []Member{{"e1", "kandla"}, {"e2", "kandla"}}})
+	dr.step(PeerLoad{Instance: "e2", Load: Load{Services: []ServiceLoad{{"s", 8, 0}}}})
+	dr.submit("s", "a", 11, time.Minute)
+	as, _ := dr.askFrom()
+	dr.step(SlotsLent{From: "e2", Ask: as.Ask, Loan: 7, Slots: []LentSlots{{"w0", 2}, {"w1", 2}}, Until: as.Until})
+	must.Len(t, 11, dr.flying)
+	dr.sent = nil
+	dr.end(10, Succeeded) // the last three run on borrowed slots
+	dr.pass(30 * time.Millisecond)
+	must.Len(t, 1, dr.sent, must.Sprintf("%v", dr.sent))
+	back := dr.sent[0].(ReturnSlots)
+	must.Eq(t, 2, slotMap(back.Slots)["w0"]+slotMap(back.Slots)["w1"], must.Sprint("one never used, one used"))
+	dr.end(9, Succeeded)
+	dr.end(8, Succeeded)
+	dr.pass(30 * time.Millisecond)
+	back = dr.sent[len(dr.sent)-1].(ReturnSlots)
+	must.Between(t, 2, slotMap(back.Slots)["w0"]+slotMap(back.Slots)["w1"], 4)
+	must.MapEmpty(t, dr.co.loans)
+	dr.must(t)
+}
+
 // Guards against a repeated return that frees slots which the borrower still uses.
 func TestRepeatedReturn(t *testing.T) {
 	lender := oneInstance(1, 8, nil)
