lovagedispatch: add counters, worker status and validation of settings

Cause: metrics, the status of pools and the check of settings need what only the core knows. Change: Counters, Workers and Settings.Validate; package documentation of queue, workers and lending.

--- a/lovagedispatch/admit.go
+++ b/lovagedispatch/admit.go
@@ -28,9 +28,11 @@
 	tm := co.teamFor(ev.Team)
 	if re := co.admit(ev, sv, tm); re.reason != "" {
 		co.forgetTeam(tm)
+		co.counters.JobsRefused++
 		co.emit(FinishJob{Job: ev.Job, Outcome: lovagejob.NotRun, Reason: re.reason, RetryAt: re.retryAt})
 		return
 	}
+	co.counters.JobsAdmitted++
 	jo := co.newJob()
 	jo.id, jo.sv, jo.tm = ev.Job, sv, tm
 	jo.need = demandOf(ev)
--- a/lovagedispatch/borrow.go
+++ b/lovagedispatch/borrow.go
@@ -123,6 +123,7 @@
 		sv.peerIdle -= slots
 	}
 	co.askSeq++
+	co.counters.Asks++
 	sv.asks = append(sv.asks, ask{id: co.askSeq, to: pe.id})
 	co.setTimer(co.now.after(co.se.AskTimeout), askTimer{sv: sv, id: co.askSeq})
 	co.setTimer(sv.askAfter, recheck{})
@@ -206,8 +207,10 @@
 	id uint64
 }
 
-func (ti askTimer) fire(*Core) {
-	ti.sv.dropAsk(func(as ask) bool { return as.id == ti.id })
+func (ti askTimer) fire(co *Core) {
+	if ti.sv.dropAsk(func(as ask) bool { return as.id == ti.id }) {
+		co.counters.AsksInVain++
+	}
 }
 
 // peerLoad notes a peer's free slots.
--- a/lovagedispatch/core.go
+++ b/lovagedispatch/core.go
@@ -35,6 +35,7 @@
 	queued       int     // tasks
 	running      int     // tasks
 	starts       uint64
+	counters     Counters
 	round        int64
 	draining     bool
 
--- a/lovagedispatch/doc.go
+++ b/lovagedispatch/doc.go
@@ -10,6 +10,30 @@
 // [FinishJob] with outcome notRun is given only if every StartTask of the job has ended with NotStarted, or there was
 // none.
 //
+// # Queue
+//
+// A job is one record, however many tasks it has. Jobs of a service that the same groups of workers may run form a
+// class; a group is the set of workers of one pool, data centre and size. Within a class, the team with the least
+// virtual time is next, and within a team the job with the least remaining work, with credit for waiting. A team at its
+// quota is taken out of the class. A start costs O(log n) in workers, teams and queued jobs, and linear time in the
+// number of classes with queued jobs, of groups of the service and of classes in which the team has jobs.
+//
+// # Workers
+//
+// The free slot with the least expected completion time is used: the learned run time of the service times the learned
+// speed factor of the worker, plus a round trip to another data centre. It is left idle if waiting for a faster one is
+// expected to end at least a tenth sooner. Declared sizes decide which workers may run a job; a slot is the only
+// resource that is counted. A refusal takes a worker out of choice for a moment. Failures put it last, and eject it if
+// they are unlikely for a worker as good as the others; at most a fifth of a pool is ejected. A failure is no evidence
+// against a worker if a third of the jobs of its service or team fail, or if a third of the other workers do.
+//
+// # Lending
+//
+// An instance whose tasks have to wait asks up to two peers for slots. A lender gives up to half of its free slots, or
+// holds the ask until it has some. The borrower starts tasks until the end of the loan, gives back slots that stay idle,
+// and stops at once if the lender is no member any more. The lender takes back by itself what was not returned. Every
+// message may be lost, late or repeated: at worst, a worker is oversubscribed for a moment and refuses.
+//
 // # Usage
 //
 //	core := lovagedispatch.New(lovagedispatch.DefaultSettings("entry-1", "kandla"), rand.New(rand.NewPCG(1, 2)))
--- a/lovagedispatch/health.go
+++ b/lovagedispatch/health.go
@@ -213,6 +213,7 @@
 func (co *Core) eject(wo *worker) {
 	backOff := co.doubled(co.se.EjectionBackOff, co.se.MaxEjectionBackOff, wo.health.round)
 	wo.health.round++
+	co.counters.Ejections++
 	wo.health.state, wo.health.probeOut = ejected, false
 	wo.health.until = co.now.after(backOff)
 	co.setTimer(wo.health.until, probeTimer{wo: wo, until: wo.health.until})
--- a/lovagedispatch/health_test.go
+++ b/lovagedispatch/health_test.go
@@ -111,6 +111,13 @@
 		}
 		return 30 * time.Millisecond, Succeeded
 	})
+	states := map[string]int{}
+	for _, st := range dr.co.Workers() {
+		states[st.State]++
+	}
+	must.Eq(t, 8, states["healthy"])
+	must.Between(t, 2, dr.co.Counters().Ejections, 20)
+	must.Eq(t, uint64(len(dr.ch.jobs)), dr.co.Counters().JobsAdmitted+dr.co.Counters().JobsRefused)
 	must.Len(t, 2, dr.ejectedWorkers(), must.Sprint("4 of 10 workers fail everything"))
 	dr.step(WorkerLeaving{Worker: "w9"})
 	must.Len(t, 1, dr.ejectedWorkers())
@@ -163,9 +170,36 @@
 	must.Eq(t, "w0", dr.flying[1].start.Worker)
 	dr.submit("s", "a", 1, time.Minute)
 	must.Len(t, 2, dr.flying)
+	dr.step(MembersChanged{Members: []Member{{"e1", "kandla"}, {"e2", "kandla"}}})
+	dr.step(MembersChanged{Members: []Member{{"e2", "kandla"}, {"e1", "kandla"}, {"e1", "kandla"}}})
+	dr.step(SlotsAsked{From: "e2", Ask: 1, Service: "s", Slots: 1, Until: dr.now.Add(time.Second)})
+	must.SliceEmpty(t, dr.sent, must.Sprint("the slow slots are not lent while an own task may need them"))
+	dr.step(MembersChanged{Members: []Member{{"e1", "kandla"}}})
 	dr.pass(time.Second)
 	must.Eq(t, "w1", dr.flying[2].start.Worker, must.Sprint("the fast slots did not become free"))
 	dr.submit("s", "a", 100, time.Minute)
 	must.Len(t, 4, dr.flying, must.Sprint("with a long queue the slow slots are used"))
 	dr.must(t)
 }
+
+// Guards against a change of speed that is noticed only after a hundred tasks, and against one long task that makes a
+// worker look slow.
+func TestLearnedSpeed(t *testing.T) {
+	dr := oneInstance(2, 1, nil)
+	sv, good, bad := dr.co.services["s"], dr.co.list[0], dr.co.list[1]
+	for n := range 2000 {
+		took := 50 * time.Millisecond
+		if n%100 == 99 {
+			took *= 20
+		}
+		dr.co.learn(sv, good, took)
+		dr.co.learn(sv, bad, took)
+		if n > 300 {
+			must.Between(t, 0.85, good.factor, 1.15)
+		}
+	}
+	for range 12 {
+		dr.co.learn(sv, bad, 500*time.Millisecond)
+	}
+	must.Greater(t, 3, bad.factor)
+}
--- a/lovagedispatch/job.go
+++ b/lovagedispatch/job.go
@@ -121,6 +121,7 @@
 		if jo.deadline > co.now {
 			return
 		}
+		co.counters.JobsExpired++
 		reason := fmt.Sprintf("deadline passed with %d of %d tasks not started", jo.queuedTasks(), jo.tasks)
 		co.finish(jo, lovagejob.Failed, reason, co.retryAfter(co.taskTime(jo.sv, jo.declared)))
 	}
@@ -136,13 +137,17 @@
 	jo.run = append(jo.run, ru)
 	jo.started++
 	jo.waitUntil = 0
-	wo.health.probeOut = ru.probe
+	if ru.probe {
+		wo.health.probeOut = true
+		co.counters.Probes++
+	}
 	wo.addRate(ru.rate)
 	loanID := uint64(0)
 	if loan == nil {
 		wo.used++
 	} else {
 		loanID = loan.loan.id
+		co.counters.BorrowedStarts++
 		loan.used++
 		loan.lastUse = co.now
 		loan.loan.used++
@@ -198,6 +203,7 @@
 		co.learn(jo.sv, wo, time.Duration(co.now-ru.start))
 		co.judgeSuccess(wo, jo, ru.probe)
 	case NotStarted:
+		co.counters.NotStarted++
 		if !ev.Leaving {
 			co.refused(wo)
 		}
@@ -230,6 +236,7 @@
 	case NotStarted:
 		jo.started--
 		if ev.Leaving || jo.sv.takeRetry() {
+			co.counters.Retries++
 			jo.retry = append(jo.retry, int32(ev.Task))
 			co.enqueue(jo, 1)
 			co.watchDeadline(jo)
--- a/lovagedispatch/lend.go
+++ b/lovagedispatch/lend.go
@@ -113,6 +113,7 @@
 	if le.left == 0 {
 		return false
 	}
+	co.counters.SlotsLent += uint64(le.left)
 	co.lent[le.id], co.lentAsks[he.ask] = le, le
 	co.setTimer(le.until.after(co.se.LoanGrace), lentTimer{le: le})
 	co.emit(le.answer(co))
--- a/lovagedispatch/loan.go
+++ b/lovagedispatch/loan.go
@@ -17,6 +17,7 @@
 	sv := co.askedFor(ev)
 	if sv != nil {
 		if len(ev.Slots) == 0 {
+			co.counters.AsksInVain++
 			if pe := co.peers[ev.From]; pe != nil && pe.idle[sv.spec.Name] > 0 {
 				sv.peerIdle -= pe.idle[sv.spec.Name]
 				pe.idle[sv.spec.Name] = 0
@@ -39,6 +40,7 @@
 			unusable = append(unusable, sl)
 			continue
 		}
+		co.counters.SlotsBorrowed += uint64(sl.Slots)
 		lo.slots = append(lo.slots, &loanSlots{loan: lo, wo: wo, given: sl.Slots, slots: sl.Slots, lastUse: co.now})
 	}
 	if len(unusable) > 0 {
--- a/lovagedispatch/settings.go
+++ b/lovagedispatch/settings.go
@@ -1,6 +1,12 @@
 package lovagedispatch
 
-import "time"
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"lovagestack/lovagejob"
+)
 
 // Policy selects how workers are chosen and which slots may be used.
 type Policy string
@@ -74,3 +80,57 @@
 		MaxLoanSlots:       64,
 	}
 }
+
+// Validate returns every fault of the settings; a core must not be made from faulty ones.
+func (se Settings) Validate() []lovagejob.Finding {
+	var out []lovagejob.Finding
+	add := func(field, format string, args ...any) {
+		out = append(out, lovagejob.Finding{Field: field, Problem: fmt.Sprintf(format, args...)})
+	}
+	if !lovagejob.ValidName(se.Instance) {
+		add("instance", "%q is not a name", se.Instance)
+	}
+	if !lovagejob.ValidName(se.DataCentre) {
+		add("dataCentre", "%q is not a name", se.DataCentre)
+	}
+	policies := []Policy{Lending, Shares, Alone, Random, RoundRobin, LeastInFlight}
+	if !slices.Contains(policies, se.Policy) {
+		add("policy", "%q is none of %q", se.Policy, policies)
+	}
+	for _, it := range []struct {
+		field string
+		value float64
+	}{
+		{"defaultRunTime", float64(se.DefaultRunTime)},
+		{"maxQueuedTasks", float64(se.MaxQueuedTasks)},
+		{"maxTotalTasks", float64(se.MaxTotalTasks)},
+		{"retryBurst", float64(se.RetryBurst)},
+		{"refusalBackOff", float64(se.RefusalBackOff)},
+		{"ejectionBackOff", float64(se.EjectionBackOff)},
+		{"loanTerm", float64(se.LoanTerm)},
+		{"loanGrace", float64(se.LoanGrace)},
+		{"askHold", float64(se.AskHold)},
+		{"maxLoanSlots", float64(se.MaxLoanSlots)},
+	} {
+		if it.value <= 0 {
+			add(it.field, "is not positive")
+		}
+	}
+	if se.LatencyOther < 0 || se.Ageing < 0 || se.RetryRatio < 0 {
+		add("latencyOther, ageing, retryRatio", "must not be negative")
+	}
+	for _, it := range []struct {
+		field, other string
+		value, least time.Duration
+	}{
+		{"maxRefusalBackOff", "refusalBackOff", se.MaxRefusalBackOff, se.RefusalBackOff},
+		{"maxEjectionBackOff", "ejectionBackOff", se.MaxEjectionBackOff, se.EjectionBackOff},
+		{"maxLoanGrace", "loanGrace", se.MaxLoanGrace, se.LoanGrace},
+		{"askTimeout", "askHold", se.AskTimeout, se.AskHold},
+	} {
+		if it.value < it.least {
+			add(it.field, "%s is shorter than %s, which is %s", it.value, it.other, it.least)
+		}
+	}
+	return out
+}
