lovageentry: put the declared configuration in force in the cores

Cause: a declared Configuration was stored, spread and called in force, but no core read it. A key submitted with other content was answered "unknown, ask again" instead of being named as a fault of the request. Requests for slots were given up after 0.5 s while the lender holds them for 0.8 s. Ruled out: restarting the cores with new settings, which would lose their state. A longer key lifetime cannot revive keys whose records were dropped: each range keeps the mint time before which it has dropped records. Change: TunablesChanged in lovagedispatch and lovageledger; FaultError names its field; slots are waited for 1 s; a retry budget of 0 means none.

--- a/lovagedispatch/core.go
+++ b/lovagedispatch/core.go
@@ -7,10 +7,11 @@
 
 // Core is the decision core of one instance. It is not safe for concurrent use.
 type Core struct {
-	se     Settings
-	rng    *rand.Rand
-	ranker ranker
-	out    []Command // commands of the step that is running
+	se      Settings
+	mayLend bool // the policy at the start was Lending
+	rng     *rand.Rand
+	ranker  ranker
+	out     []Command // commands of the step that is running
 
 	base     time.Time // time of the first step
 	nowTime  time.Time
@@ -61,6 +62,7 @@
 func New(se Settings, rng *rand.Rand) *Core {
 	co := &Core{
 		se:        se,
+		mayLend:   se.Policy == Lending,
 		rng:       rng,
 		ranker:    newRanker(se.Policy, rng),
 		jobs:      map[uint64]*job{},
@@ -135,6 +137,8 @@
 		co.servicesChanged(ev)
 	case TeamsChanged:
 		co.teamsChanged(ev)
+	case TunablesChanged:
+		co.tunablesChanged(ev)
 	case Drain:
 		co.draining = true
 	case Tick:
--- a/lovageentry/request.go
+++ b/lovageentry/request.go
@@ -25,6 +25,9 @@
 // Error returns the reason.
 func (fe *FaultError) Error() string { return fe.Reason }
 
+// RequestField names the field of the request that is wrong.
+func (*FaultError) RequestField() string { return "key" }
+
 // reply is what a request of a caller or a peer gets.
 type reply struct {
 	answer lovagejob.Answer
--- a/lovageentry/resources.go
+++ b/lovageentry/resources.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"lovagestack/lovagedispatch"
+	"lovagestack/lovageledger"
 	"lovagestack/lovagemember"
 	"lovagestack/lovageresource"
 )
@@ -45,7 +46,9 @@
 
 // load reads all resources of one revision. A change between two reads is harmless: it is followed by another load.
 func (rw *resourceWatcher) load() *resourcesLoaded {
-	rl := &resourcesLoaded{workers: make(map[string]workerInfo), revision: rw.in.store.Revision()}
+	rl := &resourcesLoaded{
+		workers: make(map[string]workerInfo), revision: rw.in.store.Revision(), tunables: rw.in.store.Configuration(),
+	}
 	pools, _ := rw.in.store.List(lovageresource.KindPool)
 	byService := make(map[string][]string)
 	for i := range pools {
@@ -59,7 +62,7 @@
 		}
 		rl.services = append(rl.services, lovagedispatch.Service{
 			Name: services[i].Name, Pools: byService[services[i].Name], Weight: weightOf(sp.Weight),
-			MaxQueuedTasks: sp.QueuedTasks, RetryRatio: sp.RetryBudget,
+			MaxQueuedTasks: sp.QueuedTasks, RetryRatio: retryRatio(sp.RetryBudget),
 		})
 		rl.maxRunTimes = append(rl.maxRunTimes, serviceInfo{name: services[i].Name, maxRunTime: time.Duration(sp.MaxRunTime)})
 	}
@@ -74,6 +77,11 @@
 	return rl
 }
 
+// minRetryRatio stands for a declared budget of 0: the core takes 0 for "not set".
+const minRetryRatio = 1e-9
+
+func retryRatio(budget float64) float64 { return max(budget, minRetryRatio) }
+
 func weightOf(we lovageresource.Weight) lovagedispatch.Weight {
 	if we == lovageresource.WeightMessages {
 		return lovagedispatch.FewerMessages
@@ -93,6 +101,7 @@
 	workers     map[string]workerInfo
 	services    []lovagedispatch.Service
 	teams       []lovagedispatch.Team
+	tunables    lovageresource.Configuration
 	maxRunTimes []serviceInfo
 }
 
@@ -131,12 +140,25 @@
 		})
 	}
 	lo.teams = rl.teams
+	lo.giveTunables(&rl.tunables)
 	lo.stepCore(lovagedispatch.ServicesChanged{Services: rl.services})
 	lo.giveTeams()
 	lo.stepMember(lovagemember.PoolsChanged{Workers: declared})
 	lo.giveWorkers()
 }
 
+// giveTunables hands the declared configuration to the cores.
+func (lo *controlLoop) giveTunables(sp *lovageresource.Configuration) {
+	lo.stepLedger(&lovageledger.TunablesChanged{
+		KeyLifetime: time.Duration(sp.KeyLifetime), AnswerKept: time.Duration(sp.AnswerRetention),
+	})
+	lo.stepCore(lovagedispatch.TunablesChanged{
+		MaxQueuedTasks:  sp.Admission.QueuedTasks,
+		EjectionBackOff: time.Duration(sp.Ejection.BackOff), MaxEjectionBackOff: time.Duration(sp.Ejection.MaxBackOff),
+		Lend: sp.Lending.Enabled, LoanTerm: time.Duration(sp.Lending.Term), MaxLoanSlots: sp.Lending.Slots,
+	})
+}
+
 // giveTeams tells the dispatch core about the teams. A quota of running tasks holds for a data centre, so each of its
 // live instances gets an equal part, at least one task; instances that share a quota unevenly leave a part of it unused.
 func (lo *controlLoop) giveTeams() {
--- a/lovageentry/slots.go
+++ b/lovageentry/slots.go
@@ -10,8 +10,9 @@
 	"lovagestack/lovagemessage"
 )
 
-// slotsTimeout bounds one message about slots. The core gives an unanswered ask up after the same time.
-const slotsTimeout = 500 * time.Millisecond
+// slotsTimeout bounds one message about slots. The core gives an unanswered ask up after the same time; the lender
+// holds an ask for a little less when it has no free slot.
+const slotsTimeout = time.Second
 
 // slotsCall asks a peer for slots. run makes the call and reports the loan to the control loop.
 type slotsCall struct {
--- a/lovageledger/event.go
+++ b/lovageledger/event.go
@@ -159,6 +159,13 @@
 	Ranges []RangeState
 }
 
+// TunablesChanged replaces the settings that may change while the ledger runs. A longer lifetime does not revive keys
+// whose records may have been dropped under a shorter one: each range keeps the mint time before which it has dropped.
+type TunablesChanged struct {
+	KeyLifetime time.Duration
+	AnswerKept  time.Duration
+}
+
 // Tick tells the time. It is due at least every 100 ms.
 type Tick struct{}
 
@@ -181,5 +188,6 @@
 func (*TableCommitted) event()  {}
 func (*MembersChanged) event()  {}
 func (*RangesHeard) event()     {}
+func (*TunablesChanged) event() {}
 func (*Tick) event()            {}
 func (*Drain) event()           {}
--- a/lovageledger/ledger.go
+++ b/lovageledger/ledger.go
@@ -128,6 +128,13 @@
 		}
 	case *Tick:
 		le.tick()
+	case *TunablesChanged:
+		if ev.KeyLifetime > 0 {
+			le.se.KeyLifetime = ev.KeyLifetime
+		}
+		if ev.AnswerKept > 0 {
+			le.se.AnswerKept = ev.AnswerKept
+		}
 	case *Drain:
 		le.draining = true
 		le.maintain()
