lovageledger: copy ends at once and let an instance without ranges claim a new one

Instances that restarted together could take no new keys for 6 to 8 s, because each waited for the leases of its predecessors instead of creating a range. Ruled out: copying before the answer, which would add a round trip to each job. Change: an end is sent at once unless a batch is unacknowledged; later ends gather into the next batch. Only an instance that owns a range already waits for abandoned ones. Conclusion: the window of unknown ends is one message. A restart of all instances creates at most one new row each.

--- a/lovageledger/claim.go
+++ b/lovageledger/claim.go
@@ -77,8 +77,10 @@
 		}
 	}
 	if free == nil {
-		if pending {
-			return // its lease may be about to expire; a new row now would be one too many for good
+		if pending && len(le.owned) > 0 {
+			// The lease of its owner may be about to expire; a new row now would be one too many for good. An instance
+			// that owns nothing does not wait: it could not take new keys until then.
+			return
 		}
 		free = le.rangeFor(RangeID{DataCentre: le.se.DataCentre, Index: next})
 		if free.version != 0 || free.try != nil {
--- a/lovageledger/copies.go
+++ b/lovageledger/copies.go
@@ -20,10 +20,12 @@
 // maxCopyQueue bounds the keys that wait to be copied. Beyond it the newest are not copied.
 const maxCopyQueue = 100_000
 
-// copyResult queues the end of a key for the instance that may have to tell it.
+// copyResult queues the end of a key for the instance that may have to tell it, and sends it at once unless a batch is
+// unacknowledged. Waiting for the next tick would leave the end unknown if the owner dies within that time.
 func (le *Ledger) copyResult(rg *keyRange, sk shortKey) {
 	if len(rg.copies.queue) < maxCopyQueue && le.copyPeer(rg) != "" {
 		rg.copies.queue = append(rg.copies.queue, sk)
+		le.tickCopies(rg)
 	}
 }
 
