lovagedispatch: keep the sums of peers' free slots without a scan

Cause: each heartbeat added up the free slots of all peers for each service, which is quadratic in the number of instances. Change: the sums follow each summary.

--- a/lovagedispatch/borrow.go
+++ b/lovagedispatch/borrow.go
@@ -213,28 +213,32 @@
 	}
 }
 
-// peerLoad notes a peer's free slots.
+// peerLoad notes a peer's free slots. It keeps the sums over all peers, which a scan of the peers per heartbeat would
+// make quadratic in their number.
 func (co *Core) peerLoad(ev PeerLoad) {
 	pe := co.peers[ev.Instance]
 	if pe == nil {
 		return // not a member; its load is of no use
 	}
 	pe.heard = co.now
+	for _, sv := range co.serviceList {
+		sv.peerIdle -= max(0, pe.idle[sv.spec.Name])
+	}
 	clear(pe.idle)
 	for _, sl := range ev.Load.Services {
 		pe.idle[sl.Service] = sl.FreeSlots
 	}
-	co.sumPeerIdle()
+	for _, sv := range co.serviceList {
+		sv.peerIdle += max(0, pe.idle[sv.spec.Name])
+	}
 }
 
-// sumPeerIdle adds up the free slots of all peers. It costs time linear in the number of peers, once per heartbeat.
+// sumPeerIdle adds up the free slots of all peers after a change of the peers or the services.
 func (co *Core) sumPeerIdle() {
 	for _, sv := range co.serviceList {
 		sv.peerIdle = 0
 		for _, pe := range co.peerList {
-			if co.now < pe.heard.after(peerLoadAge) {
-				sv.peerIdle += max(0, pe.idle[sv.spec.Name])
-			}
+			sv.peerIdle += max(0, pe.idle[sv.spec.Name])
 		}
 	}
 }
--- a/lovagedispatch/lending_test.go
+++ b/lovagedispatch/lending_test.go
@@ -310,7 +310,8 @@
 	lender.must(t)
 }
 
-// Guards against borrowed slots that stay idle because another task of their loan still runs.
+// Guards against borrowed slots that stay idle because another task of their loan still runs, and against a task that
+// is started on a loan which ends long before it.
 func TestIdleBorrowedSlotsGoBack(t *testing.T) {
 	dr := oneInstance(4, 4, nil)
 	dr.step(MembersChanged{Members: []Member{{"e1", "kandla"}, {"e2", "kandla"}}})
@@ -329,6 +330,12 @@
 	dr.end(8, Succeeded)
 	dr.pass(30 * time.Millisecond)
 	must.MapEmpty(t, dr.co.loans)
+	dr.co.services["s"].mean = 3 // the loan and its grace time end after 2 s
+	dr.submit("s", "b", 50, 2*time.Minute)
+	as, _ = dr.askFrom()
+	must.Greater(t, 0, as.Slots)
+	dr.step(SlotsLent{From: "e2", Ask: as.Ask, Loan: 8, Slots: []LentSlots{{"w0", 2}}, Until: dr.now.Add(time.Second)})
+	must.Eq(t, Command(ReturnSlots{To: "e2", Loan: 8, Slots: []LentSlots{{"w0", 2}}}), dr.sent[len(dr.sent)-1])
 	dr.must(t)
 }
 
