lovagemember: take a worker's address from the list where its pool names none

Cause: pools may name workers only; the platform's list has their addresses. Ruled out: an address that changes in the list as a new registration, because a list that lags shows old addresses late. Change: address and data centre of the last list fill what the pool leaves out.

--- a/lovagemember/event.go
+++ b/lovagemember/event.go
@@ -38,7 +38,7 @@
 // PoolsChanged is the whole set of workers that the pools declare.
 type PoolsChanged struct{ Workers []DeclaredWorker }
 
-// DeclaredWorker is a worker as a pool declares it.
+// DeclaredWorker is a worker as a pool declares it. What is empty comes from the list.
 type DeclaredWorker struct{ Worker, DataCentre, Address string }
 
 // WorkerReplied is a reply of a worker, refusals included. Leaving says that it carried the leaving header. A refusal
--- a/lovagemember/worker.go
+++ b/lovagemember/worker.go
@@ -1,6 +1,7 @@
 package lovagemember
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -15,6 +16,8 @@
 	address    string
 	known      time.Time
 
+	listedDataCentre, listedAddress string // by the last list that named it; used where the pool leaves them out
+
 	leaving   bool // sticky mark
 	firstHand bool // the mark came from the list or a reply; only such marks are passed on
 	listed    bool // in the last list
@@ -72,6 +75,12 @@
 		listed[in.ID] = struct{}{}
 		wo := co.worker(in.ID)
 		wo.listed = true
+		if wo.listedAddress != in.Address || wo.listedDataCentre != in.DataCentre {
+			wo.listedAddress, wo.listedDataCentre = in.Address, in.DataCentre
+			if wo.declared && (wo.address == "" || wo.dataCentre == "") {
+				co.workersChanged = true
+			}
+		}
 		if in.State == lovageplatform.StateLeaving {
 			wo.unlisted = false
 			co.markLeaving(in.ID, FromList)
@@ -163,7 +172,12 @@
 		if wo.leaving {
 			st = Leaving
 		}
-		out = append(out, Worker{Worker: id, DataCentre: wo.dataCentre, Address: wo.address, State: st})
+		out = append(out, Worker{
+			Worker:     id,
+			DataCentre: cmp.Or(wo.dataCentre, wo.listedDataCentre),
+			Address:    cmp.Or(wo.address, wo.listedAddress),
+			State:      st,
+		})
 	}
 	return out
 }
