lovageentry: take known peers and leaving workers from the membership core

Cause: the control loop kept its own list of leaving workers beside the core's, and the core's KnownPeers was unused since heartbeats name peers only when the topology changes. Ruled out: naming four peers in turn in each heartbeat; at 100 instances a new one is then known everywhere after 25 s. Change: heartbeats use the core's LeavingWorkers and KnownPeers; KnownPeers returns all peers heard from. Conclusion: one place decides which workers are leaving.

--- a/lovageentry/heartbeat.go
+++ b/lovageentry/heartbeat.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -106,13 +104,11 @@
 		full.Ranges = append(full.Ranges, fromRange(rs))
 		_, _ = fmt.Fprintln(di, rs)
 	}
-	for _, id := range slices.Sorted(maps.Keys(lo.members.members)) {
-		if me := lo.members.members[id]; me.State == lovagemember.Live {
-			full.KnownPeers = append(full.KnownPeers, &lovagemessage.PeerState{
-				Instance: id, DataCentre: lo.members.dataCentres[id], Address: me.Address,
-			})
-			_, _ = fmt.Fprintln(di, id, me.Address)
-		}
+	for _, pe := range lo.member.KnownPeers() {
+		full.KnownPeers = append(full.KnownPeers, &lovagemessage.PeerState{
+			Instance: pe.Instance, DataCentre: pe.DataCentre, Address: pe.Address, Leaving: pe.Leaving,
+		})
+		_, _ = fmt.Fprintln(di, pe)
 	}
 	return full, di.Sum64()
 }
@@ -121,19 +117,10 @@
 	return &lovagemessage.Heartbeat{
 		Instance: lo.in.id, DataCentre: lo.in.settings.DataCentre, Address: lo.in.peerAddress, Leaving: lo.draining,
 		Ready: lo.in.isReady(), AppliedRevision: lo.in.store.Revision(), Load: fromLoad(lo.core.Load()),
-		LeavingWorkers: lo.leavingWorkers(),
+		LeavingWorkers: lo.member.LeavingWorkers(),
 	}
 }
 
-func (lo *controlLoop) leavingWorkers() []string {
-	out := make([]string, 0, len(lo.members.leaving))
-	for id := range lo.members.leaving {
-		out = append(out, id)
-	}
-	slices.Sort(out)
-	return out
-}
-
 // heartbeatSender sends one heartbeat to one peer and reports the reply to the control loop.
 type heartbeatSender struct {
 	in       *Instance
@@ -206,7 +193,7 @@
 		lo.stepLedger(heard)
 	}
 	hr.replies <- &lovagemessage.HeartbeatReply{
-		AppliedRevision: lo.in.store.Revision(), LeavingWorkers: lo.leavingWorkers(),
+		AppliedRevision: lo.in.store.Revision(), LeavingWorkers: lo.member.LeavingWorkers(),
 	}
 }
 
--- a/lovageentry/instance.go
+++ b/lovageentry/instance.go
@@ -171,7 +171,7 @@
 		requests: make(map[uint64]*request), abandons: make(map[uint64]*abandon), jobs: make(map[uint64]*job),
 		byKey: make(map[lovagejob.Key]*job), offers: make(map[lovagejob.Key]*offer), calls: make(map[uint64]chan<- any),
 		heartbeats: make(map[string]*heartbeatTarget),
-		members:    memberView{leaving: make(map[string]bool)}, drained: make(chan struct{}),
+		drained:    make(chan struct{}),
 	}
 }
 
--- a/lovageentry/member.go
+++ b/lovageentry/member.go
@@ -17,7 +17,6 @@
 // memberView is the control loop's copy of the membership.
 type memberView struct {
 	members     map[string]lovagemember.Member // by instance ID
-	leaving     map[string]bool                // workers that this instance found leaving
 	dataCentres map[string]string              // of members
 }
 
@@ -142,7 +141,6 @@
 
 // workerSaysLeaving passes on the leaving header of a worker's reply.
 func (lo *controlLoop) workerSaysLeaving(worker string) {
-	lo.members.leaving[worker] = true
 	lo.stepMember(lovagemember.WorkerReplied{Worker: worker, Leaving: true})
 }
 
--- a/lovageentry/resources.go
+++ b/lovageentry/resources.go
@@ -176,9 +176,6 @@
 	lo.workerStates = make(map[string]lovagemember.State, len(cm.Workers))
 	for _, wo := range cm.Workers {
 		lo.workerStates[wo.Worker] = wo.State
-		if wo.State == lovagemember.Live {
-			delete(lo.members.leaving, wo.Worker)
-		}
 	}
 	lo.giveWorkers()
 }
--- a/lovagemember/core.go
+++ b/lovagemember/core.go
@@ -41,7 +41,6 @@
 
 	instances      map[string]*instance
 	order          []string // sorted IDs of instances
-	nextKnown      int      // index into order of the last instance that KnownPeers returned
 	membersChanged bool
 
 	workers        map[string]*worker
--- a/lovagemember/instance.go
+++ b/lovagemember/instance.go
@@ -186,23 +186,16 @@
 	}
 }
 
-// knownPeersPerHeartbeat bounds KnownPeers. Naming all peers in each heartbeat costs 3.9 KB a heartbeat at 100
-// instances, 390 KB/s an instance, where 18 KB/s are allowed.
-const knownPeersPerHeartbeat = 4
-
-// KnownPeers returns a few instances that this instance hears from, in turn, for its next heartbeat. Instances known
-// only from others are left out, so that a dead one is not passed on for ever.
+// KnownPeers returns the instances that this instance hears from, sorted by ID, for its heartbeats. Instances known only
+// from others are left out, so that a dead one is not passed on for ever. The list grows with the number of instances,
+// 3.9 KB at 100, so it is to be sent when it changes and not in each heartbeat.
 func (co *Core) KnownPeers() []Peer {
 	var out []Peer
-	for range co.order {
-		co.nextKnown = (co.nextKnown + 1) % len(co.order)
-		it := co.instances[co.order[co.nextKnown]]
+	for _, id := range co.order {
+		it := co.instances[id]
 		if st := it.shown.State; st == Live || st == Leaving || st == Suspect {
 			out = append(out, Peer{Instance: it.id, DataCentre: it.dataCentre, Address: it.address, Leaving: it.leaving})
 		}
-		if len(out) == knownPeersPerHeartbeat {
-			break
-		}
 	}
 	return out
 }
