lovagedispatch: retry a started job beyond the retry budget

Cause: a change of members makes many workers refuse at once and uses up the budget in milliseconds. Jobs that had started other tasks then failed although nothing was wrong with them. Ruled out: a larger budget; it only moves the point at which jobs are lost. Change: with the budget used up, a job of which nothing has started ends with notRun and a retry time; one that has started is queued again. The back-off of the workers and the job's deadline bound its retries. Conclusion: the budget bounds retries of jobs that can be given back to their callers, and loses none.

--- a/lovagedispatch/core_test.go
+++ b/lovagedispatch/core_test.go
@@ -167,6 +167,13 @@
 	must.Eq(t, id, fi.Job)
 	must.StrContains(t, fi.Reason, `the retry budget of service "s" is used up: test`)
 	must.True(t, fi.RetryAt.After(dr.now))
+	dr.pass(time.Second)
+	dr.submit("s", "a", 2, time.Minute)
+	for range 20 {
+		must.Len(t, 2, dr.flying, must.Sprint("a job that has started is not given up"))
+		dr.end(1, NotStarted)
+		dr.pass(2 * time.Second)
+	}
 	dr.must(t)
 }
 
--- a/lovagedispatch/event.go
+++ b/lovagedispatch/event.go
@@ -133,7 +133,7 @@
 	Pools          []string // pools whose workers run the service; empty means every pool
 	Weight         Weight   // empty means ResponseTime
 	MaxQueuedTasks int      // bound on queued tasks of the service at this instance; 0 means Settings.MaxQueuedTasks
-	RetryRatio     float64  // not-started tasks retried per task started; 0 means Settings.RetryRatio
+	RetryRatio     float64  // see Settings.RetryRatio, which 0 stands for
 }
 
 // ServicesChanged gives the complete set of services. Queued jobs of a removed service stay queued until a worker can
--- a/lovagedispatch/job.go
+++ b/lovagedispatch/job.go
@@ -235,7 +235,9 @@
 		}
 	case NotStarted:
 		jo.started--
-		if ev.Leaving || jo.sv.takeRetry() {
+		// Refusing a job that has started would lose it, so it is retried beyond the budget. The back-off of the workers
+		// and the job's deadline bound that.
+		if ev.Leaving || jo.sv.takeRetry() || jo.started > 0 {
 			co.counters.Retries++
 			jo.retry = append(jo.retry, int32(ev.Task))
 			co.enqueue(jo, 1)
--- a/lovagedispatch/settings.go
+++ b/lovagedispatch/settings.go
@@ -38,7 +38,7 @@
 	Ageing             float64       // seconds of remaining work that a second of waiting makes up for
 	MaxQueuedTasks     int           // bound on queued tasks per service and per team without a bound of their own
 	MaxTotalTasks      int           // bound on queued tasks in all
-	RetryRatio         float64       // not-started tasks retried per task started, per service
+	RetryRatio         float64       // not-started tasks retried per task started, per service; then jobs end with notRun
 	RetryBurst         int           // retries allowed on top of the ratio
 	RefusalBackOff     time.Duration // pause after a worker's first refusal in a row; doubles with each
 	MaxRefusalBackOff  time.Duration
