--- a/lovagedispatch/machine_test.go
+++ b/lovagedispatch/machine_test.go
@@ -19,10 +19,8 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.steps": "80"} {
-		if fl := flag.Lookup(name); fl.Value.String() == fl.DefValue {
-			if err := fl.Value.Set(value); err != nil {
-				panic(err)
-			}
+		if fl := flag.Lookup(name); fl.Value.String() == fl.DefValue && fl.Value.Set(value) != nil {
+			panic("flag " + name)
 		}
 	}
 	os.Exit(m.Run())
