--- a/lovagedispatch/bench_test.go
+++ b/lovagedispatch/bench_test.go
@@ -59,8 +59,7 @@
 	co.se.MaxQueuedTasks = 1 << 30
 	rng := rand.New(rand.NewPCG(3, 4))
 	var out []Command
-	flying := make([]StartTask, 0, workers*benchSlots+1)
-	job := uint64(0)
+	flying, job := make([]StartTask, 0, workers*benchSlots+1), uint64(0)
 	submit := func() {
 		job++
 		out = co.Step(co.nowTime, benchSubmit(job, int(job)%teams, tasksPerJob), out[:0])
@@ -129,8 +128,7 @@
 	co.se.MaxQueuedTasks = 1 << 30
 	rng := rand.New(rand.NewPCG(3, 4))
 	var out []Command
-	jobs := make([]uint64, 0, queued+1)
-	job := uint64(0)
+	jobs, job := make([]uint64, 0, queued+1), uint64(0)
 	submit := func() {
 		job++
 		out = co.Step(epoch, benchSubmit(job, int(job)%18, 1), out[:0])
