lovagedispatch: add a policy with speculative starts on slots of other instances

Fast slots that become free belong to other instances, and a job of 350 tasks meets a share of 64 slots. Ruled out: larger loans (the ask still costs a wait), alone itself (0.26 refused messages per task, and jobs are lost when refusals use up the retry budget). Change: policy "speculative": own and borrowed slots as before, and slots of others without asking when that is expected to be faster. A refusal is paid from a budget of the service that grows with its starts; without budget nothing is speculated. A refusal no longer ends a job under this policy.

--- a/lovagedispatch/admit.go
+++ b/lovagedispatch/admit.go
@@ -150,7 +150,7 @@
 			n += gr.capacity
 		}
 	}
-	if co.se.Policy == Lending {
+	if co.lends() {
 		n += sv.peerIdle
 	}
 	return n
--- a/lovagedispatch/job.go
+++ b/lovagedispatch/job.go
@@ -41,12 +41,13 @@
 
 // running is a task in flight.
 type running struct {
-	task  int32
-	probe bool
-	wo    *worker
-	loan  *loanSlots // nil for an own slot
-	start instant
-	rate  int64 // see rateOf
+	task    int32
+	probe   bool
+	wo      *worker
+	loan    *loanSlots // nil for an own slot
+	foreign bool       // a speculative start
+	start   instant
+	rate    int64 // see rateOf
 }
 
 // queuedTasks returns the number of tasks that can be started.
@@ -127,12 +128,12 @@
 	}
 }
 
-// start gives a task of the job to the worker, on an own slot if loan is nil.
-func (co *Core) start(jo *job, wo *worker, loan *loanSlots, runTime float64) {
+// start gives a task of the job to the worker: as a speculative start, or on an own slot if loan is nil.
+func (co *Core) start(jo *job, wo *worker, loan *loanSlots, foreign bool, runTime float64) {
 	task := jo.takeTask()
 	ru := running{
 		task: task, wo: wo, loan: loan, start: co.now, rate: rateOf(runTime * wo.factor),
-		probe: wo.health.state == probing,
+		probe: wo.health.state == probing, foreign: foreign,
 	}
 	jo.run = append(jo.run, ru)
 	jo.started++
@@ -143,9 +144,13 @@
 	}
 	wo.addRate(ru.rate)
 	loanID := uint64(0)
-	if loan == nil {
+	switch {
+	case foreign:
+		co.counters.Speculations++
+		wo.foreign++
+	case loan == nil:
 		wo.used++
-	} else {
+	default:
 		loanID = loan.loan.id
 		co.counters.BorrowedStarts++
 		loan.used++
@@ -157,6 +162,7 @@
 	co.running++
 	jo.sv.running++
 	jo.sv.addRetries(co.retryRatio(jo.sv), co.se.RetryBurst)
+	co.addSpeculation(jo.sv)
 	co.charge(jo, runTime*wo.factor)
 	co.tookFromQueue(jo)
 	co.emit(StartTask{Job: jo.id, Task: int(task), Worker: wo.spec.ID, Loan: loanID})
@@ -202,9 +208,16 @@
 	case Succeeded:
 		co.learn(jo.sv, wo, time.Duration(co.now-ru.start))
 		co.judgeSuccess(wo, jo, ru.probe)
+		if ru.foreign {
+			wo.health.foreignRefusals = 0
+		}
 	case NotStarted:
 		co.counters.NotStarted++
-		if !ev.Leaving {
+		switch {
+		case ev.Leaving:
+		case ru.foreign:
+			co.speculationRefused(wo, jo.sv)
+		default:
 			co.refused(wo)
 		}
 	case Failed, Unknown:
@@ -235,9 +248,10 @@
 		}
 	case NotStarted:
 		jo.started--
-		// Refusing a job that has started would lose it, so it is retried beyond the budget. The back-off of the workers
-		// and the job's deadline bound that.
-		if ev.Leaving || jo.sv.takeRetry() || jo.started > 0 {
+		// Refusing a job that has started would lose it, so it is retried beyond the budget. So is any job where instances
+		// use each other's slots: a refusal then says that the worker is full and nothing about the job. The back-off of the
+		// workers and the job's deadline bound that.
+		if ev.Leaving || co.speculates() || jo.sv.takeRetry() || jo.started > 0 {
 			co.counters.Retries++
 			jo.retry = append(jo.retry, int32(ev.Task))
 			co.enqueue(jo, 1)
@@ -261,9 +275,12 @@
 
 func (co *Core) freeSlot(jo *job, ru running) {
 	ru.wo.addRate(-ru.rate)
-	if ru.loan == nil {
+	switch {
+	case ru.foreign:
+		ru.wo.foreign--
+	case ru.loan == nil:
 		ru.wo.used--
-	} else {
+	default:
 		ru.wo.loanUsed--
 		co.loanTaskEnded(ru.loan)
 	}
