lovagebench: measure the dispatch policies with one command

Cause: The targets of design section 2 (response over ideal, wasted messages) had no command that measures them on today's deployment, so no claim about a policy could be repeated.

Ruled out: Separate processes, because workers' free slots at the time of a submission are part of the ideal and are read exactly only inside one process. Eight variants side by side: a trial ran out of the 20,000 file descriptors that a process may have; three fit.

Change: Package lovagebench runs deployments in real time, with the same seeded open-loop load on several variants side by side, scenarios, and a check of starts and answers. The rate is searched so that the jobs of a seed hold the wanted work: a few large jobs hold much of it.

--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,7 @@
 # Regenerates the committed protobuf code; needs protoc and protoc-gen-go.
 generate:
 	cd lovagemessage && protoc --go_out=. --go_opt=paths=source_relative message.proto
+
+# Measures the dispatch policies in real time; at most 10 minutes on an idle machine. See docs/measurements.md.
+measure: build
+	bin/lovagestack bench --report bin/measure.json
--- /dev/null
+++ b/lovagebench/bench_test.go
@@ -0,0 +1,125 @@
+package lovagebench
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"lovagestack/lovageapi"
+	"lovagestack/lovagejob"
+	"lovagestack/lovageload"
+)
+
+// smallOptions runs every kind of row in about a second each.
+func smallOptions() Options {
+	op := Quick()
+	op.Variants = []Variant{op.Variants[0], op.Variants[2], op.Variants[5]}
+	op.Parallel, op.Loads = 3, []float64{0.4}
+	op.Learn, op.Settle, op.Measured = 500*time.Millisecond, 100*time.Millisecond, time.Second
+	op.Services = op.Services[:3]
+	op.MaxTasks = 20
+	return op
+}
+
+// Guards against a row that does not run, against a task started twice or a partial answer in any policy or scenario,
+// and against rows without messages. It looks at no time.
+func TestMeasurementRunsAndKeepsTheInvariants(t *testing.T) {
+	re, err := Run(t.Context(), smallOptions(), io.Discard)
+	must.NoError(t, err)
+	must.SliceEmpty(t, re.Violations())
+	must.SliceLen(t, 3*(1+len(Scenarios())), re.Rows)
+	for _, ro := range re.Rows {
+		must.Positive(t, ro.Report.Jobs)
+		must.Positive(t, ro.Report.Outcomes["complete"], must.Sprintf("%s, %s", ro.Variant.Name, ro.Point))
+		must.Positive(t, ro.Report.Messages.Useful)
+	}
+	var out bytes.Buffer
+	must.NoError(t, re.Write(&out))
+	must.StrContains(t, out.String(), "violations of an invariant: 0")
+}
+
+// Guards against a check of the answers that cannot fail.
+func TestWrongAnswersAreFound(t *testing.T) {
+	key, err := lovagejob.ParseKey("kandla.12.7.1796381234567.5f0c9a1be2d34c77")
+	must.NoError(t, err)
+	result := func(i int, task string) lovageapi.ResultReply {
+		return lovageapi.ResultReply{Task: i, Status: 200, Body: []byte(`{"task":"` + key.String() + "/" + task + `"}`)}
+	}
+	for _, tc := range []struct {
+		name    string
+		outcome lovagejob.Outcome
+		results []lovageapi.ResultReply
+		want    string
+	}{
+		{"whole", lovagejob.Complete, []lovageapi.ResultReply{result(0, "0"), result(1, "1")}, ""},
+		{"partial", lovagejob.Complete, []lovageapi.ResultReply{result(0, "0")}, "complete with 1 results for 2 tasks"},
+		{"crossed", lovagejob.Complete, []lovageapi.ResultReply{result(0, "1"), result(1, "0")}, "result 0 of job"},
+		{"failed with results", lovagejob.Failed, []lovageapi.ResultReply{result(0, "0")}, "is failed and has 1 results"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ca := newCallers(&deployment{op: smallOptions()})
+			ca.check(key, &lovageapi.AnswerReply{Key: key, Outcome: tc.outcome, Results: tc.results}, 2)
+			if tc.want == "" {
+				must.SliceEmpty(t, ca.violations)
+				return
+			}
+			must.StrContains(t, strings.Join(ca.violations, "\n"), tc.want)
+		})
+	}
+}
+
+// Guards against a check of the workers' records that cannot fail.
+func TestWrongStartsAreFound(t *testing.T) {
+	op := smallOptions()
+	de := &deployment{op: op}
+	defer func() {
+		for _, wo := range de.workers {
+			wo.Close()
+		}
+	}()
+	de.fakePlatform()
+	must.NoError(t, de.startWorkers())
+	ca := newCallers(de)
+	started, err := lovagejob.ParseKey("kandla.12.7.1796381234567.5f0c9a1be2d34c77")
+	must.NoError(t, err)
+	missing, err := lovagejob.ParseKey("kandla.12.7.1796381234567.6f0c9a1be2d34c77")
+	must.NoError(t, err)
+	for _, wo := range de.workers[:2] {
+		client := lovageload.NewHTTPTarget(nil).Client
+		must.NoError(t, callWorker(t.Context(), client, wo.Instance().Address, started.String()+"/0", `{"runTime":"0s"}`))
+	}
+	ca.notRun = []lovagejob.Key{started}
+	ca.complete[missing] = 1
+	text := strings.Join(ca.checkStarts(), "\n")
+	must.StrContains(t, text, "was started 2 times")
+	must.StrContains(t, text, "answered as not run but its task 0 was started")
+	must.StrContains(t, text, "is complete without a start of task 0")
+}
+
+// Guards against medians and targets computed from the wrong rows.
+func TestTableHoldsMediansAndTargets(t *testing.T) {
+	va := Variants()
+	re := &Report{Options: Options{Variants: []Variant{va[0], va[5]}, Loads: []float64{0.6}}}
+	row := func(va Variant, seed uint64, mean float64) {
+		re.Rows = append(re.Rows, &Row{Variant: va, Point: "load 0.6", Seed: seed, Report: &lovageload.Report{
+			Jobs: 10, Tasks: 100, Outcomes: map[string]int64{"complete": 10},
+			OverIdeal: lovageload.Quantiles{Mean: mean, P99: 3}, Messages: lovageload.Messages{Refused: 4},
+		}})
+	}
+	for i, mean := range []float64{1.3, 1.05, 1.2} {
+		row(va[0], uint64(i), mean)
+		row(va[5], uint64(i), mean+1)
+	}
+	var out bytes.Buffer
+	must.NoError(t, re.Write(&out))
+	for _, want := range []string{
+		"mean response over ideal     1.2000, at most 1.10: MISSED", "wasted messages per task     0.0400, at most 0.05: met",
+		"mean 1.200 to 2.200: met, p99 3.000 to 3.000: MISSED", "complete 30",
+	} {
+		must.StrContains(t, out.String(), want)
+	}
+}
--- /dev/null
+++ b/lovagebench/deployment.go
@@ -0,0 +1,328 @@
+package lovagebench
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"lovagestack/lovageapi"
+	"lovagestack/lovageconfig"
+	"lovagestack/lovageentry"
+	"lovagestack/lovagefake"
+	"lovagestack/lovageload"
+	"lovagestack/lovagemetric"
+	"lovagestack/lovageplatform"
+	"lovagestack/lovageresource"
+)
+
+// dataCentres are those of the Association.
+var dataCentres = []string{"kandla", "navlakhi", "gandhidham"}
+
+// speeds differ threefold and are taken in turn, so that each data centre has the same mix.
+var speeds = []float64{0.6, 0.9, 1.2, 1.8}
+
+const (
+	slotsPerWorker       = 8
+	connectionsPerWorker = 64
+	readyTimeout         = 20 * time.Second
+)
+
+// instance is an entry instance with its API servers.
+type instance struct {
+	entry            *lovageentry.Instance
+	metrics          *lovagemetric.Registry
+	caller, operator *lovageapi.Server
+	client           *lovageapi.Client
+	address          string
+	dataCentre       string
+	killed           atomic.Bool
+	stop             context.CancelFunc
+	ended            chan struct{}
+}
+
+func (in *instance) run(ctx context.Context) {
+	defer close(in.ended)
+	_, _ = in.entry.Serve(ctx) // an instance that was killed returns an error, which is what was wanted
+}
+
+// kill stops the instance without a hand-over, as the death of its process would.
+func (in *instance) kill() {
+	in.killed.Store(true)
+	in.entry.Kill()
+	<-in.ended
+}
+
+// deployment is a platform, workers and instances.
+type deployment struct {
+	op        Options
+	va        Variant
+	platform  *httptest.Server
+	fake      *lovagefake.Platform
+	clients   []*lovageplatform.Client
+	workers   []*lovagefake.Worker
+	speeds    []float64
+	pools     []lovageresource.Resource
+	instances []*instance
+}
+
+// newDeployment starts a deployment and waits until its resources are in force on every instance.
+func newDeployment(ctx context.Context, op Options, va Variant) (*deployment, error) {
+	de := &deployment{op: op, va: va}
+	de.fakePlatform()
+	de.platform = httptest.NewServer(de.fake)
+	err := de.startWorkers()
+	if err == nil {
+		err = de.startInstances(ctx)
+	}
+	if err == nil {
+		err = errors.Wrap(de.declare(ctx), "declare the resources")
+	}
+	if err != nil {
+		de.close()
+		return nil, err
+	}
+	return de, nil
+}
+
+// fakePlatform sets up a platform with the latency and the limits of the users' one.
+func (de *deployment) fakePlatform() {
+	de.fake = lovagefake.NewLimitedPlatform(lovageplatform.NewMemory(), lovageplatform.LatencySettings{})
+}
+
+func (de *deployment) startWorkers() error {
+	perCentre := de.op.Workers / len(dataCentres)
+	for _, dc := range dataCentres {
+		pool := lovageresource.Pool{DataCentre: dc}
+		for _, se := range de.op.Services {
+			pool.Services = append(pool.Services, se.Name)
+		}
+		for i := range perCentre {
+			speed := speeds[i%len(speeds)]
+			wo := lovagefake.NewWorker(lovagefake.WorkerSettings{
+				ID: fmt.Sprintf("%s-w%d", dc, i), DataCentre: dc, Slots: slotsPerWorker, Connections: connectionsPerWorker,
+				Speed: speed,
+			})
+			address, err := wo.Listen("127.0.0.1:0")
+			if err != nil {
+				return err
+			}
+			de.workers, de.speeds = append(de.workers, wo), append(de.speeds, speed)
+			in := wo.Instance()
+			de.fake.PutInstance(in)
+			pool.Workers = append(pool.Workers, lovageresource.Worker{
+				ID: in.ID, Address: netip.MustParseAddrPort(address), Slots: slotsPerWorker, Connections: connectionsPerWorker,
+			})
+		}
+		de.pools = append(de.pools, lovageresource.Resource{Kind: lovageresource.KindPool, Name: dc, Spec: pool})
+	}
+	return nil
+}
+
+// startInstances starts the instances after all of them are in the platform's list, so that they find each other.
+func (de *deployment) startInstances(ctx context.Context) error {
+	for _, dc := range dataCentres {
+		for i := range de.op.InstancesPerDataCentre {
+			in, err := de.newInstance(fmt.Sprintf("%s-%d", dc, i), dc)
+			if err != nil {
+				return errors.Wrapf(err, "start instance %s-%d", dc, i)
+			}
+			de.instances = append(de.instances, in)
+			de.fake.PutInstance(lovageplatform.Instance{
+				ID: fmt.Sprintf("%s-%d", dc, i), DataCentre: dc, Kind: lovageplatform.KindEntry,
+				Address: in.entry.PeerAddress(), State: lovageplatform.StateLive,
+			})
+		}
+	}
+	for _, in := range de.instances {
+		sctx, stop := context.WithCancel(context.WithoutCancel(ctx))
+		in.stop, in.ended = stop, make(chan struct{})
+		go in.run(sctx)
+	}
+	return nil
+}
+
+func (de *deployment) newInstance(id, dc string) (*instance, error) {
+	client, err := lovageplatform.NewClient(lovageplatform.ClientSettings{
+		Addresses: []string{de.platform.Listener.Addr().String()}, Timeout: 2 * time.Second, ID: id,
+	})
+	if err != nil {
+		return nil, err
+	}
+	de.clients = append(de.clients, client)
+	free := netip.MustParseAddrPort("127.0.0.1:0")
+	se := lovageconfig.Defaults()
+	se.ID, se.DataCentre = id, dc
+	se.Addresses = lovageconfig.Addresses{Caller: free, Operator: free, Peer: free}
+	se.Shutdown.BalancerLag, se.Shutdown.Deadline = 0, 100*time.Millisecond // nothing is in flight when a deployment ends
+	in := &instance{metrics: lovagemetric.New(), dataCentre: dc}
+	in.entry, err = lovageentry.New(lovageentry.Options{
+		Settings: se, Platform: client, Metrics: in.metrics, Policy: de.va.Policy, Seed: de.op.Seeds[0],
+	})
+	if err != nil {
+		return nil, err
+	}
+	api := lovageapi.DefaultSettings()
+	if in.caller, err = lovageapi.NewCaller(api, in.entry, zap.NewNop()); err != nil {
+		return nil, err
+	}
+	if in.operator, err = lovageapi.NewOperator(api, in.entry.Keeper(), in.entry, zap.NewNop()); err != nil {
+		return nil, err
+	}
+	for _, srv := range []*lovageapi.Server{in.caller, in.operator} {
+		if err := srv.Listen("127.0.0.1:0"); err != nil {
+			return nil, err
+		}
+		in.entry.AddServer(srv)
+	}
+	in.address = in.caller.Address()
+	in.client = lovageapi.NewClient(in.address)
+	return in, nil
+}
+
+// declare puts the services, teams and pools and waits until every instance applied them.
+func (de *deployment) declare(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	admin := lovageapi.NewClient(de.instances[0].operator.Address())
+	defer admin.Close()
+	var resources []lovageresource.Resource
+	teams := map[string]bool{}
+	for _, se := range de.op.Services {
+		sp := lovageresource.DefaultService()
+		sp.RunTime, sp.Weight = lovageresource.Duration(200*time.Millisecond), de.va.Weight
+		sp.MaxRunTime = lovageresource.Duration(2 * time.Minute)
+		resources = append(resources, lovageresource.Resource{Kind: lovageresource.KindService, Name: se.Name, Spec: sp})
+		if !teams[se.Team] {
+			teams[se.Team] = true
+			resources = append(resources, lovageresource.Resource{
+				Kind: lovageresource.KindTeam, Name: se.Team, Spec: lovageresource.DefaultTeam(),
+			})
+		}
+	}
+	resources = append(resources, de.pools...)
+	for _, re := range resources {
+		if err := put(ctx, admin, re); err != nil {
+			return err
+		}
+	}
+	return de.awaitMembers(ctx, len(resources))
+}
+
+// put retries until the instance is ready to accept changes.
+func put(ctx context.Context, admin *lovageapi.Client, re lovageresource.Resource) error {
+	for {
+		res, err := admin.Put(ctx, re)
+		if err == nil && res.Outcome == lovageresource.Accepted {
+			return nil
+		}
+		if err == nil && res.Outcome == lovageresource.Conflict {
+			return nil // an earlier try took effect; the deployment has no other operator
+		}
+		if !pause(ctx, 50*time.Millisecond) {
+			return errors.Newf("%s %s: %s, %v", re.Kind, re.Name, res.Outcome, err)
+		}
+	}
+}
+
+// awaitMembers waits until every instance applied the resources and can mint keys of both kinds.
+func (de *deployment) awaitMembers(ctx context.Context, resources int) error {
+	for _, in := range de.instances {
+		for {
+			co, err := in.counters()
+			if err != nil {
+				return err
+			}
+			ready := co["lovage_applied_revision"] >= float64(resources)
+			var mintErr error
+			for _, repeatable := range []bool{false, true} {
+				if _, err := in.client.Mint(ctx, 1, repeatable); err != nil {
+					ready, mintErr = false, errors.Wrapf(err, "repeatable %t", repeatable)
+				}
+			}
+			if ready {
+				break
+			}
+			if !pause(ctx, 50*time.Millisecond) {
+				return errors.Newf("instance %s is not ready: revision %g of %d, last error in minting a key: %v",
+					in.entry.ID(), co["lovage_applied_revision"], resources, mintErr)
+			}
+		}
+	}
+	return nil
+}
+
+// counters returns the metrics of the instance by name and labels.
+func (in *instance) counters() (map[string]float64, error) {
+	var buf bytes.Buffer
+	if err := in.entry.WriteMetrics(&buf); err != nil {
+		return nil, err
+	}
+	return lovageload.ParseCounters(&buf)
+}
+
+// free returns the workers with their free slots.
+func (de *deployment) free() []lovageload.Worker {
+	out := make([]lovageload.Worker, len(de.workers))
+	for i, wo := range de.workers {
+		out[i] = lovageload.Worker{Speed: de.speeds[i], Slots: slotsPerWorker - wo.Busy()}
+	}
+	return out
+}
+
+// capacity returns the workers with all their slots.
+func (de *deployment) capacity() []lovageload.Worker {
+	out := make([]lovageload.Worker, len(de.workers))
+	for i := range de.workers {
+		out[i] = lovageload.Worker{Speed: de.speeds[i], Slots: slotsPerWorker}
+	}
+	return out
+}
+
+// close stops the instances before the workers and the platform.
+func (de *deployment) close() {
+	for _, in := range de.instances {
+		in.client.Close()
+		if in.stop != nil {
+			in.stop()
+		}
+	}
+	for _, in := range de.instances {
+		if in.ended != nil {
+			<-in.ended
+		}
+	}
+	for _, wo := range de.workers {
+		wo.Close()
+	}
+	for _, cl := range de.clients {
+		cl.Close()
+	}
+	de.fake.Close()
+	de.platform.CloseClientConnections()
+	de.platform.Close()
+}
+
+// pause reports false if ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	ti := time.NewTimer(d)
+	defer ti.Stop()
+	select {
+	case <-ti.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// statusFinal reports that a reply with the status is no reason to send the request again.
+func statusFinal(status int) bool {
+	return status < http.StatusInternalServerError && status != http.StatusTooManyRequests
+}
--- /dev/null
+++ b/lovagebench/measure.go
@@ -0,0 +1,251 @@
+package lovagebench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lovagestack/lovageload"
+)
+
+// Run measures all variants. Progress is written to log.
+func Run(ctx context.Context, op Options, log io.Writer) (*Report, error) {
+	re := &Report{Options: op, Started: time.Now()}
+	for batch := range slices.Chunk(op.Variants, max(1, op.Parallel)) {
+		ba := &batchRun{op: op, log: log, report: re}
+		err := ba.measure(ctx, batch)
+		ba.close()
+		if err != nil {
+			return nil, err
+		}
+	}
+	re.Took = time.Since(re.Started)
+	return re, nil
+}
+
+// batchRun measures some variants side by side. All of them get the same load at the same time, so that a change of
+// the machine's own load hits them alike.
+type batchRun struct {
+	op          Options
+	log         io.Writer
+	report      *Report
+	deployments []*deployment
+	callers     []*callers
+	roundTrip   time.Duration
+}
+
+func (ba *batchRun) close() {
+	for _, de := range ba.deployments {
+		de.close()
+	}
+}
+
+func (ba *batchRun) measure(ctx context.Context, batch []Variant) error {
+	for _, va := range batch {
+		de, err := newDeployment(ctx, ba.op, va)
+		if err != nil {
+			return errors.Wrapf(err, "start the deployment of %q", va.Name)
+		}
+		ba.deployments = append(ba.deployments, de)
+		ca := newCallers(de)
+		if err := ca.prepare(ctx); err != nil {
+			return errors.Wrapf(err, "mint keys for %q", va.Name)
+		}
+		ba.callers = append(ba.callers, ca)
+	}
+	var err error
+	if ba.roundTrip, err = roundTrip(ctx, ba.deployments[0]); err != nil {
+		return err
+	}
+	learn := ba.op
+	learn.Settle, learn.Measured = 0, ba.op.Learn
+	if _, err := ba.row(ctx, &learn, &point{name: "learn", load: learnLoad}, 1<<32); err != nil {
+		return err
+	}
+	for _, po := range ba.op.points() {
+		for i, seed := range ba.op.Seeds {
+			if po.scenario.Last && i > 0 {
+				continue
+			}
+			rows, err := ba.row(ctx, &ba.op, &po, seed)
+			if err != nil {
+				return err
+			}
+			ba.report.add(rows)
+		}
+	}
+	return nil
+}
+
+// roundTripCalls is enough for a median that does not depend on the first connections.
+const roundTripCalls = 101
+
+// roundTrip returns the median time of a task without run time on a worker that is called directly.
+func roundTrip(ctx context.Context, de *deployment) (time.Duration, error) {
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	address := de.workers[0].Instance().Address
+	took := make([]time.Duration, roundTripCalls)
+	for i := range took {
+		start := time.Now()
+		if err := callWorker(ctx, client, address, fmt.Sprintf("roundTrip/%d", i), `{"runTime":"0s"}`); err != nil {
+			return 0, err
+		}
+		took[i] = time.Since(start)
+	}
+	slices.Sort(took)
+	return took[len(took)/2], nil
+}
+
+// callWorker runs a task on a worker as the worker protocol has it.
+func callWorker(ctx context.Context, client *http.Client, address, task, payload string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/services/direct/tasks", strings.NewReader(payload))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Lovage-Task", task)
+	res, err := client.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "call a worker directly")
+	}
+	defer func() { _ = res.Body.Close() }()
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		return errors.Wrap(err, "read the reply of a worker")
+	}
+	if res.StatusCode != http.StatusOK {
+		return errors.Newf("a worker answered with status %d", res.StatusCode)
+	}
+	return nil
+}
+
+// row runs one load on all deployments at once.
+func (ba *batchRun) row(ctx context.Context, op *Options, po *point, seed uint64) ([]*Row, error) {
+	rows := make([]*Row, len(ba.deployments))
+	errs := make([]error, len(rows))
+	usage := startUsage()
+	var wg sync.WaitGroup
+	for i, de := range ba.deployments {
+		wg.Go(func() {
+			rr := &rowRun{op: op, po: po, de: de, ca: ba.callers[i], seed: seed, roundTrip: ba.roundTrip}
+			rows[i], errs[i] = rr.measure(ctx)
+		})
+	}
+	pause(ctx, op.Settle+op.Measured)
+	us := usage.stop() // the wait for the last tasks is no part of it
+	wg.Wait()
+	for i, row := range rows {
+		if errs[i] != nil {
+			return nil, errors.Wrapf(errs[i], "%s, %s", ba.deployments[i].va.Name, po.name)
+		}
+		row.Usage, row.SideBySide = us, len(rows)
+		_, _ = fmt.Fprintf(ba.log, "%s  %-24s %-24s mean %.3f p99 %.3f wasted %.4f process %.0f%% machine %.0f%% of the cores\n",
+			time.Now().Format(time.TimeOnly), row.Variant.Name, row.Point, row.Report.OverIdeal.Mean, row.Report.OverIdeal.P99,
+			row.wasted(), 100*us.Process, 100*us.Machine)
+	}
+	return rows, nil
+}
+
+// rowRun is one load on one deployment.
+type rowRun struct {
+	op        *Options
+	po        *point
+	de        *deployment
+	ca        *callers
+	seed      uint64
+	roundTrip time.Duration
+
+	counted sync.Once
+	before  map[string]float64
+	start   time.Time
+}
+
+func (rr *rowRun) measure(ctx context.Context) (*Row, error) {
+	model, err := rr.op.model(rr.seed, rr.po.load, rr.po.burst(rr.op), rr.de.capacity())
+	if err != nil {
+		return nil, err
+	}
+	ac := &action{po: rr.po, de: rr.de, ca: rr.ca, done: make(chan struct{})}
+	go ac.run(ctx, rr.op.Settle+rr.op.Measured/2)
+	report, err := lovageload.Run(ctx, lovageload.Options{
+		Name: rr.po.name, Model: model, Target: rr.ca, RoundTrip: rr.roundTrip, Free: rr.de.free, WarmUp: rr.op.Settle,
+		Messages: rr.messages,
+	})
+	ac.finish()
+	if err != nil {
+		return nil, err
+	}
+	after := rr.counts()
+	row := &Row{Variant: rr.de.va, Point: rr.po.name, Seed: rr.seed, Report: report, Violations: rr.ca.checkStarts()}
+	row.Counters = make(map[string]float64)
+	for name, value := range after {
+		if d := value - rr.before[name]; d != 0 {
+			row.Counters[name] = d
+		}
+	}
+	row.ControlPerSecond = controlMessages(row.Counters) / time.Since(rr.start).Seconds()
+	return row, nil
+}
+
+// counts returns the counters of all instances, workers and callers.
+func (rr *rowRun) counts() map[string]float64 {
+	out := make(map[string]float64)
+	for _, in := range rr.de.instances {
+		counters, err := in.counters()
+		if err != nil {
+			rr.ca.violation("metrics of instance %s cannot be read: %v", in.entry.ID(), err)
+		}
+		for name, value := range counters {
+			out[name] += value
+		}
+	}
+	started, unique := 0, map[string]bool{}
+	for _, wo := range rr.de.workers {
+		co := wo.Counters()
+		out["worker_started"] += float64(co.Started)
+		out["worker_refused"] += float64(co.Refused)
+		out["worker_stopped"] += float64(co.Stopped)
+		out["worker_connections"] += float64(co.Connections)
+		out["worker_over_limit"] += float64(co.OverLimit)
+		for task, n := range wo.StartCounts() {
+			started += n
+			unique[task] = true
+		}
+	}
+	out["worker_duplicate_starts"] = float64(started - len(unique))
+	out["caller_submissions"] = float64(rr.ca.submissions.Load())
+	out["caller_repeated"] = float64(rr.ca.repeated.Load())
+	return out
+}
+
+// messages is called at the start and the end of the measured part of a row.
+func (rr *rowRun) messages() lovageload.Messages {
+	co := rr.counts()
+	rr.counted.Do(func() { rr.before, rr.start = co, time.Now() })
+	peer := func(kinds ...string) (sum float64) {
+		for _, kind := range kinds {
+			sum += co[`lovage_peer_requests_sent_total{kind="`+kind+`"}`]
+		}
+		return sum
+	}
+	duplicate := co["worker_duplicate_starts"]
+	return lovageload.Messages{
+		Useful:    int64(co["worker_started"] - duplicate + co["caller_submissions"] + peer("accept", "resultCopy")),
+		Refused:   int64(co["worker_refused"]),
+		Probed:    int64(peer("slotsAsk", "slotsReturn")),
+		Forwarded: int64(peer("submit", "cancel", "mint")),
+		Polled:    int64(peer("ask")),
+		Duplicate: int64(duplicate + co["caller_repeated"]),
+	}
+}
+
+// controlMessages returns the messages that are sent whatever the load.
+func controlMessages(co map[string]float64) float64 {
+	return co[`lovage_peer_requests_sent_total{kind="heartbeat"}`] + co["lovage_table_reads_total"] + co["lovage_table_writes_total"]
+}
--- /dev/null
+++ b/lovagebench/options.go
@@ -0,0 +1,136 @@
+package lovagebench
+
+import (
+	"math"
+	"time"
+
+	"lovagestack/lovagedispatch"
+	"lovagestack/lovageload"
+	"lovagestack/lovageresource"
+)
+
+// Variant is a dispatcher that is measured.
+type Variant struct {
+	Name           string
+	Policy         lovagedispatch.Policy
+	Weight         lovageresource.Weight // of all services
+	RandomInstance bool                  // callers send each job to a random instance instead of the one that minted its key
+	Baseline       bool                  // the chosen policy has to be better in each row
+}
+
+// Variants returns the chosen policy with both weights and with callers that ignore where a key comes from, the other
+// sharing policies, and the baselines that the design names.
+func Variants() []Variant {
+	const response = lovageresource.WeightResponseTime
+	return []Variant{
+		{Name: "lending", Policy: lovagedispatch.Lending, Weight: response},
+		{Name: "lending, weight messages", Policy: lovagedispatch.Lending, Weight: lovageresource.WeightMessages},
+		{Name: "lending, random instance", Policy: lovagedispatch.Lending, Weight: response, RandomInstance: true},
+		{Name: "shares", Policy: lovagedispatch.Shares, Weight: response},
+		{Name: "alone", Policy: lovagedispatch.Alone, Weight: response},
+		{Name: "random", Policy: lovagedispatch.Random, Weight: response, Baseline: true},
+		{Name: "roundRobin", Policy: lovagedispatch.RoundRobin, Weight: response, Baseline: true},
+		{Name: "leastInFlight", Policy: lovagedispatch.LeastInFlight, Weight: response, Baseline: true},
+	}
+}
+
+// Options are the size and length of a measurement.
+type Options struct {
+	Variants  []Variant
+	Parallel  int // variants measured side by side
+	Loads     []float64
+	Scenarios []Scenario
+	Seeds     []uint64 // each load is run with each; rows hold the medians
+
+	Learn    time.Duration // warm-up of a deployment, at learnLoad
+	Settle   time.Duration // warm-up of a row
+	Measured time.Duration // time in which the jobs of a row are sent
+
+	Workers                int // in all data centres
+	InstancesPerDataCentre int
+	Services               []lovageload.Service
+	MaxTasks               int
+}
+
+// learnLoad keeps all workers in use while speeds and run times are learned.
+const learnLoad = 0.7
+
+// Full returns the measurement of today's deployment. It takes about 8 minutes with one seed. Three
+// deployments hold up to 15,000 file descriptors, with a usual limit of 20,000 per process.
+func Full() Options {
+	return Options{
+		Variants: Variants(), Parallel: 3, Loads: []float64{0.3, 0.6, 0.8, 0.95}, Scenarios: Scenarios(), Seeds: []uint64{1},
+		Learn: 10 * time.Second, Settle: 2 * time.Second, Measured: 6 * time.Second,
+		Workers: 48, InstancesPerDataCentre: 2, Services: services(), MaxTasks: 350,
+	}
+}
+
+// Quick returns a measurement of a few seconds per row. Its times say little; it is to find what does not run.
+func Quick() Options {
+	op := Full()
+	op.Parallel, op.Loads = len(op.Variants), []float64{0.3, 0.6}
+	op.Learn, op.Settle, op.Measured = time.Second, 500*time.Millisecond, 2*time.Second
+	op.Workers = 12
+	op.Services = op.Services[:len(op.Services)-1]
+	return op
+}
+
+// services are those of lovageload.DefaultModel, but with tasks of at most 4 s: each row has to wait for its last task,
+// and a straggler on a slow worker takes six times as long.
+func services() []lovageload.Service {
+	out := lovageload.DefaultModel(1).Services
+	for i := range out {
+		out[i].MaxRunTime = min(out[i].MaxRunTime, 4*time.Second)
+	}
+	return out
+}
+
+// loadTries bounds the search for the rate; each try generates the jobs once.
+const loadTries = 12
+
+// model returns the workload of a row at a share of what the workers can do. A few large jobs hold much of the work, so
+// that the work of 10 s at the mean rate varies by a factor of two between seeds. The rate is therefore chosen so that the
+// jobs of this seed hold the wanted work.
+func (op *Options) model(seed uint64, load float64, burst lovageload.Burst, workers []lovageload.Worker) (lovageload.Model, error) {
+	mo := lovageload.DefaultModel(seed)
+	mo.Services, mo.MaxTasks, mo.CancelShare = op.Services, op.MaxTasks, 0
+	mo.Duration, mo.Burst = op.Settle+op.Measured, burst
+	mo.Rate = mo.RateForLoad(load, workers)
+	want := load * mo.Duration.Seconds()
+	if burst.Every > 0 {
+		want += load * (burst.Factor - 1) * burst.Length.Seconds()
+	}
+	best, rate := math.Inf(1), mo.Rate
+	for range loadTries {
+		try := mo
+		try.Rate = rate
+		jobs, err := try.Jobs()
+		if err != nil {
+			return mo, err
+		}
+		got := offered(jobs) / capacity(workers)
+		if off := math.Abs(math.Log(max(got, 1e-9) / want)); off < best {
+			best, mo.Rate = off, rate
+		}
+		rate *= math.Pow(want/max(got, 1e-9), 0.7) // damped, because a single job can overshoot
+	}
+	return mo, nil
+}
+
+// offered returns the work of the jobs in seconds on a worker of speed 1.
+func offered(jobs []lovageload.Job) float64 {
+	var sum float64
+	for i := range jobs {
+		sum += jobs[i].Work().Seconds()
+	}
+	return sum
+}
+
+// capacity returns the work that the workers do in a second.
+func capacity(workers []lovageload.Worker) float64 {
+	var sum float64
+	for _, wo := range workers {
+		sum += wo.Speed * float64(wo.Slots)
+	}
+	return sum
+}
--- /dev/null
+++ b/lovagebench/path_test.go
@@ -0,0 +1,102 @@
+package lovagebench
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"lovagestack/lovageapi"
+	"lovagestack/lovagedispatch"
+	"lovagestack/lovageresource"
+)
+
+// BenchmarkAddedTime measures the time that the whole path adds to a call of the worker: caller, HTTP, instance, HTTP,
+// worker and back, with keys minted ahead of time. Direct and dispatched calls alternate, so that a change of the
+// machine's load hits both. The target is at most 0.5 ms more at the median.
+func BenchmarkAddedTime(b *testing.B) {
+	op := smallOptions()
+	de, err := newDeployment(b.Context(), op, Variant{
+		Name: "lending", Policy: lovagedispatch.Lending, Weight: lovageresource.WeightResponseTime,
+	})
+	must.NoError(b, err)
+	defer de.close()
+	for _, callers := range []int{1, 8} {
+		for _, repeatable := range []bool{true, false} {
+			b.Run(fmt.Sprintf("callers=%d/repeatable=%t", callers, repeatable), func(b *testing.B) {
+				pb := &pathBench{b: b, de: de, repeatable: repeatable}
+				pb.measure(callers)
+			})
+		}
+	}
+}
+
+type pathBench struct {
+	b                  *testing.B
+	de                 *deployment
+	repeatable         bool
+	mu                 sync.Mutex
+	direct, dispatched []time.Duration
+}
+
+func (pb *pathBench) measure(callers int) {
+	var wg sync.WaitGroup
+	pb.b.ResetTimer()
+	for ca := range callers {
+		n := pb.b.N / callers
+		if ca < pb.b.N%callers {
+			n++
+		}
+		wg.Go(func() { pb.run(ca, n) })
+	}
+	wg.Wait()
+	median := func(took []time.Duration) float64 {
+		slices.Sort(took)
+		return float64(took[len(took)/2].Nanoseconds()) / 1e6
+	}
+	direct, dispatched := median(pb.direct), median(pb.dispatched)
+	pb.b.ReportMetric(direct, "direct-ms/p50")
+	pb.b.ReportMetric(dispatched, "dispatched-ms/p50")
+	pb.b.ReportMetric(dispatched-direct, "added-ms/p50")
+}
+
+// run makes n pairs of calls.
+func (pb *pathBench) run(caller, n int) {
+	ctx := pb.b.Context()
+	in := pb.de.instances[caller%len(pb.de.instances)]
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	direct, dispatched := make([]time.Duration, 0, n), make([]time.Duration, 0, n)
+	var keys []string
+	for i := range n {
+		if len(keys) == 0 {
+			minted, err := in.client.Mint(ctx, keyBatch, pb.repeatable)
+			must.NoError(pb.b, err)
+			for _, key := range minted {
+				keys = append(keys, key.String())
+			}
+		}
+		jo := lovageapi.JobRequest{
+			Key: keys[0], Service: "stock", Team: "shops", Repeatable: pb.repeatable, Deadline: time.Now().Add(time.Minute),
+			Tasks: []lovageapi.TaskRequest{{Payload: json.RawMessage(`{"runTime":"0s"}`)}},
+		}
+		keys = keys[1:]
+		start := time.Now()
+		must.NoError(pb.b, callWorker(ctx, client, pb.de.workers[caller].Instance().Address,
+			fmt.Sprintf("direct/%d/%d", caller, i), `{"runTime":"0s"}`))
+		between := time.Now()
+		reply, err := in.client.Submit(ctx, jo)
+		end := time.Now()
+		must.NoError(pb.b, err)
+		must.Eq(pb.b, "complete", string(reply.Outcome))
+		direct, dispatched = append(direct, between.Sub(start)), append(dispatched, end.Sub(between))
+	}
+	pb.mu.Lock()
+	defer pb.mu.Unlock()
+	pb.direct, pb.dispatched = append(pb.direct, direct...), append(pb.dispatched, dispatched...)
+}
--- /dev/null
+++ b/lovagebench/scenario.go
@@ -0,0 +1,102 @@
+package lovagebench
+
+import (
+	"context"
+	"time"
+
+	"lovagestack/lovagefake"
+	"lovagestack/lovageload"
+)
+
+// Scenario is a row with a fault or a change of load. Its load is that of scenarioLoad apart from the burst.
+type Scenario struct {
+	Name  string
+	Burst float64 // factor on the load for a tenth of the measured time, 0 for none
+	// Act is called halfway through the measured time. The function that it returns is called after the row.
+	Act  func(ctx context.Context, de *deployment, ca *callers) (undo func())
+	Last bool // the deployment cannot be used afterwards; runs with the first seed only
+}
+
+const scenarioLoad = 0.6
+
+// Scenarios returns the faults that are measured.
+func Scenarios() []Scenario {
+	return []Scenario{
+		{Name: "burst of 5x", Burst: 5},
+		{Name: "cancel all in progress", Act: cancelAll},
+		{Name: "worker fails all", Act: failWorker},
+		{Name: "instance killed", Act: killInstance, Last: true},
+	}
+}
+
+func cancelAll(ctx context.Context, _ *deployment, ca *callers) func() {
+	ca.cancelAll(ctx)
+	return nil
+}
+
+// failWorker lets one of the fastest workers fail everything, which is what attracts most tasks.
+func failWorker(_ context.Context, de *deployment, _ *callers) func() {
+	worst := 0
+	for i, speed := range de.speeds {
+		if speed > de.speeds[worst] {
+			worst = i
+		}
+	}
+	de.workers[worst].SetFaults(lovagefake.WorkerFaults{FailEverything: true})
+	return func() { de.workers[worst].SetFaults(lovagefake.WorkerFaults{}) }
+}
+
+func killInstance(_ context.Context, de *deployment, _ *callers) func() {
+	de.instances[len(de.instances)-1].kill()
+	return nil
+}
+
+// point is a row to be measured: a load or a scenario.
+type point struct {
+	name     string
+	load     float64
+	scenario Scenario
+}
+
+func (op *Options) points() []point {
+	out := make([]point, 0, len(op.Loads)+len(op.Scenarios))
+	for _, load := range op.Loads {
+		out = append(out, point{name: loadName(load), load: load})
+	}
+	for _, sc := range op.Scenarios {
+		out = append(out, point{name: sc.Name, load: scenarioLoad, scenario: sc})
+	}
+	return out
+}
+
+// burst places a burst in the middle of the measured time.
+func (po *point) burst(op *Options) lovageload.Burst {
+	if po.scenario.Burst == 0 {
+		return lovageload.Burst{}
+	}
+	return lovageload.Burst{Every: op.Settle + op.Measured*6/10, Length: op.Measured / 10, Factor: po.scenario.Burst}
+}
+
+// action runs the scenario's Act at its time.
+type action struct {
+	po   *point
+	de   *deployment
+	ca   *callers
+	undo func()
+	done chan struct{}
+}
+
+func (ac *action) run(ctx context.Context, after time.Duration) {
+	defer close(ac.done)
+	if ac.po.scenario.Act != nil && pause(ctx, after) {
+		ac.undo = ac.po.scenario.Act(ctx, ac.de, ac.ca)
+	}
+}
+
+// finish waits for the action and undoes it.
+func (ac *action) finish() {
+	<-ac.done
+	if ac.undo != nil {
+		ac.undo()
+	}
+}
--- /dev/null
+++ b/lovagebench/usage.go
@@ -0,0 +1,79 @@
+package lovagebench
+
+import (
+	"bufio"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Usage is the share of the cores that were busy.
+type Usage struct {
+	Process float64 // with this process
+	Machine float64 // with any process, 0 if the system does not tell
+}
+
+// busyShare is the share of the cores above which times are not to be trusted.
+const busyShare = 0.7
+
+// usageStart is the state at the begin of an interval.
+type usageStart struct {
+	at          time.Time
+	process     time.Duration
+	busy, total float64
+}
+
+func startUsage() usageStart {
+	us := usageStart{at: time.Now(), process: processTime()}
+	us.busy, us.total = machineTicks()
+	return us
+}
+
+func (us usageStart) stop() Usage {
+	var out Usage
+	if wall := time.Since(us.at); wall > 0 {
+		out.Process = (processTime() - us.process).Seconds() / wall.Seconds() / float64(runtime.NumCPU())
+	}
+	if busy, total := machineTicks(); total > us.total {
+		out.Machine = (busy - us.busy) / (total - us.total)
+	}
+	return out
+}
+
+// processTime returns the processor time of this process.
+func processTime() time.Duration {
+	var ru syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &ru) != nil {
+		return 0
+	}
+	return time.Duration(ru.Utime.Nano() + ru.Stime.Nano())
+}
+
+// machineTicks returns the busy ticks and all ticks of the processors since the start of the machine, 0 where there is
+// no /proc/stat.
+func machineTicks() (busy, total float64) {
+	file, err := os.Open("/proc/stat")
+	if err != nil {
+		return 0, 0
+	}
+	defer func() { _ = file.Close() }()
+	sc := bufio.NewScanner(file)
+	if !sc.Scan() {
+		return 0, 0
+	}
+	const idle, ioWait, fields = 3, 4, 8 // user nice system idle iowait irq softirq steal; guest time is part of user
+	for i, text := range strings.Fields(sc.Text())[1:] {
+		value, err := strconv.ParseFloat(text, 64)
+		if err != nil || i >= fields {
+			break
+		}
+		total += value
+		if i != idle && i != ioWait {
+			busy += value
+		}
+	}
+	return busy, total
+}
--- a/lovagestack/main.go
+++ b/lovagestack/main.go
@@ -53,6 +53,7 @@
 	Delete  *deleteCommand  `arg:"subcommand:delete" help:"delete a resource"`
 	Submit  *submitCommand  `arg:"subcommand:submit" help:"submit a job and wait for its answer"`
 	Dev     *devCommand     `arg:"subcommand:dev" help:"run a platform, an instance and sample workers in one process"`
+	Bench   *benchCommand   `arg:"subcommand:bench" help:"measure the dispatch policies"`
 	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
 
 	Output string `arg:"-o,--output" default:"table" placeholder:"FORMAT" help:"table or json"`
