lovageload: sum responses in whole units and report response over ideal by size of job

The mean was a sum of floats, which depends on the order in which jobs end, so the same responses gave different reports. Also, a report did not say which jobs miss the target.

Ruled out: A tolerance in the test, because equal responses should give equal reports.

Change: dist sums in whole units of 1e-9.

Conclusion: The report no longer depends on the order.

--- a/lovageload/report.go
+++ b/lovageload/report.go
@@ -1,6 +1,8 @@
 package lovageload
 
 import (
+	"math"
+	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,12 +40,24 @@
 	ResponseSeconds Quantiles `json:"responseSeconds"`
 	OverIdeal       Quantiles `json:"responseOverIdeal"`
 	LateSeconds     Quantiles `json:"sentLateSeconds"` // how late the generator sent; part of the response time
-	Curve           []Point   `json:"overIdealCurve"`  // response over ideal (Y) by percentile (X, 0 to 100)
+	BySize          []Size    `json:"overIdealBySize"`
+	Curve           []Point   `json:"overIdealCurve"` // response over ideal (Y) by percentile (X, 0 to 100)
 
 	Messages     Messages `json:"messages"`
 	CancelFailed int64    `json:"cancelFailed"`
 }
 
+// Size is response over ideal of the jobs with a number of tasks in a range, both ends included.
+type Size struct {
+	From      int       `json:"from"`
+	To        int       `json:"to"`
+	Jobs      int64     `json:"jobs"`
+	OverIdeal Quantiles `json:"responseOverIdeal"`
+}
+
+// sizeBounds are the most tasks of the ranges of Report.BySize. The last takes all larger jobs.
+var sizeBounds = []int{1, 9, 49, 350}
+
 // Messages counts the messages that a system under test sent, by use.
 type Messages struct {
 	Useful    int64 `json:"useful"`
@@ -91,25 +105,30 @@
 type recorder struct {
 	mu                    sync.Mutex
 	response, ratio, late dist
+	sizes                 []dist // of the ratio, by sizeBounds
 	outcomes              map[string]int64
 	jobs, tasks           int64
 	cancelFailed          atomic.Int64
 }
 
-// dist is a histogram with an exact mean.
+// dist is a histogram with an exact mean. The sum is a whole number of sumUnits, because a sum of floats depends on the
+// order in which the jobs ended.
 type dist struct {
 	histogram *hdrhistogram.Histogram
 	unit      float64 // value of one count of the histogram
-	sum       float64
+	sum       int64
 	n         int64
 }
 
+// sumUnits is the number of units in 1 second or a ratio of 1. An int64 holds a sum of 9e9.
+const sumUnits = 1e9
+
 func newDist(most int64, unit float64) dist {
 	return dist{histogram: hdrhistogram.New(1, most, 3), unit: unit}
 }
 
 func (di *dist) add(value float64) {
-	di.sum += value
+	di.sum += int64(math.Round(value * sumUnits))
 	di.n++
 	count := min(max(int64(value/di.unit+0.5), 0), di.histogram.HighestTrackableValue())
 	_ = di.histogram.RecordValue(count) // cannot fail within the range
@@ -121,16 +140,20 @@
 	}
 	at := func(q float64) float64 { return float64(di.histogram.ValueAtQuantile(q)) * di.unit }
 	return Quantiles{
-		Mean: di.sum / float64(di.n), P50: at(50), P99: at(99), P999: at(99.9), Max: float64(di.histogram.Max()) * di.unit,
+		Mean: float64(di.sum) / sumUnits / float64(di.n), P50: at(50), P99: at(99), P999: at(99.9), Max: float64(di.histogram.Max()) * di.unit,
 	}
 }
 
 func newRecorder() *recorder {
 	hour := time.Hour.Microseconds()
-	return &recorder{
+	rec := &recorder{
 		response: newDist(hour, 1e-6), late: newDist(hour, 1e-6), ratio: newDist(1_000_000_000, 1e-3),
 		outcomes: make(map[string]int64),
 	}
+	for range sizeBounds {
+		rec.sizes = append(rec.sizes, newDist(1_000_000_000, 1e-3))
+	}
+	return rec
 }
 
 func (rec *recorder) add(me measurement) {
@@ -147,7 +170,10 @@
 		return
 	}
 	rec.response.add(me.response.Seconds())
-	rec.ratio.add(me.response.Seconds() / me.ideal.Seconds())
+	ratio := me.response.Seconds() / me.ideal.Seconds()
+	rec.ratio.add(ratio)
+	size := sort.SearchInts(sizeBounds, len(me.job.Tasks))
+	rec.sizes[min(size, len(sizeBounds)-1)].add(ratio)
 }
 
 // curvePercentiles are the points of Report.Curve.
@@ -160,6 +186,11 @@
 		Jobs: rec.jobs, Tasks: rec.tasks, Outcomes: rec.outcomes, CancelFailed: rec.cancelFailed.Load(),
 		ResponseSeconds: rec.response.quantiles(), OverIdeal: rec.ratio.quantiles(), LateSeconds: rec.late.quantiles(),
 	}
+	from := 1
+	for i, to := range sizeBounds {
+		re.BySize = append(re.BySize, Size{From: from, To: to, Jobs: rec.sizes[i].n, OverIdeal: rec.sizes[i].quantiles()})
+		from = to + 1
+	}
 	if rec.ratio.n > 0 {
 		for _, pe := range curvePercentiles {
 			re.Curve = append(re.Curve, Point{X: pe, Y: float64(rec.ratio.histogram.ValueAtQuantile(pe)) * rec.ratio.unit})
