lovagebench: split the time by size of job, by wait and by slow worker

Ruled out: Traces of single jobs, which show one cause at a time and cost time on the path that is measured.

Change: Each row has the mean for jobs of 1, 2-9, 10-49 and 50-350 tasks, for jobs of one task the parts of waiting and of running on a slower worker than the fastest, and the starts by speed of the worker.

--- a/lovagebench/callers.go
+++ b/lovagebench/callers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -49,6 +50,15 @@
 	complete   map[lovagejob.Key]int // number of tasks
 	violations []string
 	violated   int
+	single     Single
+}
+
+// Single splits the response time of complete jobs with one task. All fields are means in parts of the run time on the
+// fastest worker, so that Wait and Slow add up to the mean response over ideal, less 1, while a fastest slot is free.
+type Single struct {
+	Jobs int     `json:"jobs"`
+	Wait float64 `json:"wait"` // time in which the task did not run: queue, network and processing
+	Slow float64 `json:"slow"` // additional run time because the worker is slower than the fastest
 }
 
 // keySource is where a key comes from.
@@ -196,8 +206,10 @@
 	defer func() { ca.forget(key) }()
 	ca.submissions.Add(1)
 	for until, tries := time.Now().Add(retryFor), 1; ; tries++ {
+		sent := time.Now()
 		reply, err := ca.de.instances[at].client.Submit(ctx, request)
 		if err == nil {
+			ca.split(&reply, time.Since(sent))
 			ca.check(key, &reply, len(sub.Tasks))
 		}
 		var re *lovageapi.ReplyError
@@ -282,6 +294,38 @@
 	}
 }
 
+// split adds the answer to ca.single. The stand-in worker's reply names its run time.
+func (ca *callers) split(reply *lovageapi.AnswerReply, response time.Duration) {
+	if reply.Outcome != lovagejob.Complete || len(reply.Results) != 1 {
+		return
+	}
+	var body struct {
+		RunTime lovagefake.Duration
+		Worker  string
+	}
+	if json.Unmarshal(reply.Results[0].Body, &body) != nil || body.RunTime <= 0 {
+		return
+	}
+	ran := time.Duration(body.RunTime).Seconds()
+	best := ran * ca.de.speed(body.Worker) / slices.Max(speeds)
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	ca.single.Jobs++
+	ca.single.Wait += (response.Seconds() - ran) / best
+	ca.single.Slow += (ran - best) / best
+}
+
+// takeSingle returns the means since the last call.
+func (ca *callers) takeSingle() Single {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	out := ca.single
+	ca.single = Single{}
+	out.Wait /= float64(max(1, out.Jobs))
+	out.Slow /= float64(max(1, out.Jobs))
+	return out
+}
+
 func (ca *callers) violation(format string, args ...any) {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
--- a/lovagebench/deployment.go
+++ b/lovagebench/deployment.go
@@ -277,6 +277,16 @@
 	return out
 }
 
+// speed returns the speed of a worker.
+func (de *deployment) speed(id string) float64 {
+	for i, wo := range de.workers {
+		if wo.Instance().ID == id {
+			return de.speeds[i]
+		}
+	}
+	return 1
+}
+
 // capacity returns the workers with all their slots.
 func (de *deployment) capacity() []lovageload.Worker {
 	out := make([]lovageload.Worker, len(de.workers))
--- a/lovagebench/measure.go
+++ b/lovagebench/measure.go
@@ -183,6 +183,7 @@
 	}
 	after := rr.counts()
 	row := &Row{Variant: rr.de.va, Point: rr.po.name, Seed: rr.seed, Report: report, Violations: rr.ca.checkStarts()}
+	row.Single = rr.ca.takeSingle()
 	row.Counters = make(map[string]float64)
 	for name, value := range after {
 		if d := value - rr.before[name]; d != 0 {
@@ -206,8 +207,9 @@
 		}
 	}
 	started, unique := 0, map[string]bool{}
-	for _, wo := range rr.de.workers {
+	for i, wo := range rr.de.workers {
 		co := wo.Counters()
+		out[fmt.Sprintf("worker_started{speed=%q}", fmt.Sprint(rr.de.speeds[i]))] += float64(co.Started)
 		out["worker_started"] += float64(co.Started)
 		out["worker_refused"] += float64(co.Refused)
 		out["worker_stopped"] += float64(co.Stopped)
--- a/lovagebench/report.go
+++ b/lovagebench/report.go
@@ -23,6 +23,7 @@
 	Seed             uint64             `json:"seed"`
 	Report           *lovageload.Report `json:"report"`
 	Counters         map[string]float64 `json:"counters"` // growth in the measured part
+	Single           Single             `json:"jobsOfOneTask"`
 	ControlPerSecond float64            `json:"controlPerSecond"`
 	Usage            Usage              `json:"usage"`
 	SideBySide       int                `json:"sideBySide"` // variants that ran at the same time
@@ -124,6 +125,9 @@
 	if err := re.writeRows(w); err != nil {
 		return err
 	}
+	if err := re.writeParts(w); err != nil {
+		return err
+	}
 	re.writeTargets(w)
 	for _, text := range re.Violations() {
 		_, _ = fmt.Fprintln(w, "VIOLATION:", text)
@@ -162,6 +166,28 @@
 	return errors.Wrap(tw.Flush(), "write the table")
 }
 
+// writeParts writes where the time goes: by the size of jobs, and for jobs of one task by cause.
+func (re *Report) writeParts(w io.Writer) error {
+	_, _ = fmt.Fprintln(w, "\nmean of response over ideal by tasks of the job; for one task the parts of the run time on the fastest worker")
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(tw, "row\tvariant\t1\t2-9\t10-49\t50-350\twait\tslow worker\tstarts by speed")
+	for _, gr := range re.groups() {
+		_, _ = fmt.Fprintf(tw, "%s\t%s", gr.point, gr.variant.Name)
+		for i := range gr.rows[0].Report.BySize {
+			_, _ = fmt.Fprintf(tw, "\t%.3f", gr.median(func(ro *Row) float64 { return ro.Report.BySize[i].OverIdeal.Mean }))
+		}
+		_, _ = fmt.Fprintf(tw, "\t%.3f\t%.3f\t", gr.median(func(ro *Row) float64 { return ro.Single.Wait }),
+			gr.median(func(ro *Row) float64 { return ro.Single.Slow }))
+		for _, speed := range speeds {
+			name := fmt.Sprintf("worker_started{speed=%q}", fmt.Sprint(speed))
+			part := gr.median(func(ro *Row) float64 { return ro.Counters[name] / max(1, ro.Counters["worker_started"]) })
+			_, _ = fmt.Fprintf(tw, "%g: %.0f%% ", speed, 100*part)
+		}
+		_, _ = fmt.Fprintln(tw)
+	}
+	return errors.Wrap(tw.Flush(), "write the table")
+}
+
 // share marks a use of the cores that spoils a row.
 func share(value float64) string {
 	if value > busyShare {
