--- a/lovageentry/instance.go
+++ b/lovageentry/instance.go
@@ -328,10 +328,3 @@
 	}
 	return nil, errors.Newf("request %q is not known", lovagepeer.Kind(req))
 }
-
-// PeerAddress returns the address at which peers reach the instance; the platform's list has to name it.
-func (in *Instance) PeerAddress() string { return in.peerAddress }
-
-// Kill stops the instance at once and hands nothing over, as the death of its process would. It exists for measurements
-// and fault tests; Serve returns an error.
-func (in *Instance) Kill() { in.end() }
