lovageledger: show that an unfenced read-back is found

Cause: the most likely mistake with ambiguous transactions, reading the row back while the transaction can still land, had no broken rule of its own. Commits whose outcome is always doubtful now land within 1.5 s of the reply. Change: a broken rule that trusts a read before the fence.

--- a/lovageledger/break_test.go
+++ b/lovageledger/break_test.go
@@ -35,6 +35,14 @@
 			}
 		})},
 	{name: "an ambiguous transaction counts as failed", want: "invariant", table: true, focus: "doubtfulAddition"},
+	{
+		name: "a doubtful transaction is read back before it is fenced", want: "invariant", focus: "doubtfulAddition",
+		rule: eachOwned(func(le *Ledger, rg *keyRange) {
+			if rg.try != nil && rg.try.state == attemptDoubt {
+				rg.try.state, rg.try.after = attemptProven, le.nextID
+			}
+		}),
+	},
 	{name: "Rule E sends no records", want: "invariant", rule: eachChunk(func(ch *Transfer) {
 		if !ch.Owner {
 			ch.Records = nil
--- a/lovageledger/fake_test.go
+++ b/lovageledger/fake_test.go
@@ -305,6 +305,9 @@
 		wo.after(delay, func() { wo.step(no, &TableCommitted{ID: co.ID, State: state}) })
 		if wo.rng.IntN(100) < ft.late {
 			landing := time.Duration(wo.rng.IntN([]int{2500, 20_000}[wo.rng.IntN(2)])) * time.Millisecond
+			if ft.doubt == 100 {
+				landing = delay + time.Duration(wo.rng.IntN(1500))*time.Millisecond
+			}
 			wo.after(landing, func() {
 				if !ft.down && ft.operations[no.id] == operation && ft.commit(co).State == Committed {
 					wo.tableChanged(co, Committed)
--- a/lovageledger/sim_test.go
+++ b/lovageledger/sim_test.go
@@ -143,7 +143,7 @@
 		wo.burst(owner, 60, 8000, draw)
 		wo.run(time.Duration(500+draw(2000)) * time.Millisecond)
 		wo.table.doubt = 100
-		wo.run(time.Duration(500+draw(1500)) * time.Millisecond)
+		wo.run(time.Duration(1000+draw(2000)) * time.Millisecond)
 		wo.table.doubt = 0
 		wo.pause(owner, 10*time.Second)
 		for _, id := range wo.ids {
