lovageentry: finish a shutdown only when the ends of jobs have been copied

Cause: an instance could exit between the end of a job that ran during its hand-over and the copy to the new owner, which then answers "unknown". Ruled out: a fixed wait. Change: the shutdown asks the ledger for the number of ends not copied and waits for 0, within its deadline.

--- a/lovageentry/shutdown.go
+++ b/lovageentry/shutdown.go
@@ -68,9 +68,34 @@
 	case <-ctx.Done():
 	}
 	in.awaitIdle(ctx)
+	in.awaitCopies(ctx)
 	return int(in.inFlight.value())
 }
 
+// awaitCopies waits until the new owners have the ends of all jobs; otherwise they would answer "unknown" for them.
+func (in *Instance) awaitCopies(ctx context.Context) {
+	for ctx.Err() == nil {
+		uc := &uncopied{replies: make(chan int, 1)}
+		if !in.control.post(ctx, uc) {
+			return
+		}
+		select {
+		case n := <-uc.replies:
+			if n == 0 {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+		sleep(ctx, drainPoll)
+	}
+}
+
+// uncopied asks the control loop for the number of ends that have not been copied.
+type uncopied struct{ replies chan int }
+
+func (uc *uncopied) apply(lo *controlLoop) { uc.replies <- lo.ledger.Uncopied() }
+
 func (in *Instance) awaitIdle(ctx context.Context) {
 	for in.inFlight.value()+in.jobsHeld.value() > 0 && ctx.Err() == nil {
 		sleep(ctx, drainPoll)
