lovagetrial: check the histories of concurrent runs with faults

Cause: the invariants were judged per scripted trial. Nothing recorded what several callers and operators saw while faults happened, and the porcupine models had judged only histories written by hand.

Ruled out: a partition of the configuration model per resource. Revisions are global, so a gap or a reversion between two resources would go unseen; the model keeps sets of states and judges all writes of a run together. Row versions and epochs rise together, so the epochs in between are filled with an unseen holder.

Change: History runs callers and operators from a seed and records every request, the workers' starts and the owners of key ranges; HistoryTrial adds faults from the same seed in two lanes that overlap. lovagehistory gets the state noEffect for a write that says it was not carried out; if it takes effect, the history is rejected.

Measured: go test -race -run 'TestConcurrentHistories|TestChangedHistory' ./lovagetrial; before: no such run.

--- a/lovagehistory/configuration.go
+++ b/lovagehistory/configuration.go
@@ -79,7 +79,7 @@
 			return []configState{st}
 		}
 		return []configState{st, st.commit(op.Name, op.Content)}
-	case !out.seen:
+	case !out.seen, op.Kind == ConfigWrite && out.State == NoEffect:
 		return []configState{st}
 	case op.Kind == ConfigWrite && out.State == Committed:
 		if current != op.Revision || out.Revision != st.head()+1 {
--- a/lovagehistory/history_test.go
+++ b/lovagehistory/history_test.go
@@ -95,6 +95,10 @@
 		{"an outcome that does not exist", CheckJobs, job[1:3], asked(62, 63, "done")},
 
 		{"a write over another revision", CheckConfiguration, config, written(70, 71, "a", 1, "q", Committed, 5)},
+		{
+			"a write without effect that is applied", CheckConfiguration,
+			slices.Concat(config, []Entry{written(62, 63, "a", 3, "u", NoEffect, 0)}), applied(70, "i", "a", 4, "u"),
+		},
 		{"a gap in the revisions", CheckConfiguration, config, written(70, 71, "a", 3, "q", Committed, 6)},
 		{"a refusal without cause", CheckConfiguration, config, written(70, 71, "a", 3, "q", Refused, 3)},
 		{"a refusal with a wrong revision", CheckConfiguration, config, written(70, 71, "a", 1, "q", Refused, 2)},
--- a/lovagehistory/record.go
+++ b/lovagehistory/record.go
@@ -40,8 +40,9 @@
 // Outcomes of a conditional write.
 const (
 	Committed State = "committed"
-	Refused   State = "refused" // a condition did not hold, and the write never takes effect
-	Unclear   State = "unclear" // may take effect at any later time, or never
+	Refused   State = "refused"  // a condition did not hold, and the write never takes effect
+	Unclear   State = "unclear"  // may take effect at any later time, or never
+	NoEffect  State = "noEffect" // not carried out for a reason other than a condition, and never takes effect
 )
 
 // Operation is what a client asked for. It is plain data, so that it survives as a JSON line.
--- /dev/null
+++ b/lovagetrial/history.go
@@ -0,0 +1,217 @@
+package lovagetrial
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lovagestack/lovageapi"
+	"lovagestack/lovagehistory"
+	"lovagestack/lovageplatform"
+	"lovagestack/lovageresource"
+)
+
+// Endpoint is one entry instance as callers and operators reach it. Its methods may be called from several goroutines.
+type Endpoint interface {
+	Name() string // of the instance; the same after a restart
+	Mint(ctx context.Context, count int, repeatable bool) ([]string, error)
+	Submit(ctx context.Context, jo lovageapi.JobRequest) (lovageapi.AnswerReply, error)
+	Ask(ctx context.Context, key string, wait time.Duration) (lovageapi.AnswerReply, error)
+	Cancel(ctx context.Context, key string) (lovageapi.AnswerReply, error)
+	Put(ctx context.Context, re lovageresource.Resource) (lovageresource.WriteResult, error)
+	// List also reports whether the instance was ready before the call.
+	List(ctx context.Context) (li lovageapi.ListReply, ready bool, err error)
+}
+
+// Concurrency describes a run of concurrent callers and operators.
+type Concurrency struct {
+	Seed      uint64
+	Callers   int
+	Operators int
+	Duration  time.Duration
+	Endpoints func() []Endpoint // the instances now, at least one
+	// Rows returns the rows of the key ranges from the table.
+	Rows func(ctx context.Context) ([]lovageplatform.Row, error)
+}
+
+// History records a run. It is created with NewHistory, run with Run and judged with Check.
+type History struct {
+	co     Concurrency
+	re     *lovagehistory.Recorder
+	buf    bytes.Buffer // written by re under its lock
+	ranges *rangeWatch
+	pool   jobPool
+
+	mu   sync.Mutex
+	acts []lovagehistory.Entry // key mints, whose range is known only after the call
+	next int                   // contents of configuration writes are unique
+}
+
+// NewHistory returns a history without entries.
+func NewHistory(co Concurrency) *History {
+	hi := &History{co: co}
+	hi.re = lovagehistory.NewRecorder(fmt.Sprintf("seed%d", co.Seed), &hi.buf)
+	hi.ranges = newRangeWatch(co.Rows)
+	return hi
+}
+
+// Started records that a worker starts a task.
+func (hi *History) Started(task string) { hi.re.Begin(startOf(task))(lovagehistory.Result{}) }
+
+// StartBetween returns the entry, without an ID, of a start that lies between two times in Unix nanoseconds.
+func StartBetween(task string, call, ret int64) lovagehistory.Entry {
+	return lovagehistory.Entry{Call: call, Return: ret, Operation: startOf(task)}
+}
+
+// startOf takes the name of the task for the digest of its result, because a worker's reply names it.
+func startOf(task string) lovagehistory.Operation {
+	key, number, _ := strings.Cut(task, "/")
+	n, err := strconv.Atoi(number)
+	if err != nil {
+		n = -1 // belongs to no task; no complete answer can contain it
+	}
+	return lovagehistory.Operation{Kind: lovagehistory.Start, Key: key, Task: n, Content: task}
+}
+
+// Run runs the callers and operators for the duration of the run and reads the ranges until they have ended. The
+// resources that were declared before are recorded first.
+func (hi *History) Run(ctx context.Context) error {
+	if err := hi.declared(ctx); err != nil {
+		return err
+	}
+	if err := hi.ranges.scan(ctx); err != nil {
+		return errors.Wrap(err, "read the key ranges")
+	}
+	watching, stop := context.WithCancel(ctx)
+	defer stop()
+	var watch sync.WaitGroup
+	watch.Go(func() { hi.ranges.run(watching) })
+	ctx, cancel := context.WithTimeout(ctx, hi.co.Duration)
+	defer cancel()
+	var clients sync.WaitGroup
+	for i := range hi.co.Callers {
+		clients.Go(func() { newHistoryCaller(hi, i).run(ctx) })
+	}
+	for i := range hi.co.Operators {
+		clients.Go(func() { newHistoryOperator(hi, i).run(ctx) })
+	}
+	clients.Wait()
+	stop()
+	watch.Wait()
+	return nil
+}
+
+// Finish asks every instance for every key, reads the configuration of every instance until it is the newest, and reads
+// the ranges. All faults must have ended.
+func (hi *History) Finish(ctx context.Context) error {
+	for i, jo := range hi.pool.all() {
+		eps := hi.co.Endpoints()
+		hi.ask(ctx, eps[i%len(eps)], jo.Key)
+	}
+	for _, ep := range hi.co.Endpoints() {
+		for !hi.shows(ctx, ep) {
+			if err := pauseFor(ctx, pollEvery); err != nil {
+				return errors.Wrapf(err, "%s does not show the newest configuration", ep.Name())
+			}
+		}
+	}
+	return errors.Wrap(hi.ranges.scan(ctx), "read the key ranges")
+}
+
+// shows reports whether the instance is ready and shows the highest revision that any other one shows.
+func (hi *History) shows(ctx context.Context, ep Endpoint) bool {
+	li, ready, err := hi.list(ctx, ep)
+	if err != nil || !ready {
+		return false
+	}
+	for _, other := range hi.co.Endpoints() {
+		if most, _, err := hi.list(ctx, other); err != nil || most.Revision > li.Revision {
+			return false
+		}
+	}
+	return true
+}
+
+// declared records the resources that exist before the run as writes in the order of their revisions. A revision whose
+// resource was replaced since counts as a write of another name.
+func (hi *History) declared(ctx context.Context) error {
+	li, ready, err := hi.co.Endpoints()[0].List(ctx)
+	if err != nil || !ready {
+		return errors.CombineErrors(errors.New("the first instance is not ready"), err)
+	}
+	names := map[int64]string{}
+	for _, it := range li.Resources {
+		names[it.Revision] = string(it.Kind) + "/" + it.Name
+	}
+	for revision := int64(1); revision <= li.Revision; revision++ {
+		name := cmp.Or(names[revision], fmt.Sprintf("replaced/%d", revision))
+		hi.re.Begin(lovagehistory.Operation{Kind: lovagehistory.ConfigWrite, Name: name, Content: "declared"})(
+			lovagehistory.Result{State: lovagehistory.Committed, Revision: revision})
+	}
+	return nil
+}
+
+// Entries returns what was recorded so far, with the owners of the ranges. The run must have ended.
+func (hi *History) Entries() ([]lovagehistory.Entry, error) {
+	if err := hi.re.Err(); err != nil {
+		return nil, err
+	}
+	entries, err := lovagehistory.Read(bytes.NewReader(hi.buf.Bytes()))
+	if err != nil {
+		return nil, err
+	}
+	hi.mu.Lock()
+	defer hi.mu.Unlock()
+	return slices.Concat(entries, hi.ranges.judged(hi.acts)), nil
+}
+
+// CheckHistory judges entries by all models. An error of one model does not hide those of the others.
+func CheckHistory(entries []lovagehistory.Entry) error {
+	// A request without response that can change nothing says nothing, but would overlap all later ones.
+	entries = slices.DeleteFunc(slices.Clone(entries), func(en lovagehistory.Entry) bool {
+		switch en.Operation.Kind {
+		case lovagehistory.Submit, lovagehistory.Ask, lovagehistory.Cancel, lovagehistory.ConfigApply:
+			return en.Return == 0
+		default:
+			return false
+		}
+	})
+	return errors.Join(
+		errors.Wrap(lovagehistory.CheckJobs(entries), "jobs"),
+		errors.Wrap(lovagehistory.CheckConfiguration(entries), "configuration"),
+		errors.Wrap(lovagehistory.CheckOwnership(entries), "ownership"),
+	)
+}
+
+// Summary tells how much a history holds.
+func Summary(entries []lovagehistory.Entry) string {
+	count, outcomes, keys := map[lovagehistory.Kind]int{}, map[string]int{}, map[string]bool{}
+	states := map[lovagehistory.State]int{}
+	open := 0
+	for i := range entries {
+		en := &entries[i]
+		count[en.Operation.Kind]++
+		if en.Operation.Key != "" {
+			keys[en.Operation.Key] = true
+		}
+		if en.Result.Outcome != "" {
+			outcomes[en.Result.Outcome]++
+		}
+		if en.Operation.Kind == lovagehistory.ConfigWrite {
+			states[en.Result.State]++
+		}
+		if en.Return == 0 {
+			open++
+		}
+	}
+	return fmt.Sprintf("%d operations, %d without response, %d keys; by kind %v; outcomes %v; configuration writes %v",
+		len(entries), open, len(keys), count, outcomes, states)
+}
--- /dev/null
+++ b/lovagetrial/history_client.go
@@ -0,0 +1,312 @@
+package lovagetrial
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lovagestack/lovageapi"
+	"lovagestack/lovagehistory"
+	"lovagestack/lovageresource"
+)
+
+// Bounds on what a caller does with a key. Few operations per key keep the search of the model short.
+const (
+	maxHistoryTasks = 4
+	maxKeyUses      = 8
+)
+
+// historyCallTimeout ends a call at an instance that is paused or cut off, so that the caller goes on elsewhere.
+const historyCallTimeout = 3 * time.Second
+
+// jobPool holds the jobs that were submitted, for submissions of the same key by other callers.
+type jobPool struct {
+	mu   sync.Mutex
+	jobs []lovageapi.JobRequest
+	uses map[string]int
+}
+
+func (po *jobPool) add(jo lovageapi.JobRequest) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	po.jobs = append(po.jobs, jo)
+}
+
+// draw returns one of the last jobs that was not used too often yet.
+func (po *jobPool) draw(rng *rand.Rand) (lovageapi.JobRequest, bool) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	if po.uses == nil {
+		po.uses = map[string]int{}
+	}
+	recent := po.jobs[max(0, len(po.jobs)-100):]
+	if len(recent) == 0 {
+		return lovageapi.JobRequest{}, false
+	}
+	jo := recent[rng.IntN(len(recent))]
+	po.uses[jo.Key]++
+	return jo, po.uses[jo.Key] <= maxKeyUses
+}
+
+func (po *jobPool) all() []lovageapi.JobRequest {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	return slices.Clone(po.jobs)
+}
+
+// historyCaller is one caller. Its choices depend on the seed only; what it is told depends on the run.
+type historyCaller struct {
+	hi  *History
+	rng *rand.Rand
+}
+
+func newHistoryCaller(hi *History, number int) *historyCaller {
+	return &historyCaller{hi: hi, rng: rand.New(rand.NewPCG(hi.co.Seed, uint64(number)+1))}
+}
+
+func (hc *historyCaller) endpoint() Endpoint {
+	eps := hc.hi.co.Endpoints()
+	return eps[hc.rng.IntN(len(eps))]
+}
+
+func (hc *historyCaller) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if hc.rng.IntN(3) == 0 {
+			hc.old(ctx)
+			continue
+		}
+		repeatable := hc.rng.IntN(2) == 0
+		keys, err := hc.hi.mint(ctx, hc.endpoint(), 1+hc.rng.IntN(2), repeatable)
+		if err != nil {
+			if pauseFor(ctx, pollEvery) != nil {
+				return
+			}
+		}
+		for _, key := range keys {
+			runTime := time.Duration(1+hc.rng.IntN(30)) * time.Millisecond
+			deadline := time.Now().Add(time.Duration(500+hc.rng.IntN(2500)) * time.Millisecond)
+			jo := NewJob(key, repeatable, 1+hc.rng.IntN(maxHistoryTasks), runTime, deadline)
+			hc.hi.pool.add(jo)
+			hc.use(ctx, jo)
+		}
+	}
+}
+
+// use submits a job at one instance and, mostly, at the same time submits, asks or cancels at others.
+func (hc *historyCaller) use(ctx context.Context, jo lovageapi.JobRequest) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	first := hc.endpoint()
+	wg.Go(func() { hc.hi.submit(ctx, first, jo) })
+	if hc.rng.IntN(2) == 0 {
+		other := hc.endpoint()
+		wg.Go(func() { hc.hi.submit(ctx, other, jo) })
+	}
+	switch hc.rng.IntN(4) {
+	case 0:
+		other, after := hc.endpoint(), time.Duration(hc.rng.IntN(40))*time.Millisecond
+		wg.Go(func() {
+			if pauseFor(ctx, after) == nil {
+				hc.hi.cancel(ctx, other, jo.Key)
+			}
+		})
+	case 1:
+		other := hc.endpoint()
+		wg.Go(func() { hc.hi.ask(ctx, other, jo.Key) })
+	}
+}
+
+// old repeats something about a key that this or another caller used before. A submission gets a new deadline, as
+// from a caller that believes its job lost.
+func (hc *historyCaller) old(ctx context.Context) {
+	ep, choice := hc.endpoint(), hc.rng.IntN(10)
+	jo, ok := hc.hi.pool.draw(hc.rng)
+	if !ok {
+		_ = pauseFor(ctx, time.Millisecond)
+		return
+	}
+	switch choice {
+	case 0, 1:
+		hc.hi.ask(ctx, ep, jo.Key)
+	case 2:
+		hc.hi.cancel(ctx, ep, jo.Key)
+	case 3: // other content, which must not get the answer of the first
+		jo.Tasks = append(slices.Clone(jo.Tasks), jo.Tasks[0])
+		jo.Deadline = time.Now().Add(time.Second)
+		hc.hi.submit(ctx, ep, jo)
+	default:
+		jo.Deadline = time.Now().Add(2 * time.Second)
+		hc.hi.submit(ctx, ep, jo)
+	}
+}
+
+func (hi *History) mint(ctx context.Context, ep Endpoint, count int, repeatable bool) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, historyCallTimeout)
+	defer cancel()
+	call := hi.ranges.now()
+	keys, err := ep.Mint(ctx, count, repeatable)
+	ret := hi.ranges.now()
+	hi.mu.Lock()
+	defer hi.mu.Unlock()
+	for _, key := range keys {
+		name, epoch, ok := rangeOf(key)
+		if !ok {
+			return nil, errors.Newf("%q is not a key", key)
+		}
+		hi.acts = append(hi.acts, lovagehistory.Entry{
+			ID: fmt.Sprintf("mint-%d", len(hi.acts)), Call: call, Return: ret,
+			Operation: lovagehistory.Operation{Kind: lovagehistory.Act, Client: ep.Name(), Range: name, Epoch: epoch},
+		})
+	}
+	return keys, err
+}
+
+func (hi *History) submit(ctx context.Context, ep Endpoint, jo lovageapi.JobRequest) {
+	content := strconv.Itoa(len(jo.Tasks))
+	for _, ta := range jo.Tasks {
+		content += " " + strconv.Itoa(len(ta.Payload))
+	}
+	op := lovagehistory.Operation{Kind: lovagehistory.Submit, Client: ep.Name(), Key: jo.Key, Content: content}
+	hi.call(ctx, op, func(ctx context.Context) (lovageapi.AnswerReply, error) { return ep.Submit(ctx, jo) })
+}
+
+func (hi *History) ask(ctx context.Context, ep Endpoint, key string) {
+	op := lovagehistory.Operation{Kind: lovagehistory.Ask, Client: ep.Name(), Key: key}
+	hi.call(ctx, op, func(ctx context.Context) (lovageapi.AnswerReply, error) { return ep.Ask(ctx, key, 0) })
+}
+
+func (hi *History) cancel(ctx context.Context, ep Endpoint, key string) {
+	op := lovagehistory.Operation{Kind: lovagehistory.Cancel, Client: ep.Name(), Key: key}
+	hi.call(ctx, op, func(ctx context.Context) (lovageapi.AnswerReply, error) { return ep.Cancel(ctx, key) })
+}
+
+// call records a request about a key. One that ends without an answer stays open in the history.
+func (hi *History) call(ctx context.Context, op lovagehistory.Operation,
+	do func(ctx context.Context) (lovageapi.AnswerReply, error),
+) {
+	ctx, cancel := context.WithTimeout(ctx, historyCallTimeout)
+	defer cancel()
+	done := hi.re.Begin(op)
+	an, err := do(ctx)
+	var reply *lovageapi.ReplyError
+	switch {
+	case err == nil:
+		done(answerResult(&an))
+	case errors.As(err, &reply):
+		done(lovagehistory.Result{Key: op.Key})
+	case strings.Contains(err.Error(), "got the answer to key"): // lovageapi.Client compares the keys itself
+		done(lovagehistory.Result{Outcome: "crossed", Key: err.Error()})
+	}
+}
+
+// answerResult takes the task that the worker names for the digest of a result, because Started records the same.
+func answerResult(an *lovageapi.AnswerReply) lovagehistory.Result {
+	out := lovagehistory.Result{
+		Outcome: string(an.Outcome), Key: an.Key.String(), Tasks: an.Tasks, Started: an.Started,
+	}
+	for _, re := range an.Results {
+		var echo struct{ Task string }
+		if err := json.Unmarshal(re.Body, &echo); err != nil {
+			echo.Task = err.Error()
+		}
+		out.Results = append(out.Results, echo.Task)
+	}
+	return out
+}
+
+// raceNames are the teams for which operators race. No job belongs to them.
+var raceNames = []string{"race-0", "race-1", "race-2"}
+
+// historyOperator replaces resources at the revision that it read, at any instance.
+type historyOperator struct {
+	hi  *History
+	rng *rand.Rand
+}
+
+func newHistoryOperator(hi *History, number int) *historyOperator {
+	return &historyOperator{hi: hi, rng: rand.New(rand.NewPCG(hi.co.Seed, uint64(number)+1_000_001))}
+}
+
+func (ho *historyOperator) run(ctx context.Context) {
+	for pauseFor(ctx, time.Duration(ho.rng.IntN(60))*time.Millisecond) == nil {
+		eps := ho.hi.co.Endpoints()
+		from, at := eps[ho.rng.IntN(len(eps))], eps[ho.rng.IntN(len(eps))]
+		name, write := raceNames[ho.rng.IntN(len(raceNames))], ho.rng.IntN(3) > 0
+		li, _, err := ho.hi.list(ctx, from)
+		if err != nil || !write {
+			continue
+		}
+		var revision int64
+		for _, it := range li.Resources {
+			if it.Kind == lovageresource.KindTeam && it.Name == name {
+				revision = it.Revision
+			}
+		}
+		ho.hi.put(ctx, at, name, revision)
+	}
+}
+
+// list reads all resources of an instance and records, if it was ready, what it shows of the raced ones.
+func (hi *History) list(ctx context.Context, ep Endpoint) (lovageapi.ListReply, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, historyCallTimeout)
+	defer cancel()
+	var done []func(lovagehistory.Result)
+	for _, name := range raceNames {
+		done = append(done, hi.re.Begin(lovagehistory.Operation{
+			Kind: lovagehistory.ConfigApply, Client: ep.Name(), Instance: ep.Name(), Name: name,
+		}))
+	}
+	li, ready, err := ep.List(ctx)
+	if err != nil || !ready {
+		return li, ready, err
+	}
+	for i, name := range raceNames {
+		result := lovagehistory.Result{Revision: li.Revision}
+		for _, it := range li.Resources {
+			if team, ok := it.Spec.(lovageresource.Team); ok && it.Name == name {
+				result.Content = strconv.Itoa(team.RunningTasks)
+			}
+		}
+		done[i](result)
+	}
+	return li, ready, nil
+}
+
+// put replaces a raced resource with content that no other write has.
+func (hi *History) put(ctx context.Context, ep Endpoint, name string, revision int64) {
+	ctx, cancel := context.WithTimeout(ctx, historyCallTimeout)
+	defer cancel()
+	hi.mu.Lock()
+	hi.next++
+	team := lovageresource.DefaultTeam()
+	team.RunningTasks = hi.next
+	hi.mu.Unlock()
+	done := hi.re.Begin(lovagehistory.Operation{
+		Kind: lovagehistory.ConfigWrite, Client: ep.Name(), Name: name, Revision: revision, Content: strconv.Itoa(team.RunningTasks),
+	})
+	res, err := ep.Put(ctx, lovageresource.Resource{
+		Kind: lovageresource.KindTeam, Name: name, Revision: revision, Spec: team,
+	})
+	var reply *lovageapi.ReplyError
+	switch {
+	case errors.As(err, &reply), errors.Is(err, lovageapi.ErrNotSent):
+		done(lovagehistory.Result{State: lovagehistory.NoEffect})
+	case err != nil: // stays open
+	case res.Outcome == lovageresource.Accepted:
+		done(lovagehistory.Result{State: lovagehistory.Committed, Revision: res.Revision})
+	case res.Outcome == lovageresource.Conflict:
+		done(lovagehistory.Result{State: lovagehistory.Refused, Revision: res.Revision})
+	case res.Outcome == lovageresource.Unavailable:
+		done(lovagehistory.Result{State: lovagehistory.NoEffect})
+	default: // an ambiguous write may take effect later; "unchanged" cannot be right, as no two writes are the same
+		done(lovagehistory.Result{State: lovagehistory.Unclear})
+	}
+}
--- /dev/null
+++ b/lovagetrial/history_test.go
@@ -0,0 +1,186 @@
+package lovagetrial
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"lovagestack/lovagehistory"
+	"lovagestack/lovagejob"
+)
+
+// The seeds of CI. LOVAGE_HISTORY_SEEDS names the first and the last of others, as "100-200", and
+// LOVAGE_HISTORY_DURATION the duration of each run, as "20s".
+var historySeeds = []uint64{1, 2, 3, 4, 5}
+
+const (
+	historyDuration  = 5 * time.Second
+	historyHangLimit = time.Minute // past the duration; only a run that hangs reaches it
+)
+
+func seedsOf(t *testing.T) ([]uint64, time.Duration) {
+	t.Helper()
+	seeds, duration := historySeeds, historyDuration
+	if text := os.Getenv("LOVAGE_HISTORY_SEEDS"); text != "" {
+		var first, last uint64
+		n, err := fmt.Sscanf(text, "%d-%d", &first, &last)
+		must.NoError(t, err, must.Sprintf("LOVAGE_HISTORY_SEEDS=%s, read %d numbers", text, n))
+		seeds = nil
+		for seed := first; seed <= last; seed++ {
+			seeds = append(seeds, seed)
+		}
+	}
+	if text := os.Getenv("LOVAGE_HISTORY_DURATION"); text != "" {
+		var err error
+		duration, err = time.ParseDuration(text)
+		must.NoError(t, err)
+	}
+	return seeds, duration
+}
+
+// runHistory runs a trial and returns its history, which must be right.
+func runHistory(t *testing.T, op HistoryOptions) []lovagehistory.Entry {
+	t.Helper()
+	ht, err := NewHistoryTrial(op)
+	must.NoError(t, err)
+	t.Cleanup(ht.Deployment.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), op.Duration+historyHangLimit)
+	defer cancel()
+	errRun := ht.Run(ctx)
+	entries, err := ht.Verdict()
+	ranges, unseen := ht.History.Ranges()
+	t.Logf("seed %d: %s; %d key ranges, %d epochs without a seen holder", op.Seed, Summary(entries), ranges, unseen)
+	if err != nil || errRun != nil {
+		t.Logf("faults:\n%s\n%s", ht.Trace(), ht.Deployment.Report())
+		t.Logf("record: %s", ht.save(t))
+	}
+	must.NoError(t, errRun)
+	must.NoError(t, err)
+	return entries
+}
+
+// save writes the record to a file that outlives the test.
+func (ht *HistoryTrial) save(t *testing.T) string {
+	file := filepath.Join(os.TempDir(), fmt.Sprintf("lovage-history-%d-%d.jsonl", ht.History.co.Seed, os.Getpid()))
+	must.NoError(t, os.WriteFile(file, ht.History.buf.Bytes(), 0o600))
+	return file
+}
+
+// Guards against a second start, an untrue or changing answer, a lost or reverted configuration change, and an epoch
+// with two holders, in concurrent runs with faults that no test of one client reaches.
+func TestConcurrentHistories(t *testing.T) {
+	seeds, duration := seedsOf(t)
+	total := 0
+	for _, seed := range seeds {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			entries := runHistory(t, HistoryOptions{Seed: seed, Duration: duration})
+			total += len(entries)
+			for _, kind := range []lovagehistory.Kind{
+				lovagehistory.Submit, lovagehistory.Ask, lovagehistory.Cancel, lovagehistory.Start,
+				lovagehistory.ConfigWrite, lovagehistory.ConfigApply, lovagehistory.Acquire, lovagehistory.Act,
+			} {
+				must.True(t, slices.ContainsFunc(entries, func(en lovagehistory.Entry) bool {
+					return en.Operation.Kind == kind
+				}), must.Sprintf("nothing of kind %q was recorded", kind))
+			}
+		})
+	}
+	t.Logf("%d operations in %d runs", total, len(seeds))
+}
+
+// find returns the first entry that matches.
+func find(t *testing.T, entries []lovagehistory.Entry, match func(en *lovagehistory.Entry) bool) int {
+	t.Helper()
+	for i := range entries {
+		if match(&entries[i]) {
+			return i
+		}
+	}
+	t.Fatal("the run recorded no entry that the test needs")
+	return 0
+}
+
+// Guards against a check that accepts a recorded run whatever it holds: the history of a real run with one entry
+// changed must be rejected.
+func TestChangedHistoryIsRejected(t *testing.T) {
+	entries := runHistory(t, HistoryOptions{Seed: 1, Duration: 2 * time.Second, Faults: []PlannedFault{
+		{Kind: FaultKill, At: 500 * time.Millisecond, Length: 300 * time.Millisecond},
+	}})
+	complete := func(en *lovagehistory.Entry) bool {
+		return en.Operation.Kind == lovagehistory.Submit && en.Result.Outcome == string(lovagejob.Complete) &&
+			len(en.Result.Results) > 0
+	}
+	ofKind := func(kind lovagehistory.Kind) func(en *lovagehistory.Entry) bool {
+		return func(en *lovagehistory.Entry) bool { return en.Operation.Kind == kind }
+	}
+	for _, tc := range []struct {
+		name   string
+		model  string
+		change func(t *testing.T, entries []lovagehistory.Entry) []lovagehistory.Entry
+	}{
+		{"a second start", "jobs", func(t *testing.T, en []lovagehistory.Entry) []lovagehistory.Entry {
+			again := en[find(t, en, ofKind(lovagehistory.Start))]
+			again.ID += "-again"
+			return append(en, again)
+		}},
+		{"a start that is missing", "jobs", func(t *testing.T, en []lovagehistory.Entry) []lovagehistory.Entry {
+			key := en[find(t, en, complete)].Operation.Key
+			i := find(t, en, func(e *lovagehistory.Entry) bool {
+				return e.Operation.Kind == lovagehistory.Start && e.Operation.Key == key
+			})
+			return slices.Delete(en, i, i+1)
+		}},
+		{"complete turned into notRun", "jobs", func(t *testing.T, en []lovagehistory.Entry) []lovagehistory.Entry {
+			re := &en[find(t, en, complete)].Result
+			re.Outcome, re.Results, re.Started = string(lovagejob.NotRun), nil, 0
+			return en
+		}},
+		{"the result of another job", "jobs", func(t *testing.T, en []lovagehistory.Entry) []lovagehistory.Entry {
+			re := &en[find(t, en, complete)].Result
+			re.Results = slices.Clone(re.Results)
+			re.Results[0] = "kandla.1.1.1.1/0"
+			return en
+		}},
+		{"a configuration read that goes back", "configuration", func(t *testing.T, en []lovagehistory.Entry) []lovagehistory.Entry {
+			i := len(en) - 1
+			for en[i].Operation.Kind != lovagehistory.ConfigApply || en[i].Return == 0 {
+				i--
+			}
+			en[i].Result.Revision, en[i].Result.Content = 4, ""
+			return en
+		}},
+		{"a second change of a revision", "configuration", func(t *testing.T, en []lovagehistory.Entry) []lovagehistory.Entry {
+			again := en[find(t, en, func(e *lovagehistory.Entry) bool {
+				return e.Operation.Kind == lovagehistory.ConfigWrite && e.Operation.Revision > 0 &&
+					e.Result.State == lovagehistory.Committed
+			})]
+			again.ID += "-again"
+			again.Operation.Content = "another"
+			again.Result.Revision++
+			return append(en, again)
+		}},
+		{"a second holder of an epoch", "ownership", func(t *testing.T, en []lovagehistory.Entry) []lovagehistory.Entry {
+			again := en[find(t, en, ofKind(lovagehistory.Acquire))]
+			again.ID += "-again"
+			again.Operation.Instance = "another"
+			return append(en, again)
+		}},
+		{"a key of an epoch that nobody holds", "ownership", func(t *testing.T, en []lovagehistory.Entry) []lovagehistory.Entry {
+			en[find(t, en, ofKind(lovagehistory.Act))].Operation.Epoch += 100
+			return en
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			err := CheckHistory(tc.change(t, slices.Clone(entries)))
+			must.ErrorContains(t, err, tc.model)
+			must.ErrorContains(t, err, "no order of these operations")
+		})
+	}
+}
--- /dev/null
+++ b/lovagetrial/history_trial.go
@@ -0,0 +1,150 @@
+package lovagetrial
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lovagestack/lovageapi"
+	"lovagestack/lovagehistory"
+	"lovagestack/lovageplatform"
+	"lovagestack/lovageresource"
+)
+
+// trialEndpoint is an instance of a deployment, reached through the recording clients, so that Check judges the run too.
+type trialEndpoint struct {
+	it *Instance
+	ca *Caller
+	op *Operator
+}
+
+func (te trialEndpoint) Name() string { return te.it.Name }
+
+func (te trialEndpoint) Mint(ctx context.Context, count int, repeatable bool) ([]string, error) {
+	return te.ca.Mint(ctx, te.it, count, repeatable)
+}
+
+func (te trialEndpoint) Submit(ctx context.Context, jo lovageapi.JobRequest) (lovageapi.AnswerReply, error) {
+	return te.ca.Submit(ctx, te.it, jo)
+}
+
+func (te trialEndpoint) Ask(ctx context.Context, key string, wait time.Duration) (lovageapi.AnswerReply, error) {
+	return te.ca.Ask(ctx, te.it, key, wait)
+}
+
+func (te trialEndpoint) Cancel(ctx context.Context, key string) (lovageapi.AnswerReply, error) {
+	return te.ca.Cancel(ctx, te.it, key)
+}
+
+func (te trialEndpoint) Put(ctx context.Context, re lovageresource.Resource) (lovageresource.WriteResult, error) {
+	return te.op.Put(ctx, te.it, re)
+}
+
+func (te trialEndpoint) List(ctx context.Context) (lovageapi.ListReply, bool, error) {
+	ready, _ := te.it.Entry.Ready()
+	li, err := te.op.Read(ctx, te.it)
+	return li, ready, err
+}
+
+// HistoryTrial is a run of concurrent clients against a deployment in this process while faults happen.
+type HistoryTrial struct {
+	Deployment *Deployment
+	History    *History
+	Faults     []PlannedFault
+	log        faultLog
+}
+
+// HistoryOptions describe a HistoryTrial.
+type HistoryOptions struct {
+	Seed        uint64
+	Callers     int // 0: 6 to 10, by the seed
+	Operators   int // 0: 3
+	Duration    time.Duration
+	DataCentres []DataCentre
+	Faults      []PlannedFault // nil: drawn from the seed
+}
+
+// historyDataCentres returns two or three data centres, by the seed.
+func historyDataCentres(seed uint64) []DataCentre {
+	out := []DataCentre{
+		{Name: "kandla", Instances: 3, Speeds: []float64{1, 0.5}},
+		{Name: "navlakhi", Instances: 2, Speeds: []float64{1, 1.5}},
+	}
+	if seed%2 == 0 {
+		out = append(out, DataCentre{Name: "gandhidham", Instances: 1, Speeds: []float64{1}})
+	}
+	return out
+}
+
+// NewHistoryTrial starts the deployment of a trial.
+func NewHistoryTrial(op HistoryOptions) (*HistoryTrial, error) {
+	if op.Callers == 0 {
+		op.Callers = 6 + int(op.Seed%5)
+	}
+	if op.Operators == 0 {
+		op.Operators = 3
+	}
+	if op.DataCentres == nil {
+		op.DataCentres = historyDataCentres(op.Seed)
+	}
+	if op.Faults == nil {
+		op.Faults = planFaults(op.Seed, op.Duration)
+	}
+	ht := &HistoryTrial{Faults: op.Faults}
+	ht.History = NewHistory(Concurrency{
+		Seed: op.Seed, Callers: op.Callers, Operators: op.Operators, Duration: op.Duration,
+		Endpoints: ht.endpoints,
+		Rows: func(ctx context.Context) ([]lovageplatform.Row, error) {
+			return ht.Deployment.platform.Memory().Scan(ctx, "range/")
+		},
+	})
+	var err error
+	ht.Deployment, err = New(Options{DataCentres: op.DataCentres, Seed: op.Seed, Started: ht.History.Started})
+	return ht, err
+}
+
+func (ht *HistoryTrial) endpoints() []Endpoint {
+	ca, op := ht.Deployment.NewCaller(), ht.Deployment.NewOperator()
+	var out []Endpoint
+	for _, it := range ht.Deployment.Instances() {
+		out = append(out, trialEndpoint{it, ca, op})
+	}
+	return out
+}
+
+// Run runs the clients and the faults, ends all faults, and asks for everything again.
+func (ht *HistoryTrial) Run(ctx context.Context) error {
+	var faults sync.WaitGroup
+	began := time.Now()
+	var errFaults error
+	faults.Go(func() { errFaults = ht.runFaults(ctx, began) })
+	err := ht.History.Run(ctx)
+	faults.Wait()
+	if err := errors.CombineErrors(err, errFaults); err != nil {
+		return err
+	}
+	return ht.History.Finish(ctx)
+}
+
+// Verdict judges the run by the models and by Check.
+func (ht *HistoryTrial) Verdict() (entries []lovagehistory.Entry, err error) {
+	if entries, err = ht.History.Entries(); err != nil {
+		return nil, err
+	}
+	err = CheckHistory(entries)
+	var problems []string
+	for _, vi := range Check(ht.Deployment.Evidence()) {
+		problems = append(problems, vi.String())
+	}
+	if len(problems) > 0 {
+		err = errors.CombineErrors(fmt.Errorf("check:\n%s", strings.Join(problems, "\n")), err)
+	}
+	return entries, err
+}
+
+// Trace tells which faults happened when.
+func (ht *HistoryTrial) Trace() string { return ht.log.String() }
