lovagepeer: show the panic of a call that waits while Serve ends

Mesh.session checks Mesh.ctx before its loop only. A call that waits there is woken when the session is installed; if shutdown sets Mesh.ctx to nil and closes that session before the call takes the lock, the call finds no session and no dial and starts one with the nil context. The panic ends the process, so that a SIGTERM during a dial can exit without status 0.

Ruled out: the relays of lovagetrial; the test needs none and calls Mesh only. Connect, ended and installLocked compare Mesh.ctx with nil.

Change: a test in a new file puts the Mesh into that state without depending on time.

Measured: go test -race -run TestCallThatWaitsWhileServeEnds ./lovagepeer: panics every time.

--- /dev/null
+++ b/lovagepeer/shutdown_test.go
@@ -0,0 +1,48 @@
+package lovagepeer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a panic of the instance when its Mesh ends: a call waits for a session, the session is established,
+// and before the call runs again, Serve ends and closes the session. The call must fail and not dial.
+func TestCallThatWaitsWhileServeEnds(t *testing.T) {
+	me, _, stop := serve(t, Options{Instance: "a"}, nil)
+	const address = "127.0.0.1:1"
+	me.mu.Lock()
+	pe := me.peerLocked(address)
+	pe.attempting = true // as during a dial
+	me.mu.Unlock()
+	done := make(chan error, 1)
+	go func() { done <- callErr(me, testContext(t), address, "k") }()
+	waits := func() bool {
+		me.mu.Lock()
+		defer me.mu.Unlock()
+		return pe.waiters == 1
+	}
+	for !waits() {
+		time.Sleep(time.Millisecond)
+	}
+
+	me.mu.Lock()
+	serving := me.ctx
+	me.ctx = nil          // as shutdown does
+	pe.attempting = false // as the end of the dial does
+	pe.signalLocked()     // as installLocked does; the session has ended already
+	me.mu.Unlock()
+	select {
+	case err := <-done:
+		must.Error(t, err)
+		must.True(t, errors.Is(err, ErrNotSent), must.Sprintf("%v", err))
+	case <-time.After(hangLimit):
+		t.Fatal("the call did not return")
+	}
+	me.mu.Lock()
+	me.ctx = serving
+	me.mu.Unlock()
+	stop()
+}
