lovagepeer: do not dial for a call that was woken by the end of Serve

Mesh.session checked Mesh.ctx before its loop only; a call woken by a session that shutdown closed before the call took the lock started a dial with a nil context. Ruled out: a context that is never nil. A Mesh can be served again, and a call must not dial under the old context. Change: the loop ends when the serving context is not the one that the call began under.

--- a/lovagepeer/mesh.go
+++ b/lovagepeer/mesh.go
@@ -307,6 +307,10 @@
 		if pe.sess != nil {
 			return pe.sess, nil
 		}
+		if me.ctx != serving {
+			// The call was woken by a session that the end of Serve has closed already; there is no context to dial with.
+			return nil, errors.New("peer mesh is shutting down")
+		}
 		if !pe.attempting {
 			if pe.backingOff() {
 				return nil, errors.Wrap(pe.lastErr, "backing off after a failed dial")
