--- a/lovagebench/options.go
+++ b/lovagebench/options.go
@@ -23,8 +23,6 @@
 func Variants() []Variant {
 	const response = lovageresource.WeightResponseTime
 	return []Variant{
-		{Name: "speculative", Policy: lovagedispatch.Speculative, Weight: response},
-		{Name: "speculative, weight messages", Policy: lovagedispatch.Speculative, Weight: lovageresource.WeightMessages},
 		{Name: "lending", Policy: lovagedispatch.Lending, Weight: response},
 		{Name: "lending, weight messages", Policy: lovagedispatch.Lending, Weight: lovageresource.WeightMessages},
 		{Name: "lending, random instance", Policy: lovagedispatch.Lending, Weight: response, RandomInstance: true},
--- a/lovagedispatch/admit.go
+++ b/lovagedispatch/admit.go
@@ -150,7 +150,7 @@
 			n += gr.capacity
 		}
 	}
-	if co.lends() {
+	if co.se.Policy == Lending {
 		n += sv.peerIdle
 	}
 	return n
--- a/lovagedispatch/borrow.go
+++ b/lovagedispatch/borrow.go
@@ -91,7 +91,7 @@
 
 // borrow asks peers for slots for the services whose queue has outgrown the slots at hand.
 func (co *Core) borrow() {
-	if !co.lends() || len(co.active) == 0 {
+	if co.se.Policy != Lending || len(co.active) == 0 {
 		return
 	}
 	for _, cl := range co.active {
--- a/lovagedispatch/checker_test.go
+++ b/lovagedispatch/checker_test.go
@@ -152,7 +152,7 @@
 
 // share lists the slots one by one, unlike the core.
 func (ch *checker) share(wo *seenWorker) int {
-	if !slices.Contains([]Policy{Speculative, Lending, Shares}, ch.se.Policy) {
+	if ch.se.Policy != Lending && ch.se.Policy != Shares {
 		return wo.Slots
 	}
 	n := 0
@@ -165,14 +165,6 @@
 	return n
 }
 
-// limit is the number of slots that the core may use or lend. Speculative starts may use all slots that are not lent.
-func (ch *checker) limit(wo *seenWorker) int {
-	if ch.se.Policy == Speculative {
-		return wo.Slots
-	}
-	return ch.share(wo)
-}
-
 func (ch *checker) lentOf(worker string) int {
 	n := 0
 	for _, lo := range ch.lent {
@@ -196,8 +188,7 @@
 			}
 			ch.lent[cm.Loan] = &seenLoan{until: cm.Until, given: slotMap(cm.Slots), slots: slotMap(cm.Slots)}
 			for _, sl := range cm.Slots {
-				wo, lent := ch.workers[sl.Worker], ch.lentOf(sl.Worker)
-				if wo.own+lent > ch.limit(wo) || lent > ch.share(wo) {
+				if wo := ch.workers[sl.Worker]; wo.own+ch.lentOf(sl.Worker) > ch.share(wo) {
 					ch.fault("lent %d slots of %s beyond the share", sl.Slots, sl.Worker)
 				}
 			}
@@ -238,7 +229,7 @@
 	}
 	if cm.Loan == 0 {
 		wo.own++
-		if share := ch.limit(wo); wo.own+ch.lentOf(cm.Worker) > share {
+		if share := ch.share(wo); wo.own+ch.lentOf(cm.Worker) > share {
 			ch.fault("worker %s: %d own tasks and %d lent slots, share %d", cm.Worker, wo.own, ch.lentOf(cm.Worker), share)
 		}
 		return
--- a/lovagedispatch/choose.go
+++ b/lovagedispatch/choose.go
@@ -8,7 +8,7 @@
 	for {
 		var best *class
 		for _, cl := range co.active {
-			if cl.blocked != co.round && cl.teams.len() > 0 && co.anyFree(cl) && (best == nil || cl.before(best)) {
+			if cl.blocked != co.round && cl.teams.len() > 0 && cl.anyFree() && (best == nil || cl.before(best)) {
 				best = cl
 			}
 		}
@@ -21,10 +21,9 @@
 	}
 }
 
-func (co *Core) anyFree(cl *class) bool {
-	speculate := co.maySpeculate(cl)
+func (cl *class) anyFree() bool {
 	for _, gr := range cl.groups {
-		if gr.tree.ranks[1] < unavailable || speculate && gr.foreign.ranks[1] < unavailable {
+		if gr.tree.ranks[1] < unavailable {
 			return true
 		}
 	}
@@ -47,25 +46,17 @@
 	jo := cl.teams.top().item.jobs.top().item
 	runTime := co.taskTime(jo.sv, jo.declared)
 	wo, rank, cost := co.choose(cl, runTime)
-	foreign := false
-	if co.maySpeculate(cl) {
-		if other, c := co.chooseForeign(cl, runTime); other != nil && c < cost {
-			wo, cost, foreign = other, c, true
-		}
-	}
 	if wo == nil || co.ranker.waits() && co.betterToWait(cl, jo, wo, cost, runTime) {
 		return false
 	}
 	var loan *loanSlots
-	if !foreign && wo.freeOwn() <= 0 {
+	if wo.freeOwn() <= 0 {
 		if loan = co.borrowedSlot(wo, runTime); loan == nil {
 			return true // borrowed slots were given back, which changed the choice
 		}
 	}
-	if !foreign {
-		co.ranker.chosen(rank)
-	}
-	co.start(jo, wo, loan, foreign, runTime)
+	co.ranker.chosen(rank)
+	co.start(jo, wo, loan, runTime)
 	return true
 }
 
--- a/lovagedispatch/core.go
+++ b/lovagedispatch/core.go
@@ -7,11 +7,11 @@
 
 // Core is the decision core of one instance. It is not safe for concurrent use.
 type Core struct {
-	se            Settings
-	policyAtStart Policy // before any change of the tunables
-	rng           *rand.Rand
-	ranker        ranker
-	out           []Command // commands of the step that is running
+	se      Settings
+	mayLend bool // the policy at the start was Lending
+	rng     *rand.Rand
+	ranker  ranker
+	out     []Command // commands of the step that is running
 
 	base     time.Time // time of the first step
 	nowTime  time.Time
@@ -61,16 +61,16 @@
 // for ties, jitter and the start of the loan numbers only.
 func New(se Settings, rng *rand.Rand) *Core {
 	co := &Core{
-		se:            se,
-		policyAtStart: se.Policy,
-		rng:           rng,
-		ranker:        newRanker(se.Policy, rng),
-		jobs:          map[uint64]*job{},
-		services:      map[string]*service{},
-		classKeys:     map[classKey]*class{},
-		teams:         map[string]*team{},
-		workers:       map[string]*worker{},
-		members:       map[string]bool{},
+		se:        se,
+		mayLend:   se.Policy == Lending,
+		rng:       rng,
+		ranker:    newRanker(se.Policy, rng),
+		jobs:      map[uint64]*job{},
+		services:  map[string]*service{},
+		classKeys: map[classKey]*class{},
+		teams:     map[string]*team{},
+		workers:   map[string]*worker{},
+		members:   map[string]bool{},
 
 		leavingEarly: map[string]bool{},
 		peers:        map[string]*peer{},
--- a/lovagedispatch/health.go
+++ b/lovagedispatch/health.go
@@ -47,9 +47,6 @@
 
 	refusals     int // refusals in a row
 	blockedUntil instant
-
-	foreignRefusals int // refusals of speculative starts in a row
-	foreignUntil    instant
 }
 
 // penalty makes a suspect come after workers that are up to four times slower. The next tasks then go to others,
--- a/lovagedispatch/job.go
+++ b/lovagedispatch/job.go
@@ -41,13 +41,12 @@
 
 // running is a task in flight.
 type running struct {
-	task    int32
-	probe   bool
-	wo      *worker
-	loan    *loanSlots // nil for an own slot
-	foreign bool       // a speculative start
-	start   instant
-	rate    int64 // see rateOf
+	task  int32
+	probe bool
+	wo    *worker
+	loan  *loanSlots // nil for an own slot
+	start instant
+	rate  int64 // see rateOf
 }
 
 // queuedTasks returns the number of tasks that can be started.
@@ -128,12 +127,12 @@
 	}
 }
 
-// start gives a task of the job to the worker: as a speculative start, or on an own slot if loan is nil.
-func (co *Core) start(jo *job, wo *worker, loan *loanSlots, foreign bool, runTime float64) {
+// start gives a task of the job to the worker, on an own slot if loan is nil.
+func (co *Core) start(jo *job, wo *worker, loan *loanSlots, runTime float64) {
 	task := jo.takeTask()
 	ru := running{
 		task: task, wo: wo, loan: loan, start: co.now, rate: rateOf(runTime * wo.factor),
-		probe: wo.health.state == probing, foreign: foreign,
+		probe: wo.health.state == probing,
 	}
 	jo.run = append(jo.run, ru)
 	jo.started++
@@ -144,13 +143,9 @@
 	}
 	wo.addRate(ru.rate)
 	loanID := uint64(0)
-	switch {
-	case foreign:
-		co.counters.Speculations++
-		wo.foreign++
-	case loan == nil:
+	if loan == nil {
 		wo.used++
-	default:
+	} else {
 		loanID = loan.loan.id
 		co.counters.BorrowedStarts++
 		loan.used++
@@ -162,7 +157,6 @@
 	co.running++
 	jo.sv.running++
 	jo.sv.addRetries(co.retryRatio(jo.sv), co.se.RetryBurst)
-	co.addSpeculation(jo.sv)
 	co.charge(jo, runTime*wo.factor)
 	co.tookFromQueue(jo)
 	co.emit(StartTask{Job: jo.id, Task: int(task), Worker: wo.spec.ID, Loan: loanID})
@@ -208,16 +202,9 @@
 	case Succeeded:
 		co.learn(jo.sv, wo, time.Duration(co.now-ru.start))
 		co.judgeSuccess(wo, jo, ru.probe)
-		if ru.foreign {
-			wo.health.foreignRefusals = 0
-		}
 	case NotStarted:
 		co.counters.NotStarted++
-		switch {
-		case ev.Leaving:
-		case ru.foreign:
-			co.speculationRefused(wo, jo.sv)
-		default:
+		if !ev.Leaving {
 			co.refused(wo)
 		}
 	case Failed, Unknown:
@@ -248,10 +235,9 @@
 		}
 	case NotStarted:
 		jo.started--
-		// Refusing a job that has started would lose it, so it is retried beyond the budget. So is any job where instances
-		// use each other's slots: a refusal then says that the worker is full and nothing about the job. The back-off of the
-		// workers and the job's deadline bound that.
-		if ev.Leaving || co.speculates() || jo.sv.takeRetry() || jo.started > 0 {
+		// Refusing a job that has started would lose it, so it is retried beyond the budget. The back-off of the workers
+		// and the job's deadline bound that.
+		if ev.Leaving || jo.sv.takeRetry() || jo.started > 0 {
 			co.counters.Retries++
 			jo.retry = append(jo.retry, int32(ev.Task))
 			co.enqueue(jo, 1)
@@ -275,12 +261,9 @@
 
 func (co *Core) freeSlot(jo *job, ru running) {
 	ru.wo.addRate(-ru.rate)
-	switch {
-	case ru.foreign:
-		ru.wo.foreign--
-	case ru.loan == nil:
+	if ru.loan == nil {
 		ru.wo.used--
-	default:
+	} else {
 		ru.wo.loanUsed--
 		co.loanTaskEnded(ru.loan)
 	}
--- a/lovagedispatch/lend.go
+++ b/lovagedispatch/lend.go
@@ -53,7 +53,7 @@
 	sv, pe := co.services[ev.Service], co.peers[ev.From]
 	he := &heldAsk{ask: ke, sv: sv, slots: ev.Slots}
 	he.until = min(co.instantOf(ev.Until), co.now.after(co.maxLoanTerm(sv)))
-	if !co.lends() || sv == nil || pe == nil || ev.Slots <= 0 || he.until < co.now.after(minLoanTerm) {
+	if co.se.Policy != Lending || sv == nil || pe == nil || ev.Slots <= 0 || he.until < co.now.after(minLoanTerm) {
 		co.answerNone(ke)
 		return
 	}
--- a/lovagedispatch/loan.go
+++ b/lovagedispatch/loan.go
@@ -28,7 +28,7 @@
 		return
 	}
 	until := co.instantOf(ev.Until)
-	if sv == nil || until <= co.now || !co.lends() {
+	if sv == nil || until <= co.now || co.se.Policy != Lending {
 		co.emit(ReturnSlots{To: ev.From, Loan: ev.Loan, Slots: slices.Clone(ev.Slots)})
 		return
 	}
--- a/lovagedispatch/rank.go
+++ b/lovagedispatch/rank.go
@@ -79,7 +79,7 @@
 		return roundRobinRank{}
 	case LeastInFlight:
 		return leastInFlightRank{rng: rng}
-	case Speculative, Lending, Shares, Alone:
+	case Lending, Shares, Alone:
 	}
 	return completionRank{rng: rng}
 }
--- a/lovagedispatch/service.go
+++ b/lovagedispatch/service.go
@@ -7,17 +7,16 @@
 
 // service is the state of a service. It outlives its removal while jobs of it are queued or running.
 type service struct {
-	spec        Service
-	removed     bool
-	classes     []*class
-	queued      int     // tasks
-	running     int     // tasks
-	mean        float64 // run time in seconds on a worker of average speed
-	logMean     float64 // mean of its logarithm
-	samples     int
-	failures    failureRate
-	retries     float64 // retries left
-	speculation float64 // refusals of speculative starts left
+	spec     Service
+	removed  bool
+	classes  []*class
+	queued   int     // tasks
+	running  int     // tasks
+	mean     float64 // run time in seconds on a worker of average speed
+	logMean  float64 // mean of its logarithm
+	samples  int
+	failures failureRate
+	retries  float64 // retries left
 
 	asks     []ask   // asks that were not answered yet, to different peers
 	askAfter instant // earliest time of the next ask
@@ -60,9 +59,7 @@
 		names[sp.Name] = true
 		sv := co.services[sp.Name]
 		if sv == nil {
-			sv = &service{
-				failures: priorFailureRate, retries: float64(co.se.RetryBurst), speculation: speculationBurst,
-			}
+			sv = &service{failures: priorFailureRate, retries: float64(co.se.RetryBurst)}
 			co.services[sp.Name] = sv
 			co.serviceList = append(co.serviceList, sv)
 		}
--- a/lovagedispatch/settings.go
+++ b/lovagedispatch/settings.go
@@ -15,8 +15,6 @@
 const (
 	// Lending: least expected completion time on the exclusive share and on borrowed slots.
 	Lending Policy = "lending"
-	// Speculative: as Lending, and on slots of others without asking as far as the service's budget goes.
-	Speculative Policy = "speculative"
 	// Shares: as Lending, without borrowing.
 	Shares Policy = "shares"
 	// Alone: least expected completion time on all slots of all workers, ignoring other instances.
@@ -44,7 +42,6 @@
 	RetryBurst         int           // retries allowed on top of the ratio
 	RefusalBackOff     time.Duration // pause after a worker's first refusal in a row; doubles with each
 	MaxRefusalBackOff  time.Duration
-	SpeculationBackOff time.Duration // pause after the first refusal of a speculative start in a row; doubles with each
 	EjectionBackOff    time.Duration // time from ejection to the first probe; doubles with each failed probe
 	MaxEjectionBackOff time.Duration
 	LoanTerm           time.Duration // time for which slots are borrowed
@@ -73,7 +70,6 @@
 		RetryBurst:         50,
 		RefusalBackOff:     5 * time.Millisecond,
 		MaxRefusalBackOff:  time.Second,
-		SpeculationBackOff: defaultSpeculationBackOff,
 		EjectionBackOff:    time.Second,
 		MaxEjectionBackOff: time.Minute,
 		LoanTerm:           2 * time.Second,
@@ -97,7 +93,7 @@
 	if !lovagejob.ValidName(se.DataCentre) {
 		add("dataCentre", "%q is not a name", se.DataCentre)
 	}
-	policies := []Policy{Speculative, Lending, Shares, Alone, Random, RoundRobin, LeastInFlight}
+	policies := []Policy{Lending, Shares, Alone, Random, RoundRobin, LeastInFlight}
 	if !slices.Contains(policies, se.Policy) {
 		add("policy", "%q is none of %q", se.Policy, policies)
 	}
--- a/lovagedispatch/status.go
+++ b/lovagedispatch/status.go
@@ -4,21 +4,19 @@
 
 // Counters are sums since the core was made. They only grow.
 type Counters struct {
-	JobsAdmitted        uint64
-	JobsRefused         uint64 // by admission
-	JobsExpired         uint64 // deadline passed in the queue
-	Starts              uint64
-	NotStarted          uint64 // starts that ended with NotStarted
-	Retries             uint64 // of those, tasks that were queued again
-	Ejections           uint64 // failed probes included
-	Probes              uint64 // tasks started on workers on probe
-	Asks                uint64 // for slots
-	AsksInVain          uint64 // answered without slots or given up
-	SlotsBorrowed       uint64
-	BorrowedStarts      uint64 // starts on borrowed slots
-	SlotsLent           uint64
-	Speculations        uint64 // starts on slots of others without asking
-	SpeculationsRefused uint64
+	JobsAdmitted   uint64
+	JobsRefused    uint64 // by admission
+	JobsExpired    uint64 // deadline passed in the queue
+	Starts         uint64
+	NotStarted     uint64 // starts that ended with NotStarted
+	Retries        uint64 // of those, tasks that were queued again
+	Ejections      uint64 // failed probes included
+	Probes         uint64 // tasks started on workers on probe
+	Asks           uint64 // for slots
+	AsksInVain     uint64 // answered without slots or given up
+	SlotsBorrowed  uint64
+	BorrowedStarts uint64 // starts on borrowed slots
+	SlotsLent      uint64
 }
 
 // Counters returns the counters for metrics.
--- a/lovagedispatch/tunables.go
+++ b/lovagedispatch/tunables.go
@@ -21,12 +21,12 @@
 	setPositive(&co.se.MaxEjectionBackOff, ev.MaxEjectionBackOff)
 	setPositive(&co.se.LoanTerm, ev.LoanTerm)
 	setPositive(&co.se.MaxLoanSlots, ev.MaxLoanSlots)
-	// Without lending an instance keeps to its own share. The policies that know no lending serve comparison.
+	// Only the two policies that differ in nothing but lending can be exchanged; the others serve comparison.
 	switch {
-	case co.lends() && !ev.Lend:
+	case co.se.Policy == Lending && !ev.Lend:
 		co.se.Policy = Shares
-	case ev.Lend:
-		co.se.Policy = co.policyAtStart
+	case co.se.Policy == Shares && ev.Lend && co.mayLend:
+		co.se.Policy = Lending
 	}
 }
 
--- a/lovagedispatch/tunables_test.go
+++ b/lovagedispatch/tunables_test.go
@@ -14,7 +14,6 @@
 	for _, it := range []struct {
 		start, off, on Policy
 	}{
-		{Speculative, Shares, Speculative},
 		{Lending, Shares, Lending},
 		{Shares, Shares, Shares},
 		{Random, Random, Random},
--- a/lovagedispatch/worker.go
+++ b/lovagedispatch/worker.go
@@ -19,7 +19,6 @@
 	lent     int // own slots lent to peers
 	loans    []*loanSlots
 	loanUsed int // tasks in flight on borrowed slots
-	foreign  int // tasks in flight from speculative starts
 	ownFree  int // contribution to the group's free slots
 	capacity int // contribution to the group's capacity
 
@@ -34,7 +33,7 @@
 	health health
 }
 
-func (wo *worker) inFlight() int { return wo.used + wo.loanUsed + wo.foreign }
+func (wo *worker) inFlight() int { return wo.used + wo.loanUsed }
 
 // freeOwn is negative if a membership change took away slots that are in use.
 func (wo *worker) freeOwn() int { return wo.own - wo.used - wo.lent }
@@ -67,10 +66,9 @@
 	pool     *pool
 	workers  []*worker
 	tree     *rankTree
-	foreign  *rankTree // workers for speculative starts
-	latency  float64   // seconds for a round trip on top of that in the own data centre
-	freeOwn  int       // own slots that are free on usable workers
-	capacity int       // own and borrowed slots of usable workers
+	latency  float64 // seconds for a round trip on top of that in the own data centre
+	freeOwn  int     // own slots that are free on usable workers
+	capacity int     // own and borrowed slots of usable workers
 	rates    [speedBuckets]int64
 }
 
@@ -155,7 +153,6 @@
 			free, ownFree = 0, 0
 		}
 	}
-	co.updateForeign(wo)
 	gr.freeOwn += ownFree - wo.ownFree
 	gr.capacity += capacity - wo.capacity
 	wo.ownFree, wo.capacity = ownFree, capacity
@@ -167,7 +164,7 @@
 }
 
 // ignoresOthers reports whether the policy uses all slots of all workers.
-func (co *Core) ignoresOthers() bool { return !co.lends() && co.se.Policy != Shares }
+func (co *Core) ignoresOthers() bool { return co.se.Policy != Lending && co.se.Policy != Shares }
 
 func (co *Core) setShare(wo *worker) {
 	switch {
@@ -253,7 +250,7 @@
 	}
 	slices.SortFunc(co.groups, func(a, b *group) int { return a.key.compare(b.key) })
 	for _, gr := range co.groups {
-		gr.tree, gr.foreign = newRankTree(len(gr.workers)), newRankTree(len(gr.workers))
+		gr.tree = newRankTree(len(gr.workers))
 		for _, wo := range gr.workers {
 			co.setShare(wo)
 			gr.pool.count(wo)
