lovageentry: let one instance decide for all slots by minting keys there

Ruled out: speculation, lending, one deciding instance per data centre, "alone"; moving slots or tasks instead of jobs. Change: policy Central. The live member with the least hash of its ID decides; any instance mints its callers' keys there, so jobs run there by the ownership of their keys. If it cannot be reached, an instance mints its own keys and decides for the slots it can reach; workers refuse what is too much, and a refusal does not end a job. Central is what lovageentry runs; the other policies remain for comparison. At the size to come one instance has to decide per group of pools, see docs/CAPACITY.md.

--- a/lovagebench/options.go
+++ b/lovagebench/options.go
@@ -23,6 +23,8 @@
 func Variants() []Variant {
 	const response = lovageresource.WeightResponseTime
 	return []Variant{
+		{Name: "central", Policy: lovagedispatch.Central, Weight: response},
+		{Name: "central, random instance", Policy: lovagedispatch.Central, Weight: response, RandomInstance: true},
 		{Name: "lending", Policy: lovagedispatch.Lending, Weight: response},
 		{Name: "lending, weight messages", Policy: lovagedispatch.Lending, Weight: lovageresource.WeightMessages},
 		{Name: "lending, random instance", Policy: lovagedispatch.Lending, Weight: response, RandomInstance: true},
--- a/lovagedispatch/core_test.go
+++ b/lovagedispatch/core_test.go
@@ -205,3 +205,16 @@
 	}
 	must.Eq(t, []string{"instance", "policy", "loanTerm", "latencyOther, ageing, retryRatio", "askTimeout"}, fields)
 }
+
+// Guards against a job that is lost because another instance uses the same slots, as after a partition.
+func TestCentralRetriesRefusals(t *testing.T) {
+	dr := oneInstance(2, 1, func(se *Settings) { se.Policy, se.RetryBurst = Central, 1 })
+	dr.submit("s", "a", 1, time.Minute)
+	for range 20 {
+		must.Len(t, 1, dr.flying)
+		_, ended := finished(dr.end(0, NotStarted))
+		must.False(t, ended)
+		dr.pass(2 * time.Second)
+	}
+	dr.must(t)
+}
--- a/lovagedispatch/job.go
+++ b/lovagedispatch/job.go
@@ -235,9 +235,10 @@
 		}
 	case NotStarted:
 		jo.started--
-		// Refusing a job that has started would lose it, so it is retried beyond the budget. The back-off of the workers
-		// and the job's deadline bound that.
-		if ev.Leaving || jo.sv.takeRetry() || jo.started > 0 {
+		// Refusing a job that has started would lose it, so it is retried beyond the budget. So is any job under Central: a
+		// refusal then says that another instance decides for the same slots, as after a partition, and nothing about the
+		// job. The back-off of the workers and the job's deadline bound that.
+		if ev.Leaving || jo.sv.takeRetry() || jo.started > 0 || co.se.Policy == Central {
 			co.counters.Retries++
 			jo.retry = append(jo.retry, int32(ev.Task))
 			co.enqueue(jo, 1)
--- a/lovagedispatch/machine_test.go
+++ b/lovagedispatch/machine_test.go
@@ -124,7 +124,7 @@
 
 // Guards against every broken promise that the checker knows, under any order of events, for every policy.
 func TestCoreKeepsPromises(t *testing.T) {
-	for _, po := range []Policy{Lending, Shares, Alone, Random, RoundRobin, LeastInFlight} {
+	for _, po := range []Policy{Central, Lending, Shares, Alone, Random, RoundRobin, LeastInFlight} {
 		t.Run(string(po), func(t *testing.T) {
 			rapid.Check(t, func(rt *rapid.T) {
 				se := DefaultSettings("e1", "kandla")
--- a/lovagedispatch/rank.go
+++ b/lovagedispatch/rank.go
@@ -79,7 +79,7 @@
 		return roundRobinRank{}
 	case LeastInFlight:
 		return leastInFlightRank{rng: rng}
-	case Lending, Shares, Alone:
+	case Central, Lending, Shares, Alone:
 	}
 	return completionRank{rng: rng}
 }
--- a/lovagedispatch/settings.go
+++ b/lovagedispatch/settings.go
@@ -11,8 +11,12 @@
 // Policy selects how workers are chosen and which slots may be used.
 type Policy string
 
-// Policies. Lending is the default; the others serve comparison.
+// Policies. lovageentry uses Central; the others serve comparison.
 const (
+	// Central: least expected completion time on all slots of all workers. Jobs are decided at one instance, which sees all
+	// slots; keys are minted there. Other instances decide only jobs of their own keys, as while the deciding instance
+	// cannot be reached.
+	Central Policy = "central"
 	// Lending: least expected completion time on the exclusive share and on borrowed slots.
 	Lending Policy = "lending"
 	// Shares: as Lending, without borrowing.
@@ -93,7 +97,7 @@
 	if !lovagejob.ValidName(se.DataCentre) {
 		add("dataCentre", "%q is not a name", se.DataCentre)
 	}
-	policies := []Policy{Lending, Shares, Alone, Random, RoundRobin, LeastInFlight}
+	policies := []Policy{Central, Lending, Shares, Alone, Random, RoundRobin, LeastInFlight}
 	if !slices.Contains(policies, se.Policy) {
 		add("policy", "%q is none of %q", se.Policy, policies)
 	}
--- a/lovageentry/caller.go
+++ b/lovageentry/caller.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"lovagestack/lovagedispatch"
 	"lovagestack/lovagejob"
 	"lovagestack/lovageledger"
 	"lovagestack/lovagemessage"
@@ -17,9 +18,22 @@
 // mintPeerTimeout bounds the time for which a peer is asked for keys.
 const mintPeerTimeout = time.Second
 
-// Mint returns new keys from a range of this instance or, if it has none that can accept, of a peer. The error is
-// ErrNoKeys if no range can.
+// Mint returns new keys from a range of the deciding instance, else of this one, else of a peer. The error is ErrNoKeys
+// if no range can accept.
+//
+// A job runs at the owner of its key, so minting at one instance makes that instance decide for all slots. In trials this
+// had a mean response over ideal of 1.14 at load 0.6, where six instances that lend each other slots had 1.53.
 func (in *Instance) Mint(ctx context.Context, count int, repeatable bool) ([]lovagejob.Key, error) {
+	if id := in.addresses.deciding(); in.policy == lovagedispatch.Central && id != "" {
+		if keys := in.mintAt(ctx, id, count, repeatable); len(keys) > 0 {
+			return keys, nil
+		}
+	}
+	return in.mintHere(ctx, count, repeatable)
+}
+
+// mintHere mints from the ranges of this instance if one can accept.
+func (in *Instance) mintHere(ctx context.Context, count int, repeatable bool) ([]lovagejob.Key, error) {
 	rp, err := in.do(ctx, &request{kind: kindMint, count: count, repeatable: repeatable})
 	if err != nil {
 		return nil, err
--- a/lovageentry/instance.go
+++ b/lovageentry/instance.go
@@ -44,7 +44,7 @@
 	Log      *zap.Logger            // nil logs nothing
 	Metrics  *lovagemetric.Registry // nil uses a registry of its own
 	Tracer   *lovagetrace.Tracer
-	Policy   lovagedispatch.Policy // empty means lending; others serve comparison
+	Policy   lovagedispatch.Policy // empty means central; others serve comparison
 	Seed     uint64                // of the instance's random choices; 0 draws one
 	Observer Observer              // nil: none
 	Dial     Dial                  // opens connections to peers and workers; nil uses the network directly
@@ -62,6 +62,7 @@
 	log         *zap.Logger
 	tracer      *lovagetrace.Tracer
 	counts      *counts
+	policy      lovagedispatch.Policy
 
 	control      *controlLoop
 	mesh         *lovagepeer.Mesh
@@ -100,13 +101,13 @@
 		op.Seed = rand.Uint64()
 	}
 	if op.Policy == "" {
-		op.Policy = lovagedispatch.Lending
+		op.Policy = lovagedispatch.Central
 	}
 	rng := rand.New(rand.NewPCG(op.Seed, uint64(time.Now().UnixNano())))
 	se := op.Settings
 	in := &Instance{
 		settings: se, id: se.ID + "-" + suffix(rng), platform: op.Platform, tracer: op.Tracer,
-		counts: newCounts(op.Metrics), observer: op.Observer,
+		policy: op.Policy, counts: newCounts(op.Metrics), observer: op.Observer,
 	}
 	if !lovagejob.ValidName(in.id) {
 		return nil, errors.Newf("instance ID %q: the id of the settings leaves no room for the suffix of %d letters and digits",
--- a/lovageentry/member.go
+++ b/lovageentry/member.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"lovagestack/lovagedispatch"
@@ -24,8 +25,9 @@
 
 // addressBook is the part of the membership that traffic goroutines read.
 type addressBook struct {
-	mu    sync.RWMutex
-	peers map[string]string // instance ID to address, without instances that are gone
+	mu      sync.RWMutex
+	peers   map[string]string // instance ID to address, without instances that are gone
+	decides string            // the peer that decides for all slots; empty if it is this instance
 }
 
 func (ab *addressBook) get(id string) string {
@@ -34,10 +36,30 @@
 	return ab.peers[id]
 }
 
-func (ab *addressBook) set(peers map[string]string) {
+func (ab *addressBook) set(peers map[string]string, decides string) {
 	ab.mu.Lock()
 	defer ab.mu.Unlock()
-	ab.peers = peers
+	ab.peers, ab.decides = peers, decides
+}
+
+// deciding returns the ID of the peer that decides for all slots, or "" if this instance does.
+func (ab *addressBook) deciding() string {
+	ab.mu.RLock()
+	defer ab.mu.RUnlock()
+	return ab.decides
+}
+
+// decidingMember returns the live member with the least hash of its ID. The hash keeps the choice when other members
+// come and go. Members with different views may choose differently for a moment; they then use the same slots, and
+// workers refuse what is too much.
+func decidingMember(members []lovagedispatch.Member) string {
+	best, least := "", uint64(0)
+	for _, me := range members {
+		if hash := xxhash.Sum64String(me.ID); best == "" || hash < least {
+			best, least = me.ID, hash
+		}
+	}
+	return best
 }
 
 // Peers returns the instances that are not known to be gone.
@@ -101,7 +123,14 @@
 		}
 	}
 	lo.members.members, lo.members.dataCentres = members, dataCentres
-	lo.in.addresses.set(addresses)
+	decides := decidingMember(forCore)
+	if decides == lo.in.id {
+		decides = ""
+	}
+	if before := lo.in.addresses.deciding(); before != decides {
+		lo.log.Info("deciding instance changed", zap.String("before", before), zap.String("now", decides))
+	}
+	lo.in.addresses.set(addresses, decides)
 	lo.stepCore(lovagedispatch.MembersChanged{Members: forCore})
 	lo.stepLedger(&lovageledger.MembersChanged{Members: forLedger})
 }
