--- a/lovagetrial/history_trial.go
+++ b/lovagetrial/history_trial.go
@@ -167,7 +167,7 @@
 		problems = append(problems, vi.String())
 	}
 	if len(problems) > 0 {
-		err = errors.CombineErrors(fmt.Errorf("check:\n%s", strings.Join(problems, "\n")), err)
+		err = errors.Join(err, fmt.Errorf("check:\n%s", strings.Join(problems, "\n")))
 	}
 	return entries, err
 }
