--- a/lovagetrial/caller.go
+++ b/lovagetrial/caller.go
@@ -112,6 +112,7 @@
 	rec.Answer, rec.Err = do()
 	rec.Returned = time.Now()
 	rec.NotSent = errors.Is(rec.Err, lovageapi.ErrNotSent)
+	rec.GaveUp = errors.IsAny(rec.Err, context.DeadlineExceeded, context.Canceled)
 	var reply *lovageapi.ReplyError
 	rec.Refused = errors.As(rec.Err, &reply)
 	ca.de.evidence.change(func(ev *Evidence) { ev.Calls = append(ev.Calls, rec) })
--- /dev/null
+++ b/lovagetrial/cell.go
@@ -0,0 +1,236 @@
+package lovagetrial
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lovagestack/lovageentry"
+	"lovagestack/lovagejob"
+)
+
+// Cell is one combination of a step and the faults that begin when it is reached.
+type Cell struct {
+	Step   StepCase
+	Faults []Fault
+	Seed   uint64
+	Log    *zap.Logger // nil logs nothing
+}
+
+// String names the cell as step/fault+fault/seed.
+func (ce Cell) String() string {
+	names := make([]string, len(ce.Faults))
+	for i, fa := range ce.Faults {
+		names[i] = string(fa)
+	}
+	return fmt.Sprintf("%s/%s/%d", ce.Step.Step, strings.Join(names, "+"), ce.Seed)
+}
+
+// CellResult is what came of a cell.
+type CellResult struct {
+	Violations []Violation
+	Problems   []string // the step was not reached, or the deployment did not recover
+	Report     string   // of the deployment, if anything is wrong
+	Calls      int      // requests of callers that were judged
+	Took       time.Duration
+}
+
+// Wrong reports whether the cell shows a fault of the system or of itself.
+func (cr *CellResult) Wrong() bool { return len(cr.Violations)+len(cr.Problems) > 0 }
+
+// Bounds of a cell. They end cells that hang and do not judge speed.
+const (
+	reachWithin   = 20 * time.Second
+	recoverWithin = 30 * time.Second
+	callWithin    = 3 * time.Second // after which a caller of a cell gives up and asks elsewhere
+	prepareAfter  = 100 * time.Millisecond
+)
+
+// cellRun is a running cell.
+type cellRun struct {
+	Cell
+	ctx     context.Context
+	stop    context.CancelFunc // ends the work
+	de      *Deployment
+	reached chan *Instance // gets the instance that reached the step
+	armed   atomic.Bool
+	work    sync.WaitGroup
+	racing  sync.WaitGroup
+
+	mu       sync.Mutex
+	keys     []cellKey
+	problems []string
+}
+
+// cellKey is a key that the work of a cell has used.
+type cellKey struct {
+	key        string
+	repeatable bool
+	minter     string // name of the instance that gave it
+}
+
+// Run runs the cell in a deployment of its own: work begins, the step is reached, the faults begin and end, every key
+// is asked about at every instance, and the evidence is checked.
+func (ce Cell) Run(ctx context.Context) CellResult {
+	began := time.Now()
+	cr := &cellRun{Cell: ce, reached: make(chan *Instance, 1)}
+	cr.ctx, cr.stop = context.WithCancel(ctx)
+	defer cr.stop()
+	de, err := New(Options{
+		DataCentres: []DataCentre{
+			{Name: "kandla", Instances: 2, Speeds: []float64{1, 0.5}}, {Name: "navlakhi", Instances: 1, Speeds: []float64{1}},
+		},
+		Seed: ce.Seed, Log: ce.Log, Reached: cr.stepReached, Started: cr.taskStarted,
+	})
+	if err != nil {
+		return CellResult{Problems: []string{"the deployment does not start: " + err.Error()}}
+	}
+	defer de.Close()
+	cr.de = de
+	cr.startWork()
+	cr.inject()
+	cr.revive()
+	cr.stop()
+	cr.work.Wait()
+	ctx, cancel := context.WithTimeout(ctx, recoverWithin)
+	defer cancel()
+	cr.askEverywhere(ctx)
+	cr.recover(ctx)
+	ev := de.Evidence()
+	res := CellResult{Violations: Check(ev), Problems: cr.problems, Calls: len(ev.Calls), Took: time.Since(began)}
+	if res.Wrong() {
+		res.Report = de.Report()
+	}
+	return res
+}
+
+func (ce *cellRun) problem(format string, args ...any) {
+	ce.mu.Lock()
+	defer ce.mu.Unlock()
+	ce.problems = append(ce.problems, fmt.Sprintf(format, args...))
+}
+
+// inject waits until the step is reached, and ends the faults after their time.
+func (ce *cellRun) inject() {
+	_ = pauseFor(ce.ctx, prepareAfter)
+	ce.armed.Store(true)
+	if ce.Step.Prepare != nil {
+		ce.Step.Prepare(ce.de)
+	}
+	select {
+	case it := <-ce.reached:
+		_ = pauseFor(ce.ctx, faultTime)
+		ce.end(it)
+	case <-time.After(reachWithin):
+		ce.armed.Store(false)
+		ce.problem("the step was not reached within %s", reachWithin)
+	}
+}
+
+// stepReached begins the faults the first time that the step counts. It runs on the goroutine that takes the step.
+func (ce *cellRun) stepReached(it *Instance, st lovageentry.Step) {
+	if st != ce.Step.Step || !ce.armed.Load() || ce.Step.Counts != nil && !ce.Step.Counts(it) ||
+		!ce.armed.CompareAndSwap(true, false) {
+		return
+	}
+	for _, fa := range ce.Faults {
+		ce.begin(fa, it)
+	}
+	ce.reached <- it
+}
+
+// taskStarted is the step at which a worker runs a task; the instance is the one that gave the task's key.
+func (ce *cellRun) taskStarted(task string) {
+	if ce.Step.Step != stepWorkerRuns || !ce.armed.Load() {
+		return
+	}
+	key, _, _ := strings.Cut(task, "/")
+	ce.mu.Lock()
+	minter := ""
+	for _, ck := range ce.keys {
+		if ck.key == key {
+			minter = ck.minter
+		}
+	}
+	ce.mu.Unlock()
+	if it := ce.de.Instance(minter); it != nil {
+		ce.stepReached(it, stepWorkerRuns)
+	}
+}
+
+// revive starts every instance that has ended as a new process.
+func (ce *cellRun) revive() {
+	for _, it := range ce.de.Instances() {
+		if it.Running() {
+			continue
+		}
+		select {
+		case <-it.done:
+		case <-time.After(recoverWithin):
+			ce.problem("%s did not end", it.ID())
+			continue
+		}
+		if _, err := it.Restart(); err != nil {
+			ce.problem("%s does not start again: %v", it.Name, err)
+		}
+	}
+}
+
+// askEverywhere asks every running instance about every key.
+func (ce *cellRun) askEverywhere(ctx context.Context) {
+	ca := ce.de.NewCaller()
+	var asking sync.WaitGroup
+	for _, it := range ce.de.Running() {
+		asking.Go(func() {
+			for _, ck := range ce.usedKeys() {
+				cctx, cancel := context.WithTimeout(ctx, callWithin)
+				_, _ = ca.Ask(cctx, it, ck.key, 0) // the record is judged
+				cancel()
+			}
+		})
+	}
+	asking.Wait()
+}
+
+func (ce *cellRun) usedKeys() []cellKey {
+	ce.mu.Lock()
+	defer ce.mu.Unlock()
+	return append([]cellKey(nil), ce.keys...)
+}
+
+// recover requires that each instance gives a key, that its job completes there, and that a change gets into force.
+func (ce *cellRun) recover(ctx context.Context) {
+	ca := ce.de.NewCaller()
+	for _, it := range ce.de.Running() {
+		last := "no attempt"
+		for {
+			key, err := ce.mint(ctx, ca, it, false)
+			if err == nil {
+				an, err := ca.SubmitUntilFinal(ctx, ce.job(key, false), it)
+				last = fmt.Sprintf("%s: %s %s %v", key, an.Outcome, an.Reason, err)
+				if an.Outcome == lovagejob.Complete {
+					break
+				}
+			} else {
+				last = err.Error()
+			}
+			if pauseFor(ctx, pollEvery) != nil {
+				ce.problem("%s completes no new job after the faults: %s", it.ID(), last)
+				break
+			}
+		}
+	}
+	if revision, ok := ce.putMarker(ctx, 1000); ok {
+		_ = ce.de.NewOperator().AwaitInForce(ctx, revision) // the record is judged
+	} else {
+		ce.problem("no change of the configuration is accepted after the faults")
+	}
+}
+
+func (ce *cellRun) rng(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(ce.Seed, stream)) }
--- a/lovagetrial/check_test.go
+++ b/lovagetrial/check_test.go
@@ -114,6 +114,9 @@
 		}},
 		{"both racing changes accepted", 8, "two changes of revision 1", func(ev *Evidence) { ev.Writes[1].Resource.Revision = 1 }},
 		{"revision accepted twice", 8, "accepted twice", func(ev *Evidence) { ev.Writes[1].Result.Revision = 2 }},
+		{"watch with a gap", 8, "shows 6 after 4", func(ev *Evidence) {
+			ev.Watches = []WatchRecord{{Process: "p", From: 3, Revisions: []int64{4, 6}}}
+		}},
 		{"not in force in time", 8, "not in force", func(ev *Evidence) {
 			ev.InForce = []InForceRecord{{Revision: 3, Missing: []string{"k2"}}}
 		}},
--- a/lovagetrial/operator.go
+++ b/lovagetrial/operator.go
@@ -67,3 +67,18 @@
 	}
 	return nil
 }
+
+// Watch watches the resources of an instance from a revision until the watch or ctx ends, calls changed after each
+// change, and records the revisions.
+func (op *Operator) Watch(ctx context.Context, it *Instance, from int64, changed func()) error {
+	rec := WatchRecord{Process: it.ID(), From: from}
+	err := it.Operator.Watch(ctx, from, func(li lovageapi.WatchLine) error {
+		if li.Change != nil {
+			rec.Revisions = append(rec.Revisions, li.Change.Revision)
+			changed()
+		}
+		return nil
+	})
+	op.de.evidence.change(func(ev *Evidence) { ev.Watches = append(ev.Watches, rec) })
+	return err
+}
--- a/lovagetrial/record.go
+++ b/lovagetrial/record.go
@@ -32,6 +32,7 @@
 	Answer    lovageapi.AnswerReply // without Err
 	Err       error                 // the request has no answer
 	NotSent   bool                  // Err: it cannot have reached the instance
+	GaveUp    bool                  // Err: the caller did not wait any longer
 	Refused   bool                  // Err: the instance replied that it did not process the request
 }
 
@@ -62,6 +63,13 @@
 	Missing  []string // processes that did not show it in time
 }
 
+// WatchRecord is what one watch of resources has shown.
+type WatchRecord struct {
+	Process   string
+	From      int64
+	Revisions []int64
+}
+
 // Shutdown is a graceful end of a process.
 type Shutdown struct {
 	Process      string
@@ -77,6 +85,7 @@
 	Writes    []WriteRecord
 	Reads     []ReadRecord
 	InForce   []InForceRecord
+	Watches   []WatchRecord
 	Shutdowns []Shutdown
 }
 
