lovagefake: cross a reply only with one that exists

Cause: the first crossed reply of a worker was that of no task: an empty Lovage-Task header and a body about the task "". lovagebackend takes a reply without a task's name as that of its request, because a worker need not repeat the name, so the fault matrix saw invariant 3 violated (cell writeRequest/crossedReply/: result 0 is that of task "").

Ruled out: refusing replies without the name.

Change: a worker keeps the last reply at all times, and a crossed reply is that one.

--- a/lovagefake/worker.go
+++ b/lovagefake/worker.go
@@ -45,7 +45,7 @@
 	CloseInReply   bool     `json:"closeInReply,omitempty"`   // closes it after half of the reply's body
 	CloseReusedAt  int      `json:"closeReusedAt,omitempty"`  // closes a reused connection instead of reading the n-th byte of a request
 	LateReply      Duration `json:"lateReply,omitempty"`      // time between the end of a task and its reply
-	CrossReplies   bool     `json:"crossReplies,omitempty"`   // replies name and describe the task answered before
+	CrossReplies   bool     `json:"crossReplies,omitempty"`   // replies name and describe the task answered before, if there is one
 }
 
 // WorkerCounters counts since the start of the worker.
@@ -310,11 +310,13 @@
 
 func (wo *Worker) reply(rw http.ResponseWriter, req *http.Request, status int, reply taskReply) {
 	fa := wo.Faults()
-	if fa.CrossReplies {
-		wo.mu.Lock()
-		reply, wo.last = wo.last, reply
-		wo.mu.Unlock()
+	wo.mu.Lock()
+	own := reply
+	if fa.CrossReplies && wo.last.Task != "" {
+		reply = wo.last
 	}
+	wo.last = own
+	wo.mu.Unlock()
 	markReplied(req)
 	wo.headers(rw)
 	rw.Header().Set(lovagebackend.HeaderTask, reply.Task)
