lovageentry: let a leaving instance keep its share of slots for what it has accepted

Cause: an instance that shuts down was no member to its own dispatch core from that moment on and so had no slots. A job that it accepted during the balancer's lag stayed queued until its deadline, and the shutdown waited for it and cut its requests (invariant 7). State at the deadline: 1 job, not ended, 0 tasks running, 2 requests waiting for it.

Ruled out: relying on borrowed slots. The peers had free slots, and the core that was no member got none in 10 s.

Change: the instance itself stays among the members that its core gets.

Conclusion: a worker may be oversubscribed for the time of a shutdown; it then answers that the task was not started.

--- a/lovageentry/member.go
+++ b/lovageentry/member.go
@@ -87,7 +87,10 @@
 		for _, me := range dc.Members {
 			members[me.Instance] = me
 			dataCentres[me.Instance] = dc.Name
-			if me.Shares() {
+			// A leaving instance keeps its share for its own core, because jobs that it accepts until the balancer
+			// knows would otherwise wait for slots for ever. Peers share among the others already; a worker that is
+			// thereby oversubscribed answers "not started".
+			if me.Shares() || me.Instance == lo.in.id {
 				forCore = append(forCore, lovagedispatch.Member{ID: me.Instance, DataCentre: dc.Name})
 			}
 			if me.Instance == lo.in.id {
--- a/lovagetrial/deployment_test.go
+++ b/lovagetrial/deployment_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
 	"lovagestack/lovagejob"
@@ -57,7 +58,8 @@
 	must.Len(t, 0, Check(de.Evidence()))
 }
 
-// Guards against a shutdown that a trial cannot observe: it must end by itself and cut nothing.
+// Guards against a shutdown that cuts something, and against a job that is accepted while the balancer does not know of
+// the shutdown yet and then waits for slots for ever.
 func TestShutDownInADeployment(t *testing.T) {
 	de := testDeployment(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 12*time.Second)
@@ -66,11 +68,25 @@
 	owner := de.Instance("kandla-1")
 	keys, err := ca.Mint(ctx, owner, 1, false)
 	must.NoError(t, err)
-	cut, err := owner.ShutDown()
+	late, err := ca.Mint(ctx, owner, 1, false)
 	must.NoError(t, err)
-	must.Zero(t, cut)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		cut, err := owner.ShutDown()
+		test.NoError(t, err)
+		test.Zero(t, cut)
+	}()
+	for ready := true; ready; ready, _ = owner.Entry.Ready() {
+		must.NoError(t, pauseFor(ctx, time.Millisecond))
+	}
+	lateJob := NewJob(late[0], false, 2, time.Millisecond, time.Now().Add(20*time.Second))
+	an, err := ca.SubmitUntilFinal(ctx, lateJob, owner, de.Instance("kandla-2"))
+	must.NoError(t, err)
+	must.Eq(t, lovagejob.Complete, an.Outcome, must.Sprintf("%s", an.Reason))
+	<-ended
 	jo := NewJob(keys[0], false, 2, time.Millisecond, time.Now().Add(20*time.Second))
-	an, err := ca.SubmitUntilFinal(ctx, jo, de.Instance("kandla-2"))
+	an, err = ca.SubmitUntilFinal(ctx, jo, de.Instance("kandla-2"))
 	must.NoError(t, err)
 	must.Eq(t, lovagejob.Complete, an.Outcome, must.Sprintf("%s", an.Reason))
 	must.Len(t, 0, Check(de.Evidence()))
