--- a/lovageentry/member.go
+++ b/lovageentry/member.go
@@ -88,7 +88,7 @@
 			members[me.Instance] = me
 			dataCentres[me.Instance] = dc.Name
 			// A leaving instance keeps its share for its own core, because jobs that it accepts until the balancer
-			// knows would otherwise wait for slots for ever. Peers share among the others already; a worker that is
+			// knows would otherwise have no slots of its own. Peers share among the others already; a worker that is
 			// thereby oversubscribed answers "not started".
 			if me.Shares() || me.Instance == lo.in.id {
 				forCore = append(forCore, lovagedispatch.Member{ID: me.Instance, DataCentre: dc.Name})
