lovageentry: do not take the platform's name of an instance for a member

Cause: The platform's list names an instance by its settings' ID, the process has that ID and a suffix. Until a peer was heard, its listed name was a member, and the reply to a heartbeat sent to its address was credited to that name. It thus became a live member besides the process: it got a part of the slots, which nobody used, and was made the replica of ranges. The process of that address refused all accepts, as the row named another instance. The owner dropped the replica after 2 s, in which jobs that may not be repeated waited, and chose the same name again.

Ruled out: Timeouts of the accept call; a trial with prints showed replies with accepted=false, 16 in a row, and rows such as {gandhidham-0-2nuxy7 gandhidham-1 epoch 2}.

Change: Replies of members that were not heard yet are credited to nobody; a session or their own heartbeat tells who they are. When the list is read, IDs that were heard go first, and the own address is this instance.

--- a/lovagebench/bench_test.go
+++ b/lovagebench/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"io"
 	"strings"
 	"testing"
@@ -123,3 +124,30 @@
 		must.StrContains(t, out.String(), want)
 	}
 }
+
+// Guards against members that are no processes. The platform's list names instances by other IDs than their processes
+// have; such a name once became a live member, got a part of the slots and was made the replica of a range.
+func TestOnlyProcessesAreReplicas(t *testing.T) {
+	de, err := newDeployment(t.Context(), smallOptions(), Variants()[0])
+	must.NoError(t, err)
+	defer de.close()
+	processes := map[string]bool{}
+	for _, in := range de.instances {
+		processes[in.entry.ID()] = true
+	}
+	// Replicas are added after the first keys can be minted. The bound only guards against a hang.
+	for replicas, until := 0, time.Now().Add(time.Minute); replicas == 0; {
+		must.True(t, time.Now().Before(until), must.Sprint("no range got a replica"))
+		rows, err := de.memory.Scan(t.Context(), "range/")
+		must.NoError(t, err)
+		for _, row := range rows {
+			var value struct{ Owner, Replica string }
+			must.NoError(t, json.Unmarshal(row.Value, &value))
+			must.True(t, processes[value.Owner], must.Sprintf("owner %q of %s", value.Owner, row.Key))
+			if value.Replica != "" {
+				replicas++
+				must.True(t, processes[value.Replica], must.Sprintf("replica %q of %s", value.Replica, row.Key))
+			}
+		}
+	}
+}
--- a/lovagebench/deployment.go
+++ b/lovagebench/deployment.go
@@ -64,6 +64,7 @@
 type deployment struct {
 	op        Options
 	va        Variant
+	memory    *lovageplatform.Memory
 	platform  *httptest.Server
 	fake      *lovagefake.Platform
 	clients   []*lovageplatform.Client
@@ -94,7 +95,8 @@
 
 // fakePlatform sets up a platform with the latency and the limits of the users' one.
 func (de *deployment) fakePlatform() {
-	de.fake = lovagefake.NewLimitedPlatform(lovageplatform.NewMemory(), lovageplatform.LatencySettings{})
+	de.memory = lovageplatform.NewMemory()
+	de.fake = lovagefake.NewLimitedPlatform(de.memory, lovageplatform.LatencySettings{})
 }
 
 func (de *deployment) startWorkers() error {
--- a/lovageentry/heartbeat.go
+++ b/lovageentry/heartbeat.go
@@ -24,8 +24,15 @@
 	for _, seed := range lo.in.settings.Peers.Seeds {
 		targets[seed.String()] = ""
 	}
+	// The same holds for members that were not heard yet: the platform's list may name them differently, and a reply must
+	// not bring a member to life that does not exist.
+	for _, me := range lo.members.members {
+		if me.State == lovagemember.Unheard {
+			targets[me.Address] = ""
+		}
+	}
 	for id, me := range lo.members.members {
-		if me.State != lovagemember.Gone {
+		if me.State != lovagemember.Gone && me.State != lovagemember.Unheard {
 			targets[me.Address] = id
 		}
 	}
--- a/lovageentry/member.go
+++ b/lovageentry/member.go
@@ -189,11 +189,13 @@
 type listRead struct{ list []lovageplatform.Instance }
 
 // apply replaces the platform's names of entry instances by the IDs under which their processes run now: a restarted
-// process has a new ID at the same address.
+// process has a new ID at the same address. A name whose address no known process has stays as it is, so that the address
+// is dialled. IDs that were heard from go first, because such a name may have become a member before its process was heard.
 func (lr *listRead) apply(lo *controlLoop) {
-	ids := make(map[string]string, len(lo.members.members))
+	ids := map[string]string{lo.in.peerAddress: lo.in.id}
 	for id, me := range lo.members.members {
-		if me.State != lovagemember.Gone {
+		if me.Address != lo.in.peerAddress && me.State != lovagemember.Gone &&
+			(me.State != lovagemember.Unheard || ids[me.Address] == "") {
 			ids[me.Address] = id
 		}
 	}
