--- /dev/null
+++ b/lovageentry/entry_test.go
@@ -0,0 +1,67 @@
+package lovageentry
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"lovagestack/lovageconfig"
+	"lovagestack/lovagedispatch"
+	"lovagestack/lovagejob"
+	"lovagestack/lovageplatform"
+)
+
+// Guards against a choice that moves when other members come and go, which would move all jobs with it.
+func TestDecidingMemberIsStable(t *testing.T) {
+	var members []lovagedispatch.Member
+	for i := range 10 {
+		members = append(members, lovagedispatch.Member{ID: fmt.Sprintf("kandla-%d", i), DataCentre: "kandla"})
+	}
+	all := decidingMember(members)
+	must.NotEq(t, "", all)
+	for i, me := range members {
+		rest := append(append([]lovagedispatch.Member{}, members[:i]...), members[i+1:]...)
+		if me.ID == all {
+			must.NotEq(t, all, decidingMember(rest))
+			continue
+		}
+		must.Eq(t, all, decidingMember(rest), must.Sprintf("without %s", me.ID))
+	}
+	must.Eq(t, "", decidingMember(nil))
+}
+
+// Guards against two submissions with other content that pass for the same one.
+func TestFingerprint(t *testing.T) {
+	base := lovagejob.Submission{Service: "ticket", Team: "gate", Tasks: []lovagejob.Task{{Payload: []byte("ab")}, {Payload: []byte("c")}}}
+	same := base
+	same.Deadline = time.Unix(7, 0) // a caller may extend its deadline when it submits again
+	must.Eq(t, fingerprint(&base), fingerprint(&same))
+	for name, change := range map[string]func(*lovagejob.Submission){
+		"service": func(sub *lovagejob.Submission) { sub.Service = "proof" },
+		"team":    func(sub *lovagejob.Submission) { sub.Team = "yard" },
+		"payload": func(sub *lovagejob.Submission) {
+			sub.Tasks = []lovagejob.Task{{Payload: []byte("ab")}, {Payload: []byte("d")}}
+		},
+		"moved boundary": func(sub *lovagejob.Submission) {
+			sub.Tasks = []lovagejob.Task{{Payload: []byte("a")}, {Payload: []byte("bc")}}
+		},
+		"task missing": func(sub *lovagejob.Submission) { sub.Tasks = sub.Tasks[:1] },
+	} {
+		other := base
+		change(&other)
+		must.NotEq(t, fingerprint(&base), fingerprint(&other), must.Sprint(name))
+	}
+}
+
+// Guards against an instance whose ID peers could not parse.
+func TestNewRefusesLongID(t *testing.T) {
+	settings := lovageconfig.Defaults()
+	settings.ID, settings.DataCentre = strings.Repeat("a", 45), "kandla"
+	settings.Addresses.Peer = netip.MustParseAddrPort("127.0.0.1:0")
+	_, err := New(Options{Settings: settings, Platform: lovageplatform.NewMemory()})
+	must.ErrorContains(t, err, "leaves no room for the suffix")
+}
