--- a/lovagestack/harness_test.go
+++ b/lovagestack/harness_test.go
@@ -428,11 +428,7 @@
 	out := map[string]int{}
 	for _, line := range de.workers {
 		id, _, _ := strings.Cut(line, " ")
-		status, data, err := de.call(http.MethodGet, de.control+"/control/workers/"+id+"/starts", nil)
-		must.NoError(de.t, err)
-		must.Eq(de.t, http.StatusOK, status, must.Sprintf("%s", data))
-		var starts map[string]int
-		must.NoError(de.t, json.Unmarshal(data, &starts))
+		starts := de.workerStarts(id)
 		for task, n := range starts {
 			out[task] += n
 		}
@@ -440,6 +436,17 @@
 	return out
 }
 
+// workerStarts returns how often each task was started on a worker.
+func (de *deployment) workerStarts(id string) map[string]int {
+	de.t.Helper()
+	status, data, err := de.call(http.MethodGet, de.control+"/control/workers/"+id+"/starts", nil)
+	must.NoError(de.t, err)
+	must.Eq(de.t, http.StatusOK, status, must.Sprintf("%s", data))
+	var starts map[string]int
+	must.NoError(de.t, json.Unmarshal(data, &starts))
+	return starts
+}
+
 // checkStarts fails the test if a task was started more than once or a task of the given keys was not started.
 func (de *deployment) checkStarts(tasks int, completeKeys ...string) {
 	de.t.Helper()
