lovageledger: begin the search for the rarest broken rule at the seed that shows it

Ruled out: fewer seeds or a smaller world, which would weaken the check. Change: an entry may name the seed to begin with; all 80 are still tried before the test fails. Conclusion: the same rules are found with the same checks.

--- a/lovageledger/break_test.go
+++ b/lovageledger/break_test.go
@@ -15,6 +15,7 @@
 	rule  func(wo *world, no *node, out []Command) []Command
 	table bool
 	focus string // the only action, for a fault that is rarely visible; empty for all actions
+	first uint64 // seed to begin the search with; all maxSeeds seeds are tried in any case
 }{
 	{name: "the replica acknowledges during a take-over", want: "invariant", rule: acknowledge(func(rg *keyRange) bool {
 		return rg.rep != nil && rg.try != nil && rg.try.change == changeTakeOver
@@ -37,6 +38,7 @@
 	{name: "an ambiguous transaction counts as failed", want: "invariant", table: true, focus: "doubtfulAddition"},
 	{
 		name: "a doubtful transaction is read back before it is fenced", want: "invariant", focus: "doubtfulAddition",
+		first: 32, // from seed 0 the search took 70 s, and minutes under the race detector
 		rule: eachOwned(func(le *Ledger, rg *keyRange) {
 			if rg.try != nil && rg.try.state == attemptDoubt {
 				rg.try.state, rg.try.after = attemptProven, le.nextID
@@ -195,11 +197,12 @@
 // Guards against checks that cannot fail: each broken rule has to be found by the same actions and the same checks
 // that pass with the rules in force.
 func TestBrokenRulesAreFound(t *testing.T) {
-	const maxSeeds = 80
+	const maxSeeds uint64 = 80
 	for _, br := range breaks {
 		t.Run(br.name, func(t *testing.T) {
 			t.Parallel()
-			for seed := range uint64(maxSeeds) {
+			for i := range maxSeeds {
+				seed := (br.first + i) % maxSeeds
 				wo := newWorld(seed, skewOf(seed))
 				wo.breakRule, wo.breakTable = br.rule, br.table
 				draw := newRand(seed + 1000)
