lovageentry: use one event type per core and one refusal; read metrics with lovageload in the process tests

Cause: reading the whole change: four event types only posted an event and stepped a core, two of them for the dispatch core and two for the ledger; admit built the same refusal twice; the process tests parsed the metrics text although lovageload.ParseCounters does. Ruled out: one generic event type for all cores, which would hide which core an event is for. Change: coreEvent and ledgerEvent serve both uses; refuse ends a key that dispatch has not been given; the harness calls ParseCounters. Two comments are corrected. Behaviour and assertions are unchanged.

--- a/lovageentry/instance.go
+++ b/lovageentry/instance.go
@@ -43,11 +43,11 @@
 	Platform Platform
 	Log      *zap.Logger            // nil logs nothing
 	Metrics  *lovagemetric.Registry // nil uses a registry of its own
-	Tracer   *lovagetrace.Tracer
-	Policy   lovagedispatch.Policy // empty means central; others serve comparison
-	Seed     uint64                // of the instance's random choices; 0 draws one
-	Observer Observer              // nil: none
-	Dial     Dial                  // opens connections to peers and workers; nil uses the network directly
+	Tracer   *lovagetrace.Tracer    // nil records no spans
+	Policy   lovagedispatch.Policy  // empty means central; others serve comparison
+	Seed     uint64                 // of the instance's random choices; 0 draws one
+	Observer Observer               // nil: none
+	Dial     Dial                   // opens connections to peers and workers; nil uses the network directly
 }
 
 // Dial opens a connection as net.Dialer.DialContext does.
--- a/lovageentry/job.go
+++ b/lovageentry/job.go
@@ -36,17 +36,15 @@
 	of := lo.offers[cm.Key]
 	if of == nil {
 		// Nothing was started and nothing can be, so refusing the key for good is true.
-		lo.stepLedger(&lovageledger.JobEnded{Key: cm.Key, Answer: lovagejob.Answer{
-			Key: cm.Key, Outcome: lovagejob.NotRun, Reason: "the submission's content is no longer held",
-		}})
+		lo.refuse(lovagejob.Answer{Key: cm.Key, Reason: "the submission's content is no longer held"})
 		return
 	}
 	if limit := lo.in.settings.Limits.QueuedJobs; len(lo.byKey) >= limit {
 		delete(lo.offers, cm.Key)
-		lo.stepLedger(&lovageledger.JobEnded{Key: cm.Key, Answer: lovagejob.Answer{
-			Key: cm.Key, Outcome: lovagejob.NotRun, Tasks: len(of.sub.Tasks), RetryAt: lo.now.Add(queueFullRetry),
+		lo.refuse(lovagejob.Answer{
+			Key: cm.Key, Tasks: len(of.sub.Tasks), RetryAt: lo.now.Add(queueFullRetry),
 			Reason: fmt.Sprintf("the instance holds %d jobs, which is its limit", limit),
-		}})
+		})
 		return
 	}
 	lo.in.reached(StepQueue)
@@ -70,6 +68,12 @@
 	})
 }
 
+// refuse ends an admitted key that dispatch has not been given, so nothing of it was started.
+func (lo *controlLoop) refuse(ans lovagejob.Answer) {
+	ans.Outcome = lovagejob.NotRun
+	lo.stepLedger(&lovageledger.JobEnded{Key: ans.Key, Answer: ans})
+}
+
 func (lo *controlLoop) cancelJob(cm lovageledger.CancelJob) {
 	if jo := lo.byKey[cm.Key]; jo != nil {
 		lo.stepCore(lovagedispatch.Cancel{Job: jo.id})
@@ -84,7 +88,7 @@
 		// The core knows only jobs and workers that it was given, so this means that the worker's pool has just
 		// been changed. Nothing was sent.
 		lo.in.counts.tasksNotSent.Inc(1)
-		go (&lostTask{lo: lo, ev: lovagedispatch.TaskEnded{
+		go (&coreEvent{in: lo.in, ev: lovagedispatch.TaskEnded{
 			Job: cm.Job, Task: cm.Task, Worker: cm.Worker, State: lovagedispatch.NotStarted, Err: "worker is not declared",
 		}}).run()
 		return
@@ -124,16 +128,6 @@
 	}
 }
 
-// lostTask reports the end of a task that could not be sent.
-type lostTask struct {
-	lo *controlLoop
-	ev lovagedispatch.TaskEnded
-}
-
-func (lt *lostTask) run() { lt.lo.post(lt.lo.in.running(), lt) }
-
-func (lt *lostTask) apply(lo *controlLoop) { lo.stepCore(lt.ev) }
-
 // taskRun is one task at a worker. run sends it and reports its end to the control loop.
 type taskRun struct {
 	lo     *controlLoop
--- a/lovageentry/loop.go
+++ b/lovageentry/loop.go
@@ -26,7 +26,7 @@
 	apply(lo *controlLoop)
 }
 
-// controlLoop owns the control state of an instance. All fields are touched by the goroutine of run only, except for
+// controlLoop owns the control state of an instance. All fields are touched by the goroutine of Serve only, except for
 // the events channel.
 type controlLoop struct {
 	in     *Instance
--- a/lovageentry/replicate.go
+++ b/lovageentry/replicate.go
@@ -169,18 +169,13 @@
 	}}, nil
 }
 
-// ledgerNotice is a peer's message to the ledger that needs no reply.
-type ledgerNotice struct{ ev lovageledger.Event }
-
-func (ln *ledgerNotice) apply(lo *controlLoop) { lo.stepLedger(ln.ev) }
-
 func (in *Instance) handleResultCopy(ctx context.Context, from string, msg *lovagemessage.ResultCopy) (*lovagemessage.Response, error) {
 	records, err := toRecords(msg.GetRecords())
 	if err != nil {
 		return nil, err
 	}
 	id := lovageledger.RangeID{DataCentre: msg.GetDataCentre(), Index: int(msg.GetRange())}
-	if !in.control.post(ctx, &ledgerNotice{&lovageledger.PeerResult{Peer: from, Range: id, Records: records}}) {
+	if !in.control.post(ctx, &ledgerEvent{in: in, ev: &lovageledger.PeerResult{Peer: from, Range: id, Records: records}}) {
 		return nil, ctx.Err()
 	}
 	return &lovagemessage.Response{Body: &lovagemessage.Response_ResultCopy{ResultCopy: &lovagemessage.ResultCopyReply{}}}, nil
--- a/lovageentry/slots.go
+++ b/lovageentry/slots.go
@@ -112,14 +112,20 @@
 	_, _ = sr.in.call(ctx, sr.address, &lovagemessage.Request{Body: &lovagemessage.Request_SlotsReturn{SlotsReturn: sr.msg}})
 }
 
-// coreEvent is an event of the dispatch core that comes from a traffic goroutine.
-type coreEvent struct{ ev lovagedispatch.Event }
+// coreEvent is an event of the dispatch core that comes from another goroutine than the control loop's.
+type coreEvent struct {
+	in *Instance
+	ev lovagedispatch.Event
+}
+
+// run hands the event to the control loop, which must not wait for its own queue.
+func (ce *coreEvent) run() { ce.in.control.post(ce.in.running(), ce) }
 
 func (ce *coreEvent) apply(lo *controlLoop) { lo.stepCore(ce.ev) }
 
 func (in *Instance) handleSlotsReturn(ctx context.Context, from string, msg *lovagemessage.SlotsReturn) (*lovagemessage.Response, error) {
 	ev := lovagedispatch.SlotsReturned{From: from, Loan: uint64(msg.GetLoan()), Slots: toSlots(msg.GetSlots())}
-	if !in.control.post(ctx, &coreEvent{ev}) {
+	if !in.control.post(ctx, &coreEvent{in: in, ev: ev}) {
 		return nil, ctx.Err()
 	}
 	return &lovagemessage.Response{Body: &lovagemessage.Response_SlotsReturn{SlotsReturn: &lovagemessage.SlotsReturnReply{}}}, nil
--- a/lovageentry/table.go
+++ b/lovageentry/table.go
@@ -36,7 +36,7 @@
 	select {
 	case ta.reads <- cm:
 	default:
-		go (&tableOutcome{in: ta.in, ev: &lovageledger.TableRead{ID: cm.ID, Failed: true}}).run()
+		go (&ledgerEvent{in: ta.in, ev: &lovageledger.TableRead{ID: cm.ID, Failed: true}}).run()
 	}
 }
 
@@ -45,19 +45,21 @@
 	select {
 	case ta.commits <- cm:
 	default:
-		go (&tableOutcome{in: ta.in, ev: &lovageledger.TableCommitted{ID: cm.ID, State: lovageledger.Conflict}}).run()
+		go (&ledgerEvent{in: ta.in, ev: &lovageledger.TableCommitted{ID: cm.ID, State: lovageledger.Conflict}}).run()
 	}
 }
 
-// tableOutcome reports the end of a table operation to the control loop.
-type tableOutcome struct {
+// ledgerEvent is an event of the ledger that comes from another goroutine than the control loop's, such as the end of a
+// table operation.
+type ledgerEvent struct {
 	in *Instance
 	ev lovageledger.Event
 }
 
-func (to *tableOutcome) run() { to.in.control.post(to.in.running(), to) }
+// run hands the event to the control loop.
+func (le *ledgerEvent) run() { le.in.control.post(le.in.running(), le) }
 
-func (to *tableOutcome) apply(lo *controlLoop) { lo.stepLedger(to.ev) }
+func (le *ledgerEvent) apply(lo *controlLoop) { lo.stepLedger(le.ev) }
 
 // tableReader serves the reads.
 type tableReader struct{ *tableAccess }
@@ -75,8 +77,8 @@
 				tr.in.counts.tableFailed.Inc(1)
 				tr.in.log.Debug("table read failed", zap.String("prefix", cm.Prefix), zap.Error(err))
 			}
-			to := &tableOutcome{in: tr.in, ev: &lovageledger.TableRead{ID: cm.ID, Failed: err != nil, Rows: rows}}
-			to.run()
+			le := &ledgerEvent{in: tr.in, ev: &lovageledger.TableRead{ID: cm.ID, Failed: err != nil, Rows: rows}}
+			le.run()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -91,8 +93,8 @@
 	for {
 		select {
 		case cm := <-tw.commits:
-			to := &tableOutcome{in: tw.in, ev: tw.commitOne(ctx, cm)}
-			to.run()
+			le := &ledgerEvent{in: tw.in, ev: tw.commitOne(ctx, cm)}
+			le.run()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/lovagestack/harness_test.go
+++ b/lovagestack/harness_test.go
@@ -12,7 +12,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,6 +23,7 @@
 
 	"lovagestack/lovagejob"
 	"lovagestack/lovageledger"
+	"lovagestack/lovageload"
 	"lovagestack/lovageplatform"
 )
 
@@ -426,14 +426,9 @@
 	de.t.Helper()
 	_, data, err := de.call(http.MethodGet, ip.operator+"/metrics", nil)
 	must.NoError(de.t, err)
-	for line := range strings.Lines(string(data)) {
-		if rest, ok := strings.CutPrefix(line, series+" "); ok {
-			value, err := strconv.ParseFloat(strings.TrimSpace(rest), 64)
-			must.NoError(de.t, err)
-			return value
-		}
-	}
-	return 0
+	counters, err := lovageload.ParseCounters(bytes.NewReader(data))
+	must.NoError(de.t, err)
+	return counters[series]
 }
 
 // startCounts returns how often each task was started, over all workers.
