lovagejob: ask for keys with one request and get one result

Cause: minting took a count and a flag and returned keys, so that the service of the jobs and the owner's caller address had no place. Change: Mint takes lovagejob.MintRequest and returns lovagejob.Minted in lovageapi, lovageentry and the peer message. POST /v1/keys has the optional field service, which is checked and passed on, and the reply has the field address, which instances do not fill in yet. Conclusion: the service does not change where keys are minted yet. The example with a service that is no name in docs/api.md fails without the check; lovagestack submit names the service only if it is a name, because TestSubmitCommand wants all faults of a submission together.

--- a/lovageapi/caller.go
+++ b/lovageapi/caller.go
@@ -26,7 +26,7 @@
 // an answer.
 type Jobs interface {
 	// Mint returns new keys. An error means that none can be minted now.
-	Mint(ctx context.Context, count int, repeatable bool) ([]lovagejob.Key, error)
+	Mint(ctx context.Context, req lovagejob.MintRequest) (lovagejob.Minted, error)
 	// Submit starts the job unless its key is known, and waits for the answer. When the context ends the job goes on.
 	Submit(ctx context.Context, sub lovagejob.Submission) (lovagejob.Answer, error)
 	// Ask waits until the job has ended or the time has come.
@@ -73,17 +73,24 @@
 			Field: "count", Problem: fmt.Sprintf("%d is not between 1 and %d", req.Count, maxKeysPerCall),
 		})
 	}
+	if req.Service != "" && !lovagejob.ValidName(req.Service) {
+		findings = append(findings, lovageconfig.Finding{
+			Field: "service", Problem: fmt.Sprintf("%q is not the name of a service", req.Service),
+		})
+	}
 	if len(findings) > 0 {
 		writeFindings(ctx, findings)
 		return
 	}
-	keys, err := api.jobs.Mint(ctx.Request().Context(), req.Count, req.Repeatable)
+	mi, err := api.jobs.Mint(ctx.Request().Context(), lovagejob.MintRequest{
+		Service: req.Service, Count: req.Count, Repeatable: req.Repeatable,
+	})
 	if err != nil {
 		setRetryAfter(ctx, time.Second)
 		writeError(ctx, http.StatusServiceUnavailable, "no keys can be minted now: "+err.Error())
 		return
 	}
-	writeJSON(ctx, http.StatusOK, KeysReply{Keys: keys})
+	writeJSON(ctx, http.StatusOK, KeysReply{Keys: mi.Keys, Address: mi.CallerAddress})
 }
 
 func (api *callerAPI) submit(ctx iris.Context) {
@@ -103,13 +110,15 @@
 		return
 	}
 	if sub.Key.IsZero() {
-		keys, err := api.jobs.Mint(ctx.Request().Context(), 1, true)
-		if err != nil || len(keys) != 1 {
+		mi, err := api.jobs.Mint(ctx.Request().Context(), lovagejob.MintRequest{
+			Service: sub.Service, Count: 1, Repeatable: true,
+		})
+		if err != nil || len(mi.Keys) != 1 {
 			setRetryAfter(ctx, time.Second)
 			writeError(ctx, http.StatusServiceUnavailable, fmt.Sprintf("nothing was started: no key can be minted now: %v", err))
 			return
 		}
-		sub.Key = keys[0]
+		sub.Key = mi.Keys[0]
 	}
 	an, err := api.jobs.Submit(ctx.Request().Context(), sub)
 	if writeFault(ctx, err) {
--- a/lovageapi/client.go
+++ b/lovageapi/client.go
@@ -70,10 +70,11 @@
 func (cl *Client) Close() { cl.http.CloseIdleConnections() }
 
 // Mint returns new keys.
-func (cl *Client) Mint(ctx context.Context, count int, repeatable bool) ([]lovagejob.Key, error) {
+func (cl *Client) Mint(ctx context.Context, req lovagejob.MintRequest) (lovagejob.Minted, error) {
 	var out KeysReply
-	err := cl.json(ctx, http.MethodPost, "/v1/keys", KeysRequest{Count: count, Repeatable: repeatable}, &out, nil)
-	return out.Keys, err
+	in := KeysRequest{Service: req.Service, Count: req.Count, Repeatable: req.Repeatable}
+	err := cl.json(ctx, http.MethodPost, "/v1/keys", in, &out, nil)
+	return lovagejob.Minted{Keys: out.Keys, CallerAddress: out.Address}, err
 }
 
 // Submit submits a job and waits for the answer. An answer has the outcome "unknown" too if nothing is known.
--- a/lovageapi/fakes_test.go
+++ b/lovageapi/fakes_test.go
@@ -30,16 +30,16 @@
 	submit  func(ctx context.Context, sub lovagejob.Submission) (lovagejob.Answer, error)
 }
 
-func (fa *fakeJobs) Mint(_ context.Context, count int, _ bool) ([]lovagejob.Key, error) {
+func (fa *fakeJobs) Mint(_ context.Context, req lovagejob.MintRequest) (lovagejob.Minted, error) {
 	fa.mu.Lock()
 	defer fa.mu.Unlock()
-	if fa.minted+count > 500 {
-		return nil, errors.New("no range accepts new keys")
+	if fa.minted+req.Count > 500 {
+		return lovagejob.Minted{}, errors.New("no range accepts new keys")
 	}
-	var out []lovagejob.Key
-	for range count {
+	out := lovagejob.Minted{CallerAddress: "10.1.0.1:7001"}
+	for range req.Count {
 		fa.minted++
-		out = append(out, testKey("5f0c9a1be2d34c7"+string(rune('6'+fa.minted))))
+		out.Keys = append(out.Keys, testKey("5f0c9a1be2d34c7"+string(rune('6'+fa.minted))))
 	}
 	return out, nil
 }
--- a/lovageapi/wire.go
+++ b/lovageapi/wire.go
@@ -14,13 +14,15 @@
 
 // KeysRequest asks for new keys.
 type KeysRequest struct {
-	Count      int  `json:"count,omitempty"` // 1 to 1000; default 1
-	Repeatable bool `json:"repeatable,omitempty"`
+	Service    string `json:"service,omitempty"` // of the submissions; empty if the keys may be for any
+	Count      int    `json:"count,omitempty"`   // 1 to 1000; default 1
+	Repeatable bool   `json:"repeatable,omitempty"`
 }
 
 // KeysReply holds new keys.
 type KeysReply struct {
-	Keys []lovagejob.Key `json:"keys"`
+	Keys    []lovagejob.Key `json:"keys"`
+	Address string          `json:"address,omitempty"` // of the caller API of the keys' owner, if callers can reach it
 }
 
 // JobRequest is a submission in the caller API. The payload of a task is any JSON value; the worker gets exactly its
--- a/lovagebench/callers.go
+++ b/lovagebench/callers.go
@@ -90,11 +90,13 @@
 }
 
 func (ca *callers) mintBatch(ctx context.Context, ks keySource) error {
-	keys, err := ca.de.instances[ks.instance].client.Mint(ctx, keyBatch, ks.repeatable)
+	mi, err := ca.de.instances[ks.instance].client.Mint(ctx, lovagejob.MintRequest{
+		Count: keyBatch, Repeatable: ks.repeatable,
+	})
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
 	ca.refilling[ks] = false
-	ca.keys[ks] = append(ca.keys[ks], keys...)
+	ca.keys[ks] = append(ca.keys[ks], mi.Keys...)
 	return err
 }
 
--- a/lovagebench/deployment.go
+++ b/lovagebench/deployment.go
@@ -18,6 +18,7 @@
 	"lovagestack/lovagedispatch"
 	"lovagestack/lovageentry"
 	"lovagestack/lovagefake"
+	"lovagestack/lovagejob"
 	"lovagestack/lovageload"
 	"lovagestack/lovagemetric"
 	"lovagestack/lovageplatform"
@@ -277,11 +278,11 @@
 			return in.entry.ID() + " is not known to all others", nil
 		}
 		for _, repeatable := range []bool{false, true} {
-			keys, err := in.client.Mint(ctx, 1, repeatable)
-			if err != nil || len(keys) == 0 {
+			mi, err := in.client.Mint(ctx, lovagejob.MintRequest{Count: 1, Repeatable: repeatable})
+			if err != nil || len(mi.Keys) == 0 {
 				return fmt.Sprintf("%s mints no keys (repeatable %t): %v", in.entry.ID(), repeatable, err), nil
 			}
-			rg := keyRange{keys[0].DataCentre, keys[0].Range}
+			rg := keyRange{mi.Keys[0].DataCentre, mi.Keys[0].Range}
 			if de.va.Policy == lovagedispatch.Central {
 				// All instances mint at the one that decides.
 				if i > 0 && deciding[repeatable] != rg {
--- a/lovagebench/path_test.go
+++ b/lovagebench/path_test.go
@@ -13,6 +13,7 @@
 
 	"lovagestack/lovageapi"
 	"lovagestack/lovagedispatch"
+	"lovagestack/lovagejob"
 	"lovagestack/lovageresource"
 )
 
@@ -85,10 +86,10 @@
 	for i := range n {
 		if len(keys) == 0 {
 			start := time.Now()
-			minted, err := in.client.Mint(ctx, keyBatch, pb.repeatable)
+			mi, err := in.client.Mint(ctx, lovagejob.MintRequest{Service: "stock", Count: keyBatch, Repeatable: pb.repeatable})
 			must.NoError(pb.b, err)
 			mints = append(mints, time.Since(start))
-			for _, key := range minted {
+			for _, key := range mi.Keys {
 				keys = append(keys, key.String())
 			}
 		}
--- a/lovageentry/caller.go
+++ b/lovageentry/caller.go
@@ -23,14 +23,14 @@
 //
 // A job runs at the owner of its key, so minting at one instance makes that instance decide for all slots. In trials this
 // had a mean response over ideal of 1.14 at load 0.6, where six instances that lend each other slots had 1.53.
-func (in *Instance) Mint(ctx context.Context, count int, repeatable bool) ([]lovagejob.Key, error) {
+func (in *Instance) Mint(ctx context.Context, req lovagejob.MintRequest) (lovagejob.Minted, error) {
 	if id := in.addresses.deciding(); in.policy == lovagedispatch.Central && id != "" && !in.decidingSilent() {
-		if keys := in.mintAt(ctx, id, count, repeatable, decidingTimeout); len(keys) > 0 {
-			return keys, nil
+		if mi := in.mintAt(ctx, id, req, decidingTimeout); len(mi.Keys) > 0 {
+			return mi, nil
 		}
 		in.askDecidingAfter.Store(time.Now().Add(decidingBackOff).UnixNano())
 	}
-	return in.mintHere(ctx, count, repeatable)
+	return in.mintHere(ctx, req)
 }
 
 // The deciding instance is asked for keys for a short time only, and after a failure not for a while: minting here costs
@@ -44,53 +44,54 @@
 func (in *Instance) decidingSilent() bool { return time.Now().UnixNano() < in.askDecidingAfter.Load() }
 
 // mintHere mints from the ranges of this instance if one can accept.
-func (in *Instance) mintHere(ctx context.Context, count int, repeatable bool) ([]lovagejob.Key, error) {
-	rp, err := in.do(ctx, &request{kind: kindMint, count: count, repeatable: repeatable})
+func (in *Instance) mintHere(ctx context.Context, req lovagejob.MintRequest) (lovagejob.Minted, error) {
+	rp, err := in.do(ctx, &request{kind: kindMint, mint: req})
 	if err != nil {
-		return nil, err
+		return lovagejob.Minted{}, err
 	}
 	if len(rp.keys) > 0 {
-		return rp.keys, nil
+		return lovagejob.Minted{Keys: rp.keys}, nil
 	}
 	for _, id := range rp.peers {
-		if keys := in.mintAt(ctx, id, count, repeatable, mintPeerTimeout); len(keys) > 0 {
-			return keys, nil
+		if mi := in.mintAt(ctx, id, req, mintPeerTimeout); len(mi.Keys) > 0 {
+			return mi, nil
 		}
 	}
-	return nil, ErrNoKeys
+	return lovagejob.Minted{}, ErrNoKeys
 }
 
+// mintAt returns no keys if the peer gives none in time.
 func (in *Instance) mintAt(
-	ctx context.Context, id string, count int, repeatable bool, timeout time.Duration,
-) []lovagejob.Key {
+	ctx context.Context, id string, req lovagejob.MintRequest, timeout time.Duration,
+) lovagejob.Minted {
 	address := in.addresses.get(id)
 	if address == "" {
-		return nil
+		return lovagejob.Minted{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	res, err := in.call(ctx, address, &lovagemessage.Request{Body: &lovagemessage.Request_Mint{
-		Mint: &lovagemessage.Mint{Count: int32(count), Repeatable: repeatable},
+		Mint: &lovagemessage.Mint{Count: int32(req.Count), Repeatable: req.Repeatable, Service: req.Service},
 	}})
 	if err != nil {
-		return nil
+		return lovagejob.Minted{}
 	}
-	var keys []lovagejob.Key
+	out := lovagejob.Minted{CallerAddress: res.GetMint().GetCallerAddress()}
 	for _, text := range res.GetMint().GetKeys() {
 		key, err := lovagejob.ParseKey(text)
 		if err != nil {
-			return nil
+			return lovagejob.Minted{}
 		}
-		keys = append(keys, key)
+		out.Keys = append(out.Keys, key)
 	}
-	return keys
+	return out
 }
 
 // Submit runs a job and returns its answer. A submission without a key gets one, which is part of the answer. The
 // error is a *FaultError if the request itself is wrong and ctx's error if ctx ended; the job goes on in that case.
 func (in *Instance) Submit(ctx context.Context, sub lovagejob.Submission) (lovagejob.Answer, error) {
 	if sub.Key.IsZero() {
-		keys, err := in.Mint(ctx, 1, sub.Repeatable)
+		mi, err := in.Mint(ctx, lovagejob.MintRequest{Service: sub.Service, Count: 1, Repeatable: sub.Repeatable})
 		if errors.Is(err, ErrNoKeys) {
 			return lovagejob.Answer{
 				Outcome: lovagejob.NotRun, Reason: err.Error(), Tasks: len(sub.Tasks), RetryAt: time.Now().Add(time.Second),
@@ -99,7 +100,7 @@
 		if err != nil {
 			return lovagejob.Answer{}, err
 		}
-		sub.Key = keys[0]
+		sub.Key = mi.Keys[0]
 	}
 	return in.answer(ctx, &request{
 		kind: kindSubmit, sub: &sub, key: sub.Key, fingerprint: fingerprint(&sub),
--- a/lovageentry/forward.go
+++ b/lovageentry/forward.go
@@ -156,7 +156,9 @@
 }
 
 func (in *Instance) handleMint(ctx context.Context, msg *lovagemessage.Mint) (*lovagemessage.Response, error) {
-	rp, err := in.do(ctx, &request{kind: kindMint, count: int(msg.GetCount()), repeatable: msg.GetRepeatable()})
+	rp, err := in.do(ctx, &request{kind: kindMint, mint: lovagejob.MintRequest{
+		Service: msg.GetService(), Count: int(msg.GetCount()), Repeatable: msg.GetRepeatable(),
+	}})
 	if err != nil {
 		return nil, err
 	}
--- a/lovageentry/request.go
+++ b/lovageentry/request.go
@@ -55,8 +55,7 @@
 	fingerprint uint64
 	hops        int
 	waitUntil   time.Time
-	count       int
-	repeatable  bool
+	mint        lovagejob.MintRequest
 	replies     chan reply // buffered, gets exactly one reply
 }
 
@@ -76,7 +75,7 @@
 	lo.requests[id] = re
 	switch re.kind {
 	case kindMint:
-		lo.stepLedger(&lovageledger.Mint{Request: id, Count: re.count, Repeatable: re.repeatable})
+		lo.stepLedger(&lovageledger.Mint{Request: id, Count: re.mint.Count, Repeatable: re.mint.Repeatable})
 	case kindSubmit:
 		lo.in.reached(StepAccept)
 		lo.offer(re)
--- a/lovagestack/dev.go
+++ b/lovagestack/dev.go
@@ -204,9 +204,9 @@
 func (ds *devStack) mint(ctx context.Context) (lovagejob.Key, error) {
 	var last error
 	for ctx.Err() == nil {
-		keys, err := ds.api.Mint(ctx, 1, false)
-		if err == nil && len(keys) == 1 {
-			return keys[0], nil
+		mi, err := ds.api.Mint(ctx, lovagejob.MintRequest{Count: 1})
+		if err == nil && len(mi.Keys) == 1 {
+			return mi.Keys[0], nil
 		}
 		last = err
 		time.Sleep(20 * time.Millisecond)
--- a/lovagestack/history_test.go
+++ b/lovagestack/history_test.go
@@ -19,6 +19,7 @@
 	"lovagestack/lovageapi"
 	"lovagestack/lovagefake"
 	"lovagestack/lovagehistory"
+	"lovagestack/lovagejob"
 	"lovagestack/lovageplatform"
 	"lovagestack/lovageresource"
 	"lovagestack/lovagetrial"
@@ -40,9 +41,9 @@
 func (pe *processEndpoint) Name() string { return pe.ip.id }
 
 func (pe *processEndpoint) Mint(ctx context.Context, count int, repeatable bool) ([]string, error) {
-	keys, err := pe.caller.Mint(ctx, count, repeatable)
-	out := make([]string, len(keys))
-	for i, key := range keys {
+	mi, err := pe.caller.Mint(ctx, lovagejob.MintRequest{Count: count, Repeatable: repeatable})
+	out := make([]string, len(mi.Keys))
+	for i, key := range mi.Keys {
 		out[i] = key.String()
 	}
 	return out, err
--- a/lovagestack/main_test.go
+++ b/lovagestack/main_test.go
@@ -53,8 +53,10 @@
 	return lovagejob.Answer{Key: key, Outcome: outcome, Reason: "as the test says"}, nil
 }
 
-func (fa *fakeJobs) Mint(context.Context, int, bool) ([]lovagejob.Key, error) {
-	return []lovagejob.Key{{DataCentre: "kandla", Epoch: 1, Minted: time.Now().Truncate(time.Millisecond).UTC(), Nonce: "n1"}}, nil
+func (fa *fakeJobs) Mint(context.Context, lovagejob.MintRequest) (lovagejob.Minted, error) {
+	return lovagejob.Minted{Keys: []lovagejob.Key{
+		{DataCentre: "kandla", Epoch: 1, Minted: time.Now().Truncate(time.Millisecond).UTC(), Nonce: "n1"},
+	}}, nil
 }
 
 func (fa *fakeJobs) Submit(_ context.Context, sub lovagejob.Submission) (lovagejob.Answer, error) {
--- a/lovagestack/submit.go
+++ b/lovagestack/submit.go
@@ -48,14 +48,18 @@
 	defer cl.Close()
 	deadline := time.Now().Add(cmd.Deadline)
 	if cmd.Key == "" {
-		keys, err := cl.Mint(ctx, 1, cmd.Repeatable)
-		if err == nil && len(keys) != 1 {
-			err = errors.Newf("asked for one key, got %d", len(keys))
+		req := lovagejob.MintRequest{Count: 1, Repeatable: cmd.Repeatable}
+		if lovagejob.ValidName(cmd.Service) { // else the submission reports it, together with all other faults
+			req.Service = cmd.Service
+		}
+		mi, err := cl.Mint(ctx, req)
+		if err == nil && len(mi.Keys) != 1 {
+			err = errors.Newf("asked for one key, got %d", len(mi.Keys))
 		}
 		if err != nil {
 			return en.failCall(errors.Wrap(err, "mint a key"), false)
 		}
-		cmd.Key = keys[0].String()
+		cmd.Key = mi.Keys[0].String()
 	}
 	_, _ = fmt.Fprintln(en.stderr, "key", cmd.Key)
 	answer, err := cmd.submit(ctx, cl, lovageapi.JobRequest{
--- a/lovagetrial/caller.go
+++ b/lovagetrial/caller.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"lovagestack/lovageapi"
+	"lovagestack/lovagejob"
 )
 
 // Caller speaks to instances as callers do and records every request about a key.
@@ -26,12 +27,12 @@
 
 // Mint returns new keys of an instance. An error leaves nothing to record, since no key is known.
 func (ca *Caller) Mint(ctx context.Context, it *Instance, count int, repeatable bool) ([]string, error) {
-	keys, err := it.Caller.Mint(ctx, count, repeatable)
+	mi, err := it.Caller.Mint(ctx, lovagejob.MintRequest{Service: ServiceName, Count: count, Repeatable: repeatable})
 	if err != nil {
 		return nil, err
 	}
-	out := make([]string, len(keys))
-	for i, key := range keys {
+	out := make([]string, len(mi.Keys))
+	for i, key := range mi.Keys {
 		out[i] = key.String()
 	}
 	return out, nil
