lovageentry: copy learned estimates to the instances that decide next

Ruled out: rows in the table, and telling everybody; docs/design.md says why. Change: the deciding instance sends changes of its estimates every five heartbeat intervals, and at shutdown, to the two instances that decide next. Instance.Workers gives the status of the workers that an instance uses. New message Estimates, counter estimate_copies. Copies to an instance that is killed at the same time as the deciding one are lost, and it learns anew.

--- a/lovagebench/measure.go
+++ b/lovagebench/measure.go
@@ -249,5 +249,5 @@
 
 // controlMessages returns the messages that are sent whatever the load.
 func controlMessages(co map[string]float64) float64 {
-	return co[`lovage_peer_requests_sent_total{kind="heartbeat"}`] + co["lovage_table_reads_total"] + co["lovage_table_writes_total"]
+	return co[`lovage_peer_requests_sent_total{kind="heartbeat"}`] + co["lovage_estimate_copies_total"] + co["lovage_table_reads_total"] + co["lovage_table_writes_total"]
 }
--- a/lovagedispatch/bench_test.go
+++ b/lovagedispatch/bench_test.go
@@ -194,3 +194,22 @@
 	runtime.ReadMemStats(&ms)
 	return int64(ms.HeapAlloc)
 }
+
+// BenchmarkEstimates measures what a copy of the estimates costs the control loop: collecting, comparing and merging.
+func BenchmarkEstimates(b *testing.B) {
+	for _, n := range []int{48, 300, 1100, 15000} {
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
+			dr := central(n)
+			for i, wo := range dr.co.list {
+				wo.samples = 20
+				wo.setFactor(0.5 + float64(i%16)/8)
+			}
+			acknowledged := dr.co.Estimates()
+			b.ReportAllocs()
+			for b.Loop() {
+				changed := dr.co.Estimates().Since(acknowledged)
+				acknowledged = acknowledged.Merged(changed)
+			}
+		})
+	}
+}
--- a/lovageentry/counts.go
+++ b/lovageentry/counts.go
@@ -24,6 +24,7 @@
 	forwardsFailed   metrics.Counter
 	accepts          metrics.Counter
 	resultCopies     metrics.Counter
+	estimateCopies   metrics.Counter
 	slotsAsks        metrics.Counter
 	slotsReturns     metrics.Counter
 	heartbeats       metrics.Counter
@@ -49,6 +50,7 @@
 		forwardsFailed:   counter("forwards_failed", "Forwards without an answer."),
 		accepts:          counter("accepts", "Batches of keys sent to replicas."),
 		resultCopies:     counter("result_copies", "Batches of answers sent to replicas."),
+		estimateCopies:   counter("estimate_copies", "Copies of learned run times, speeds and ejections sent to peers."),
 		slotsAsks:        counter("slots_asks", "Requests for slots sent to peers."),
 		slotsReturns:     counter("slots_returns", "Borrowed slots given back, in messages."),
 		heartbeats:       counter("heartbeats", "Heartbeats sent."),
--- /dev/null
+++ b/lovageentry/estimates.go
@@ -0,0 +1,164 @@
+package lovageentry
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lovagestack/lovagedispatch"
+	"lovagestack/lovagemessage"
+)
+
+const (
+	// estimatesFactor is the number of heartbeat intervals between two copies of learned estimates.
+	estimatesFactor = 5
+	// estimateReceivers is the number of instances that get copies: those that decide next if this one is lost.
+	estimateReceivers = 2
+	estimatesTimeout  = 2 * time.Second
+)
+
+// estimateCopy is what the control loop knows of one receiver's copy.
+type estimateCopy struct {
+	acknowledged lovagedispatch.Estimates
+	inFlight     bool
+}
+
+// sendEstimatesIfDue copies what the dispatch core has learned to the instances that decide next.
+func (lo *controlLoop) sendEstimatesIfDue() {
+	if lo.now.Before(lo.nextEstimates) {
+		return
+	}
+	lo.nextEstimates = lo.now.Add(estimatesFactor * lo.in.settings.Heartbeat.Interval)
+	receivers := lo.nextDeciding()
+	for id := range lo.estimateCopies {
+		if !slices.Contains(receivers, id) {
+			delete(lo.estimateCopies, id)
+		}
+	}
+	if len(receivers) == 0 {
+		return
+	}
+	current := lo.core.Estimates()
+	for _, id := range receivers {
+		ec := lo.estimateCopies[id]
+		if ec == nil {
+			ec = &estimateCopy{}
+			lo.estimateCopies[id] = ec
+		}
+		changed := current.Since(ec.acknowledged)
+		if ec.inFlight || len(changed.Services)+len(changed.Workers) == 0 {
+			continue
+		}
+		ec.inFlight = true
+		lo.in.counts.estimateCopies.Inc(1)
+		es := &estimatesSender{in: lo.in, id: id, address: lo.members.address(id), copy: ec, sent: changed}
+		go es.run()
+	}
+}
+
+// nextDeciding returns the instances that decide next after this one, none if this one does not decide. An instance that
+// is shutting down has decided until a moment ago.
+func (lo *controlLoop) nextDeciding() []string {
+	if lo.in.addresses.deciding() != "" && !lo.draining {
+		return nil
+	}
+	var ids []string
+	for id, me := range lo.members.members {
+		if id != lo.in.id && me.Shares() {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
+	return ids[:min(len(ids), estimateReceivers)]
+}
+
+// estimatesSender sends one copy to one instance.
+type estimatesSender struct {
+	in      *Instance
+	id      string
+	address string
+	copy    *estimateCopy
+	sent    lovagedispatch.Estimates
+	failed  bool
+}
+
+func (es *estimatesSender) run() {
+	ctx, cancel := context.WithTimeout(es.in.running(), estimatesTimeout)
+	defer cancel()
+	_, err := es.in.call(ctx, es.address, &lovagemessage.Request{Body: &lovagemessage.Request_Estimates{
+		Estimates: fromEstimates(es.sent),
+	}})
+	es.failed = err != nil
+	es.in.control.post(es.in.running(), es)
+}
+
+// apply notes what the receiver has got. A lost copy is sent again with the next one.
+func (es *estimatesSender) apply(*controlLoop) {
+	es.copy.inFlight = false
+	if !es.failed {
+		es.copy.acknowledged = es.copy.acknowledged.Merged(es.sent)
+	}
+}
+
+// workersAsked asks the control loop for the status of the workers.
+type workersAsked struct {
+	replies chan []lovagedispatch.WorkerStatus
+}
+
+func (wa *workersAsked) apply(lo *controlLoop) { wa.replies <- lo.core.Workers() }
+
+// Workers returns what this instance knows of the workers that it uses, sorted by ID. The error is that of ctx.
+func (in *Instance) Workers(ctx context.Context) ([]lovagedispatch.WorkerStatus, error) {
+	wa := &workersAsked{replies: make(chan []lovagedispatch.WorkerStatus, 1)}
+	if !in.control.post(ctx, wa) {
+		return nil, ctx.Err()
+	}
+	select {
+	case ws := <-wa.replies:
+		return ws, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (in *Instance) handleEstimates(ctx context.Context, msg *lovagemessage.Estimates) (*lovagemessage.Response, error) {
+	ev := lovagedispatch.EstimatesHeard{Estimates: toEstimates(msg)}
+	if !in.control.post(ctx, &coreEvent{in: in, ev: ev}) {
+		return nil, ctx.Err()
+	}
+	return &lovagemessage.Response{Body: &lovagemessage.Response_Estimates{Estimates: &lovagemessage.EstimatesReply{}}}, nil
+}
+
+func fromEstimates(es lovagedispatch.Estimates) *lovagemessage.Estimates {
+	out := &lovagemessage.Estimates{}
+	for _, se := range es.Services {
+		out.Services = append(out.Services, &lovagemessage.ServiceEstimate{
+			Service: se.Service, RunTimeNanos: int64(se.RunTime), LogRunTime: se.LogRunTime,
+		})
+	}
+	for _, we := range es.Workers {
+		out.Workers = append(out.Workers, &lovagemessage.WorkerEstimate{
+			Worker: we.Worker, Factor: we.Factor, Failures: int32(we.Failures), Evidence: we.Evidence, Ejections: int32(we.Ejections),
+		})
+	}
+	return out
+}
+
+func toEstimates(msg *lovagemessage.Estimates) lovagedispatch.Estimates {
+	var out lovagedispatch.Estimates
+	for _, se := range msg.GetServices() {
+		out.Services = append(out.Services, lovagedispatch.ServiceEstimate{
+			Service: se.GetService(), RunTime: time.Duration(se.GetRunTimeNanos()), LogRunTime: se.GetLogRunTime(),
+		})
+	}
+	for _, we := range msg.GetWorkers() {
+		out.Workers = append(out.Workers, lovagedispatch.WorkerEstimate{
+			Worker: we.GetWorker(), Factor: we.GetFactor(), Failures: int(we.GetFailures()), Evidence: we.GetEvidence(),
+			Ejections: int(we.GetEjections()),
+		})
+	}
+	return out
+}
--- a/lovageentry/instance.go
+++ b/lovageentry/instance.go
@@ -172,8 +172,9 @@
 		}),
 		requests: make(map[uint64]*request), abandons: make(map[uint64]*abandon), jobs: make(map[uint64]*job),
 		byKey: make(map[lovagejob.Key]*job), offers: make(map[lovagejob.Key]*offer), calls: make(map[uint64]chan<- any),
-		heartbeats: make(map[string]*heartbeatTarget),
-		drained:    make(chan struct{}),
+		heartbeats:     make(map[string]*heartbeatTarget),
+		estimateCopies: make(map[string]*estimateCopy),
+		drained:        make(chan struct{}),
 	}
 }
 
@@ -325,6 +326,8 @@
 		return in.handleSlotsAsk(ctx, from, body.SlotsAsk)
 	case *lovagemessage.Request_SlotsReturn:
 		return in.handleSlotsReturn(ctx, from, body.SlotsReturn)
+	case *lovagemessage.Request_Estimates:
+		return in.handleEstimates(ctx, body.Estimates)
 	case *lovagemessage.Request_ConfigDelta, *lovagemessage.Request_ConfigAsk:
 		return in.keeper.Handle(ctx, from, req)
 	}
--- a/lovageentry/loop.go
+++ b/lovageentry/loop.go
@@ -59,6 +59,9 @@
 	nextHeartbeat time.Time
 	heartbeats    map[string]*heartbeatTarget // by address
 	workerStates  map[string]lovagemember.State
+
+	nextEstimates  time.Time
+	estimateCopies map[string]*estimateCopy // by instance
 }
 
 // post hands an event to the control loop. It reports false if ctx ended first.
@@ -100,6 +103,7 @@
 	lo.stepMember(lovagemember.Tick{})
 	lo.stepLedger(&lovageledger.Tick{})
 	lo.heartbeatIfDue()
+	lo.sendEstimatesIfDue()
 }
 
 // stepCore steps the dispatch core and carries out its commands.
--- a/lovageentry/shutdown.go
+++ b/lovageentry/shutdown.go
@@ -116,6 +116,8 @@
 
 func (*leaving) apply(lo *controlLoop) {
 	lo.draining = true
+	lo.nextEstimates = time.Time{}
+	lo.sendEstimatesIfDue()
 	lo.stepMember(lovagemember.Drain{})
 	lo.nextHeartbeat = time.Time{}
 	lo.heartbeatIfDue()
--- a/lovagepeer/counters.go
+++ b/lovagepeer/counters.go
@@ -32,6 +32,7 @@
 	kindTransfer    = "transfer"
 	kindSlotsAsk    = "slotsAsk"
 	kindSlotsReturn = "slotsReturn"
+	kindEstimates   = "estimates"
 	kindConfigDelta = "configDelta"
 	kindConfigAsk   = "configAsk"
 	kindOther       = "other"
@@ -39,7 +40,7 @@
 
 var kinds = []string{
 	kindHello, kindHeartbeat, kindSubmit, kindAsk, kindCancel, kindMint, kindAccept, kindResultCopy, kindTransfer,
-	kindSlotsAsk, kindSlotsReturn, kindConfigDelta, kindConfigAsk, kindOther,
+	kindSlotsAsk, kindSlotsReturn, kindEstimates, kindConfigDelta, kindConfigAsk, kindOther,
 }
 
 // Kind returns the kind of a request, such as "accept", for labels of counters and names of spans.
@@ -67,6 +68,8 @@
 		return kindSlotsAsk
 	case *lovagemessage.Request_SlotsReturn:
 		return kindSlotsReturn
+	case *lovagemessage.Request_Estimates:
+		return kindEstimates
 	case *lovagemessage.Request_ConfigDelta:
 		return kindConfigDelta
 	case *lovagemessage.Request_ConfigAsk:
--- /dev/null
+++ b/lovagetrial/estimates_test.go
@@ -0,0 +1,72 @@
+package lovagetrial
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"lovagestack/lovagedispatch"
+	"lovagestack/lovagefake"
+)
+
+// workerState returns the state of a worker at an instance, empty if it does not use the worker.
+func workerState(ctx context.Context, t *testing.T, it *Instance, id string) string {
+	t.Helper()
+	list, err := it.Entry.Workers(ctx)
+	must.NoError(t, err)
+	i := slices.IndexFunc(list, func(ws lovagedispatch.WorkerStatus) bool { return ws.Worker == id })
+	if i < 0 {
+		return ""
+	}
+	return list[i].State
+}
+
+// Guards against a new deciding instance that gives jobs to a worker that the old one has ejected.
+func TestEjectionSurvivesTheDecidingInstance(t *testing.T) {
+	equal := []float64{1, 1, 1, 1, 1}
+	de, err := New(Options{DataCentres: []DataCentre{
+		{Name: "kandla", Instances: 2, Speeds: equal}, {Name: "navlakhi", Instances: 1, Speeds: equal},
+	}})
+	must.NoError(t, err)
+	defer de.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	bad := de.Workers()[0]
+	bad.SetFaults(lovagefake.WorkerFaults{FailEverything: true})
+	ca := de.NewCaller()
+	var deciding *Instance
+	for deciding == nil {
+		// More tasks than slots, so that the bad worker gets some although it is suspect, until it is ejected.
+		keys, err := ca.Mint(ctx, de.Instance("kandla-1"), 160, true)
+		must.NoError(t, err)
+		ended := make(chan struct{})
+		for _, key := range keys {
+			go func() {
+				_, _ = ca.Submit(ctx, de.Instance("kandla-1"), NewJob(key, true, 1, 20*time.Millisecond, time.Now().Add(10*time.Second)))
+				ended <- struct{}{}
+			}()
+		}
+		for range keys {
+			<-ended
+		}
+		for _, it := range de.Instances() {
+			if state := workerState(ctx, t, it, bad.ID); state == "ejected" || state == "probing" {
+				deciding = it
+			}
+		}
+		must.NoError(t, ctx.Err())
+	}
+	_, err = deciding.ShutDown()
+	must.NoError(t, err)
+	for known := false; !known; {
+		for _, it := range de.Running() {
+			state := workerState(ctx, t, it, bad.ID)
+			known = known || state == "ejected" || state == "probing"
+		}
+		must.NoError(t, pauseFor(ctx, pollEvery))
+	}
+	must.Len(t, 0, Check(de.Evidence()))
+}
