lovageentry: tell callers the address of the owner of a key

Cause: each job that reaches another instance than the owner of its key costs a forwarded message, and callers had no way to know the owner. Change: setting advertise.caller; the caller address is part of heartbeats, known peers and the membership view, the field address of POST /v1/keys and the header Lovage-Owner of answers to forwarded requests. An answer of the replica carries no header. GET /v1/deciding on the operator address is a health check for balancers and, like the other health checks, is not limited by the requests in progress. Counter lovage_owners_named_total. Conclusion: an unspecified address is never told. An answer after a second forward would name the first target, but instances do not forward twice.

--- a/lovageapi/caller.go
+++ b/lovageapi/caller.go
@@ -35,6 +35,9 @@
 	Cancel(ctx context.Context, key lovagejob.Key) (lovagejob.Answer, error)
 }
 
+// OwnerHeader is the header of an answer to a forwarded request with the caller address of the key's owner.
+const OwnerHeader = "Lovage-Owner"
+
 const (
 	maxKeysPerCall = 1000
 	maxWait        = 10 * time.Minute       // the longest that a deadline may lie ahead by default
@@ -251,6 +254,9 @@
 	if !an.RetryAt.IsZero() && status >= 400 {
 		setRetryAfter(ctx, an.RetryAt.Sub(api.srv.now()))
 	}
+	if an.OwnerAddress != "" {
+		ctx.ResponseWriter().Header().Set(OwnerHeader, an.OwnerAddress)
+	}
 	size := 512 + len(an.Reason)
 	for i := range an.Results {
 		size += 128 + len(an.Results[i].Body)
--- a/lovageapi/fakes_test.go
+++ b/lovageapi/fakes_test.go
@@ -149,6 +149,8 @@
 
 func (fa *fakeHealth) Ready() (bool, []string) { return len(fa.reasons) == 0, fa.reasons }
 
+func (fa *fakeHealth) Decides(service string) bool { return service == "" || service == "ticket" }
+
 func (fa *fakeHealth) WriteMetrics(w io.Writer) error {
 	_, err := io.WriteString(w, "jobs_accepted 3\n")
 	return err
@@ -190,7 +192,8 @@
 	"ended": {Outcome: lovagejob.Complete, Tasks: 1, Started: 1, Results: []lovagejob.TaskResult{
 		{Task: 0, Worker: "kandla-w1", Status: 200, Body: []byte("ok\n")},
 	}},
-	"failed": {Outcome: lovagejob.Failed, Reason: "task 1 on worker kandla-w2: status 500", Tasks: 2, Started: 2},
+	"forwarded": {Outcome: lovagejob.Complete, Tasks: 1, Started: 1, OwnerAddress: "10.1.0.1:7001"},
+	"failed":    {Outcome: lovagejob.Failed, Reason: "task 1 on worker kandla-w2: status 500", Tasks: 2, Started: 2},
 	"busy": {
 		Outcome: lovagejob.NotRun, Reason: "the deadline cannot be met", Tasks: 1, RetryAt: testNow.Add(1500 * time.Millisecond),
 	},
--- a/lovageapi/operator.go
+++ b/lovageapi/operator.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"lovagestack/lovageconfig"
+	"lovagestack/lovagejob"
 	"lovagestack/lovageresource"
 )
 
@@ -32,6 +33,9 @@
 type Health interface {
 	// Ready reports whether the instance takes new jobs, and if not, why.
 	Ready() (bool, []string)
+	// Decides reports whether the instance takes new jobs and decides for workers of the service, or of any service if the
+	// name is empty.
+	Decides(service string) bool
 	// WriteMetrics writes all metrics in the text exposition format.
 	WriteMetrics(w io.Writer) error
 }
@@ -52,6 +56,7 @@
 	app.Put("/v1/resources/{kind}/{name}", api.put)
 	app.Delete("/v1/resources/{kind}/{name}", api.delete)
 	app.Get("/v1/watch", api.watch)
+	app.Get(decidingPath, api.deciding)
 	app.Get("/healthz", api.healthz)
 	app.Get("/readyz", api.readyz)
 	app.Get("/metrics", api.metrics)
@@ -215,6 +220,33 @@
 	writeJSON(ctx, status, ReadyReply{Ready: ready, Reasons: reasons})
 }
 
+// decidingPath is a health check of balancers.
+const decidingPath = "/v1/deciding"
+
+// DecidingReply is the reply of /v1/deciding.
+type DecidingReply struct {
+	Deciding bool `json:"deciding"`
+}
+
+func (api *operatorAPI) deciding(ctx iris.Context) {
+	findings := queryFindings(ctx, "service")
+	name := ctx.URLParam("service")
+	if name != "" && !lovagejob.ValidName(name) {
+		findings = append(findings, lovageconfig.Finding{
+			Field: "service", Problem: fmt.Sprintf("%q is not the name of a service", name),
+		})
+	}
+	if len(findings) > 0 {
+		writeFindings(ctx, findings)
+		return
+	}
+	status, decides := http.StatusServiceUnavailable, api.health.Decides(name)
+	if decides {
+		status = http.StatusOK
+	}
+	writeJSON(ctx, status, DecidingReply{Deciding: decides})
+}
+
 func (api *operatorAPI) metrics(ctx iris.Context) {
 	extendWrite(ctx)
 	ctx.ResponseWriter().Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
--- a/lovageapi/server.go
+++ b/lovageapi/server.go
@@ -93,15 +93,15 @@
 	return srv, app
 }
 
-// limit bounds the requests in progress and resets the deadlines that the last request left on the connection. Health,
-// metrics and profiles are not bounded: many watches must not make the balancer take the instance for a dead one.
+// limit bounds the requests in progress and resets the deadlines that the last request left on the connection. Health
+// checks, metrics and profiles are not bounded: many watches must not make the balancer take the instance for a dead one.
 func (srv *Server) limit(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if srv.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
-		if !strings.HasPrefix(r.URL.Path, "/v1/") {
+		if !strings.HasPrefix(r.URL.Path, "/v1/") || r.URL.Path == decidingPath {
 			next.ServeHTTP(w, r)
 			return
 		}
--- a/lovageconfig/check.go
+++ b/lovageconfig/check.go
@@ -81,6 +81,14 @@
 	if se.Addresses.Peer.IsValid() && se.Addresses.Peer.Addr().IsUnspecified() {
 		ch.add("addresses.peer", "%s cannot be given to peers; it needs the instance's own IP address", se.Addresses.Peer)
 	}
+	if ad := se.Advertise.Caller; ad.IsValid() && !ad.Addr().IsUnspecified() {
+		ch.remote("advertise.caller", ad)
+		for _, it := range listen[1:] { // callers would send jobs to another API
+			if ad == it.value {
+				ch.add("advertise.caller", "%s is %s; callers need the caller API", ad, it.field)
+			}
+		}
+	}
 	if len(se.Platform.Addresses) == 0 {
 		ch.add("platform.addresses", "needs at least one address")
 	}
--- a/lovageconfig/settings.go
+++ b/lovageconfig/settings.go
@@ -11,6 +11,7 @@
 	ID         string    `toml:"id"`         // name of the instance, unique among all instances; required
 	DataCentre string    `toml:"dataCentre"` // data centre of the instance; required
 	Addresses  Addresses `toml:"addresses"`
+	Advertise  Advertise `toml:"advertise"`
 	Platform   Platform  `toml:"platform"`
 	Peers      Peers     `toml:"peers"`
 	Limits     Limits    `toml:"limits"`
@@ -28,6 +29,25 @@
 	Peer     netip.AddrPort `toml:"peer"`     // sessions from other instances; given to peers, so it must be reachable
 }
 
+// Advertise holds addresses that others are told instead of those on which the instance listens.
+type Advertise struct {
+	// Caller is where callers reach the caller API; default addresses.caller. With an unspecified IP address such as
+	// 0.0.0.0 callers are told no address and use the balancer only.
+	Caller netip.AddrPort `toml:"caller"`
+}
+
+// CallerAddress returns the address that callers are told, or "" if they are told none.
+func (se *Settings) CallerAddress() string {
+	ad := se.Advertise.Caller
+	if !ad.IsValid() {
+		ad = se.Addresses.Caller
+	}
+	if !ad.IsValid() || ad.Addr().IsUnspecified() || ad.Port() == 0 {
+		return ""
+	}
+	return ad.String()
+}
+
 // Platform says how to reach the users' platform.
 type Platform struct {
 	Addresses []netip.AddrPort `toml:"addresses"` // at least one; tried in turn
--- a/lovageconfig/settings_test.go
+++ b/lovageconfig/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -55,7 +56,7 @@
 		got = append(got, fi.String())
 	}
 	must.Eq(t, []string{
-		`entry.toml:3:1: colour: is not known here; known are id, dataCentre, addresses, platform, peers, limits, ` +
+		`entry.toml:3:1: colour: is not known here; known are id, dataCentre, addresses, advertise, platform, peers, limits, ` +
 			`lease, heartbeat, shutdown, trace, log`,
 		`entry.toml:6:1: addresses.operator: 127.0.0.1:7001 clashes with addresses.caller, which is 127.0.0.1:7001`,
 		`entry.toml:7:1: addresses.peer: ParseAddr("entry.example"): unexpected character (at "entry.example")`,
@@ -68,6 +69,9 @@
 func TestParseFindsOneFault(t *testing.T) {
 	cases := []struct{ name, add, field string }{
 		{"syntax", "id = ", ""},
+		{"advertised port", "[advertise]\ncaller = \"10.0.0.1:0\"", "advertise.caller"},
+		{"advertised name", "[advertise]\ncaller = \"entry.example:7001\"", "advertise.caller"},
+		{"advertised operator API", "[advertise]\ncaller = \"127.0.0.1:7002\"", "advertise.caller"},
 		{"seed twice", "[peers]\nseeds = [\"10.0.0.1:1\",\n\"10.0.0.1:1\"]", "peers.seeds[1]"},
 		{"seed port", "[peers]\nseeds = [\"10.0.0.1:0\"]", "peers.seeds[0]"},
 		{"negative limit", "[limits]\nqueuedTasks = -1\ntasksPerJob = 1", "limits.queuedTasks"},
@@ -90,3 +94,22 @@
 		})
 	}
 }
+
+// Guards against an address that callers cannot use, which would cost each of them a failed connection.
+func TestCallerAddress(t *testing.T) {
+	for _, tc := range []struct{ listen, advertise, want string }{
+		{"10.0.0.1:7001", "", "10.0.0.1:7001"},
+		{"0.0.0.0:7001", "", ""},
+		{"[::]:7001", "", ""},
+		{"0.0.0.0:7001", "10.0.0.9:80", "10.0.0.9:80"},
+		{"10.0.0.1:7001", "0.0.0.0:7001", ""},
+	} {
+		text := strings.Replace(goodSettings, "127.0.0.1:7001", tc.listen, 1)
+		if tc.advertise != "" {
+			text += "[advertise]\ncaller = \"" + tc.advertise + "\"\n"
+		}
+		se, findings := Parse("entry.toml", []byte(text))
+		must.SliceEmpty(t, findings)
+		must.Eq(t, tc.want, se.CallerAddress(), must.Sprint(tc))
+	}
+}
--- a/lovageentry/caller.go
+++ b/lovageentry/caller.go
@@ -50,7 +50,7 @@
 		return lovagejob.Minted{}, err
 	}
 	if len(rp.keys) > 0 {
-		return lovagejob.Minted{Keys: rp.keys}, nil
+		return lovagejob.Minted{Keys: rp.keys, CallerAddress: in.callerAddress}, nil
 	}
 	for _, id := range rp.peers {
 		if mi := in.mintAt(ctx, id, req, mintPeerTimeout); len(mi.Keys) > 0 {
--- a/lovageentry/counts.go
+++ b/lovageentry/counts.go
@@ -22,6 +22,7 @@
 	tasksNotSent     metrics.Counter
 	forwards         metrics.Counter
 	forwardsFailed   metrics.Counter
+	ownersNamed      metrics.Counter
 	accepts          metrics.Counter
 	resultCopies     metrics.Counter
 	slotsAsks        metrics.Counter
@@ -47,6 +48,7 @@
 		tasksNotSent:     counter("tasks_not_sent", "Tasks whose worker was no longer declared; nothing was sent."),
 		forwards:         counter("forwards", "Requests sent on to the instance that decides their key."),
 		forwardsFailed:   counter("forwards_failed", "Forwards without an answer."),
+		ownersNamed:      counter("owners_named", "Answers to forwarded requests that told the owner's address."),
 		accepts:          counter("accepts", "Batches of keys sent to replicas."),
 		resultCopies:     counter("result_copies", "Batches of answers sent to replicas."),
 		slotsAsks:        counter("slots_asks", "Requests for slots sent to peers."),
--- /dev/null
+++ b/lovageentry/decide.go
@@ -0,0 +1,22 @@
+package lovageentry
+
+import (
+	"slices"
+
+	"lovagestack/lovagedispatch"
+	"lovagestack/lovageresource"
+)
+
+// Decides reports whether callers that cannot choose an instance had better reach this one: it takes new jobs and
+// decides for workers of the service, or of any service if the name is empty. Under the policies other than central
+// every instance decides.
+func (in *Instance) Decides(service string) bool {
+	if !in.isReady() || in.policy == lovagedispatch.Central && in.addresses.deciding() != "" {
+		return false
+	}
+	pools, _ := in.store.List(lovageresource.KindPool)
+	return slices.ContainsFunc(pools, func(re lovageresource.Resource) bool {
+		pool, ok := re.Spec.(lovageresource.Pool)
+		return ok && len(pool.Workers) > 0 && (service == "" || slices.Contains(pool.Services, service))
+	})
+}
--- a/lovageentry/forward.go
+++ b/lovageentry/forward.go
@@ -16,7 +16,10 @@
 const forwardMargin = 500 * time.Millisecond
 
 // target is an instance that may decide a key.
-type target struct{ id, address string }
+type target struct {
+	id, address string
+	owner       bool // of the key's range, as far as is known here
+}
 
 // forwarder sends a request to the instances that may decide its key, one after the other until one answers.
 //
@@ -39,6 +42,7 @@
 	for _, ta := range fo.targets {
 		rp, err := fo.ask(ctx, ta)
 		if err == nil {
+			fo.in.nameOwner(&rp.answer, ta)
 			fo.re.replies <- rp
 			return
 		}
@@ -166,5 +170,7 @@
 	for i, key := range rp.keys {
 		keys[i] = key.String()
 	}
-	return &lovagemessage.Response{Body: &lovagemessage.Response_Mint{Mint: &lovagemessage.MintReply{Keys: keys}}}, nil
+	return &lovagemessage.Response{Body: &lovagemessage.Response_Mint{Mint: &lovagemessage.MintReply{
+		Keys: keys, CallerAddress: in.callerAddress,
+	}}}, nil
 }
--- a/lovageentry/heartbeat.go
+++ b/lovageentry/heartbeat.go
@@ -108,6 +108,7 @@
 	for _, pe := range lo.member.KnownPeers() {
 		full.KnownPeers = append(full.KnownPeers, &lovagemessage.PeerState{
 			Instance: pe.Instance, DataCentre: pe.DataCentre, Address: pe.Address, Leaving: pe.Leaving,
+			CallerAddress: pe.CallerAddress,
 		})
 		_, _ = fmt.Fprintln(di, pe)
 	}
@@ -118,7 +119,7 @@
 	return &lovagemessage.Heartbeat{
 		Instance: lo.in.id, DataCentre: lo.in.settings.DataCentre, Address: lo.in.peerAddress, Leaving: lo.draining,
 		Ready: lo.in.isReady(), AppliedRevision: lo.in.store.Revision(), Load: fromLoad(lo.core.Load()),
-		LeavingWorkers: lo.member.LeavingWorkers(),
+		LeavingWorkers: lo.member.LeavingWorkers(), CallerAddress: lo.in.callerAddress,
 	}
 }
 
@@ -175,12 +176,13 @@
 	msg := hr.msg
 	seen := lovagemember.HeartbeatSeen{
 		Instance: hr.from, DataCentre: msg.GetDataCentre(), Address: msg.GetAddress(), Leaving: msg.GetLeaving(),
-		LeavingWorkers: msg.GetLeavingWorkers(),
+		LeavingWorkers: msg.GetLeavingWorkers(), CallerAddress: msg.GetCallerAddress(),
 	}
 	for _, ps := range msg.GetKnownPeers() {
 		if ps.GetInstance() != lo.in.id {
 			seen.KnownPeers = append(seen.KnownPeers, lovagemember.Peer{
 				Instance: ps.GetInstance(), DataCentre: ps.GetDataCentre(), Address: ps.GetAddress(), Leaving: ps.GetLeaving(),
+				CallerAddress: ps.GetCallerAddress(),
 			})
 		}
 	}
--- a/lovageentry/instance.go
+++ b/lovageentry/instance.go
@@ -55,14 +55,15 @@
 
 // Instance is one entry instance. Its exported methods may be called from several goroutines.
 type Instance struct {
-	settings    lovageconfig.Settings
-	id          string // settings.ID and a suffix drawn at start, so that a restarted process is a new instance
-	peerAddress string
-	platform    Platform
-	log         *zap.Logger
-	tracer      *lovagetrace.Tracer
-	counts      *counts
-	policy      lovagedispatch.Policy
+	settings      lovageconfig.Settings
+	id            string // settings.ID and a suffix drawn at start, so that a restarted process is a new instance
+	peerAddress   string
+	callerAddress string // that callers are told; empty: none
+	platform      Platform
+	log           *zap.Logger
+	tracer        *lovagetrace.Tracer
+	counts        *counts
+	policy        lovagedispatch.Policy
 
 	control          *controlLoop
 	mesh             *lovagepeer.Mesh
@@ -72,6 +73,7 @@
 	table            *tableAccess
 	ledgerWriter     *lovageplatform.Writer
 	addresses        addressBook
+	callers          callerBook
 	servers          []Server
 	inFlight         gauge // requests of callers and peers
 	jobsHeld         gauge // admitted jobs that have not ended or have tasks at workers
@@ -109,6 +111,7 @@
 	in := &Instance{
 		settings: se, id: se.ID + "-" + suffix(rng), platform: op.Platform, tracer: op.Tracer,
 		policy: op.Policy, counts: newCounts(op.Metrics), observer: op.Observer,
+		callerAddress: se.CallerAddress(),
 	}
 	if !lovagejob.ValidName(in.id) {
 		return nil, errors.Newf("instance ID %q: the id of the settings leaves no room for the suffix of %d letters and digits",
--- a/lovageentry/member.go
+++ b/lovageentry/member.go
@@ -97,7 +97,7 @@
 // membersChanged tells both cores and the traffic goroutines about the new view.
 func (lo *controlLoop) membersChanged(cm lovagemember.MembersChanged) {
 	members := make(map[string]lovagemember.Member)
-	addresses := make(map[string]string)
+	addresses, callers := make(map[string]string), make(map[string]string)
 	dataCentres := make(map[string]string)
 	var forCore []lovagedispatch.Member
 	var forLedger []lovageledger.Member
@@ -121,6 +121,7 @@
 			forLedger = append(forLedger, ledgerMember(me, dc.Name, lo.in.settings.DataCentre))
 			if me.State != lovagemember.Gone && me.Address != "" {
 				addresses[me.Instance] = me.Address
+				callers[me.Instance] = me.CallerAddress
 			}
 			lo.logMember(me)
 		}
@@ -134,6 +135,7 @@
 		lo.log.Info("deciding instance changed", zap.String("before", before), zap.String("now", decides))
 	}
 	lo.in.addresses.set(addresses, decides)
+	lo.in.callers.set(callers)
 	lo.stepCore(lovagedispatch.MembersChanged{Members: forCore})
 	lo.stepLedger(&lovageledger.MembersChanged{Members: forLedger})
 }
--- a/lovageentry/request.go
+++ b/lovageentry/request.go
@@ -183,9 +183,9 @@
 	}
 	lo.release(re)
 	fo := &forwarder{in: lo.in, re: re, log: lo.log}
-	for _, id := range cm.Targets {
+	for i, id := range cm.Targets {
 		if address := lo.members.address(id); address != "" {
-			fo.targets = append(fo.targets, target{id: id, address: address})
+			fo.targets = append(fo.targets, target{id: id, address: address, owner: i == 0})
 		}
 	}
 	go fo.run()
--- /dev/null
+++ b/lovageentry/route.go
@@ -0,0 +1,43 @@
+package lovageentry
+
+import (
+	"sync"
+
+	"lovagestack/lovagejob"
+)
+
+// callerBook holds the addresses of the caller APIs of other instances, for traffic goroutines.
+type callerBook struct {
+	mu        sync.RWMutex
+	addresses map[string]string // by instance ID, without instances that are gone
+}
+
+func (cb *callerBook) set(addresses map[string]string) {
+	cb.mu.Lock()
+	defer cb.mu.Unlock()
+	cb.addresses = addresses
+}
+
+func (cb *callerBook) get(id string) string {
+	cb.mu.RLock()
+	defer cb.mu.RUnlock()
+	return cb.addresses[id]
+}
+
+// Advertise sets the address of the caller API that callers are told, in place of that of the settings. It is called
+// before Serve, for servers whose port is chosen when they start to listen.
+func (in *Instance) Advertise(callerAddress string) { in.callerAddress = callerAddress }
+
+// CallerAddress returns the address of the caller API that callers are told, or "" if they are told none.
+func (in *Instance) CallerAddress() string { return in.callerAddress }
+
+// nameOwner adds the caller address of the owner that answered a forward. An answer of the replica names nobody, so that
+// callers do not turn to an owner that could not be reached.
+func (in *Instance) nameOwner(an *lovagejob.Answer, ta target) {
+	if !ta.owner {
+		return
+	}
+	if an.OwnerAddress = in.callers.get(ta.id); an.OwnerAddress != "" {
+		in.counts.ownersNamed.Inc(1)
+	}
+}
--- a/lovagejob/job.go
+++ b/lovagejob/job.go
@@ -95,6 +95,10 @@
 	Tasks   int          `json:"tasks"`            // number of tasks submitted, 0 if not known
 	Started int          `json:"started"`          // number of tasks that may have started, at least
 	Results []TaskResult `json:"results,omitempty"`
+
+	// OwnerAddress is the caller address of the key's owner if the request was forwarded to it. It is no part of the
+	// answer and is neither recorded nor copied.
+	OwnerAddress string `json:"-"`
 }
 
 // Limits bounds what a submission may ask for.
--- a/lovageledger/command.go
+++ b/lovageledger/command.go
@@ -42,7 +42,7 @@
 type Forward struct {
 	Request uint64
 	Key     lovagejob.Key
-	Targets []string // instance IDs, in order
+	Targets []string // instance IDs, in order; the owner of the range comes first
 }
 
 // CancelJob asks dispatch to cancel an admitted key; JobEnded follows.
--- a/lovagemember/event.go
+++ b/lovagemember/event.go
@@ -12,6 +12,7 @@
 // leaving. KnownPeers are the instances that the peer hears from.
 type HeartbeatSeen struct {
 	Instance, DataCentre, Address string
+	CallerAddress                 string // of the caller API; empty if callers cannot reach it
 	Leaving                       bool
 	LeavingWorkers                []string
 	KnownPeers                    []Peer
@@ -20,6 +21,7 @@
 // Peer is an instance as another instance knows it.
 type Peer struct {
 	Instance, DataCentre, Address string
+	CallerAddress                 string
 	Leaving                       bool
 }
 
@@ -97,6 +99,7 @@
 // Member is an instance as this instance sees it.
 type Member struct {
 	Instance, Address string
+	CallerAddress     string // of the caller API; empty if callers cannot reach it, and for the own instance
 	State             State
 	Refused           bool // gone because its machine refuses connections, so the process has ended
 }
--- a/lovagemember/instance.go
+++ b/lovagemember/instance.go
@@ -10,6 +10,7 @@
 // instance is what is known about one peer.
 type instance struct {
 	id, dataCentre, address string
+	callerAddress           string
 	known                   time.Time // when any source last named it
 	heard                   time.Time // when it was last heard from; zero: never
 	leaving                 bool      // by its own last heartbeat
@@ -58,6 +59,7 @@
 	}
 	it := co.instance(ev.Instance)
 	it.dataCentre, it.address, it.leaving = ev.DataCentre, ev.Address, ev.Leaving
+	it.callerAddress = ev.CallerAddress
 	co.alive(it)
 	co.leavingHeard(ev.Instance, ev.LeavingWorkers)
 }
@@ -71,6 +73,7 @@
 	it.known = co.now
 	if st, _ := co.state(it); st == Unheard || st == Gone {
 		it.dataCentre, it.address, it.leaving = pe.DataCentre, pe.Address, pe.Leaving
+		it.callerAddress = pe.CallerAddress
 	}
 	co.refresh(it)
 }
@@ -138,7 +141,9 @@
 // refresh recomputes the state of an instance and has it dialled at its current address.
 func (co *Core) refresh(it *instance) {
 	st, refused := co.state(it)
-	shown := Member{Instance: it.id, Address: it.address, State: st, Refused: refused}
+	shown := Member{
+		Instance: it.id, Address: it.address, CallerAddress: it.callerAddress, State: st, Refused: refused,
+	}
 	if shown != it.shown || it.dataCentre != it.shownDataCentre {
 		it.shown, it.shownDataCentre = shown, it.dataCentre
 		co.membersChanged = true
@@ -194,7 +199,10 @@
 	for _, id := range co.order {
 		it := co.instances[id]
 		if st := it.shown.State; st == Live || st == Leaving || st == Suspect {
-			out = append(out, Peer{Instance: it.id, DataCentre: it.dataCentre, Address: it.address, Leaving: it.leaving})
+			out = append(out, Peer{
+				Instance: it.id, DataCentre: it.dataCentre, Address: it.address, CallerAddress: it.callerAddress,
+				Leaving: it.leaving,
+			})
 		}
 	}
 	return out
--- a/lovagestack/check.go
+++ b/lovagestack/check.go
@@ -26,6 +26,8 @@
   caller = "..."                    # caller API
   operator = "..."                  # operator API, health, metrics, profiles
   peer = "..."                      # sessions from other instances
+  [advertise]                       # what callers are told; default addresses.caller, 0.0.0.0:0 tells nothing
+  # caller = "10.0.0.1:7001"
   [platform]
   addresses = ["..."]               # of the table, the object store and the list of instances
   timeout = "2s"                    # of one request
