lovageapi: send requests about a key to the address of its owner

Cause: the client sent everything to its base address, so each job behind a balancer was forwarded. Change: NewClient follows the owner's address from the reply to POST /v1/keys and from Lovage-Owner, by key range. After an error or a reply that is no answer to the key, the same call with the same key goes to the base address; the address is then avoided for 10 s unless it was a refusal by a caller API. An error matches ErrNotSent or a ReplyError only if no attempt can have been processed. NewFixedClient keeps to one address, for trials and tests. Conclusion: a job whose owner is paused waits until 2 s after its deadline before the base address is asked.

--- a/lovageapi/client.go
+++ b/lovageapi/client.go
@@ -48,16 +48,32 @@
 	return strings.Join(parts, "; ")
 }
 
-// Client calls one instance. Its methods may be called from several goroutines. Calls last until their context ends.
+// Client calls the instance, or the balancer, at its base address. Its methods may be called from several goroutines.
+// Calls last until their context ends.
+//
+// Submit, Ask and Cancel go to the instance that owns the key, once a reply has named its address; otherwise that
+// instance would get them as forwards. If the owner cannot be reached, the connection breaks, or what comes back is no
+// answer to the key, the same call with the same key goes to the base address, and the owner's address is not used for
+// 10 s. An owner that is silent until 2 s after the answer was due counts as unreachable. The client never uses another
+// key by itself.
 //
 // An error that is neither a *ReplyError nor matches ErrNotSent leaves open whether the request was processed.
 type Client struct {
-	base string
-	http *http.Client
+	base   string
+	http   *http.Client
+	routes *routes // nil: every call goes to the base address
 }
 
 // NewClient returns a client of the API at an IP address and port.
 func NewClient(address string) *Client {
+	cl := NewFixedClient(address)
+	cl.routes = newRoutes(address)
+	return cl
+}
+
+// NewFixedClient returns a client that makes every call at the address, for callers that cannot reach others and for
+// tests that mean one instance.
+func NewFixedClient(address string) *Client {
 	tr := &http.Transport{
 		Proxy:               nil, // instances are reached directly
 		MaxIdleConnsPerHost: 64,
@@ -67,29 +83,47 @@
 }
 
 // Close closes idle connections.
-func (cl *Client) Close() { cl.http.CloseIdleConnections() }
+func (cl *Client) Close() {
+	cl.http.CloseIdleConnections()
+	if cl.routes != nil {
+		cl.routes.http.CloseIdleConnections()
+	}
+}
 
 // Mint returns new keys.
 func (cl *Client) Mint(ctx context.Context, req lovagejob.MintRequest) (lovagejob.Minted, error) {
 	var out KeysReply
 	in := KeysRequest{Service: req.Service, Count: req.Count, Repeatable: req.Repeatable}
 	err := cl.json(ctx, http.MethodPost, "/v1/keys", in, &out, nil)
+	cl.routes.learn(out.Address, out.Keys...)
 	return lovagejob.Minted{Keys: out.Keys, CallerAddress: out.Address}, err
 }
 
 // Submit submits a job and waits for the answer. An answer has the outcome "unknown" too if nothing is known.
 func (cl *Client) Submit(ctx context.Context, jo JobRequest) (AnswerReply, error) {
-	return cl.answer(ctx, http.MethodPost, "/v1/jobs", jo, jo.Key)
+	return cl.ask(ctx, question{
+		method: http.MethodPost, path: "/v1/jobs", key: jo.Key, in: jo, answerBy: later(jo.Deadline, time.Now()).Add(directGrace),
+	})
 }
 
 // Ask asks for the answer to a key and waits up to the given time for it.
 func (cl *Client) Ask(ctx context.Context, key string, wait time.Duration) (AnswerReply, error) {
-	return cl.answer(ctx, http.MethodGet, "/v1/jobs/"+url.PathEscape(key)+"?wait="+wait.String(), nil, key)
+	return cl.ask(ctx, askQuestion(key, wait))
+}
+
+func askQuestion(key string, wait time.Duration) question {
+	return question{
+		method: http.MethodGet, path: "/v1/jobs/" + url.PathEscape(key) + "?wait=" + wait.String(), key: key,
+		answerBy: time.Now().Add(wait + directGrace),
+	}
 }
 
 // Cancel cancels a job.
 func (cl *Client) Cancel(ctx context.Context, key string) (AnswerReply, error) {
-	return cl.answer(ctx, http.MethodDelete, "/v1/jobs/"+url.PathEscape(key), nil, key)
+	return cl.ask(ctx, question{
+		method: http.MethodDelete, path: "/v1/jobs/" + url.PathEscape(key), key: key,
+		answerBy: time.Now().Add(cancelPatience),
+	})
 }
 
 // WatchJob gives each answer of a job watch to fn until the watch ends or fn returns an error.
@@ -139,19 +173,6 @@
 	return "/v1/resources/" + url.PathEscape(string(kind)) + "/" + url.PathEscape(name)
 }
 
-// answer makes a call that is answered with an AnswerReply. An answer to another key is an error.
-func (cl *Client) answer(ctx context.Context, method, path string, in any, key string) (AnswerReply, error) {
-	var out AnswerReply
-	err := cl.json(ctx, method, path, in, &out, func(status int) bool {
-		return status < 300 || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable ||
-			status == http.StatusGatewayTimeout
-	})
-	if err == nil && key != "" && out.Key.String() != key {
-		return AnswerReply{}, errors.Newf("asked about key %s but got the answer to key %s", key, out.Key)
-	}
-	return out, err
-}
-
 func (cl *Client) write(ctx context.Context, method, path string, in any) (lovageresource.WriteResult, error) {
 	var out lovageresource.WriteResult
 	err := cl.json(ctx, method, path, in, &out, func(status int) bool {
@@ -164,14 +185,20 @@
 // json makes a call with JSON in both directions. expected tells which statuses come with a body for out; without it
 // these are those below 300. A body with the field "error" is a *ReplyError in any case.
 func (cl *Client) json(ctx context.Context, method, path string, in, out any, expected func(int) bool) error {
-	res, err := cl.do(ctx, method, path, in)
+	_, err := exchange(ctx, cl.http, cl.base, method, path, in, out, expected)
+	return err
+}
+
+// exchange is json at any address. It returns the header of the reply too.
+func exchange(ctx context.Context, via *http.Client, base, method, path string, in, out any, expected func(int) bool) (http.Header, error) {
+	res, err := send(ctx, via, base, method, path, in)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer res.Body.Close() //nolint:errcheck // the body has been read or the error is reported
 	data, err := io.ReadAll(res.Body)
 	if err != nil {
-		return errors.Wrapf(err, "%s %s: read the reply", method, path)
+		return nil, errors.Wrapf(err, "%s %s: read the reply", method, path)
 	}
 	if expected == nil {
 		expected = func(status int) bool { return status < 300 }
@@ -180,9 +207,9 @@
 		if er == nil {
 			er = &ReplyError{Status: res.StatusCode, ErrorReply: ErrorReply{Error: http.StatusText(res.StatusCode)}}
 		}
-		return er
+		return nil, er
 	}
-	return errors.Wrapf(json.Unmarshal(data, out), "%s %s: decode the reply", method, path)
+	return res.Header, errors.Wrapf(json.Unmarshal(data, out), "%s %s: decode the reply", method, path)
 }
 
 // replyError returns the error in a body, nil if there is none.
@@ -197,8 +224,8 @@
 	return er
 }
 
-// do sends a request. Its error matches ErrNotSent if no connection to the instance was ever had.
-func (cl *Client) do(ctx context.Context, method, path string, in any) (*http.Response, error) {
+// send sends a request. Its error matches ErrNotSent if no connection to the instance was ever had.
+func send(ctx context.Context, via *http.Client, base, method, path string, in any) (*http.Response, error) {
 	var body io.Reader
 	if in != nil {
 		var buf bytes.Buffer
@@ -213,11 +240,11 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	req, err := http.NewRequestWithContext(ctx, method, cl.base+path, body)
+	req, err := http.NewRequestWithContext(ctx, method, base+path, body)
 	if err != nil {
 		return nil, &notSentError{err}
 	}
-	res, err := cl.http.Do(req)
+	res, err := via.Do(req)
 	if err != nil {
 		if !connected.Load() {
 			return nil, &notSentError{err}
@@ -229,7 +256,7 @@
 
 // watchLines decodes each line of a watch. A watch that the server ends without a last word is not an error.
 func watchLines[T any](ctx context.Context, cl *Client, path string, fn func(T) error) error {
-	res, err := cl.do(ctx, http.MethodGet, path, nil)
+	res, err := send(ctx, cl.http, cl.base, http.MethodGet, path, nil)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/lovageapi/route_test.go
@@ -0,0 +1,216 @@
+package lovageapi
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+
+	"lovagestack/lovagejob"
+)
+
+// starts counts the jobs that were started, by key. A job starts once, as the records of its key see to.
+type starts struct {
+	mu     sync.Mutex
+	byKey  map[string]int
+	calls  int
+	answer lovagejob.Outcome
+}
+
+func (st *starts) submit(_ context.Context, sub lovagejob.Submission) (lovagejob.Answer, error) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.calls++
+	if st.byKey[sub.Key.String()] == 0 {
+		st.byKey[sub.Key.String()]++
+	}
+	return lovagejob.Answer{Key: sub.Key, Outcome: st.answer, Tasks: len(sub.Tasks), Started: len(sub.Tasks)}, nil
+}
+
+func listener(t *testing.T, serve func(net.Conn)) string {
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = li.Close() })
+	go func() {
+		for {
+			co, err := li.Accept()
+			if err != nil {
+				return
+			}
+			go serve(co)
+		}
+	}()
+	return li.Addr().String()
+}
+
+// badOwners returns addresses that are no use as an owner's, by what is wrong with them.
+func badOwners(t *testing.T, ta *testAPI) map[string]string {
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	closed := li.Addr().String()
+	must.NoError(t, li.Close())
+	web := func(fn http.HandlerFunc) string {
+		srv := httptest.NewServer(fn)
+		t.Cleanup(srv.Close)
+		return srv.Listener.Addr().String()
+	}
+	return map[string]string{
+		"refuses connections":    closed,
+		"breaks before it reads": listener(t, func(co net.Conn) { _ = co.Close() }),
+		"breaks after it read": listener(t, func(co net.Conn) {
+			_, _ = http.ReadRequest(bufio.NewReader(co))
+			_ = co.Close()
+		}),
+		"breaks after the job ran": web(func(_ http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			res, err := http.Post(ta.callerURL+r.URL.Path, "application/json", strings.NewReader(string(body)))
+			if err == nil {
+				_ = res.Body.Close()
+			}
+			panic(http.ErrAbortHandler)
+		}),
+		"is silent":           listener(t, func(net.Conn) {}),
+		"is another program":  web(http.NotFound),
+		"is the operator API": strings.TrimPrefix(ta.operatorURL, "http://"),
+		"answers another key": web(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, `{"key":"`+testKey("other").String()+`","outcome":"complete","tasks":1,"started":1}`)
+		}),
+		"answers no JSON": web(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "hello") }),
+		"is overloaded": web(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = io.WriteString(w, `{"error":"too many requests are in progress"}`)
+		}),
+	}
+}
+
+func routedJob(key string, within time.Duration) JobRequest {
+	return JobRequest{
+		Key: key, Service: "a", Team: "b", Deadline: time.Now().Add(within), Tasks: []TaskRequest{{Payload: []byte("1")}},
+	}
+}
+
+// Guards against a job that is lost, started twice or submitted under a second key because the owner's address is no
+// use, and against an address that costs every job an attempt.
+func TestBadOwnerAddress(t *testing.T) {
+	se := DefaultSettings()
+	se.Now = time.Now
+	ta := startAPI(t, se)
+	st := &starts{byKey: map[string]int{}, answer: lovagejob.Complete}
+	ta.jobs.submit = st.submit
+	ta.jobs.answers["silent"] = lovagejob.Answer{Outcome: lovagejob.Complete, Tasks: 1, Started: 1}
+	for name, address := range badOwners(t, ta) {
+		t.Run(name, func(t *testing.T) {
+			st.byKey = map[string]int{}
+			cl := NewClient(strings.TrimPrefix(ta.callerURL, "http://"))
+			defer cl.Close()
+			key, within := testKey("k1"), 10*time.Second
+			if name == "is silent" {
+				// The deadline has passed when the owner is given up, so the base address is asked and not submitted to.
+				key, within = testKey("silent"), 0
+			}
+			cl.routes.learn(address, key)
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			an, err := cl.Submit(ctx, routedJob(key.String(), within))
+			must.NoError(t, err)
+			must.Eq(t, lovagejob.Complete, an.Outcome)
+			must.Eq(t, key, an.Key)
+			must.Eq(t, RouteCounts{Direct: 1, FellBack: 1}, cl.RouteCounts())
+			if name != "is silent" {
+				must.Eq(t, map[string]int{key.String(): 1}, st.byKey)
+			}
+			// Until the owner is named again, no attempt is made; and if it is at once, only one that was overloaded counts.
+			_, err = cl.Submit(ctx, routedJob(key.String(), 10*time.Second))
+			must.NoError(t, err)
+			cl.routes.learn(address, key)
+			_, err = cl.Submit(ctx, routedJob(key.String(), 10*time.Second))
+			must.NoError(t, err)
+			want := int64(1)
+			if name == "is overloaded" {
+				want = 2
+			}
+			must.Eq(t, want, cl.RouteCounts().Direct)
+			must.Eq(t, want, cl.RouteCounts().FellBack)
+		})
+	}
+}
+
+// Guards against an error that claims that nothing was sent, or that a request was refused, when the owner may have
+// processed it.
+func TestErrorAfterBrokenOwner(t *testing.T) {
+	ta := startAPI(t, DefaultSettings())
+	owners := badOwners(t, ta)
+	base := owners["refuses connections"]
+	for name, notSent := range map[string]bool{
+		"breaks after it read": false, "is another program": false, "is overloaded": true,
+	} {
+		cl := NewClient(base)
+		cl.routes.learn(owners[name], testKey("k1"))
+		_, err := cl.Submit(context.Background(), routedJob(testKey("k1").String(), time.Second))
+		must.Error(t, err, must.Sprint(name))
+		must.Eq(t, notSent, errors.Is(err, ErrNotSent), must.Sprint(name, ": ", err))
+		cl.Close()
+	}
+}
+
+// Guards against a client that does not learn the owner from replies or follows it where it must not.
+func TestRoutes(t *testing.T) {
+	se := DefaultSettings()
+	se.Now = time.Now
+	base, owner := startAPI(t, se), startAPI(t, se)
+	ownerAddress := strings.TrimPrefix(owner.callerURL, "http://")
+	at := map[string]int{}
+	base.jobs.submit = func(_ context.Context, sub lovagejob.Submission) (lovagejob.Answer, error) {
+		at["base"]++
+		return lovagejob.Answer{Key: sub.Key, Outcome: lovagejob.Failed, OwnerAddress: ownerAddress}, nil
+	}
+	outcome := lovagejob.Failed
+	owner.jobs.submit = func(_ context.Context, sub lovagejob.Submission) (lovagejob.Answer, error) {
+		at["owner"]++
+		return lovagejob.Answer{Key: sub.Key, Outcome: outcome}, nil
+	}
+	cl, fixed := NewClient(strings.TrimPrefix(base.callerURL, "http://")), NewFixedClient(strings.TrimPrefix(base.callerURL, "http://"))
+	defer cl.Close()
+	defer fixed.Close()
+	submit := func(cl *Client, nonce string) {
+		_, err := cl.Submit(context.Background(), routedJob(testKey(nonce).String(), time.Second))
+		must.NoError(t, err)
+	}
+	submit(cl, "k1") // learns from the header
+	submit(cl, "k2")
+	submit(fixed, "k1")
+	submit(fixed, "k2")
+	must.Eq(t, map[string]int{"base": 3, "owner": 1}, at)
+	outcome = lovagejob.Unknown // the next submission asks at the base address again
+	submit(cl, "k3")
+	submit(cl, "k3")
+	must.Eq(t, map[string]int{"base": 4, "owner": 2}, at)
+
+	_, err := cl.Mint(context.Background(), lovagejob.MintRequest{Count: 1}) // names an address of the documentation
+	must.NoError(t, err)
+	must.Eq(t, "10.1.0.1:7001", cl.routes.owner(testKey("k4").String()))
+	for _, address := range []string{"", "owner:1", "0.0.0.0:1", "127.0.0.1:0", "127.0.0.1"} {
+		cl.routes.learn(address, testKey("k4"))
+		must.Eq(t, "10.1.0.1:7001", cl.routes.owner(testKey("k4").String()), must.Sprint(address))
+	}
+	cl.routes.learn(cl.routes.base, testKey("k4"))
+	must.Eq(t, "", cl.routes.owner(testKey("k4").String()))
+	for i := range 3 * maxRoutes {
+		ke := testKey("k5")
+		ke.Range = i
+		cl.routes.learn("10.1.0.1:7001", ke)
+		cl.routes.forget(ke.String(), fmt.Sprintf("10.1.0.2:%d", i), true)
+	}
+	must.Eq(t, maxRoutes, len(cl.routes.owners))
+	must.Eq(t, maxAvoided, len(cl.routes.avoided))
+}
--- a/lovagebench/deployment.go
+++ b/lovagebench/deployment.go
@@ -187,7 +187,8 @@
 		in.entry.AddServer(srv)
 	}
 	in.address = in.caller.Address()
-	in.client = lovageapi.NewClient(in.address)
+	in.entry.Advertise(in.address)
+	in.client = lovageapi.NewFixedClient(in.address)
 	return in, nil
 }
 
--- a/lovagestack/history_test.go
+++ b/lovagestack/history_test.go
@@ -97,7 +97,7 @@
 
 func (hr *historyRun) endpoint(ip *instanceProcess) *processEndpoint {
 	pe := &processEndpoint{
-		de: hr.de, ip: ip, caller: lovageapi.NewClient(ip.caller), operator: lovageapi.NewClient(ip.operator),
+		de: hr.de, ip: ip, caller: lovageapi.NewFixedClient(ip.caller), operator: lovageapi.NewClient(ip.operator),
 	}
 	hr.de.t.Cleanup(pe.caller.Close)
 	hr.de.t.Cleanup(pe.operator.Close)
--- a/lovagetrial/caller.go
+++ b/lovagetrial/caller.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +18,10 @@
 type Caller struct {
 	de       *Deployment
 	patience time.Duration // added to the time until which an answer is due
+	routes   bool          // follow the addresses of owners
+
+	mu      sync.Mutex
+	clients map[string]*lovageapi.Client // that follow addresses, by base address
 }
 
 // callPatience is how long after the deadline a caller still waits. An instance answers at most 10.5 s after it.
@@ -25,9 +30,39 @@
 // NewCaller returns a caller. It may be used by several goroutines.
 func (de *Deployment) NewCaller() *Caller { return &Caller{de: de, patience: callPatience} }
 
+// NewRoutedCaller returns a caller that follows the addresses of owners, as the client does by default. What it asks of an
+// instance is recorded as asked there, although another instance may have answered. Close it.
+func (de *Deployment) NewRoutedCaller() *Caller {
+	return &Caller{de: de, patience: callPatience, routes: true, clients: map[string]*lovageapi.Client{}}
+}
+
+// client returns the client with which the caller calls an instance.
+func (ca *Caller) client(it *Instance) *lovageapi.Client {
+	if !ca.routes {
+		return it.Caller
+	}
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	cl := ca.clients[it.callerAddress]
+	if cl == nil {
+		cl = lovageapi.NewClient(it.callerAddress)
+		ca.clients[it.callerAddress] = cl
+	}
+	return cl
+}
+
+// Close closes idle connections. Only a caller that follows addresses has connections of its own.
+func (ca *Caller) Close() {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	for _, cl := range ca.clients {
+		cl.Close()
+	}
+}
+
 // Mint returns new keys of an instance. An error leaves nothing to record, since no key is known.
 func (ca *Caller) Mint(ctx context.Context, it *Instance, count int, repeatable bool) ([]string, error) {
-	mi, err := it.Caller.Mint(ctx, lovagejob.MintRequest{Service: ServiceName, Count: count, Repeatable: repeatable})
+	mi, err := ca.client(it).Mint(ctx, lovagejob.MintRequest{Service: ServiceName, Count: count, Repeatable: repeatable})
 	if err != nil {
 		return nil, err
 	}
@@ -73,7 +108,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, jo.Deadline.Add(ca.patience))
 	defer cancel()
-	return ca.call(rec, func() (lovageapi.AnswerReply, error) { return it.Caller.Submit(ctx, jo) })
+	return ca.call(rec, func() (lovageapi.AnswerReply, error) { return ca.client(it).Submit(ctx, jo) })
 }
 
 // SubmitUntilFinal submits a job at the instances in turn until an answer is final, as a caller does that needs to know.
@@ -95,7 +130,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+ca.patience)
 	defer cancel()
 	return ca.call(CallRecord{Operation: OpAsk, Process: it.ID(), Key: key}, func() (lovageapi.AnswerReply, error) {
-		return it.Caller.Ask(ctx, key, wait)
+		return ca.client(it).Ask(ctx, key, wait)
 	})
 }
 
@@ -104,7 +139,7 @@
 	ctx, cancel := context.WithTimeout(ctx, ca.patience)
 	defer cancel()
 	return ca.call(CallRecord{Operation: OpCancel, Process: it.ID(), Key: key}, func() (lovageapi.AnswerReply, error) {
-		return it.Caller.Cancel(ctx, key)
+		return ca.client(it).Cancel(ctx, key)
 	})
 }
 
--- a/lovagetrial/deployment.go
+++ b/lovagetrial/deployment.go
@@ -62,6 +62,8 @@
 	Policy      lovagedispatch.Policy
 	Log         *zap.Logger // nil logs nothing
 
+	// Advertise returns the address that callers are told instead of the one of an instance's caller API. May be nil.
+	Advertise func(name, address string) string
 	// Reached is called at each step of an instance, on the goroutine that takes it. May be nil.
 	Reached func(it *Instance, st lovageentry.Step)
 	// Started is called when a worker starts a task. May be nil.
--- a/lovagetrial/instance.go
+++ b/lovagetrial/instance.go
@@ -28,6 +28,8 @@
 	Entry            *lovageentry.Instance
 	Caller, Operator *lovageapi.Client
 
+	callerAddress string
+
 	de       *Deployment
 	servers  []*lovageapi.Server
 	node     string // end of links: the process's own ID, so that a new process has links of its own
@@ -153,7 +155,13 @@
 	it.servers = []*lovageapi.Server{caller, operator}
 	it.Entry.AddServer(caller)
 	it.Entry.AddServer(operator)
-	it.Caller, it.Operator = lovageapi.NewClient(caller.Address()), lovageapi.NewClient(operator.Address())
+	address := caller.Address()
+	if it.de.op.Advertise != nil {
+		address = it.de.op.Advertise(it.Name, address)
+	}
+	it.Entry.Advertise(address)
+	it.callerAddress = caller.Address()
+	it.Caller, it.Operator = lovageapi.NewFixedClient(caller.Address()), lovageapi.NewFixedClient(operator.Address())
 	return nil
 }
 
--- /dev/null
+++ b/lovagetrial/route_test.go
@@ -0,0 +1,105 @@
+package lovagetrial
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"lovagestack/lovagefake"
+	"lovagestack/lovagejob"
+)
+
+// advertised holds a relay in front of the caller API of each instance.
+type advertised struct {
+	mu     sync.Mutex
+	relays []*lovagefake.Relay
+}
+
+func (ad *advertised) address(_, address string) string {
+	re, err := lovagefake.NewRelay(address)
+	if err != nil {
+		return ""
+	}
+	ad.mu.Lock()
+	defer ad.mu.Unlock()
+	ad.relays = append(ad.relays, re)
+	return re.Address()
+}
+
+func (ad *advertised) each(fn func(re *lovagefake.Relay)) {
+	ad.mu.Lock()
+	defer ad.mu.Unlock()
+	for _, re := range ad.relays {
+		fn(re)
+	}
+}
+
+// Guards against jobs that are lost or started twice when the addresses of owners refuse, break with a job on its way,
+// or lose the answer, while callers can still reach the instances through another path. The evidence covers each task.
+func TestBadOwnerAddresses(t *testing.T) {
+	ad, started := &advertised{}, make(chan struct{}, 1)
+	de, err := New(Options{
+		DataCentres: []DataCentre{
+			{Name: "kandla", Instances: 2, Speeds: []float64{1, 1.5}}, {Name: "navlakhi", Instances: 1, Speeds: []float64{1}},
+		},
+		Advertise: ad.address,
+		Started: func(string) {
+			select {
+			case started <- struct{}{}:
+			default:
+			}
+		},
+	})
+	must.NoError(t, err)
+	t.Cleanup(func() { de.Close(); ad.each((*lovagefake.Relay).Close) })
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for name, fault := range map[string]func(re *lovagefake.Relay){
+		"none":   func(*lovagefake.Relay) {},
+		"cut":    (*lovagefake.Relay).Cut,
+		"refuse": func(re *lovagefake.Relay) { re.SetRefuse(true); re.Cut() },
+		"silent": (*lovagefake.Relay).Silence,
+	} {
+		t.Run(name, func(t *testing.T) {
+			for len(started) > 0 {
+				<-started
+			}
+			within := 20 * time.Second
+			if name == "silent" { // the caller waits until 2 s after the deadline
+				within = 4 * time.Second
+			}
+			ca := de.NewRoutedCaller() // a new one has not found any address to be bad
+			defer ca.Close()
+			var wg sync.WaitGroup
+			for i, it := range de.Instances() {
+				keys, err := ca.Mint(ctx, it, 4, false)
+				must.NoError(t, err)
+				for _, key := range keys {
+					wg.Go(func() {
+						jo := NewJob(key, false, 3, time.Duration(50+20*i)*time.Millisecond, time.Now().Add(within))
+						an, err := ca.Submit(ctx, it, jo)
+						if err != nil || an.Outcome != lovagejob.Complete || an.Key.String() != key {
+							t.Errorf("key %s at %s: %s (%s), %v", key, it.Name, an.Outcome, an.Reason, err)
+						}
+					})
+				}
+			}
+			select { // most jobs are running or on their way then
+			case <-started:
+			case <-ctx.Done():
+			}
+			ad.each(fault)
+			wg.Wait()
+			ad.each(func(re *lovagefake.Relay) { re.SetRefuse(false) })
+			direct := int64(0)
+			for _, cl := range ca.clients {
+				direct += cl.RouteCounts().Direct
+			}
+			must.Positive(t, direct)
+		})
+	}
+	must.Len(t, 0, Check(de.Evidence()))
+}
