lovageapi: ask a silent owner whether it works on the job

Cause: a connection to an owner that went silent, or an owner that was paused, kept a job until 2 s after its deadline, and a request that was lost on the way was not started before that. TestBadOwnerAddresses saw such a job end as unknown (2 of 4 runs with the race detector). Change: while an answer is awaited, the client asks the owner about the key after 3 s and every 3 s. If the reply does not come within 1 s or is not pending, the call goes to the base address with the same key. Conclusion: a job that runs longer than 3 s costs one question to its owner for each 3 s.

--- a/lovageapi/client.go
+++ b/lovageapi/client.go
@@ -54,8 +54,9 @@
 // Submit, Ask and Cancel go to the instance that owns the key, once a reply has named its address; otherwise that
 // instance would get them as forwards. If the owner cannot be reached, the connection breaks, or what comes back is no
 // answer to the key, the same call with the same key goes to the base address, and the owner's address is not used for
-// 10 s. An owner that is silent until 2 s after the answer was due counts as unreachable. The client never uses another
-// key by itself.
+// 10 s. While
+// an answer is awaited, the owner is asked every 3 s whether it works on the key; one that does not say so within 1 s, or
+// is silent until 2 s after the answer was due, counts as unreachable. The client never uses another key by itself.
 //
 // An error that is neither a *ReplyError nor matches ErrNotSent leaves open whether the request was processed.
 type Client struct {
--- a/lovageapi/fakes_test.go
+++ b/lovageapi/fakes_test.go
@@ -28,6 +28,8 @@
 	minted  int
 	answers map[string]lovagejob.Answer // by nonce of the key
 	submit  func(ctx context.Context, sub lovagejob.Submission) (lovagejob.Answer, error)
+	asks    int
+	asked   func(n int) // called by Ask with the number of calls so far; may be nil
 }
 
 func (fa *fakeJobs) Mint(_ context.Context, req lovagejob.MintRequest) (lovagejob.Minted, error) {
@@ -69,6 +71,12 @@
 }
 
 func (fa *fakeJobs) Ask(_ context.Context, key lovagejob.Key, _ time.Time) (lovagejob.Answer, error) {
+	if fa.asked != nil {
+		fa.mu.Lock()
+		fa.asks++
+		fa.asked(fa.asks)
+		fa.mu.Unlock()
+	}
 	an, ok := fa.answers[key.Nonce]
 	if !ok {
 		return lovagejob.Answer{}, errors.New("the owner of the key cannot be reached")
--- a/lovageapi/route.go
+++ b/lovageapi/route.go
@@ -26,6 +26,11 @@
 	// directDialTimeout bounds the attempt to connect to an owner. A network round trip takes a few milliseconds, and
 	// the base address is there to fall back to.
 	directDialTimeout = 500 * time.Millisecond
+	// probeAfter is how long an answer is waited for before the owner is asked whether it knows the job. Most tasks take
+	// up to 1 s, so few jobs cost this message.
+	probeAfter = 3 * time.Second
+	// probeTimeout is how long the owner may take to answer that.
+	probeTimeout = time.Second
 	// directGrace is how long after the time at which an answer is due an owner that is silent is still waited for.
 	directGrace = 2 * time.Second
 	// cancelPatience is how long the answer to a cancellation may take; an instance waits 10 s for it at most.
@@ -48,9 +53,10 @@
 
 // routes remembers the caller addresses of the owners of key ranges, as replies named them.
 type routes struct {
-	base string // address that needs no route
-	http *http.Client
-	now  func() time.Time
+	base                     string // address that needs no route
+	http                     *http.Client
+	now                      func() time.Time
+	probeAfter, probeTimeout time.Duration
 
 	mu      sync.Mutex
 	owners  map[keyRange]string
@@ -65,7 +71,7 @@
 		Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3,
 	}}
 	return &routes{
-		base: base, now: time.Now, owners: map[keyRange]string{}, avoided: map[string]time.Time{},
+		base: base, now: time.Now, probeAfter: probeAfter, probeTimeout: probeTimeout, owners: map[keyRange]string{}, avoided: map[string]time.Time{},
 		http: &http.Client{Transport: &http.Transport{
 			DialContext: di.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute,
 		}},
@@ -165,7 +171,10 @@
 	}
 	cl.routes.direct.Add(1)
 	direct, cancel := context.WithDeadline(ctx, qu.answerBy)
+	pr := &probe{cl: cl, owner: owner, key: qu.key, ctx: direct, lost: cancel}
+	timer := time.AfterFunc(cl.routes.probeAfter, pr.run)
 	out, err := cl.askAt(direct, cl.routes.http, "http://"+owner, qu)
+	timer.Stop()
 	cancel()
 	if err == nil {
 		if out.Outcome == lovagejob.Unknown {
@@ -190,6 +199,28 @@
 	return out, baseErr
 }
 
+// probe finds out whether an owner that has not answered yet still works on the job. The connection may have gone silent
+// with the request or the answer on it, or the owner may have stopped; waiting until the deadline would lose the job.
+type probe struct {
+	cl         *Client
+	owner, key string
+	ctx        context.Context // of the call that waits
+	lost       func()          // ends it
+}
+
+func (pr *probe) run() {
+	ctx, cancel := context.WithTimeout(pr.ctx, pr.cl.routes.probeTimeout)
+	defer cancel()
+	out, err := pr.cl.askAt(ctx, pr.cl.routes.http, "http://"+pr.owner, askQuestion(pr.key, 0))
+	switch {
+	case pr.ctx.Err() != nil:
+	case err == nil && out.Outcome == lovagejob.Pending, isRefusal(err):
+		time.AfterFunc(pr.cl.routes.probeAfter, pr.run)
+	default:
+		pr.lost()
+	}
+}
+
 // isRefusal reports whether the error is a reply with which an instance refuses a request that it did not process. Other
 // error replies, such as 404 and 502, do not come from a caller API.
 func isRefusal(err error) bool {
