lovageapi, lovagestack: show the workers that an instance uses

Cause: operators could not see which workers are slow or ejected; the core's status of workers had no reader. Change: GET /v1/workers on the operator address and the command lovagestack workers. Conclusion: each instance lists only the workers that it uses.

--- a/lovageapi/fakes_test.go
+++ b/lovageapi/fakes_test.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
 
+	"lovagestack/lovagedispatch"
 	"lovagestack/lovagejob"
 	"lovagestack/lovageplatform"
 	"lovagestack/lovageresource"
@@ -159,6 +160,13 @@
 
 func (fa *fakeHealth) Decides(service string) bool { return service == "" || service == "ticket" }
 
+func (fa *fakeHealth) Workers(context.Context) ([]lovagedispatch.WorkerStatus, error) {
+	return []lovagedispatch.WorkerStatus{
+		{Worker: "kandla-w0", State: "healthy", Factor: 0.75, Share: 8, Running: 3},
+		{Worker: "kandla-w1", State: "ejected", Until: testNow.Add(4 * time.Second), Factor: 1, Share: 8},
+	}, nil
+}
+
 func (fa *fakeHealth) WriteMetrics(w io.Writer) error {
 	_, err := io.WriteString(w, "jobs_accepted 3\n")
 	return err
--- a/lovageapi/operator.go
+++ b/lovageapi/operator.go
@@ -31,6 +31,7 @@
 
 // Health says how the instance stands.
 type Health interface {
+	Workers
 	// Ready reports whether the instance takes new jobs, and if not, why.
 	Ready() (bool, []string)
 	// Decides reports whether the instance takes new jobs and decides for workers of the service, or of any service if the
@@ -57,6 +58,7 @@
 	app.Delete("/v1/resources/{kind}/{name}", api.delete)
 	app.Get("/v1/watch", api.watch)
 	app.Get(decidingPath, api.deciding)
+	app.Get(workersPath, api.workers)
 	app.Get("/healthz", api.healthz)
 	app.Get("/readyz", api.readyz)
 	app.Get("/metrics", api.metrics)
--- /dev/null
+++ b/lovageapi/workers.go
@@ -0,0 +1,67 @@
+package lovageapi
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/kataras/iris/v12"
+
+	"lovagestack/lovagedispatch"
+)
+
+// Workers says how the instance sees the workers that it uses.
+type Workers interface {
+	// Workers returns the status of the workers, sorted by ID.
+	Workers(ctx context.Context) ([]lovagedispatch.WorkerStatus, error)
+}
+
+// WorkersReply is the reply to GET /v1/workers. An instance uses the workers of the domains for which it decides.
+type WorkersReply struct {
+	Workers []WorkerReply `json:"workers"` // sorted by ID
+}
+
+// WorkerReply is one worker as the instance sees it.
+type WorkerReply struct {
+	Worker  string     `json:"worker"`
+	State   string     `json:"state"`             // "healthy", "ejected", "probing" or "leaving"
+	ProbeAt *time.Time `json:"probeAt,omitempty"` // when an ejected worker gets its next task
+	Factor  float64    `json:"factor"`            // learned run time relative to a worker of average speed
+	Slots   int        `json:"slots"`             // that this instance may use
+	Running int        `json:"running"`           // tasks of this instance
+}
+
+func workerReply(ws *lovagedispatch.WorkerStatus) WorkerReply {
+	out := WorkerReply{Worker: ws.Worker, State: ws.State, Factor: ws.Factor, Slots: ws.Share, Running: ws.Running}
+	if !ws.Until.IsZero() {
+		at := ws.Until.UTC()
+		out.ProbeAt = &at
+	}
+	return out
+}
+
+func (api *operatorAPI) workers(ctx iris.Context) {
+	if findings := queryFindings(ctx); len(findings) > 0 {
+		writeFindings(ctx, findings)
+		return
+	}
+	list, err := api.health.Workers(ctx.Request().Context())
+	if err != nil {
+		writeError(ctx, http.StatusServiceUnavailable, "the workers cannot be listed: "+err.Error())
+		return
+	}
+	out := WorkersReply{Workers: make([]WorkerReply, 0, len(list))}
+	for i := range list {
+		out.Workers = append(out.Workers, workerReply(&list[i]))
+	}
+	writeJSON(ctx, http.StatusOK, out)
+}
+
+// Workers returns how the instance sees the workers that it uses.
+func (cl *Client) Workers(ctx context.Context) ([]WorkerReply, error) {
+	var out WorkersReply
+	err := cl.json(ctx, http.MethodGet, workersPath, nil, &out, nil)
+	return out.Workers, err
+}
+
+const workersPath = "/v1/workers"
--- a/lovagestack/main.go
+++ b/lovagestack/main.go
@@ -51,6 +51,7 @@
 	Get     *getCommand     `arg:"subcommand:get" help:"show resources"`
 	Watch   *watchCommand   `arg:"subcommand:watch" help:"follow all changes of resources"`
 	Delete  *deleteCommand  `arg:"subcommand:delete" help:"delete a resource"`
+	Workers *workersCommand `arg:"subcommand:workers" help:"show the workers that an instance uses"`
 	Submit  *submitCommand  `arg:"subcommand:submit" help:"submit a job and wait for its answer"`
 	Dev     *devCommand     `arg:"subcommand:dev" help:"run a platform, an instance and sample workers in one process"`
 	Bench   *benchCommand   `arg:"subcommand:bench" help:"measure the dispatch policies"`
