lovageload: run each submission as a method of its owner

Cause: the house style asks for goroutines that are methods named run or loop; Run started a closure for each job. Change: submission.run. Measured: go test -race ./lovageload passes. Conclusion: behaviour as before.

--- a/lovageload/run.go
+++ b/lovageload/run.go
@@ -117,10 +117,8 @@
 			me.bound = Bound(ru.op.RoundTrip, work, ru.op.All)
 		}
 		ru.outstanding.Add(1)
-		ru.wg.Go(func() {
-			defer ru.outstanding.Add(-1)
-			ru.submit(ctx, me)
-		})
+		su := &submission{ru: ru, ctx: ctx, me: me}
+		ru.wg.Go(su.run)
 	}
 }
 
@@ -132,9 +130,18 @@
 	return out
 }
 
-// submit runs one job and records it. The response time counts from the intended send time.
-func (ru *run) submit(ctx context.Context, me measurement) {
-	ctx, cancel := context.WithDeadline(ctx, ru.start.Add(me.job.Deadline+ru.op.AnswerTimeout))
+// submission is one job in progress.
+type submission struct {
+	ru  *run
+	ctx context.Context // of the load run
+	me  measurement
+}
+
+// run submits the job and records it. The response time counts from the intended send time.
+func (su *submission) run() {
+	ru, me := su.ru, su.me
+	defer ru.outstanding.Add(-1)
+	ctx, cancel := context.WithDeadline(su.ctx, ru.start.Add(me.job.Deadline+ru.op.AnswerTimeout))
 	defer cancel()
 	answer, err := ru.exchange(ctx, me.job)
 	me.response = time.Since(ru.start.Add(me.job.At))
