lovagemember: pass on the leaving marks of a peer that leaves or is silent

Cause: an instance tells its peers only the workers that it found leaving itself. If that process ends, no other one tells an instance that starts later, which then gives the worker tasks until it gets the worker's own word. The fault matrix saw this with a worker that leaves while the deciding instance shuts down and is replaced (invariant 6). Change: when a peer is no longer live, its marks count as this instance's own. A mark that is merely repeated does nothing, so that it does no harm if several instances adopt it. Measured: TestLeavingMarkOutlivesItsSource fails without the change in two of three cases. Conclusion: holds for processes that end; a process that starts still has to hear from a peer.

--- a/lovagemember/core_test.go
+++ b/lovagemember/core_test.go
@@ -119,6 +119,26 @@
 	}
 }
 
+// Guards against a mark that ends with the process that found it: an instance that starts later would give the worker
+// tasks until it gets the worker's own word.
+func TestLeavingMarkOutlivesItsSource(t *testing.T) {
+	for name, tc := range map[string]struct {
+		ended Event
+		want  []string
+	}{
+		"source is live":    {Tick{}, nil},
+		"source is leaving": {HeartbeatSeen{Instance: "b", DataCentre: "kandla", Leaving: true, LeavingWorkers: []string{"w"}}, []string{"w"}},
+		"source is refused": {SessionDown{"b", true}, []string{"w"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			co := newCore("a")
+			co.Step(start, HeartbeatSeen{Instance: "b", DataCentre: "kandla", LeavingWorkers: []string{"w"}}, nil)
+			co.Step(start, tc.ended, nil)
+			must.Eq(t, tc.want, co.LeavingWorkers())
+		})
+	}
+}
+
 // Guards against a worker without an address when its pool names none, and against a change that is not told.
 func TestWorkerAddressFromList(t *testing.T) {
 	co := newCore("a")
--- a/lovagemember/instance.go
+++ b/lovagemember/instance.go
@@ -142,6 +142,9 @@
 	if shown != it.shown || it.dataCentre != it.shownDataCentre {
 		it.shown, it.shownDataCentre = shown, it.dataCentre
 		co.membersChanged = true
+		if st != Live {
+			co.adoptMarks(it.id)
+		}
 	}
 	if it.address != it.dialled && it.address != co.se.Address {
 		co.drop(it)
--- a/lovagemember/worker.go
+++ b/lovagemember/worker.go
@@ -19,7 +19,7 @@
 	listedDataCentre, listedAddress string // by the last list that named it; used where the pool leaves them out
 
 	leaving   bool // sticky mark
-	firstHand bool // the mark came from the list or a reply; only such marks are passed on
+	firstHand bool // the mark came from the list or a reply, or its source is not live any more; only such marks are passed on
 	listed    bool // in the last list
 	unlisted  bool // missed in a list since the mark, after it had been listed
 }
@@ -132,6 +132,19 @@
 		}
 	}
 	co.reported[from] = next
+	if it := co.instances[from]; it != nil && it.shown.State != Live {
+		co.adoptMarks(from)
+	}
+}
+
+// adoptMarks takes over the marks of a peer that may end, so that they are still told to instances that start later.
+// A repeated mark does nothing, so that it does no harm if several instances adopt it.
+func (co *Core) adoptMarks(from string) {
+	for id := range co.reported[from] {
+		if wo := co.workers[id]; wo != nil && wo.leaving {
+			wo.firstHand = true
+		}
+	}
 }
 
 // markedKeepFactor keeps marked workers longer than others (15 min by default, the lifetime of a key), because a pool
@@ -152,7 +165,7 @@
 }
 
 // LeavingWorkers returns the workers that this instance itself found leaving, sorted, for its heartbeats. What it heard
-// from peers is not passed on, because two instances would then remind each other for ever.
+// from peers that are live is not passed on, because two instances would then remind each other for ever.
 func (co *Core) LeavingWorkers() []string {
 	var out []string
 	for id, wo := range co.workers {
