lovageentry: send a heartbeat to a peer as soon as a session with it opens

Cause: a process that has just started learns which workers are leaving from the replies to its heartbeats. The first round usually finds no session yet, so that the next one, an interval later, was the first that reached a peer. Change: an opened session gets a heartbeat at once instead of with the next round. Costs one heartbeat per opened session. Conclusion: the window is now the time from the start until the first session, which is not zero: an instance is ready for the balancer without having heard from a peer.

--- a/lovageentry/heartbeat.go
+++ b/lovageentry/heartbeat.go
@@ -39,20 +39,10 @@
 	}
 	lo.nextHeartbeat = lo.now.Add(lo.in.settings.Heartbeat.Interval)
 	lo.sweepOffers()
-	// Seeds are instances whose ID is not known before their first heartbeat, so they are sent one by address alone.
-	targets := make(map[string]struct{}, len(lo.members.members))
-	for _, seed := range lo.in.settings.Peers.Seeds {
-		targets[seed.String()] = struct{}{}
-	}
-	for _, me := range lo.members.members {
-		if me.State != lovagemember.Gone {
-			targets[me.Address] = struct{}{}
-		}
-	}
 	brief := lo.heartbeatMessage()
 	full, topology := lo.withTopology(brief)
-	for address := range targets {
-		if address != "" && address != lo.in.peerAddress && lo.in.mesh.Connected(address) {
+	for address := range lo.heartbeatTargets() {
+		if lo.in.mesh.Connected(address) {
 			lo.sendHeartbeat(address, brief, full, topology)
 		}
 	}
@@ -64,6 +54,39 @@
 	}
 }
 
+// sessionOpened is a new session with a peer. The peer gets a heartbeat at once, because its reply names the workers that
+// are leaving: until the next round a process that has just started would give them tasks.
+type sessionOpened struct{ peer string }
+
+func (so *sessionOpened) apply(lo *controlLoop) {
+	lo.stepMember(lovagemember.SessionUp{Instance: so.peer})
+	brief := lo.heartbeatMessage()
+	full, topology := lo.withTopology(brief)
+	for address := range lo.heartbeatTargets() {
+		if lo.in.mesh.Instance(address) == so.peer {
+			delete(lo.heartbeats, address) // it is due again
+			lo.sendHeartbeat(address, brief, full, topology)
+		}
+	}
+}
+
+// heartbeatTargets returns the addresses of the peers that are not gone. Seeds are instances whose ID is not known before
+// their first heartbeat, so they are sent one by address alone.
+func (lo *controlLoop) heartbeatTargets() map[string]struct{} {
+	targets := make(map[string]struct{}, len(lo.members.members))
+	for _, seed := range lo.in.settings.Peers.Seeds {
+		targets[seed.String()] = struct{}{}
+	}
+	for _, me := range lo.members.members {
+		if me.State != lovagemember.Gone {
+			targets[me.Address] = struct{}{}
+		}
+	}
+	delete(targets, "")
+	delete(targets, lo.in.peerAddress)
+	return targets
+}
+
 func (lo *controlLoop) sendHeartbeat(address string, brief, full *lovagemessage.Heartbeat, topology uint64) {
 	met := lo.in.mesh.Instance(address)
 	ht := lo.heartbeats[address]
@@ -88,7 +111,7 @@
 	}
 	lo.in.counts.heartbeats.Inc(1)
 	hs := &heartbeatSender{
-		in: lo.in, address: address, deadline: lo.nextHeartbeat, full: msg == full, topology: topology,
+		in: lo.in, address: address, deadline: lo.now.Add(lo.in.settings.Heartbeat.Interval), full: msg == full, topology: topology,
 		req: &lovagemessage.Request{Body: &lovagemessage.Request_Heartbeat{Heartbeat: msg}},
 	}
 	go hs.run()
--- a/lovageentry/instance.go
+++ b/lovageentry/instance.go
@@ -263,7 +263,7 @@
 }
 
 func (in *Instance) sessionUp(peer string) {
-	in.control.post(in.running(), &memberEvent{lovagemember.SessionUp{Instance: peer}})
+	in.control.post(in.running(), &sessionOpened{peer: peer})
 }
 
 func (in *Instance) sessionDown(peer string, refused bool) {
