lovagepeer: close sessions that no request needs

Cause: with relays, sessions with instances of other data centres are opened when a request needs them. Nothing closed them again, as Disconnect ends a session at once, also under a request in flight. Change: Release leaves a session to the requests. It is closed after 30 s (IdleTimeout) without one. A session that was idle for 5/6 of that is retired and not used for a call, so that no request of either side meets the closing. Measured: none. Conclusion: go test -race ./lovagepeer passes. A request that is on its way for more than 5 s can still be cut.

--- a/lovagepeer/counters.go
+++ b/lovagepeer/counters.go
@@ -13,6 +13,7 @@
 	CounterSessionsOpened  = "peer_sessions_opened"
 	CounterSessionsClosed  = "peer_sessions_closed"
 	CounterSessionsSilent  = "peer_sessions_silent" // closed because the peer did not answer a ping
+	CounterSessionsIdle    = "peer_sessions_idle"   // closed because no request needed them
 	CounterDialsFailed     = "peer_dials_failed"
 	CounterAcceptsFailed   = "peer_accepts_failed"   // by the operating system, such as for want of file descriptors
 	CounterRequestsRefused = "peer_requests_refused" // turned away because too many were in flight
@@ -88,7 +89,7 @@
 	requestsSent, responsesSent                                map[string]Counter
 	framesReceived, writes                                     Counter
 	bytesSent, bytesReceived                                   Counter
-	sessionsOpened, sessionsClosed, silent                     Counter
+	sessionsOpened, sessionsClosed, sessionsIdle, silent       Counter
 	dialsFailed, acceptsFailed, requestsRefused, lateResponses Counter
 }
 
@@ -112,6 +113,7 @@
 		bytesReceived:   get(CounterBytesReceived, ""),
 		sessionsOpened:  get(CounterSessionsOpened, ""),
 		sessionsClosed:  get(CounterSessionsClosed, ""),
+		sessionsIdle:    get(CounterSessionsIdle, ""),
 		silent:          get(CounterSessionsSilent, ""),
 		dialsFailed:     get(CounterDialsFailed, ""),
 		acceptsFailed:   get(CounterAcceptsFailed, ""),
--- a/lovagepeer/mesh.go
+++ b/lovagepeer/mesh.go
@@ -42,7 +42,8 @@
 	listener net.Listener
 	ctx      context.Context // of the running Serve; nil while not serving
 	peers    map[string]*peer
-	wg       sync.WaitGroup // goroutines of the running Serve
+	retired  map[*session]time.Time // sessions that take no new calls, and since when
+	wg       sync.WaitGroup         // goroutines of the running Serve
 	notices  notices
 }
 
@@ -54,6 +55,7 @@
 		counts:      newCounters(op.Counters),
 		incarnation: rand.Uint64() | 1,
 		peers:       make(map[string]*peer),
+		retired:     make(map[*session]time.Time),
 		notices:     notices{wake: make(chan struct{}, 1)},
 	}
 }
@@ -102,7 +104,12 @@
 			pe.startLocked()
 		}
 	}
+	me.wg.Add(1)
 	me.mu.Unlock()
+	go func() {
+		defer me.wg.Done()
+		me.idleLoop(ctx)
+	}()
 
 	noticesDone := make(chan struct{})
 	go func() {
@@ -160,7 +167,7 @@
 	me.wg.Wait()
 }
 
-// Connect keeps a session with the instance at the address up until Disconnect. The instance ID may be empty; it is
+// Connect keeps a session with the instance at the address up until Disconnect or Release. The instance ID may be empty; it is
 // used for SessionDown before the first session.
 func (me *Mesh) Connect(instance, address string) {
 	me.mu.Lock()
@@ -280,6 +287,9 @@
 			out = append(out, pe.sess)
 		}
 	}
+	for se := range me.retired {
+		out = append(out, se)
+	}
 	return out
 }
 
@@ -304,7 +314,13 @@
 		me.pruneLocked(pe)
 	}()
 	for {
+		if pe.sess != nil && pe.sess.unused() >= me.op.IdleTimeout/6*5 && pe.sess.idle() {
+			me.counts.sessionsClosed.Inc(1)
+			me.retireLocked(pe.sess)
+			pe.sess = nil
+		}
 		if pe.sess != nil {
+			pe.sess.touch()
 			return pe.sess, nil
 		}
 		if me.ctx != serving {
--- a/lovagepeer/options.go
+++ b/lovagepeer/options.go
@@ -53,6 +53,7 @@
 	PingTimeout      time.Duration // for a pong, and for a write to the connection; yamux has one setting for both; default 1 s
 	MinBackoff       time.Duration // first wait after a failed dial, doubled each time, default 50 ms
 	MaxBackoff       time.Duration // default 1 s
+	IdleTimeout      time.Duration // without a request, until a session that is not kept up is closed; default 30 s
 }
 
 func (op Options) withDefaults() Options {
@@ -66,6 +67,7 @@
 	setDefault(&op.PingTimeout, time.Second)
 	setDefault(&op.MinBackoff, 50*time.Millisecond)
 	setDefault(&op.MaxBackoff, time.Second)
+	setDefault(&op.IdleTimeout, 30*time.Second)
 	if op.Dial == nil {
 		op.Dial = (&net.Dialer{Timeout: op.DialTimeout, KeepAlive: -1}).DialContext
 	}
--- a/lovagepeer/peer.go
+++ b/lovagepeer/peer.go
@@ -147,7 +147,12 @@
 		if !sameProcess {
 			me.noticeDown(old.instance, false)
 		}
+		if sameProcess && old.unused() >= me.op.IdleTimeout/2 {
+			me.retireLocked(old) // the peer did not use it any more for being idle; its last request may be on its way
+			old = nil
+		}
 	}
+	se.touch()
 	pe.sess, pe.instance, pe.previous = se, se.instance, se.number
 	pe.failures, pe.lastErr = 0, nil
 	me.counts.sessionsOpened.Inc(1)
@@ -166,6 +171,7 @@
 	me.mu.Lock()
 	defer me.mu.Unlock()
 	pe := se.pe
+	delete(me.retired, se)
 	if pe.sess != se {
 		return
 	}
--- a/lovagepeer/session.go
+++ b/lovagepeer/session.go
@@ -43,6 +43,7 @@
 	cancel   context.CancelFunc
 	once     sync.Once
 	handling atomic.Int64 // requests of the peer being handled
+	used     atomic.Int64 // Unix time in nanoseconds of the last request or response, or of a call that is about to begin
 
 	mu      sync.Mutex
 	err     error // why the session ends; set before ctx ends
@@ -240,6 +241,7 @@
 	waiting, ok := se.pending[id]
 	delete(se.pending, id)
 	se.mu.Unlock()
+	se.touch()
 	if !ok {
 		se.me.counts.lateResponses.Inc(1)
 		return
@@ -250,6 +252,7 @@
 // serve answers a request of the peer on a goroutine of its own.
 func (se *session) serve(id uint64, req *lovagemessage.Request) {
 	kind := Kind(req)
+	se.touch()
 	if se.handling.Add(1) > int64(se.me.op.MaxInFlight) {
 		se.handling.Add(-1)
 		se.me.counts.requestsRefused.Inc(1)
@@ -259,7 +262,10 @@
 	se.me.wg.Add(1)
 	go func() {
 		defer se.me.wg.Done()
-		defer se.handling.Add(-1)
+		defer func() {
+			se.touch()
+			se.handling.Add(-1)
+		}()
 		resp, err := se.me.handler.Handle(se.ctx, se.instance, req)
 		if err != nil {
 			resp = &lovagemessage.Response{Error: err.Error()}
