lovagemember, lovagemessage: choose relays and merge summaries

Change: above MeshInstances known instances (default 24) an instance keeps sessions with its own data centre, and the instance with the lowest hash with the relays of the others. Summaries carry reports with ages; reports are ordered by when the instance was heard from. The delay of two intervals is added to the limits of reported instances. Newly found leaving workers are told at once. The flag relays in heartbeats tells a relay in full mesh that peers need summaries: without it a mixed deployment left instances that nobody told each other of (found by the property test). Conclusion: the property tests fail without the added delay, the trial of the next hashes, the order of reports, the flag and the heartbeats at once. No test shows the need of keeping a target that answers while the relay does not, nor of passing on the state suspect without anything newer.

--- a/lovagemember/core.go
+++ b/lovagemember/core.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Settings identify this instance and hold the limits. Zero limits mean the defaults.
@@ -13,6 +15,11 @@
 	GoneAfter    time.Duration // silence until a peer is gone, default 6 s, the TTL of an instance's lease
 	RefusedAfter time.Duration // refusals until a peer is gone, default 1 s
 	ForgetAfter  time.Duration // silence until a peer or worker that no source names is dropped, default 60 s
+	Interval     time.Duration // between heartbeats, default 1 s
+
+	// MeshInstances is the largest number of known instances, this one included, with which every instance exchanges
+	// heartbeats with every other; above it relays are used. Default 24.
+	MeshInstances int
 }
 
 func (se Settings) withDefaults() Settings {
@@ -24,11 +31,15 @@
 		{&se.GoneAfter, 6 * time.Second},
 		{&se.RefusedAfter, time.Second},
 		{&se.ForgetAfter, time.Minute},
+		{&se.Interval, time.Second},
 	} {
 		if *it.value <= 0 {
 			*it.value = it.def
 		}
 	}
+	if se.MeshInstances <= 0 {
+		se.MeshInstances = 24
+	}
 	return se
 }
 
@@ -43,6 +54,17 @@
 	order          []string // sorted IDs of instances
 	membersChanged bool
 
+	role        Role
+	relayID     string // of the own data centre
+	hash        uint64 // of the own ID
+	farBeats    map[string]time.Time
+	addresses   map[string]struct{} // reused by knownInstances
+	rolesDue    bool                // something changed that whom to keep a session with depends on
+	rolesChosen time.Time
+	tellOwn     bool // the own data centre is to be told of leaving workers at once
+	tellFar     bool // the same for the other relays
+	tellRelay   bool // the same for the relay of the own data centre
+
 	workers        map[string]*worker
 	declared       []string                       // sorted IDs of declared workers
 	reported       map[string]map[string]struct{} // peer, then the workers that it last reported as leaving
@@ -57,6 +79,9 @@
 		instances:      make(map[string]*instance),
 		workers:        make(map[string]*worker),
 		reported:       make(map[string]map[string]struct{}),
+		hash:           xxhash.Sum64String(se.Instance),
+		farBeats:       make(map[string]time.Time),
+		addresses:      make(map[string]struct{}),
 		membersChanged: true,
 	}
 }
@@ -73,8 +98,10 @@
 		co.listRead(ev)
 	case HeartbeatSeen:
 		co.heartbeatSeen(ev)
+	case SummarySeen:
+		co.summarySeen(ev)
 	case PeerHeard:
-		co.peerHeard(ev.Instance)
+		co.peerHeard(ev)
 	case SessionUp:
 		co.sessionUp(ev.Instance)
 	case SessionDown:
@@ -89,7 +116,7 @@
 		co.leavingHeard(ev.From, ev.Workers)
 	case Drain:
 		if !co.draining {
-			co.draining, co.membersChanged = true, true
+			co.draining, co.membersChanged, co.rolesDue = true, true, true
 		}
 	case Tick:
 		co.tick()
@@ -102,6 +129,10 @@
 func (co *Core) emit(cmd Command) { co.out = append(co.out, cmd) }
 
 func (co *Core) flush() {
+	if co.rolesDue {
+		co.chooseRoles()
+	}
+	co.tellLeaving()
 	if co.membersChanged {
 		co.membersChanged = false
 		co.emit(MembersChanged{DataCentres: co.view()})
@@ -116,6 +147,9 @@
 	for _, id := range co.order {
 		co.refresh(co.instances[id])
 	}
+	if (co.role.Relay || co.role.Relays) && co.now.Sub(co.rolesChosen) >= co.se.Interval/4 {
+		co.rolesDue = true // a data centre may have been silent for too long
+	}
 	if co.now.Sub(co.lastPrune) >= co.se.ForgetAfter/2 {
 		co.lastPrune = co.now
 		co.pruneInstances()
--- a/lovagemember/core_test.go
+++ b/lovagemember/core_test.go
@@ -66,7 +66,7 @@
 		"listed only":       {{0, ListRead{[]lovageplatform.Instance{entry("b")}}, Unheard}, {time.Hour, Tick{}, Unheard}},
 		"named by a peer":   {{0, HeartbeatSeen{Instance: "c", KnownPeers: []Peer{{Instance: "b", DataCentre: "kandla"}}}, Unheard}},
 		"silent":            {{0, heartbeat("b"), Live}, {2999 * time.Millisecond, Tick{}, Live}, {time.Millisecond, Tick{}, Suspect}, {2999 * time.Millisecond, Tick{}, Suspect}, {time.Millisecond, Tick{}, Gone}, {0, heartbeat("b"), Live}},
-		"traffic":           {{0, heartbeat("b"), Live}, {5 * time.Second, PeerHeard{"b"}, Live}, {2 * time.Second, Tick{}, Live}},
+		"traffic":           {{0, heartbeat("b"), Live}, {5 * time.Second, PeerHeard{Instance: "b"}, Live}, {2 * time.Second, Tick{}, Live}},
 		"list outage":       {{0, ListRead{[]lovageplatform.Instance{entry("b")}}, Unheard}, {0, heartbeat("b"), Live}, {time.Hour, Tick{}, Gone}, {0, SessionUp{"b"}, Live}},
 		"refused":           {{0, heartbeat("b"), Live}, {0, SessionDown{Instance: "b"}, Live}, {0, SessionDown{"b", true}, Suspect}, {time.Second, Tick{}, Gone}, {0, SessionUp{"b"}, Live}},
 		"leaving":           {{0, HeartbeatSeen{Instance: "b", DataCentre: "kandla", Leaving: true}, Leaving}, {0, heartbeat("b"), Live}},
--- a/lovagemember/event.go
+++ b/lovagemember/event.go
@@ -1,6 +1,10 @@
 package lovagemember
 
-import "lovagestack/lovageplatform"
+import (
+	"time"
+
+	"lovagestack/lovageplatform"
+)
 
 // Event is an input of a Core.
 type Event interface{ isEvent() }
@@ -15,6 +19,27 @@
 	Leaving                       bool
 	LeavingWorkers                []string
 	KnownPeers                    []Peer
+	Relays                        bool // the peer uses relays
+	Details                       any  // passed on in summaries; the Core does not look into it
+}
+
+// SummarySeen is a summary of a data centre's instances, from its relay or passed on by the relay of the own data
+// centre.
+type SummarySeen struct{ Summary }
+
+// Summary is what a relay knows of the instances of a data centre.
+type Summary struct {
+	DataCentre, Relay string
+	Members           []Report
+}
+
+// Report is what a summary says of one instance.
+type Report struct {
+	Instance, Address string
+	State             State
+	Age               time.Duration // since the instance was heard from
+	LeavingWorkers    []string      // the whole set of workers that the instance itself found leaving
+	Details           any           // as in HeartbeatSeen; nil in a report about this instance
 }
 
 // Peer is an instance as another instance knows it.
@@ -23,8 +48,11 @@
 	Leaving                       bool
 }
 
-// PeerHeard says that a request or a response of a peer arrived.
-type PeerHeard struct{ Instance string }
+// PeerHeard says that a peer replied to a heartbeat.
+type PeerHeard struct {
+	Instance string
+	Relays   bool // the peer uses relays
+}
 
 // SessionUp says that a session with an instance is established.
 type SessionUp struct{ Instance string }
@@ -62,6 +90,7 @@
 
 func (ListRead) isEvent()           {}
 func (HeartbeatSeen) isEvent()      {}
+func (SummarySeen) isEvent()        {}
 func (PeerHeard) isEvent()          {}
 func (SessionUp) isEvent()          {}
 func (SessionDown) isEvent()        {}
@@ -145,11 +174,38 @@
 // DialPeer asks for a session with an instance to be kept up.
 type DialPeer struct{ Instance, Address string }
 
-// DropPeer ends an earlier DialPeer.
+// DropPeer ends an earlier DialPeer. The instance is not known any more, or not at that address.
 type DropPeer struct{ Instance, Address string }
 
+// ReleasePeer ends an earlier DialPeer to an instance that heartbeats are no longer exchanged with. The session may stay
+// as long as requests use it.
+type ReleasePeer struct{ Instance, Address string }
+
+// ReportTaken says that a summary brought something newer about an instance of another data centre.
+type ReportTaken struct {
+	Instance, DataCentre string
+	Age                  time.Duration // since the instance was heard from
+	Details              any
+}
+
+// RoleChanged is the new role of this instance.
+type RoleChanged struct{ Role Role }
+
+// Role says with whom this instance exchanges heartbeats. The zero value is that of an instance in a full mesh.
+type Role struct {
+	Relays bool // there are relays, and not sessions between all instances
+	Relay  bool // this instance is the relay of its data centre, for itself or for peers that use relays
+}
+
+// HeartbeatNow asks for heartbeats ahead of time, because a worker was found leaving.
+type HeartbeatNow struct{ Instances []string }
+
 func (MembersChanged) isCommand() {}
 func (WorkersChanged) isCommand() {}
 func (WorkerLeaving) isCommand()  {}
 func (DialPeer) isCommand()       {}
 func (DropPeer) isCommand()       {}
+func (ReleasePeer) isCommand()    {}
+func (ReportTaken) isCommand()    {}
+func (RoleChanged) isCommand()    {}
+func (HeartbeatNow) isCommand()   {}
--- a/lovagemember/instance.go
+++ b/lovagemember/instance.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lovagestack/lovageplatform"
 )
 
@@ -11,8 +13,15 @@
 type instance struct {
 	id, dataCentre, address string
 	known                   time.Time // when any source last named it
-	heard                   time.Time // when it was last heard from; zero: never
-	leaving                 bool      // by its own last heartbeat
+	heard                   time.Time // last direct sign of life; zero: never
+	beat                    time.Time // last heartbeat or reply to one; zero: never
+	reported                time.Time // when its relay heard from it, by the newest report; zero: no report
+	said                    State     // by the newest report
+	leaving                 bool      // by its own last heartbeat or the newest report
+	details                 any       // of the last heartbeat or the newest report
+	hash                    uint64    // of the ID
+	relays                  bool      // by its own last heartbeat or reply
+	wanted                  bool      // heartbeats are exchanged with it
 	listed, listedLeaving   bool      // in the last list
 	session                 bool
 	refusedSince            time.Time // first of the refusals since the last sign of life; zero: none
@@ -57,8 +66,8 @@
 		return
 	}
 	it := co.instance(ev.Instance)
-	it.dataCentre, it.address, it.leaving = ev.DataCentre, ev.Address, ev.Leaving
-	co.alive(it)
+	it.dataCentre, it.address, it.leaving, it.details = ev.DataCentre, ev.Address, ev.Leaving, ev.Details
+	co.beat(it, ev.Relays)
 	co.leavingHeard(ev.Instance, ev.LeavingWorkers)
 }
 
@@ -75,10 +84,19 @@
 	co.refresh(it)
 }
 
-func (co *Core) peerHeard(id string) {
-	if it := co.instances[id]; it != nil {
-		co.alive(it)
+func (co *Core) peerHeard(ev PeerHeard) {
+	if it := co.instances[ev.Instance]; it != nil {
+		co.beat(it, ev.Relays)
+	}
+}
+
+// beat notes a heartbeat or a reply to one.
+func (co *Core) beat(it *instance, relays bool) {
+	if it.relays != relays || it.beat.IsZero() {
+		co.rolesDue = true
 	}
+	it.beat, it.relays = co.now, relays
+	co.alive(it)
 }
 
 func (co *Core) sessionUp(id string) {
@@ -112,7 +130,8 @@
 func (co *Core) instance(id string) *instance {
 	it := co.instances[id]
 	if it == nil {
-		it = &instance{id: id, known: co.now}
+		it = &instance{id: id, known: co.now, hash: xxhash.Sum64String(id)}
+		co.rolesDue = true
 		co.instances[id] = it
 		co.order = insertSorted(co.order, id)
 	}
@@ -120,16 +139,21 @@
 }
 
 func (co *Core) state(it *instance) (st State, refused bool) {
-	switch silent := co.now.Sub(it.heard); {
-	case it.heard.IsZero():
+	suspectAfter, goneAfter, said := co.se.SuspectAfter, co.se.GoneAfter, Live
+	if it.reported.After(it.beat) && !co.heardDirectly(it) {
+		suspectAfter, goneAfter, said = suspectAfter+co.relayDelay(), goneAfter+co.relayDelay(), it.said
+	}
+	heard := it.lastHeard()
+	switch silent := co.now.Sub(heard); {
+	case heard.IsZero():
 		return Unheard, false
 	case !it.refusedSince.IsZero() && co.now.Sub(it.refusedSince) >= co.se.RefusedAfter:
 		return Gone, true
-	case silent >= co.se.GoneAfter:
+	case silent >= goneAfter || said == Gone:
 		return Gone, false
 	case it.leaving || it.listedLeaving:
 		return Leaving, false
-	case silent >= co.se.SuspectAfter || !it.refusedSince.IsZero():
+	case silent >= suspectAfter || said == Suspect || !it.refusedSince.IsZero():
 		return Suspect, false
 	}
 	return Live, false
@@ -141,29 +165,29 @@
 	shown := Member{Instance: it.id, Address: it.address, State: st, Refused: refused}
 	if shown != it.shown || it.dataCentre != it.shownDataCentre {
 		it.shown, it.shownDataCentre = shown, it.dataCentre
-		co.membersChanged = true
-	}
-	if it.address != it.dialled && it.address != co.se.Address {
-		co.drop(it)
-		if it.address != "" {
-			co.emit(DialPeer{Instance: it.id, Address: it.address})
-		}
-		it.dialled = it.address
+		co.membersChanged, co.rolesDue = true, true
 	}
 }
 
-func (co *Core) drop(it *instance) {
-	if it.dialled == "" {
-		return
-	}
+// undial ends the request for a session and returns its address, or "" if there was none or another instance uses it.
+func (co *Core) undial(it *instance) string {
 	address := it.dialled
 	it.dialled = ""
+	if address == "" {
+		return ""
+	}
 	for _, id := range co.order {
 		if co.instances[id].dialled == address {
-			return // a successor took over the address
+			return "" // a successor took over the address
 		}
 	}
-	co.emit(DropPeer{Instance: it.id, Address: address})
+	return address
+}
+
+func (co *Core) drop(it *instance) {
+	if address := co.undial(it); address != "" {
+		co.emit(DropPeer{Instance: it.id, Address: address})
+	}
 }
 
 // pruneInstances forgets instances that no source has named for a while. What the last list names stays, also while
@@ -182,17 +206,21 @@
 		delete(co.reported, it.id)
 		i, _ := slices.BinarySearch(co.order, it.id)
 		co.order = slices.Delete(co.order, i, i+1)
-		co.membersChanged = true
+		co.membersChanged, co.rolesDue = true, true
 	}
 }
 
 // KnownPeers returns the instances that this instance hears from, sorted by ID, for its heartbeats. Instances known only
-// from others are left out, so that a dead one is not passed on for ever. The list grows with the number of instances,
-// 3.9 KB at 100, so it is to be sent when it changes and not in each heartbeat.
+// from others are left out, so that a dead one is not passed on for ever; with relays, summaries name the instances of
+// other data centres. The list grows with the number of instances, 3.9 KB at 100, so it is to be sent when it changes
+// and not in each heartbeat.
 func (co *Core) KnownPeers() []Peer {
 	var out []Peer
 	for _, id := range co.order {
 		it := co.instances[id]
+		if co.role.Relays && it.dataCentre != co.se.DataCentre {
+			continue
+		}
 		if st := it.shown.State; st == Live || st == Leaving || st == Suspect {
 			out = append(out, Peer{Instance: it.id, DataCentre: it.dataCentre, Address: it.address, Leaving: it.leaving})
 		}
--- a/lovagemember/worker.go
+++ b/lovagemember/worker.go
@@ -113,6 +113,9 @@
 		return
 	}
 	wo.leaving, wo.unlisted = true, false
+	if source != FromPeer {
+		co.tellOwn, co.tellFar, co.tellRelay = true, true, true
+	}
 	co.emit(WorkerLeaving{Worker: id, Source: source})
 }
 
@@ -128,6 +131,10 @@
 	for _, id := range workers {
 		next[id] = struct{}{}
 		if _, repeated := last[id]; !repeated {
+			if wo := co.workers[id]; wo == nil || !wo.leaving {
+				own := co.instances[from] != nil && co.instances[from].dataCentre == co.se.DataCentre
+				co.tellFar, co.tellOwn = co.tellFar || own, co.tellOwn || !own
+			}
 			co.markLeaving(id, FromPeer)
 		}
 	}
