lovagesync: push changes to chosen peers and on through relays; take reports with ages

Cause: pushes went to every known instance, which would open a session with each when relays are used. Change: the interface Peers says whom a change is pushed to (PushTo), also for one that a peer pushed. ReportedAt notes the revision of a summary at the time at which the instance was heard from, so that "in force" counts the age. The new tests fail without the push in handleDelta and without the age.

--- a/lovagestack/main_test.go
+++ b/lovagestack/main_test.go
@@ -36,6 +36,8 @@
 
 func (noPeers) Peers() []lovagesync.Peer { return nil }
 
+func (noPeers) PushTo(string) []lovagesync.Peer { return nil }
+
 func (noPeers) Call(context.Context, string, *lovagemessage.Request) (*lovagemessage.Response, error) {
 	return nil, errors.New("there are no peers")
 }
--- a/lovagesync/cluster_test.go
+++ b/lovagesync/cluster_test.go
@@ -90,7 +90,8 @@
 	platform *lovageplatform.Memory
 	mu       sync.Mutex
 	nodes    map[string]*node
-	cut      map[string]bool // IDs of instances that no peer reaches
+	cut      map[string]bool                    // IDs of instances that no peer reaches
+	relay    func(no *node, from string) []Peer // takes the place of PushTo
 }
 
 type node struct {
@@ -171,6 +172,20 @@
 	return out
 }
 
+// PushTo implements the interface Peers.
+func (no *node) PushTo(from string) []Peer {
+	no.cl.mu.Lock()
+	relay := no.cl.relay
+	no.cl.mu.Unlock()
+	if relay != nil {
+		return relay(no, from)
+	}
+	if from != "" {
+		return nil
+	}
+	return no.Peers()
+}
+
 func (cl *cluster) reach(from, to string) *node {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
--- a/lovagesync/keeper.go
+++ b/lovagesync/keeper.go
@@ -36,8 +36,12 @@
 
 // Peers reaches the other entry instances.
 type Peers interface {
-	// Peers returns the instances that are not known to be gone.
+	// Peers returns the instances that may be asked for changes: those that are not known to be gone and that heartbeats
+	// are exchanged with.
 	Peers() []Peer
+	// PushTo returns the instances that a change is pushed to at once, for a change accepted here, with an empty from, or
+	// one that the instance from pushed.
+	PushTo(from string) []Peer
 	Call(ctx context.Context, address string, req *lovagemessage.Request) (*lovagemessage.Response, error)
 }
 
--- a/lovagesync/peers.go
+++ b/lovagesync/peers.go
@@ -26,13 +26,18 @@
 	return nil, errors.New("request is neither ConfigDelta nor ConfigAsk")
 }
 
-// handleDelta applies pushed changes. If they do not follow the applied revision, the sender is asked for the rest.
+// handleDelta applies pushed changes and pushes them on if other instances get them only through this one. If they do not
+// follow the applied revision, the sender is asked for the rest.
 func (ke *Keeper) handleDelta(from string, de *lovagemessage.ConfigDelta) (*lovagemessage.Response, error) {
 	changes, err := fromMessage(de)
 	if err != nil {
 		return nil, err
 	}
+	before := ke.Store.Revision()
 	err = ke.apply(changes)
+	if ke.Store.Revision() > before {
+		ke.push.start(ke.Peers.PushTo(from))
+	}
 	var gap *lovageresource.GapError
 	if err != nil && !errors.As(err, &gap) {
 		return nil, err
--- a/lovagesync/push.go
+++ b/lovagesync/push.go
@@ -17,14 +17,37 @@
 
 	mu   sync.Mutex
 	busy map[string]bool // IDs of peers with a push in progress
+	due  map[string]Peer // by ID, for the next round of run
 }
 
 func newPusher(ke *Keeper) *pusher {
-	return &pusher{ke: ke, wake: make(chan struct{}, 1), busy: map[string]bool{}}
+	return &pusher{ke: ke, wake: make(chan struct{}, 1), busy: map[string]bool{}, due: map[string]Peer{}}
 }
 
-// start makes run push the latest revision.
-func (pu *pusher) start() { signal(pu.wake) }
+// start makes run push the latest revision to some peers.
+func (pu *pusher) start(peers []Peer) {
+	pu.mu.Lock()
+	for _, peer := range peers {
+		pu.due[peer.ID] = peer
+	}
+	pu.mu.Unlock()
+	signal(pu.wake)
+}
+
+// take returns the peers that are due and have no push in progress, and notes that they have one.
+func (pu *pusher) take() []Peer {
+	pu.mu.Lock()
+	defer pu.mu.Unlock()
+	var out []Peer
+	for id, peer := range pu.due {
+		if !pu.busy[id] {
+			pu.busy[id] = true
+			out = append(out, peer)
+		}
+	}
+	clear(pu.due)
+	return out
+}
 
 func signal(ch chan struct{}) {
 	select {
@@ -43,14 +66,8 @@
 			return
 		case <-pu.wake:
 		}
-		for _, peer := range pu.ke.Peers.Peers() {
-			pu.mu.Lock()
-			busy := pu.busy[peer.ID]
-			pu.busy[peer.ID] = true
-			pu.mu.Unlock()
-			if !busy {
-				wg.Go(func() { (&peerPush{pu: pu, peer: peer}).run(ctx) })
-			}
+		for _, peer := range pu.take() {
+			wg.Go(func() { (&peerPush{pu: pu, peer: peer}).run(ctx) })
 		}
 	}
 }
--- /dev/null
+++ b/lovagesync/relay_test.go
@@ -0,0 +1,67 @@
+package lovagesync
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a change that a relay does not push on to its data centre, so that it waits for the next heartbeat or
+// poll there.
+func TestRelayPushesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t)
+		defer cl.stop()
+		first, relay, behind := cl.start(nodeID(0), nil), cl.start(nodeID(1), nil), cl.start(nodeID(2), nil)
+		cl.mu.Lock()
+		cl.relay = func(no *node, from string) []Peer {
+			switch {
+			case no == first && from == "":
+				return []Peer{{ID: relay.id, Address: relay.id}}
+			case no == relay && from == first.id:
+				return []Peer{{ID: behind.id, Address: behind.id}}
+			}
+			return nil
+		}
+		cl.mu.Unlock()
+		time.Sleep(3*time.Second + 500*time.Millisecond)
+		first.put("a", 1)
+		time.Sleep(50 * time.Millisecond)
+		must.Eq(t, 1, relay.weight("a"))
+		must.Eq(t, 1, behind.weight("a"))
+	})
+}
+
+// Guards against an instance that counts as one that answered although the summary that says so is old, and against a
+// summary that hides what the instance itself said later.
+func TestReportedAt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t)
+		defer cl.stop()
+		no := cl.start(nodeID(0), nil)
+		time.Sleep(time.Second)
+		answered := func(id string) (int64, bool) {
+			_, applied := no.InForce(1)
+			for _, ap := range applied {
+				if ap.Instance == id {
+					return ap.Revision, ap.Answered
+				}
+			}
+			return 0, false
+		}
+		no.ReportedAt("far", 5, time.Now().Add(-4*time.Second))
+		no.Reported("near", 5)
+		no.ReportedAt("near", 4, time.Now().Add(-4*time.Second))
+		revision, ok := answered("far")
+		must.True(t, ok)
+		must.Eq(t, 5, revision)
+		time.Sleep(3 * time.Second)
+		_, ok = answered("far")
+		must.False(t, ok)
+		revision, ok = answered("near")
+		must.True(t, ok)
+		must.Eq(t, 5, revision)
+	})
+}
--- a/lovagesync/status.go
+++ b/lovagesync/status.go
@@ -22,9 +22,16 @@
 	signal(ke.wake)
 }
 
-// note records a report. A report that arrives late must not hide a later one, as revisions never go down; but an
+// ReportedAt notes what a summary says of an instance that was heard from at a time.
+func (ke *Keeper) ReportedAt(instance string, revision int64, at time.Time) {
+	ke.noteAt(instance, revision, at)
+}
+
+func (ke *Keeper) note(instance string, revision int64) { ke.noteAt(instance, revision, time.Now()) }
+
+// noteAt records a report. A report that arrives late must not hide a later one, as revisions never go down; but an
 // instance that was replaced under the same ID starts again, so a lower revision counts once the last one is stale.
-func (ke *Keeper) note(instance string, revision int64) {
+func (ke *Keeper) noteAt(instance string, revision int64, at time.Time) {
 	if instance == "" || instance == ke.ID {
 		return
 	}
@@ -34,7 +41,10 @@
 	if ok && old.revision > revision && time.Since(old.at) <= ke.AnswerWithin {
 		return
 	}
-	ke.reports[instance] = report{revision: revision, at: time.Now()}
+	if ok && at.Before(old.at) { // a summary is older than what the instance said itself
+		at, revision = old.at, max(revision, old.revision)
+	}
+	ke.reports[instance] = report{revision: revision, at: at}
 }
 
 // reported returns the last revision that an instance reported, 0 if none.
--- a/lovagesync/write.go
+++ b/lovagesync/write.go
@@ -103,7 +103,7 @@
 			ke.tableFailed.Inc(1)
 		}
 	}
-	ke.push.start()
+	ke.push.start(ke.Peers.PushTo(""))
 }
 
 // unavailable says that nothing was written.
