lovageentry: exchange heartbeats between data centres through relays

Change: relays send, answer and merge summaries with the members, their details unchanged, and the range rows that changed. Sessions with other instances are released. Heartbeats are sent at once for newly leaving workers. Setting heartbeat.meshInstances (1 to 1000, default 24), counter summaries_sent, gauges relay and peer_sessions. Conclusion: with three data centres and meshInstances 2, jobs are answered and changes get into force through relays, also after the relay was killed and after a partition.

--- a/lovageconfig/check.go
+++ b/lovageconfig/check.go
@@ -140,6 +140,10 @@
 	}
 }
 
+// maxMeshInstances bounds heartbeat.meshInstances. A session takes about 100 KiB, so 1,000 of them are more than the
+// memory that an instance may take for control.
+const maxMeshInstances = 1000
+
 func (ch *checker) timings(se *Settings) {
 	for _, it := range []struct {
 		field    string
@@ -160,6 +164,9 @@
 			ch.add(it.field, "%s is not between %s and %s", it.value, it.min, it.max)
 		}
 	}
+	if n := se.Heartbeat.MeshInstances; n < 1 || n > maxMeshInstances {
+		ch.add("heartbeat.meshInstances", "%d is not between 1 and %d", n, maxMeshInstances)
+	}
 	ch.less("lease.renewal", se.Lease.Renewal, "lease.ttl", se.Lease.TTL)
 	ch.less("heartbeat.interval", se.Heartbeat.Interval, "heartbeat.suspect", se.Heartbeat.Suspect)
 	ch.less("heartbeat.suspect", se.Heartbeat.Suspect, "heartbeat.gone", se.Heartbeat.Gone)
--- a/lovageconfig/settings.go
+++ b/lovageconfig/settings.go
@@ -62,6 +62,10 @@
 	Interval time.Duration `toml:"interval"` // default 1s
 	Suspect  time.Duration `toml:"suspect"`  // silence after which a peer is suspect; default 3s
 	Gone     time.Duration `toml:"gone"`     // silence after which a peer counts as gone; default 6s
+
+	// MeshInstances is the largest number of known instances, with this one, of which each has a session with every other.
+	// Above it, one instance of each data centre exchanges summaries with the other data centres. Default 24.
+	MeshInstances int `toml:"meshInstances"`
 }
 
 // Shutdown times a graceful shutdown.
@@ -97,7 +101,7 @@
 			OperatorRequests: 2_000,
 		},
 		Lease:     Lease{TTL: 6 * time.Second, Renewal: 2 * time.Second},
-		Heartbeat: Heartbeat{Interval: time.Second, Suspect: 3 * time.Second, Gone: 6 * time.Second},
+		Heartbeat: Heartbeat{Interval: time.Second, Suspect: 3 * time.Second, Gone: 6 * time.Second, MeshInstances: 24},
 		Shutdown:  Shutdown{BalancerLag: 5 * time.Second, Deadline: time.Minute},
 		Trace:     Trace{Ratio: 0.01},
 		Log:       Log{Level: "info"},
--- a/lovageentry/counts.go
+++ b/lovageentry/counts.go
@@ -28,6 +28,7 @@
 	slotsReturns     metrics.Counter
 	heartbeats       metrics.Counter
 	heartbeatsFailed metrics.Counter
+	summaries        metrics.Counter
 	tableReads       metrics.Counter
 	tableWrites      metrics.Counter
 	tableFailed      metrics.Counter
@@ -53,6 +54,7 @@
 		slotsReturns:     counter("slots_returns", "Borrowed slots given back, in messages."),
 		heartbeats:       counter("heartbeats", "Heartbeats sent."),
 		heartbeatsFailed: counter("heartbeats_failed", "Heartbeats without a reply."),
+		summaries:        counter("summaries_sent", "Summaries of a data centre sent in heartbeats and replies to them."),
 		tableReads:       counter("table_reads", "Reads of the table by the ledger."),
 		tableWrites:      counter("table_writes", "Transactions of the ledger."),
 		tableFailed:      counter("table_failed", "Table operations of the ledger that failed."),
@@ -71,6 +73,15 @@
 	co.registry.GaugeFunc("control_backlog", "Events that wait for the control loop.", func() float64 {
 		return float64(len(in.control.events))
 	})
+	co.registry.GaugeFunc("peer_sessions", "Sessions with other instances.", func() float64 {
+		return float64(in.mesh.Sessions())
+	})
+	co.registry.GaugeFunc("relay", "1 if this instance is the relay of its data centre, else 0.", func() float64 {
+		if in.relay.Load() {
+			return 1
+		}
+		return 0
+	})
 	co.registry.GaugeFunc("applied_revision", "Revision of the configuration in force here.", func() float64 {
 		return float64(in.store.Revision())
 	})
--- a/lovageentry/heartbeat.go
+++ b/lovageentry/heartbeat.go
@@ -7,9 +7,9 @@
 
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"lovagestack/lovagedispatch"
-	"lovagestack/lovageledger"
 	"lovagestack/lovagemember"
 	"lovagestack/lovagemessage"
 )
@@ -29,9 +29,31 @@
 	due      time.Time
 	topology uint64    // hash of the ranges and peers that the target has confirmed
 	told     time.Time // when it did
+	ranges   uint64    // last change of a range row in the summaries that the target has confirmed
+	refresh  time.Time // when it is told all of them again
 	used     bool      // in this round
 }
 
+// heartbeatRound holds what the heartbeats of one round share.
+type heartbeatRound struct {
+	lo       *controlLoop
+	brief    *lovagemessage.Heartbeat
+	full     *lovagemessage.Heartbeat
+	topology uint64
+	built    map[lovagemember.Contents][]*lovagemessage.DataCentreSummary
+}
+
+func (lo *controlLoop) newHeartbeatRound() *heartbeatRound {
+	ro := &heartbeatRound{
+		lo: lo, brief: lo.heartbeatMessage(), built: make(map[lovagemember.Contents][]*lovagemessage.DataCentreSummary),
+	}
+	ro.full, ro.topology = lo.withTopology(ro.brief)
+	if lo.in.relay.Load() {
+		lo.noteOwnRanges()
+	}
+	return ro
+}
+
 // heartbeatIfDue sends the instance's state to every peer that is not gone and whose heartbeat is due.
 func (lo *controlLoop) heartbeatIfDue() {
 	if lo.now.Before(lo.nextHeartbeat) {
@@ -40,20 +62,22 @@
 	lo.nextHeartbeat = lo.now.Add(lo.in.settings.Heartbeat.Interval)
 	lo.sweepOffers()
 	// Seeds are instances whose ID is not known before their first heartbeat, so they are sent one by address alone.
+	lo.keepSeeds()
 	targets := make(map[string]struct{}, len(lo.members.members))
 	for _, seed := range lo.in.settings.Peers.Seeds {
-		targets[seed.String()] = struct{}{}
+		if address := seed.String(); !lo.released[address] {
+			targets[address] = struct{}{}
+		}
 	}
-	for _, me := range lo.members.members {
-		if me.State != lovagemember.Gone {
+	for id, me := range lo.members.members {
+		if me.State != lovagemember.Gone && lo.member.Wants(id) {
 			targets[me.Address] = struct{}{}
 		}
 	}
-	brief := lo.heartbeatMessage()
-	full, topology := lo.withTopology(brief)
+	ro := lo.newHeartbeatRound()
 	for address := range targets {
 		if address != "" && address != lo.in.peerAddress && lo.in.mesh.Connected(address) {
-			lo.sendHeartbeat(address, brief, full, topology)
+			ro.send(address)
 		}
 	}
 	for address, ht := range lo.heartbeats {
@@ -64,7 +88,9 @@
 	}
 }
 
-func (lo *controlLoop) sendHeartbeat(address string, brief, full *lovagemessage.Heartbeat, topology uint64) {
+// send sends a heartbeat to the instance at an address if one is due.
+func (ro *heartbeatRound) send(address string) {
+	lo := ro.lo
 	met := lo.in.mesh.Instance(address)
 	ht := lo.heartbeats[address]
 	if ht == nil || ht.instance != met {
@@ -74,26 +100,46 @@
 	ht.used = true
 	// Half an interval of slack keeps the timer's jitter from skipping a round. A change of the ranges is told in the next
 	// round in any case, because a peer answers "unknown" for keys of ranges that it does not know.
-	if ht.topology == topology && lo.now.Add(lo.in.settings.Heartbeat.Interval/2).Before(ht.due) {
+	if ht.topology == ro.topology && lo.now.Add(lo.in.settings.Heartbeat.Interval/2).Before(ht.due) {
 		return
 	}
 	interval := lo.in.settings.Heartbeat.Interval
-	if dc := lo.members.dataCentres[met]; dc != "" && dc != lo.in.settings.DataCentre {
+	if dc := lo.members.dataCentres[met]; dc != "" && dc != lo.in.settings.DataCentre && !lo.in.relays.Load() {
 		interval *= farHeartbeatFactor
 	}
 	ht.due = lo.now.Add(interval)
-	msg := brief
-	if ht.topology != topology || lo.now.Sub(ht.told) >= topologyRefresh {
-		msg = full
+	if !lo.now.Before(ht.refresh) {
+		ht.ranges, ht.refresh = 0, lo.now.Add(rangesRefresh)
+	}
+	msg := ro.brief
+	if ht.topology != ro.topology || lo.now.Sub(ht.told) >= topologyRefresh {
+		msg = ro.full
 	}
-	lo.in.counts.heartbeats.Inc(1)
 	hs := &heartbeatSender{
-		in: lo.in, address: address, deadline: lo.nextHeartbeat, full: msg == full, topology: topology,
-		req: &lovagemessage.Request{Body: &lovagemessage.Request_Heartbeat{Heartbeat: msg}},
+		in: lo.in, address: address, deadline: lo.now.Add(lo.in.settings.Heartbeat.Interval), full: msg == ro.full,
+		topology: ro.topology, ranges: lo.ranges.last, summaries: ro.summaries(met, ht.ranges),
 	}
+	lo.in.counts.heartbeats.Inc(1)
+	lo.in.counts.summaries.Inc(int64(len(hs.summaries)))
+	hs.req = &lovagemessage.Request{Body: &lovagemessage.Request_Heartbeat{Heartbeat: withSummaries(msg, hs.summaries)}}
 	go hs.run()
 }
 
+// withSummaries returns the heartbeat with summaries. It shares everything else with msg.
+func withSummaries(msg *lovagemessage.Heartbeat, summaries []*lovagemessage.DataCentreSummary) *lovagemessage.Heartbeat {
+	if len(summaries) == 0 {
+		return msg
+	}
+	out := &lovagemessage.Heartbeat{}
+	re := out.ProtoReflect()
+	msg.ProtoReflect().Range(func(fd protoreflect.FieldDescriptor, va protoreflect.Value) bool {
+		re.Set(fd, va)
+		return true
+	})
+	out.Summaries = summaries
+	return out
+}
+
 // withTopology returns the heartbeat with the ranges and known peers added, and a hash of these.
 func (lo *controlLoop) withTopology(brief *lovagemessage.Heartbeat) (*lovagemessage.Heartbeat, uint64) {
 	full, ok := proto.Clone(brief).(*lovagemessage.Heartbeat)
@@ -118,18 +164,20 @@
 	return &lovagemessage.Heartbeat{
 		Instance: lo.in.id, DataCentre: lo.in.settings.DataCentre, Address: lo.in.peerAddress, Leaving: lo.draining,
 		Ready: lo.in.isReady(), AppliedRevision: lo.in.store.Revision(), Load: fromLoad(lo.core.Load()),
-		LeavingWorkers: lo.member.LeavingWorkers(),
+		LeavingWorkers: lo.member.LeavingWorkers(), Relays: lo.in.relays.Load(),
 	}
 }
 
 // heartbeatSender sends one heartbeat to one peer and reports the reply to the control loop.
 type heartbeatSender struct {
-	in       *Instance
-	address  string
-	req      *lovagemessage.Request
-	deadline time.Time
-	full     bool   // req holds the topology
-	topology uint64 // its hash
+	in        *Instance
+	address   string
+	req       *lovagemessage.Request
+	deadline  time.Time
+	full      bool   // req holds the topology
+	topology  uint64 // its hash
+	ranges    uint64 // last change of a range row in the summaries
+	summaries []*lovagemessage.DataCentreSummary
 }
 
 func (hs *heartbeatSender) run() {
@@ -140,7 +188,7 @@
 		hs.in.counts.heartbeatsFailed.Inc(1)
 		return
 	}
-	if hs.full {
+	if hs.full || len(hs.summaries) > 0 {
 		hs.in.control.post(ctx, hs)
 	}
 	// The reply is a sign of life of the process that was met at the address, which need not be the one that was
@@ -151,17 +199,27 @@
 	}
 	hb := res.GetHeartbeat()
 	hs.in.keeper.Reported(peer, hb.GetAppliedRevision())
-	hs.in.control.post(ctx, &memberEvent{lovagemember.PeerHeard{Instance: peer}})
+	hs.in.control.post(ctx, &memberEvent{lovagemember.PeerHeard{Instance: peer, Relays: hb.GetRelays()}})
 	if workers := hb.GetLeavingWorkers(); len(workers) > 0 {
 		hs.in.control.post(ctx, &memberEvent{lovagemember.WorkerLeavingHeard{From: peer, Workers: workers}})
 	}
+	if len(hb.GetSummaries()) > 0 {
+		hs.in.control.post(ctx, &summariesReceived{hb.GetSummaries()})
+	}
 }
 
-// apply notes that the peer has got the topology.
+// apply notes that the peer has got the topology and the summaries.
 func (hs *heartbeatSender) apply(lo *controlLoop) {
-	if ht := lo.heartbeats[hs.address]; ht != nil {
+	ht := lo.heartbeats[hs.address]
+	if ht == nil {
+		return
+	}
+	if hs.full {
 		ht.topology, ht.told = hs.topology, lo.now
 	}
+	if len(hs.summaries) > 0 {
+		ht.ranges = max(ht.ranges, hs.ranges)
+	}
 }
 
 // heartbeatReceived is a heartbeat of a peer.
@@ -175,7 +233,7 @@
 	msg := hr.msg
 	seen := lovagemember.HeartbeatSeen{
 		Instance: hr.from, DataCentre: msg.GetDataCentre(), Address: msg.GetAddress(), Leaving: msg.GetLeaving(),
-		LeavingWorkers: msg.GetLeavingWorkers(),
+		LeavingWorkers: msg.GetLeavingWorkers(), Relays: msg.GetRelays(), Details: memberSummary(msg),
 	}
 	for _, ps := range msg.GetKnownPeers() {
 		if ps.GetInstance() != lo.in.id {
@@ -186,16 +244,16 @@
 	}
 	lo.stepMember(seen)
 	lo.stepCore(lovagedispatch.PeerLoad{Instance: hr.from, Load: toLoad(msg.GetLoad())})
-	if len(msg.GetRanges()) > 0 {
-		heard := &lovageledger.RangesHeard{Peer: hr.from}
-		for _, rs := range msg.GetRanges() {
-			heard.Ranges = append(heard.Ranges, toRange(rs))
-		}
-		lo.stepLedger(heard)
+	lo.rangesHeard(msg.GetDataCentre(), hr.from, msg.GetRanges())
+	(&summariesReceived{msg.GetSummaries()}).apply(lo)
+	rp := &lovagemessage.HeartbeatReply{
+		AppliedRevision: lo.in.store.Revision(), LeavingWorkers: lo.member.LeavingWorkers(), Relays: lo.in.relays.Load(),
 	}
-	hr.replies <- &lovagemessage.HeartbeatReply{
-		AppliedRevision: lo.in.store.Revision(), LeavingWorkers: lo.member.LeavingWorkers(),
+	if len(msg.GetSummaries()) > 0 && lo.member.AnswersAsRelay(hr.from) {
+		rp.Summaries = lo.ownSummary()
+		lo.in.counts.summaries.Inc(int64(len(rp.Summaries)))
 	}
+	hr.replies <- rp
 }
 
 func (in *Instance) handleHeartbeat(ctx context.Context, from string, msg *lovagemessage.Heartbeat) (*lovagemessage.Response, error) {
--- a/lovageentry/instance.go
+++ b/lovageentry/instance.go
@@ -77,6 +77,7 @@
 	jobsHeld         gauge // admitted jobs that have not ended or have tasks at workers
 	stopping         atomic.Bool
 	handedOver       atomic.Bool
+	relays, relay    atomic.Bool  // role among the instances, see lovagemember.Role
 	askDecidingAfter atomic.Int64 // Unix time in nanoseconds
 	observer         Observer
 	pause            pauseGate
@@ -168,12 +169,13 @@
 		}),
 		member: lovagemember.New(lovagemember.Settings{
 			Instance: in.id, DataCentre: se.DataCentre, Address: in.peerAddress,
-			SuspectAfter: se.Heartbeat.Suspect, GoneAfter: se.Heartbeat.Gone,
+			SuspectAfter: se.Heartbeat.Suspect, GoneAfter: se.Heartbeat.Gone, Interval: se.Heartbeat.Interval,
+			MeshInstances: se.Heartbeat.MeshInstances,
 		}),
 		requests: make(map[uint64]*request), abandons: make(map[uint64]*abandon), jobs: make(map[uint64]*job),
 		byKey: make(map[lovagejob.Key]*job), offers: make(map[lovagejob.Key]*offer), calls: make(map[uint64]chan<- any),
-		heartbeats: make(map[string]*heartbeatTarget),
-		drained:    make(chan struct{}),
+		heartbeats: make(map[string]*heartbeatTarget), ranges: rangeBook{rows: make(map[lovageledger.RangeID]*rangeNews)},
+		drained: make(chan struct{}),
 	}
 }
 
@@ -190,6 +192,9 @@
 // ID returns the ID of this process of the instance.
 func (in *Instance) ID() string { return in.id }
 
+// Relay reports whether the instance is the relay of its data centre.
+func (in *Instance) Relay() bool { return in.relay.Load() }
+
 // PeerAddress returns the address on which the instance listens for peers.
 func (in *Instance) PeerAddress() string { return in.peerAddress }
 
@@ -288,8 +293,11 @@
 // syncPeers is the view of the instance that the Keeper uses.
 type syncPeers Instance
 
-// Peers returns the instances that are not known to be gone.
-func (sp *syncPeers) Peers() []lovagesync.Peer { return sp.addresses.Peers() }
+// Peers returns the instances that may be asked for changes.
+func (sp *syncPeers) Peers() []lovagesync.Peer { return sp.addresses.syncPeers().ask }
+
+// PushTo returns the instances that a change is pushed to.
+func (sp *syncPeers) PushTo(from string) []lovagesync.Peer { return sp.addresses.pushTo(from) }
 
 // Call sends a request to a peer.
 func (sp *syncPeers) Call(ctx context.Context, address string, req *lovagemessage.Request) (*lovagemessage.Response, error) {
--- a/lovageentry/loop.go
+++ b/lovageentry/loop.go
@@ -58,6 +58,8 @@
 	teams         []lovagedispatch.Team
 	nextHeartbeat time.Time
 	heartbeats    map[string]*heartbeatTarget // by address
+	ranges        rangeBook
+	released      map[string]bool // addresses of instances that heartbeats are not exchanged with
 	workerStates  map[string]lovagemember.State
 }
 
--- a/lovageentry/member.go
+++ b/lovageentry/member.go
@@ -28,6 +28,15 @@
 	mu      sync.RWMutex
 	peers   map[string]string // instance ID to address, without instances that are gone
 	decides string            // the peer that decides for all slots; empty if it is this instance
+	sync    syncTargets
+}
+
+// syncTargets are the instances that configuration changes are exchanged with.
+type syncTargets struct {
+	ask  []lovagesync.Peer // may be asked for changes
+	push []lovagesync.Peer // get the changes that are accepted here
+	near []lovagesync.Peer // get the changes that instances of other data centres push to this one; empty unless it is a relay
+	own  map[string]bool   // IDs of the instances of the own data centre
 }
 
 func (ab *addressBook) get(id string) string {
@@ -62,15 +71,59 @@
 	return best
 }
 
-// Peers returns the instances that are not known to be gone.
-func (ab *addressBook) Peers() []lovagesync.Peer {
+func (ab *addressBook) setSync(st syncTargets) {
+	ab.mu.Lock()
+	defer ab.mu.Unlock()
+	ab.sync = st
+}
+
+func (ab *addressBook) syncPeers() syncTargets {
 	ab.mu.RLock()
 	defer ab.mu.RUnlock()
-	out := make([]lovagesync.Peer, 0, len(ab.peers))
-	for id, address := range ab.peers {
-		out = append(out, lovagesync.Peer{ID: id, Address: address})
+	return ab.sync
+}
+
+// pushTo returns the instances that a change is pushed to: one that was accepted here, with an empty from, to the own data
+// centre and to the relays of the others, or to every instance in a full mesh; one that came from another data centre to
+// the own data centre.
+func (ab *addressBook) pushTo(from string) []lovagesync.Peer {
+	st := ab.syncPeers()
+	switch {
+	case from == "":
+		return st.push
+	case st.own[from]:
+		return nil
 	}
-	return out
+	return st.near
+}
+
+// setAddresses renews the instances that configuration changes are exchanged with.
+func (lo *controlLoop) setAddresses() {
+	relays := make(map[string]bool)
+	for _, id := range lo.member.Relays() {
+		relays[id] = true
+	}
+	st := syncTargets{own: make(map[string]bool)}
+	for id, me := range lo.members.members {
+		if id == lo.in.id || me.State == lovagemember.Gone || me.Address == "" {
+			continue
+		}
+		peer := lovagesync.Peer{ID: id, Address: me.Address}
+		wanted, own := lo.member.Wants(id), lo.members.dataCentres[id] == lo.in.settings.DataCentre
+		if wanted {
+			st.ask = append(st.ask, peer)
+		}
+		if wanted && !lo.in.relays.Load() || own || relays[id] {
+			st.push = append(st.push, peer)
+		}
+		if own {
+			st.own[id] = true
+			if lo.in.relay.Load() {
+				st.near = append(st.near, peer)
+			}
+		}
+	}
+	lo.in.addresses.setSync(st)
 }
 
 // memberEvent is an event of the membership core that comes from a traffic goroutine.
@@ -91,6 +144,14 @@
 		lo.in.mesh.Connect(cm.Instance, cm.Address)
 	case lovagemember.DropPeer:
 		lo.in.mesh.Disconnect(cm.Address)
+	case lovagemember.ReleasePeer:
+		lo.in.mesh.Release(cm.Address)
+	case lovagemember.ReportTaken:
+		lo.reportTaken(cm)
+	case lovagemember.RoleChanged:
+		lo.roleChanged(cm)
+	case lovagemember.HeartbeatNow:
+		lo.heartbeatNow(cm.Instances)
 	}
 }
 
@@ -134,6 +195,7 @@
 		lo.log.Info("deciding instance changed", zap.String("before", before), zap.String("now", decides))
 	}
 	lo.in.addresses.set(addresses, decides)
+	lo.setAddresses()
 	lo.stepCore(lovagedispatch.MembersChanged{Members: forCore})
 	lo.stepLedger(&lovageledger.MembersChanged{Members: forLedger})
 }
--- /dev/null
+++ b/lovageentry/summary.go
@@ -0,0 +1,224 @@
+package lovageentry
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"lovagestack/lovagedispatch"
+	"lovagestack/lovageledger"
+	"lovagestack/lovagemember"
+	"lovagestack/lovagemessage"
+)
+
+// rangesRefresh is the time after which a relay's peer is told all range rows again although it has confirmed them.
+const rangesRefresh = time.Minute
+
+// memberSummary returns what a heartbeat says of its sender, as the details that lovagemember passes on in summaries.
+func memberSummary(msg *lovagemessage.Heartbeat) *lovagemessage.MemberSummary {
+	return &lovagemessage.MemberSummary{
+		Instance: msg.GetInstance(), CallerAddress: msg.GetCallerAddress(), AppliedRevision: msg.GetAppliedRevision(),
+		Load: msg.GetLoad(), Domains: msg.GetDomains(),
+	}
+}
+
+// fromSummary encodes a summary. Reports without details are about this instance.
+func fromSummary(su *lovagemember.Summary, own *lovagemessage.Heartbeat) *lovagemessage.DataCentreSummary {
+	out := &lovagemessage.DataCentreSummary{
+		DataCentre: su.DataCentre, Relay: su.Relay, Members: make([]*lovagemessage.MemberSummary, 0, len(su.Members)),
+	}
+	for i := range su.Members {
+		re := &su.Members[i]
+		details, _ := re.Details.(*lovagemessage.MemberSummary)
+		if re.Instance == own.GetInstance() {
+			details = memberSummary(own)
+		}
+		out.Members = append(out.Members, &lovagemessage.MemberSummary{
+			Instance: re.Instance, Address: re.Address, State: string(re.State), AgeMillis: re.Age.Milliseconds(),
+			LeavingWorkers: re.LeavingWorkers, CallerAddress: details.GetCallerAddress(),
+			AppliedRevision: details.GetAppliedRevision(), Load: details.GetLoad(), Domains: details.GetDomains(),
+		})
+	}
+	return out
+}
+
+func toSummary(msg *lovagemessage.DataCentreSummary) lovagemember.Summary {
+	out := lovagemember.Summary{
+		DataCentre: msg.GetDataCentre(), Relay: msg.GetRelay(),
+		Members: make([]lovagemember.Report, 0, len(msg.GetMembers())),
+	}
+	for _, me := range msg.GetMembers() {
+		out.Members = append(out.Members, lovagemember.Report{
+			Instance: me.GetInstance(), Address: me.GetAddress(), State: lovagemember.State(me.GetState()),
+			Age: time.Duration(me.GetAgeMillis()) * time.Millisecond, LeavingWorkers: me.GetLeavingWorkers(), Details: me,
+		})
+	}
+	return out
+}
+
+// rangeBook holds the newest range rows that heartbeats and summaries brought, for the summaries of a relay.
+type rangeBook struct {
+	rows map[lovageledger.RangeID]*rangeNews
+	last uint64 // number of the last change
+}
+
+type rangeNews struct {
+	row        *lovagemessage.RangeState
+	dataCentre string // whose instances told it
+	change     uint64
+}
+
+func (rb *rangeBook) note(dataCentre string, rows ...*lovagemessage.RangeState) {
+	for _, row := range rows {
+		id := toRange(row).Range
+		if old := rb.rows[id]; old != nil && old.row.GetVersion() >= row.GetVersion() {
+			continue
+		}
+		rb.last++
+		rb.rows[id] = &rangeNews{row: row, dataCentre: dataCentre, change: rb.last}
+	}
+}
+
+// since returns the rows that instances of a data centre told after a change.
+func (rb *rangeBook) since(dataCentre string, change uint64) []*lovagemessage.RangeState {
+	var out []*lovagemessage.RangeState
+	if change == rb.last {
+		return nil
+	}
+	for _, rn := range rb.rows {
+		if rn.dataCentre == dataCentre && rn.change > change {
+			out = append(out, rn.row)
+		}
+	}
+	return out
+}
+
+// summariesReceived are the summaries of a heartbeat or of the reply to one.
+type summariesReceived struct {
+	summaries []*lovagemessage.DataCentreSummary
+}
+
+func (sr *summariesReceived) apply(lo *controlLoop) {
+	for _, msg := range sr.summaries {
+		lo.stepMember(lovagemember.SummarySeen{Summary: toSummary(msg)})
+		if msg.GetDataCentre() != lo.in.settings.DataCentre {
+			lo.rangesHeard(msg.GetDataCentre(), msg.GetRelay(), msg.GetRanges())
+		}
+	}
+}
+
+// rangesHeard tells the ledger the range rows that a peer told, and keeps them for summaries.
+func (lo *controlLoop) rangesHeard(dataCentre, peer string, rows []*lovagemessage.RangeState) {
+	if len(rows) == 0 {
+		return
+	}
+	lo.ranges.note(dataCentre, rows...)
+	heard := &lovageledger.RangesHeard{Peer: peer}
+	for _, row := range rows {
+		heard.Ranges = append(heard.Ranges, toRange(row))
+	}
+	lo.stepLedger(heard)
+}
+
+// reportTaken notes what a summary says of an instance, as its heartbeat would have done.
+func (lo *controlLoop) reportTaken(cm lovagemember.ReportTaken) {
+	details, ok := cm.Details.(*lovagemessage.MemberSummary)
+	if !ok {
+		return
+	}
+	lo.in.keeper.ReportedAt(cm.Instance, details.GetAppliedRevision(), lo.now.Add(-cm.Age))
+	lo.stepCore(lovagedispatch.PeerLoad{Instance: cm.Instance, Load: toLoad(details.GetLoad())})
+}
+
+func (lo *controlLoop) roleChanged(cm lovagemember.RoleChanged) {
+	lo.log.Info("role among the instances changed", zap.Bool("relays", cm.Role.Relays), zap.Bool("relay", cm.Role.Relay))
+	lo.in.relays.Store(cm.Role.Relays)
+	lo.in.relay.Store(cm.Role.Relay)
+	lo.setAddresses()
+}
+
+// summaries returns the summaries for a heartbeat to an instance, with the range rows that changed after what the target
+// has confirmed.
+func (ro *heartbeatRound) summaries(instance string, confirmed uint64) []*lovagemessage.DataCentreSummary {
+	lo := ro.lo
+	kind := lo.member.ContentsFor(instance)
+	if kind == lovagemember.NoSummaries {
+		return nil
+	}
+	list, ok := ro.built[kind]
+	if !ok {
+		summaries := lo.member.Summaries(kind)
+		for i := range summaries {
+			list = append(list, fromSummary(&summaries[i], ro.brief))
+		}
+		ro.built[kind] = list
+	}
+	out := make([]*lovagemessage.DataCentreSummary, len(list))
+	for i, su := range list {
+		out[i] = su
+		if rows := lo.ranges.since(su.GetDataCentre(), confirmed); len(rows) > 0 {
+			out[i] = &lovagemessage.DataCentreSummary{
+				DataCentre: su.GetDataCentre(), Relay: su.GetRelay(), Members: su.GetMembers(), Ranges: rows,
+			}
+		}
+	}
+	return out
+}
+
+// ownSummary is the answer of an instance that takes the place of its data centre's relay.
+func (lo *controlLoop) ownSummary() []*lovagemessage.DataCentreSummary {
+	own := lo.heartbeatMessage()
+	lo.noteOwnRanges()
+	var out []*lovagemessage.DataCentreSummary
+	for _, su := range lo.member.Summaries(lovagemember.OwnSummary) {
+		msg := fromSummary(&su, own)
+		msg.Ranges = lo.ranges.since(su.DataCentre, 0)
+		out = append(out, msg)
+	}
+	return out
+}
+
+func (lo *controlLoop) noteOwnRanges() {
+	for _, rs := range lo.ledger.Ranges() {
+		lo.ranges.note(lo.in.settings.DataCentre, fromRange(rs))
+	}
+}
+
+// heartbeatNow sends heartbeats ahead of time.
+func (lo *controlLoop) heartbeatNow(ids []string) {
+	ro := lo.newHeartbeatRound()
+	for _, id := range ids {
+		if address := lo.members.address(id); address != "" && lo.in.mesh.Connected(address) {
+			if ht := lo.heartbeats[address]; ht != nil {
+				ht.due = time.Time{}
+			}
+			ro.send(address)
+		}
+	}
+}
+
+// keepSeeds keeps sessions with the seeds' addresses up unless the instance there is known and no heartbeats are exchanged
+// with it.
+func (lo *controlLoop) keepSeeds() {
+	released := make(map[string]bool)
+	if lo.in.relays.Load() {
+		for id, me := range lo.members.members {
+			if me.State == lovagemember.Live && !lo.member.Wants(id) {
+				released[me.Address] = true
+			}
+		}
+	}
+	for _, seed := range lo.in.settings.Peers.Seeds {
+		address := seed.String()
+		switch {
+		case address == lo.in.peerAddress:
+		case released[address]:
+			if !lo.released[address] {
+				lo.in.mesh.Release(address)
+			}
+		default:
+			lo.in.mesh.Connect("", address)
+		}
+	}
+	lo.released = released
+}
--- a/lovagemember/relay_test.go
+++ b/lovagemember/relay_test.go
@@ -100,7 +100,7 @@
 		Instance: no.id, DataCentre: no.dc, Address: no.id + ":1", LeavingWorkers: no.LeavingWorkers(),
 		KnownPeers: no.KnownPeers(), Relays: no.Role().Relays,
 	}
-	summaries := no.SummariesFor(to.id)
+	summaries := no.Summaries(no.ContentsFor(to.id))
 	wo.step(to, hb)
 	for _, su := range summaries {
 		wo.step(to, SummarySeen{su})
@@ -108,7 +108,7 @@
 	wo.step(no, PeerHeard{to.id, to.Role().Relays})
 	wo.step(no, WorkerLeavingHeard{From: to.id, Workers: to.LeavingWorkers()})
 	if len(summaries) > 0 && to.AnswersAsRelay(no.id) {
-		wo.step(no, SummarySeen{to.OwnSummary()})
+		wo.step(no, SummarySeen{to.ownSummary()})
 	}
 }
 
@@ -346,7 +346,7 @@
 	must.SliceContains(t, cmds, Command(ReportTaken{"c", "navlakhi", time.Second, 8}))
 	must.Eq(t, []string{"v"}, leavingOf(cmds))
 	co.Step(start.Add(2*time.Second), Tick{}, nil)
-	own := co.OwnSummary().Members
+	own := co.ownSummary().Members
 	must.Eq(t, Report{"b", "b:1", Live, 2 * time.Second, []string{"w"}, 7}, own[slices.IndexFunc(own, func(re Report) bool { return re.Instance == "b" })])
-	must.Eq(t, []Summary{{"navlakhi", "a", []Report{{"c", "c:1", Leaving, 3 * time.Second, []string{"v"}, 8}}}}, co.FarSummaries())
+	must.Eq(t, []Summary{{"navlakhi", "a", []Report{{"c", "c:1", Leaving, 3 * time.Second, []string{"v"}, 8}}}}, co.farSummaries())
 }
--- a/lovagemember/summary.go
+++ b/lovagemember/summary.go
@@ -66,17 +66,38 @@
 	co.emit(ReportTaken{Instance: re.Instance, DataCentre: su.DataCentre, Age: age, Details: re.Details})
 }
 
-// SummariesFor returns the summaries for a heartbeat to an instance: that of the own data centre for a relay elsewhere,
-// and those of the other data centres for an instance of the own one.
-func (co *Core) SummariesFor(id string) []Summary {
+// Contents says which summaries a heartbeat holds.
+type Contents string
+
+// Contents of heartbeats.
+const (
+	NoSummaries  Contents = ""
+	OwnSummary   Contents = "own" // that of the own data centre, for a relay elsewhere
+	FarSummaries Contents = "far" // those of the other data centres, for an instance of the own one
+)
+
+// ContentsFor returns what a heartbeat to an instance is to hold.
+func (co *Core) ContentsFor(id string) Contents {
 	it := co.instances[id]
 	if !co.role.Relay || !co.role.Relays && (it == nil || !it.relays) {
-		return nil
+		return NoSummaries
 	}
 	if it != nil && it.dataCentre == co.se.DataCentre {
-		return co.FarSummaries()
+		return FarSummaries
 	}
-	return []Summary{co.OwnSummary()}
+	return OwnSummary
+}
+
+// Summaries returns the summaries of a kind.
+func (co *Core) Summaries(kind Contents) []Summary {
+	switch kind {
+	case OwnSummary:
+		return []Summary{co.ownSummary()}
+	case FarSummaries:
+		return co.farSummaries()
+	case NoSummaries:
+	}
+	return nil
 }
 
 // AnswersAsRelay reports whether the reply to a heartbeat with summaries is to hold the summary of the own data centre,
@@ -89,8 +110,8 @@
 	return !co.role.Relay || !it.wanted || !co.role.Relays && !it.relays
 }
 
-// OwnSummary returns the summary of the own data centre, this instance included.
-func (co *Core) OwnSummary() Summary {
+// ownSummary returns the summary of the own data centre, this instance included.
+func (co *Core) ownSummary() Summary {
 	own := Report{
 		Instance: co.se.Instance, Address: co.se.Address, State: Live, LeavingWorkers: co.LeavingWorkers(),
 	}
@@ -106,8 +127,8 @@
 	return out
 }
 
-// FarSummaries returns the summaries of the other data centres, sorted by name, for the instances of the own one.
-func (co *Core) FarSummaries() []Summary {
+// farSummaries returns the summaries of the other data centres, sorted by name, for the instances of the own one.
+func (co *Core) farSummaries() []Summary {
 	var out []Summary
 	for _, id := range co.order {
 		it := co.instances[id]
--- a/lovagepeer/idle.go
+++ b/lovagepeer/idle.go
@@ -24,6 +24,9 @@
 	}
 }
 
+// Sessions returns the number of sessions.
+func (me *Mesh) Sessions() int { return len(me.sessions()) }
+
 func (me *Mesh) idleLoop(ctx context.Context) {
 	ticker := time.NewTicker(max(me.op.IdleTimeout/12, time.Millisecond))
 	defer ticker.Stop()
--- a/lovagestack/check.go
+++ b/lovagestack/check.go
@@ -47,6 +47,7 @@
   interval = "1s"
   suspect = "3s"                    # silence after which a peer is suspect
   gone = "6s"                       # silence after which a peer counts as gone
+  meshInstances = 24                # above it, one relay per data centre exchanges summaries with the others
   [shutdown]
   balancerLag = "5s"                # from "not ready" until the balancer sends nothing new
   deadline = "1m0s"                 # from SIGTERM until what is left is cut
--- a/lovagetrial/deployment.go
+++ b/lovagetrial/deployment.go
@@ -58,6 +58,7 @@
 	Connections int // of each worker; 0: 64
 	Timing      Timing
 	Seed        uint64 // of the random choices of instances and run times; 0 counts as 1
+	Mesh        int    // heartbeat.meshInstances; 0: the default
 	Direct      bool   // no relays: links have no faults and no cost of their own
 	Policy      lovagedispatch.Policy
 	Log         *zap.Logger // nil logs nothing
--- a/lovagetrial/instance.go
+++ b/lovagetrial/instance.go
@@ -72,7 +72,10 @@
 	se.Addresses = lovageconfig.Addresses{Caller: loopback, Operator: loopback, Peer: loopback}
 	ti := de.op.Timing
 	se.Lease = lovageconfig.Lease{TTL: ti.LeaseTTL, Renewal: ti.LeaseRenewal}
-	se.Heartbeat = lovageconfig.Heartbeat{Interval: ti.Heartbeat, Suspect: ti.Suspect, Gone: ti.Gone}
+	se.Heartbeat = lovageconfig.Heartbeat{Interval: ti.Heartbeat, Suspect: ti.Suspect, Gone: ti.Gone, MeshInstances: se.Heartbeat.MeshInstances}
+	if de.op.Mesh > 0 {
+		se.Heartbeat.MeshInstances = de.op.Mesh
+	}
 	se.Shutdown = lovageconfig.Shutdown{BalancerLag: ti.BalancerLag, Deadline: ti.ShutdownDeadline}
 	se.Platform.Timeout = ti.PlatformTimeout
 	for _, other := range de.Instances() {
--- /dev/null
+++ b/lovagetrial/relay_test.go
@@ -0,0 +1,176 @@
+package lovagetrial
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"lovagestack/lovagejob"
+	"lovagestack/lovageresource"
+)
+
+// relayTrial is a deployment whose data centres exchange heartbeats through relays.
+type relayTrial struct {
+	*Deployment
+	t        *testing.T
+	ctx      context.Context
+	op       *Operator
+	revision int64
+}
+
+func newRelayTrial(t *testing.T) *relayTrial {
+	t.Helper()
+	de, err := New(Options{Mesh: 2, DataCentres: []DataCentre{
+		{Name: "kandla", Instances: 3, Speeds: []float64{1}},
+		{Name: "navlakhi", Instances: 2, Speeds: []float64{1}},
+		{Name: "gandhidham", Instances: 2, Speeds: []float64{1}},
+	}})
+	must.NoError(t, err)
+	t.Cleanup(de.Close)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("table and calls:\n%s", de.Report())
+		}
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	t.Cleanup(cancel)
+	return &relayTrial{Deployment: de, t: t, ctx: ctx, op: de.NewOperator()}
+}
+
+func (rt *relayTrial) await(what string, holds func() bool) {
+	rt.t.Helper()
+	for !holds() {
+		must.NoError(rt.t, pauseFor(rt.ctx, pollEvery), must.Sprintf("wait: %s", what))
+	}
+}
+
+// relay returns the relay of a data centre when there is exactly one.
+func (rt *relayTrial) relay(dataCentre string) *Instance {
+	rt.t.Helper()
+	var relay *Instance
+	rt.await("one relay in "+dataCentre, func() bool {
+		n := 0
+		for _, it := range rt.Running() {
+			if it.DataCentre == dataCentre && it.Entry.Relay() {
+				relay, n = it, n+1
+			}
+		}
+		return n == 1
+	})
+	return relay
+}
+
+// requireAnswers submits a job with a key of each kind at each of the instances.
+func (rt *relayTrial) requireAnswers(when string, instances ...*Instance) {
+	rt.t.Helper()
+	ca := rt.NewCaller()
+	for _, it := range instances {
+		for _, repeatable := range []bool{true, false} {
+			var keys []string
+			rt.await("a key at "+it.Name, func() bool {
+				var err error
+				keys, err = ca.Mint(rt.ctx, it, 1, repeatable)
+				return err == nil && len(keys) == 1
+			})
+			an, err := ca.SubmitUntilFinal(rt.ctx, NewJob(keys[0], repeatable, 2, time.Millisecond, time.Now().Add(20*time.Second)), it)
+			must.NoError(rt.t, err)
+			must.Eq(rt.t, lovagejob.Complete, an.Outcome, must.Sprintf("%s, %s: %s", when, it.Name, an.Reason))
+		}
+	}
+}
+
+// requireInForce changes the team at an instance and requires that the change gets into force, and that every running
+// instance comes to say so of every running instance.
+func (rt *relayTrial) requireInForce(when string, at *Instance) {
+	rt.t.Helper()
+	team := lovageresource.DefaultTeam()
+	rt.await("a change at "+at.Name, func() bool {
+		li, err := rt.op.Read(rt.ctx, at)
+		if err != nil {
+			return false
+		}
+		re := lovageresource.Resource{Kind: lovageresource.KindTeam, Name: TeamName}
+		for _, old := range li.Resources {
+			if old.Kind == re.Kind && old.Name == re.Name {
+				re.Revision = old.Revision
+			}
+		}
+		team.Weight = 2 + float64(li.Revision)
+		re.Spec = team
+		res, err := rt.op.Put(rt.ctx, at, re)
+		rt.revision = res.Revision
+		return err == nil && res.Outcome == lovageresource.Accepted
+	})
+	must.NoError(rt.t, rt.op.AwaitInForce(rt.ctx, rt.revision), must.Sprint(when))
+	running := rt.Running()
+	for _, it := range running {
+		rt.await(it.Name+" hears of the revision at all", func() bool {
+			_, applied := it.Entry.Keeper().InForce(rt.revision)
+			for _, other := range running {
+				known := false
+				for _, ap := range applied {
+					known = known || ap.Instance == other.ID() && ap.Answered && ap.Revision >= rt.revision
+				}
+				if !known {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
+
+// Guards against jobs and changes that do not get through relays, and against a data centre that is lost with its relay.
+func TestRelayIsKilled(t *testing.T) {
+	rt := newRelayTrial(t)
+	rt.requireAnswers("with relays", rt.Instances()...)
+	relay := rt.relay("kandla")
+	var plain *Instance
+	for _, it := range rt.Instances() {
+		if it.DataCentre == "navlakhi" && it != rt.relay("navlakhi") {
+			plain = it
+		}
+	}
+	rt.requireInForce("with relays", plain)
+	relay.Kill()
+	next := rt.relay("kandla")
+	must.NotEq(t, relay.ID(), next.ID())
+	rt.requireInForce("after the relay was killed", plain)
+	rt.requireAnswers("after the relay was killed", rt.Running()...)
+	_, err := relay.Restart()
+	must.NoError(t, err)
+	rt.requireInForce("after the relay's restart", next)
+	must.Len(t, 0, Check(rt.Evidence()))
+}
+
+// Guards against a data centre that does not find the others again after a partition.
+func TestPartitionWithRelays(t *testing.T) {
+	rt := newRelayTrial(t)
+	var inside, outside []*Instance
+	for _, it := range rt.Instances() {
+		if it.DataCentre == "gandhidham" {
+			inside = append(inside, it)
+		} else {
+			outside = append(outside, it)
+		}
+	}
+	sees := func(it, other *Instance) bool {
+		_, applied := it.Entry.Keeper().InForce(0)
+		for _, ap := range applied {
+			if ap.Instance == other.ID() {
+				return ap.Answered
+			}
+		}
+		return false
+	}
+	rt.Partition("gandhidham", true)
+	rt.await("the partition is noticed", func() bool { return !sees(outside[0], inside[0]) && !sees(inside[0], outside[0]) })
+	rt.requireAnswers("during the partition", outside...)
+	rt.Partition("gandhidham", false)
+	rt.requireInForce("after the partition", inside[0])
+	rt.requireInForce("after the partition", outside[0])
+	rt.requireAnswers("after the partition", rt.Instances()...)
+	must.Len(t, 0, Check(rt.Evidence()))
+}
