lovageresource: declare regions of pools and the size of decision domains

Cause: decision domains need to know which pools must not share one and when a group is split. A configuration that was stored without the field takes the default. Conclusion: TestDecodeCollectsFindings fails without either check. The lines that it expects moved because its example declares one line more.

--- a/lovageresource/configuration.go
+++ b/lovageresource/configuration.go
@@ -1,6 +1,10 @@
 package lovageresource
 
-import "time"
+import (
+	"time"
+
+	"lovagestack/lovagedomain"
+)
 
 // Configuration holds the values that operators may tune at run time.
 type Configuration struct {
@@ -9,6 +13,9 @@
 	Admission       Admission `json:"admission"`
 	Ejection        Ejection  `json:"ejection"`
 	Lending         Lending   `json:"lending"`
+	// DomainSlots is the number of slots above which pools with common services are split into several decision domains;
+	// default 4096.
+	DomainSlots int `json:"domainSlots"`
 }
 
 // Admission tunes which jobs are refused at once.
@@ -30,7 +37,8 @@
 }
 
 // DefaultConfiguration returns the values in force without a declared configuration. The figures of admission, ejection
-// and lending are those of lovagedispatch.DefaultSettings, the others those of the design page, section 5.
+// and lending are those of lovagedispatch.DefaultSettings, domainSlots is lovagedomain.DefaultDomainSlots, the others are
+// those of the design page, section 5.
 func DefaultConfiguration() Configuration {
 	return Configuration{
 		KeyLifetime:     Duration(15 * time.Minute),
@@ -38,6 +46,7 @@
 		Admission:       Admission{QueuedTasks: 100_000},
 		Ejection:        Ejection{BackOff: Duration(time.Second), MaxBackOff: Duration(time.Minute)},
 		Lending:         Lending{Enabled: true, Slots: 64, Term: Duration(2 * time.Second)},
+		DomainSlots:     lovagedomain.DefaultDomainSlots,
 	}
 }
 
@@ -56,6 +65,7 @@
 	if sp.Ejection.BackOff > sp.Ejection.MaxBackOff {
 		add("ejection.backOff", "%s is longer than maxBackOff, which is %s", sp.Ejection.BackOff, sp.Ejection.MaxBackOff)
 	}
+	checkRange(add, "domainSlots", int64(sp.DomainSlots), 1, maxCount)
 	checkRange(add, "lending.slots", int64(sp.Lending.Slots), 1, 10_000)
 	checkDuration(add, "lending.term", sp.Lending.Term, 10*time.Millisecond, time.Minute)
 }
--- a/lovageresource/decode_test.go
+++ b/lovageresource/decode_test.go
@@ -20,6 +20,7 @@
 [resources.spec]
 dataCentre = "kandla"
 services = ["ticket"]
+region = "gujarat"
 [[resources.spec.workers]]
 id = "kandla-w1"
 address = "10.1.0.1:8080"
@@ -36,6 +37,7 @@
 name = "default"
 [resources.spec]
 ejection = { maxBackOff = "3s" }
+domainSlots = 512
 `
 
 // Guards against declarations that lose a value on their way through a file, the table or the API.
@@ -48,6 +50,9 @@
 	must.Eq(t, 2.5, resources[2].Spec.(Team).Weight)
 	must.Eq(t, Duration(3*time.Second), resources[3].Spec.(Configuration).Ejection.MaxBackOff)
 	must.Eq(t, Duration(time.Second), resources[3].Spec.(Configuration).Ejection.BackOff)
+	must.Eq(t, "gujarat", resources[1].Spec.(Pool).Region)
+	must.Eq(t, 512, resources[3].Spec.(Configuration).DomainSlots)
+	must.Eq(t, 4096, DefaultConfiguration().DomainSlots)
 
 	data, err := json.Marshal(map[string]any{"resources": resources, "revision": 7})
 	must.NoError(t, err)
@@ -70,6 +75,8 @@
 		`"200ms"`, `"40s", color = 1`, // longer than maxRunTime; unknown field
 		`"10.1.0.1:8080"`, `"w1.example:8080"`,
 		`slots = 8`, `slots = 0`,
+		`"gujarat"`, `"Gujarat"`,
+		`domainSlots = 512`, `domainSlots = 0`,
 		`weight = 2.5`, `weight = "high"`,
 		`"default"`, `"other"`,
 		`maxBackOff = "3s"`, `maxBackOff = "3s", backOff = "9s"`,
@@ -82,11 +89,13 @@
 	must.Eq(t, []string{
 		"all.toml:4:10: resources[0].spec.runTime",
 		"all.toml:4:27: resources[0].spec.color",
-		"all.toml:14:1: resources[1].spec.workers[0].address",
-		"all.toml:15:1: resources[1].spec.workers[0].slots",
-		"all.toml:21:10: resources[2].spec.weight",
-		"all.toml:25:1: resources[3].name",
-		"all.toml:27:33: resources[3].spec.ejection.backOff",
+		"all.toml:12:1: resources[1].spec.region",
+		"all.toml:15:1: resources[1].spec.workers[0].address",
+		"all.toml:16:1: resources[1].spec.workers[0].slots",
+		"all.toml:22:10: resources[2].spec.weight",
+		"all.toml:26:1: resources[3].name",
+		"all.toml:28:33: resources[3].spec.ejection.backOff",
+		"all.toml:29:1: resources[3].spec.domainSlots",
 	}, got)
 }
 
--- a/lovageresource/specs.go
+++ b/lovageresource/specs.go
@@ -57,9 +57,12 @@
 
 // Pool is a set of workers in one data centre that offer the same services.
 type Pool struct {
-	DataCentre string   `json:"dataCentre"`
-	Services   []string `json:"services"` // names of services that every worker of the pool can run
-	Workers    []Worker `json:"workers"`
+	DataCentre string `json:"dataCentre"`
+	// Region bounds decision domains: pools of different regions never share one. Pools without the field form one region
+	// of their own.
+	Region   string   `json:"region,omitempty"`
+	Services []string `json:"services"` // names of services that every worker of the pool can run
+	Workers  []Worker `json:"workers"`
 }
 
 // Worker is one backend server.
@@ -79,6 +82,9 @@
 
 func (sp Pool) check(add func(field, format string, args ...any)) {
 	checkName(add, "dataCentre", sp.DataCentre)
+	if sp.Region != "" {
+		checkName(add, "region", sp.Region)
+	}
 	if len(sp.Services) == 0 {
 		add("services", "needs at least one service")
 	}
@@ -123,7 +129,7 @@
 // Team is a group of callers with a share of the capacity.
 type Team struct {
 	Weight       float64 `json:"weight"`                 // share relative to other teams; default 1
-	RunningTasks int     `json:"runningTasks,omitempty"` // quota per data centre; 0: none
+	RunningTasks int     `json:"runningTasks,omitempty"` // quota of the whole deployment; 0: none
 	QueuedTasks  int     `json:"queuedTasks,omitempty"`  // quota per instance; 0: none
 }
 
