lovagedispatch: sum the slots of each decision domain; test workers that change under jobs

Cause: an instance will be given the workers of the domains for which it decides, so its set of workers changes while jobs are queued and running, and heartbeats report the load of each domain. Change: Worker has the field Domain, and DomainSlots returns the usable and free slots of a domain from sums that are kept with each change of a worker. Conclusion: no fault was found in the core.

--- a/lovagedispatch/checker_test.go
+++ b/lovagedispatch/checker_test.go
@@ -293,6 +293,16 @@
 			ch.fault("sums: %d free slots at peers, kept %d", sv.peerIdle, idle)
 		}
 	}
+	slots, free := map[string]int{}, map[string]int{}
+	for _, wo := range co.list {
+		slots[wo.spec.Domain] += wo.capacity
+		free[wo.spec.Domain] += wo.ownFree
+	}
+	for name := range slots {
+		if s, f := co.DomainSlots(name); s != slots[name] || f != free[name] {
+			ch.fault("domain %q: %d slots, %d free; kept %d and %d", name, slots[name], free[name], s, f)
+		}
+	}
 	for _, gr := range co.groups {
 		rates := gr.rates
 		for _, wo := range gr.workers {
--- a/lovagedispatch/core.go
+++ b/lovagedispatch/core.go
@@ -44,6 +44,7 @@
 	list         []*worker          // workers in the set, sorted by ID
 	leavingEarly map[string]bool    // leaving workers that are not in the set
 	groups       []*group           // sorted by key
+	domains      map[string]*domain // of the workers in the set
 	members      map[string]bool    // live instances of all data centres
 	localMembers []string           // those of the own data centre, sorted
 
@@ -154,4 +155,12 @@
 	return lo
 }
 
+// DomainSlots returns the slots of usable workers of a decision domain, and those that are free.
+func (co *Core) DomainSlots(name string) (slots, free int) {
+	if do := co.domains[name]; do != nil {
+		return do.capacity, do.freeOwn
+	}
+	return 0, 0
+}
+
 func (co *Core) emit(cm Command) { co.out = append(co.out, cm) }
--- a/lovagedispatch/event.go
+++ b/lovagedispatch/event.go
@@ -58,9 +58,10 @@
 	MemoryBytes  int64
 	Accelerators int64
 	Leaving      bool
+	Domain       string // decision domain whose load the worker counts for; empty: none
 }
 
-// WorkersChanged gives the complete set of workers in all data centres. A worker that is missing gets no new tasks;
+// WorkersChanged gives the complete set of workers that this instance may use, in all data centres. A worker that is missing gets no new tasks;
 // its tasks in flight stay counted. A worker that was seen leaving stays so until a set without it was given.
 type WorkersChanged struct{ Workers []Worker }
 
--- a/lovagedispatch/machine_test.go
+++ b/lovagedispatch/machine_test.go
@@ -179,6 +179,17 @@
 		"workers": func(rt *rapid.T) {
 			dr.step(WorkersChanged{testWorkers(rapid.IntRange(0, 25).Draw(rt, "n"), rapid.IntRange(1, 3).Draw(rt, "slots"))})
 		},
+		"domains": func(rt *rapid.T) { // the instance decides for other domains now, a worker's domain may have changed too
+			domains := rapid.IntRange(1, 4).Draw(rt, "domains")
+			decided := rapid.SliceOfN(rapid.Bool(), domains, domains).Draw(rt, "decided")
+			workers := slices.DeleteFunc(testWorkers(25, 2), func(wo Worker) bool {
+				return !decided[xxhash.Sum64String(wo.ID)%uint64(domains)]
+			})
+			for i := range workers {
+				workers[i].Domain = fmt.Sprint(xxhash.Sum64String(workers[i].ID) % uint64(domains))
+			}
+			dr.step(WorkersChanged{workers})
+		},
 		"services": func(rt *rapid.T) { dr.step(ServicesChanged{testServices[:rapid.IntRange(0, 3).Draw(rt, "n")]}) },
 		"teams": func(rt *rapid.T) {
 			dr.step(TeamsChanged{[]Team{{Name: "a", MaxRunning: rapid.IntRange(0, 9).Draw(rt, "quota")}}})
--- a/lovagedispatch/worker.go
+++ b/lovagedispatch/worker.go
@@ -11,7 +11,8 @@
 type worker struct {
 	spec    Worker
 	grp     *group // nil while the worker is not in the set
-	leaf    int    // index in the group
+	dom     *domain
+	leaf    int // index in the group
 	leaving bool
 
 	own      int // slots of this instance's share
@@ -72,6 +73,12 @@
 	rates    [speedBuckets]int64
 }
 
+// domain sums the slots of the workers of one decision domain.
+type domain struct {
+	freeOwn  int
+	capacity int
+}
+
 // pool is the set of workers that may run the same services.
 type pool struct {
 	name     string
@@ -155,6 +162,8 @@
 	}
 	gr.freeOwn += ownFree - wo.ownFree
 	gr.capacity += capacity - wo.capacity
+	wo.dom.freeOwn += ownFree - wo.ownFree
+	wo.dom.capacity += capacity - wo.capacity
 	wo.ownFree, wo.capacity = ownFree, capacity
 	if free == 0 {
 		gr.tree.set(wo.leaf, unavailable)
@@ -207,7 +216,7 @@
 
 // dropWorker takes a worker out of the set. Its borrowed slots are of no use any more; the lender takes them back.
 func (co *Core) dropWorker(wo *worker) {
-	wo.grp, wo.ownFree, wo.capacity = nil, 0, 0
+	wo.grp, wo.dom, wo.ownFree, wo.capacity = nil, nil, 0, 0
 	wo.health, wo.leaving = health{}, false
 	if wo.inFlight() == 0 && wo.lent == 0 && len(wo.loans) == 0 {
 		delete(co.workers, wo.spec.ID)
@@ -225,6 +234,7 @@
 func (co *Core) regroup() {
 	old := co.groups
 	co.groups = nil
+	co.domains = map[string]*domain{}
 	byKey := map[groupKey]*group{}
 	pools := map[string]*pool{}
 	for _, wo := range co.list {
@@ -243,6 +253,10 @@
 			byKey[ke] = gr
 			co.groups = append(co.groups, gr)
 		}
+		if co.domains[sp.Domain] == nil {
+			co.domains[sp.Domain] = &domain{}
+		}
+		wo.dom = co.domains[sp.Domain]
 		wo.grp, wo.leaf = gr, len(gr.workers)
 		wo.ownFree, wo.capacity = 0, 0
 		gr.workers = append(gr.workers, wo)
