--- a/lovageentry/decide.go
+++ b/lovageentry/decide.go
@@ -11,9 +11,12 @@
 // decides for workers of the service, or of any service if the name is empty. Under the policies other than central
 // every instance decides.
 func (in *Instance) Decides(service string) bool {
-	if !in.isReady() || in.policy == lovagedispatch.Central && in.addresses.deciding() != "" {
+	if !in.isReady() {
 		return false
 	}
+	if in.policy == lovagedispatch.Central {
+		return in.domains.decides(in.id, service)
+	}
 	pools, _ := in.store.List(lovageresource.KindPool)
 	return slices.ContainsFunc(pools, func(re lovageresource.Resource) bool {
 		pool, ok := re.Spec.(lovageresource.Pool)
--- a/lovageentry/estimates.go
+++ b/lovageentry/estimates.go
@@ -1,13 +1,10 @@
 package lovageentry
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"lovagestack/lovagedispatch"
 	"lovagestack/lovagemessage"
 )
@@ -15,7 +12,7 @@
 const (
 	// estimatesFactor is the number of heartbeat intervals between two copies of learned estimates.
 	estimatesFactor = 5
-	// estimateReceivers is the number of instances that get copies: those that decide next if this one is lost.
+	// estimateReceivers is the number of instances for each domain that get copies: those that decide next.
 	estimateReceivers = 2
 	estimatesTimeout  = 2 * time.Second
 )
@@ -59,20 +56,22 @@
 	}
 }
 
-// nextDeciding returns the instances that decide next after this one, none if this one does not decide. An instance that
-// is shutting down has decided until a moment ago.
+// nextDeciding returns the instances that decide next in the domains for which this one decides.
 func (lo *controlLoop) nextDeciding() []string {
-	if lo.in.addresses.deciding() != "" && !lo.draining {
-		return nil
-	}
-	var ids []string
-	for id, me := range lo.members.members {
-		if id != lo.in.id && me.Shares() {
-			ids = append(ids, id)
+	ds := &lo.domains
+	var out []string
+	for i, ids := range ds.layout.Deciding(ds.live, estimateReceivers+1) {
+		if i >= len(ds.own) || !ds.own[i] {
+			continue
+		}
+		ids = slices.DeleteFunc(ids, func(id string) bool { return id == lo.in.id })
+		for _, id := range ids[:min(len(ids), estimateReceivers)] {
+			if !slices.Contains(out, id) {
+				out = append(out, id)
+			}
 		}
 	}
-	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
-	return ids[:min(len(ids), estimateReceivers)]
+	return out
 }
 
 // estimatesSender sends one copy to one instance.
--- a/lovageentry/heartbeat.go
+++ b/lovageentry/heartbeat.go
@@ -61,6 +61,7 @@
 	}
 	lo.nextHeartbeat = lo.now.Add(lo.in.settings.Heartbeat.Interval)
 	lo.sweepOffers()
+	lo.narrow()
 	lo.keepSeeds()
 	ro := lo.newHeartbeatRound()
 	for address := range lo.heartbeatTargets() {
@@ -184,10 +185,12 @@
 }
 
 func (lo *controlLoop) heartbeatMessage() *lovagemessage.Heartbeat {
+	load := lo.core.Load()
 	return &lovagemessage.Heartbeat{
 		Instance: lo.in.id, DataCentre: lo.in.settings.DataCentre, Address: lo.in.peerAddress, Leaving: lo.draining,
-		Ready: lo.in.isReady(), AppliedRevision: lo.in.store.Revision(), Load: fromLoad(lo.core.Load()),
+		Ready: lo.in.isReady(), AppliedRevision: lo.in.store.Revision(), Load: fromLoad(load),
 		LeavingWorkers: lo.member.LeavingWorkers(), Relays: lo.in.relays.Load(), CallerAddress: lo.in.callerAddress,
+		Domains: lo.domainLoads(&load),
 	}
 }
 
@@ -268,6 +271,7 @@
 		}
 	}
 	lo.stepMember(seen)
+	lo.in.domains.heard(msg.GetDomains(), lo.now)
 	lo.stepCore(lovagedispatch.PeerLoad{Instance: hr.from, Load: toLoad(msg.GetLoad())})
 	lo.rangesHeard(msg.GetDataCentre(), hr.from, msg.GetRanges())
 	(&summariesReceived{msg.GetSummaries()}).apply(lo)
--- a/lovageentry/loop.go
+++ b/lovageentry/loop.go
@@ -60,8 +60,10 @@
 	heartbeats    map[string]*heartbeatTarget // by address
 	ranges        rangeBook
 	released      map[string]bool // addresses of instances that heartbeats are not exchanged with
-	workerStates  map[string]lovagemember.State
 
+	domains        domains
+	regions        map[string]bool // of the pools in the own data centre
+	leavingWorkers map[string]bool
 	nextEstimates  time.Time
 	estimateCopies map[string]*estimateCopy // by instance
 }
--- a/lovageentry/summary.go
+++ b/lovageentry/summary.go
@@ -126,6 +126,7 @@
 	if !ok {
 		return
 	}
+	lo.in.domains.heard(details.GetDomains(), lo.now.Add(-cm.Age))
 	lo.in.keeper.ReportedAt(cm.Instance, details.GetAppliedRevision(), lo.now.Add(-cm.Age))
 	lo.stepCore(lovagedispatch.PeerLoad{Instance: cm.Instance, Load: toLoad(details.GetLoad())})
 }
