lovagetrial, lovagefake: add partitions, double deaths, caller links, cancellations and leaving workers to the matrix

Cause: docs/proofs.md listed faults without cells, invariant 6 without a judge in the matrix, answers "cancelled" and requests that reach an instance after its shutdown began without a check, and faults at different steps. Change: eight faults (partition, killOwnerAndReplica, callersCut, callersSilent, cancellations, leavingByList, leavingByHeader, leavingByRefusal); stages, so that a second fault begins at another step; samples of 32 cells with faults at two steps and, with LOVAGE_MATRIX=three or all, of three faults. Invariant 6 is judged with 3 s where only the list tells, whose interval of 2 s is not scaled, and with 1 s where the worker tells, which is 0.3 s scaled by the heartbeats plus time for goroutines that wait for a processor. An answer "cancelled" must count every start, and nothing starts later than 1 s after it. A request written 20 ms or more before the listener closes must be answered or refused.

--- a/lovagefake/worker.go
+++ b/lovagefake/worker.go
@@ -31,6 +31,9 @@
 	Seed        uint64                // a task has the same run time on each worker of the same seed
 	NoStarts    bool                  // does not record starts, for runs with millions of tasks
 	OnStart     func(task string)     // called after a task has taken its slot, before it runs; may be nil
+
+	// OnReply is called before a reply is written, with what its headers say. May be nil.
+	OnReply func(task string, leaving, notStarted bool)
 }
 
 // WorkerFaults are the faults of a Worker; the zero value has none.
@@ -297,15 +300,19 @@
 func (wo *Worker) refuse(rw http.ResponseWriter, req *http.Request) {
 	wo.add(func(co *WorkerCounters) { co.Refused++ })
 	markReplied(req)
-	wo.headers(rw)
+	wo.headers(rw, req, true)
 	rw.Header().Set(lovagebackend.HeaderNotStarted, "true")
 	writeError(rw, http.StatusServiceUnavailable, errors.New("the task was not started"))
 }
 
-func (wo *Worker) headers(rw http.ResponseWriter) {
-	if wo.Faults().Leaving {
+func (wo *Worker) headers(rw http.ResponseWriter, req *http.Request, notStarted bool) {
+	leaving := wo.Faults().Leaving
+	if leaving {
 		rw.Header().Set(lovagebackend.HeaderLeaving, "true")
 	}
+	if wo.se.OnReply != nil {
+		wo.se.OnReply(req.Header.Get(lovagebackend.HeaderTask), leaving, notStarted)
+	}
 }
 
 func (wo *Worker) reply(rw http.ResponseWriter, req *http.Request, status int, reply taskReply) {
@@ -318,7 +325,7 @@
 	wo.last = own
 	wo.mu.Unlock()
 	markReplied(req)
-	wo.headers(rw)
+	wo.headers(rw, req, false)
 	rw.Header().Set(lovagebackend.HeaderTask, reply.Task)
 	if fa.CloseInReply {
 		rw.Header().Set("Content-Length", "64")
--- a/lovagetrial/caller.go
+++ b/lovagetrial/caller.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -72,7 +74,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, jo.Deadline.Add(ca.patience))
 	defer cancel()
-	return ca.call(rec, func() (lovageapi.AnswerReply, error) { return it.Caller.Submit(ctx, jo) })
+	return ca.call(ctx, rec, func(ctx context.Context) (lovageapi.AnswerReply, error) { return it.Caller.Submit(ctx, jo) })
 }
 
 // SubmitUntilFinal submits a job at the instances in turn until an answer is final, as a caller does that needs to know.
@@ -93,24 +95,33 @@
 func (ca *Caller) Ask(ctx context.Context, it *Instance, key string, wait time.Duration) (lovageapi.AnswerReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+ca.patience)
 	defer cancel()
-	return ca.call(CallRecord{Operation: OpAsk, Process: it.ID(), Key: key}, func() (lovageapi.AnswerReply, error) {
-		return it.Caller.Ask(ctx, key, wait)
-	})
+	rec := CallRecord{Operation: OpAsk, Process: it.ID(), Key: key}
+	return ca.call(ctx, rec, func(ctx context.Context) (lovageapi.AnswerReply, error) { return it.Caller.Ask(ctx, key, wait) })
 }
 
 // Cancel cancels a job at an instance.
 func (ca *Caller) Cancel(ctx context.Context, it *Instance, key string) (lovageapi.AnswerReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, ca.patience)
 	defer cancel()
-	return ca.call(CallRecord{Operation: OpCancel, Process: it.ID(), Key: key}, func() (lovageapi.AnswerReply, error) {
-		return it.Caller.Cancel(ctx, key)
-	})
+	rec := CallRecord{Operation: OpCancel, Process: it.ID(), Key: key}
+	return ca.call(ctx, rec, func(ctx context.Context) (lovageapi.AnswerReply, error) { return it.Caller.Cancel(ctx, key) })
 }
 
-func (ca *Caller) call(rec CallRecord, do func() (lovageapi.AnswerReply, error)) (lovageapi.AnswerReply, error) {
+func (ca *Caller) call(ctx context.Context, rec CallRecord, do func(ctx context.Context) (lovageapi.AnswerReply, error)) (
+	lovageapi.AnswerReply, error,
+) {
+	var wrote atomic.Pointer[time.Time] // the transport may still write when the call has returned
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if now := time.Now(); info.Err == nil {
+			wrote.Store(&now)
+		}
+	}})
 	rec.Invoked = time.Now()
-	rec.Answer, rec.Err = do()
+	rec.Answer, rec.Err = do(ctx)
 	rec.Returned = time.Now()
+	if at := wrote.Load(); at != nil {
+		rec.Wrote = *at
+	}
 	rec.NotSent = errors.Is(rec.Err, lovageapi.ErrNotSent)
 	rec.GaveUp = errors.IsAny(rec.Err, context.DeadlineExceeded, context.Canceled)
 	var reply *lovageapi.ReplyError
--- /dev/null
+++ b/lovagetrial/cancel.go
@@ -0,0 +1,81 @@
+package lovagetrial
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"lovagestack/lovagejob"
+)
+
+// Sizes of the waves of cancellations in a cell. A wave has more tasks than the workers have slots, so that jobs are
+// cancelled while they wait, while they run and while their requests are on the way.
+const (
+	waveJobs  = 12
+	waveDelay = 25 * time.Millisecond // the longest time from the submission to the cancellation; a task runs 20 to 40 ms
+)
+
+// cancelLimit is the time after the answer "cancelled" in which a task that the answer counts as started may still
+// begin to run, because its request was on the way to the worker. Links in a cell delay a request by up to 60 ms; the
+// rest is for goroutines that wait for a processor.
+const cancelLimit = time.Second
+
+// cancelWaves submits wave after wave of jobs and cancels each at any instance.
+func (ce *cellRun) cancelWaves(it *Instance) {
+	ctx, cancel := context.WithTimeout(ce.ctx, faultTime)
+	defer cancel()
+	ca, rng := ce.de.NewCaller(), ce.rng(cancelStream)
+	for n := 0; ctx.Err() == nil; n++ {
+		running := ce.de.Running()
+		if len(running) == 0 {
+			_ = pauseFor(ctx, cellPause)
+			continue
+		}
+		if !it.Running() {
+			it = running[0]
+		}
+		repeatable := n%2 == 1
+		var wave sync.WaitGroup
+		for range waveJobs {
+			key, err := ce.mint(ctx, ca, it, repeatable)
+			if err != nil {
+				break
+			}
+			at, elsewhere := running[rng.IntN(len(running))], running[rng.IntN(len(running))]
+			after := time.Duration(rng.Int64N(int64(waveDelay)))
+			wave.Go(func() { ce.submit(ca, at, ce.job(key, repeatable)) })
+			wave.Go(func() {
+				_ = pauseFor(ctx, after)
+				cctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callWithin)
+				defer cancel()
+				_, _ = ca.Cancel(cctx, elsewhere, key) // the record is judged
+			})
+		}
+		wave.Wait()
+		_ = pauseFor(ctx, pollEvery)
+	}
+}
+
+// checkCancelled judges that an answer "cancelled" is true: no more tasks were ever started than it says, and those
+// were started by a bound after it. It belongs to invariant 4, whose "not run" is the case of no task.
+func (ch *checker) checkCancelled(started map[string]int) {
+	last := map[string]time.Time{}
+	for _, of := range ch.ev.Offers {
+		if key, _, ok := strings.Cut(of.Task, "/"); ok && !of.Refused && of.At.After(last[key]) {
+			last[key] = of.At
+		}
+	}
+	for i := range ch.ev.Calls {
+		cr := &ch.ev.Calls[i]
+		if cr.Err != nil || cr.Answer.Outcome != lovagejob.Cancelled {
+			continue
+		}
+		if n := started[cr.Key]; n > cr.Answer.Started {
+			ch.add(4, "%d tasks were started although: %s", n, cr)
+		}
+		if at := last[cr.Key]; at.After(cr.Returned.Add(cancelLimit)) {
+			ch.add(4, "a task was started at %s although: %s", stamp(at), cr)
+		}
+	}
+}
--- a/lovagetrial/cell.go
+++ b/lovagetrial/cell.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,17 +20,46 @@
 type Cell struct {
 	Step   StepCase
 	Faults []Fault
+	Later  []Stage // faults that begin at further steps, each after those before it
 	Seed   uint64
 	Log    *zap.Logger // nil logs nothing
 }
 
-// String names the cell as step/fault+fault/seed.
-func (ce Cell) String() string {
-	names := make([]string, len(ce.Faults))
-	for i, fa := range ce.Faults {
+// Stage is a step and the faults that begin when it is reached.
+type Stage struct {
+	Step   StepCase
+	Faults []Fault
+}
+
+// String names the stage as step/fault+fault.
+func (sg Stage) String() string {
+	names := make([]string, len(sg.Faults))
+	for i, fa := range sg.Faults {
 		names[i] = string(fa)
 	}
-	return fmt.Sprintf("%s/%s/%d", ce.Step.Step, strings.Join(names, "+"), ce.Seed)
+	return fmt.Sprintf("%s/%s", sg.Step.Step, strings.Join(names, "+"))
+}
+
+// String names the cell as step/fault+fault/seed, with ",step/fault" for each later stage.
+func (ce Cell) String() string {
+	names := make([]string, 0, len(ce.Later)+1)
+	for _, sg := range ce.stages() {
+		names = append(names, sg.String())
+	}
+	return fmt.Sprintf("%s/%d", strings.Join(names, ","), ce.Seed)
+}
+
+func (ce Cell) stages() []Stage { return append([]Stage{{ce.Step, ce.Faults}}, ce.Later...) }
+
+func (ce Cell) has(faults ...Fault) bool {
+	for _, sg := range ce.stages() {
+		for _, fa := range faults {
+			if slices.Contains(sg.Faults, fa) {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // CellResult is what came of a cell.
@@ -50,6 +80,13 @@
 	recoverWithin = 30 * time.Second
 	callWithin    = 3 * time.Second // after which a caller of a cell gives up and asks elsewhere
 	prepareAfter  = 100 * time.Millisecond
+	maxStageGap   = 400 * time.Millisecond // from a step to the wait for the next; below faultTime, so that faults overlap
+)
+
+// Streams of random numbers in a cell; those of the callers are their numbers.
+const (
+	injectStream = 1000 + iota
+	cancelStream
 )
 
 // cellRun is a running cell.
@@ -59,13 +96,21 @@
 	stop    context.CancelFunc // ends the work
 	de      *Deployment
 	reached chan *Instance // gets the instance that reached the step
-	armed   atomic.Bool
+	armed   atomic.Pointer[armedStage]
 	work    sync.WaitGroup
-	racing  sync.WaitGroup
+	waves   sync.WaitGroup // operators that race and callers that cancel
 
 	mu       sync.Mutex
 	keys     []cellKey
 	problems []string
+	signs    []time.Time // when a worker said that it is leaving
+	listed   time.Time   // when the list began to show it
+}
+
+// armedStage is the stage whose step is awaited.
+type armedStage struct {
+	Stage
+	anywhere bool // the step counts at any instance
 }
 
 // cellKey is a key that the work of a cell has used.
@@ -86,7 +131,8 @@
 		DataCentres: []DataCentre{
 			{Name: "kandla", Instances: 2, Speeds: []float64{1, 0.5}}, {Name: "navlakhi", Instances: 1, Speeds: []float64{1}},
 		},
-		Seed: ce.Seed, Log: ce.Log, Reached: cr.stepReached, Started: cr.taskStarted,
+		Seed: ce.Seed, Log: ce.Log, Reached: cr.stepReached, Started: cr.taskStarted, Replied: cr.workerReplied,
+		CallerLinks: ce.has(FaultCallersCut, FaultCallersSilent),
 	})
 	if err != nil {
 		return CellResult{Problems: []string{"the deployment does not start: " + err.Error()}}
@@ -96,6 +142,7 @@
 	cr.startWork()
 	cr.inject()
 	cr.revive()
+	cr.awaitLeaving()
 	cr.stop()
 	cr.work.Wait()
 	ctx, cancel := context.WithTimeout(ctx, recoverWithin)
@@ -116,30 +163,62 @@
 	ce.problems = append(ce.problems, fmt.Sprintf(format, args...))
 }
 
-// inject waits until the step is reached, and ends the faults after their time.
+// inject waits for the step of each stage, and ends the faults after their time. If a later step is not reached during
+// the faults before it, these end first.
 func (ce *cellRun) inject() {
 	_ = pauseFor(ce.ctx, prepareAfter)
-	ce.armed.Store(true)
-	if ce.Step.Prepare != nil {
-		ce.Step.Prepare(ce.de)
+	rng := ce.rng(injectStream)
+	var hit []*Instance
+	for i, sg := range ce.stages() {
+		if i > 0 {
+			_ = pauseFor(ce.ctx, time.Duration(rng.Int64N(int64(maxStageGap))))
+		}
+		ce.armed.Store(&armedStage{Stage: sg, anywhere: i > 0})
+		if sg.Step.Prepare != nil {
+			sg.Step.Prepare(ce.de)
+		}
+		it := ce.awaitStep(&hit)
+		if it == nil {
+			ce.armed.Store(nil)
+			ce.problem("step %s was not reached within %s", sg.Step.Step, reachWithin)
+			break
+		}
+		hit = append(hit, it)
 	}
-	select {
-	case it := <-ce.reached:
-		_ = pauseFor(ce.ctx, faultTime)
-		ce.end(it)
-	case <-time.After(reachWithin):
-		ce.armed.Store(false)
-		ce.problem("the step was not reached within %s", reachWithin)
+	_ = pauseFor(ce.ctx, faultTime)
+	ce.end(hit)
+}
+
+// awaitStep returns the instance that reached the step, or nil. It ends the faults of earlier stages after their time.
+func (ce *cellRun) awaitStep(hit *[]*Instance) *Instance {
+	healing := time.NewTimer(faultTime)
+	defer healing.Stop()
+	limit := time.NewTimer(reachWithin)
+	defer limit.Stop()
+	for {
+		select {
+		case it := <-ce.reached:
+			return it
+		case <-healing.C:
+			if len(*hit) > 0 {
+				ce.end(*hit)
+				ce.revive()
+				*hit = nil
+			}
+		case <-limit.C:
+			return nil
+		}
 	}
 }
 
 // stepReached begins the faults the first time that the step counts. It runs on the goroutine that takes the step.
 func (ce *cellRun) stepReached(it *Instance, st lovageentry.Step) {
-	if st != ce.Step.Step || !ce.armed.Load() || ce.Step.Counts != nil && !ce.Step.Counts(it) ||
-		!ce.armed.CompareAndSwap(true, false) {
+	as := ce.armed.Load()
+	if as == nil || st != as.Step.Step || !as.anywhere && as.Step.Counts != nil && !as.Step.Counts(it) ||
+		!ce.armed.CompareAndSwap(as, nil) {
 		return
 	}
-	for _, fa := range ce.Faults {
+	for _, fa := range as.Faults {
 		ce.begin(fa, it)
 	}
 	ce.reached <- it
@@ -147,7 +226,7 @@
 
 // taskStarted is the step at which a worker runs a task; the instance is the one that gave the task's key.
 func (ce *cellRun) taskStarted(task string) {
-	if ce.Step.Step != stepWorkerRuns || !ce.armed.Load() {
+	if as := ce.armed.Load(); as == nil || as.Step.Step != stepWorkerRuns {
 		return
 	}
 	key, _, _ := strings.Cut(task, "/")
--- a/lovagetrial/check.go
+++ b/lovagetrial/check.go
@@ -30,7 +30,7 @@
 	ch.out = append(ch.out, Violation{invariant, fmt.Sprintf(format, args...)})
 }
 
-// Check returns every violation of the invariants 1 to 5, 7 and 8 that the evidence shows. Invariant 6 is not judged.
+// Check returns every violation of the invariants that the evidence shows.
 func Check(ev Evidence) []Violation {
 	ch := &checker{ev: ev}
 	ch.checkStarts()
@@ -41,6 +41,8 @@
 		}
 	}
 	ch.checkFinal()
+	ch.checkCancelled(started)
+	ch.checkLeaving()
 	ch.checkShutdowns()
 	ch.checkWrites()
 	ch.checkReads()
@@ -165,25 +167,6 @@
 	return err == nil && string(x) == string(y)
 }
 
-// checkShutdowns judges invariant 7 for processes that no fault has hit.
-func (ch *checker) checkShutdowns() {
-	for _, sh := range ch.ev.Shutdowns {
-		if sh.Faulted {
-			continue
-		}
-		if sh.Cut > 0 {
-			ch.add(7, "the shutdown of %s cut %d requests", sh.Process, sh.Cut)
-		}
-		for i := range ch.ev.Calls {
-			cr := &ch.ev.Calls[i]
-			if cr.Process == sh.Process && cr.Err != nil && !cr.NotSent && !cr.Refused && !cr.GaveUp && cr.Invoked.Before(sh.Began) &&
-				cr.Returned.After(sh.Began) {
-				ch.add(7, "the shutdown of %s at %s cut: %s", sh.Process, sh.Began.Format("05.000"), cr)
-			}
-		}
-	}
-}
-
 // checkWrites judges that racing operators cannot both replace the same revision.
 func (ch *checker) checkWrites() {
 	type base struct {
--- a/lovagetrial/check_test.go
+++ b/lovagetrial/check_test.go
@@ -104,6 +104,30 @@
 			last(ev).Err = fmt.Errorf("EOF")
 			ev.Shutdowns = []Shutdown{{Process: "p", Began: epoch.Add(1), Ended: epoch.Add(time.Minute)}}
 		}},
+		{"request lost after a shutdown began", 7, "cut: ", func(ev *Evidence) {
+			last(ev).Err = fmt.Errorf("EOF")
+			last(ev).Wrote = epoch.Add(time.Millisecond)
+			ev.Shutdowns = []Shutdown{{Process: "p", Began: epoch.Add(-1), Closed: epoch.Add(30 * time.Millisecond)}}
+		}},
+		{"task started for a leaving worker", 6, "got task", func(ev *Evidence) {
+			ev.Leaving = []Leaving{{Worker: "w", Since: epoch, Limit: time.Second}}
+			ev.Offers = []Offer{{Worker: "w", Task: keyA + "/0", At: epoch.Add(time.Second + 1)}}
+		}},
+		{"task refused by a leaving worker", 6, "got task", func(ev *Evidence) {
+			ev.Leaving = []Leaving{{Worker: "w", Since: epoch, Limit: time.Second}}
+			ev.Offers = []Offer{{Worker: "w", Task: keyA + "/0", At: epoch.Add(time.Second + 1), Refused: true}}
+		}},
+		{"cancelled with an untold start", 4, "2 tasks were started", func(ev *Evidence) {
+			cr := submitted(keyA)
+			cr.Answer.Outcome, cr.Answer.Results, cr.Answer.Started = lovagejob.Cancelled, nil, 1
+			ev.Calls = []CallRecord{cr}
+		}},
+		{"start after cancelled", 4, "a task was started at", func(ev *Evidence) {
+			cr := submitted(keyA)
+			cr.Answer.Outcome, cr.Answer.Results = lovagejob.Cancelled, nil
+			ev.Calls = []CallRecord{cr}
+			ev.Offers = []Offer{{Worker: "w", Task: keyA + "/1", At: cr.Returned.Add(cancelLimit + 1)}}
+		}},
 		{"reverted revision", 8, "went back from revision 3", func(ev *Evidence) {
 			re := ev.Reads[0]
 			re.Invoked, re.Returned = epoch.Add(time.Minute), epoch.Add(time.Minute+1)
--- a/lovagetrial/deployment.go
+++ b/lovagetrial/deployment.go
@@ -66,6 +66,11 @@
 	Reached func(it *Instance, st lovageentry.Step)
 	// Started is called when a worker starts a task. May be nil.
 	Started func(task string)
+	// Replied is called before a worker replies, with what its headers say. May be nil.
+	Replied func(worker string, leaving bool)
+	// CallerLinks puts a relay between callers and each instance. Without it callers connect directly, so that an
+	// instance that does not listen refuses their connections.
+	CallerLinks bool
 }
 
 // Deployment is a running deployment. Its methods may be called from several goroutines.
@@ -161,7 +166,8 @@
 	id := fmt.Sprintf("%s-w%d", dc, n)
 	wo := &Worker{ID: id, DataCentre: dc, Worker: lovagefake.NewWorker(lovagefake.WorkerSettings{
 		ID: id, DataCentre: dc, Slots: de.op.Slots, Connections: de.op.Connections, Speed: speed, Seed: de.op.Seed,
-		OnStart: de.op.Started,
+		OnStart: func(task string) { de.offered(id, task, false) },
+		OnReply: func(task string, leaving, notStarted bool) { de.workerReplied(id, task, leaving, notStarted) },
 	})}
 	address, err := wo.Listen("127.0.0.1:0")
 	if err != nil {
@@ -174,6 +180,24 @@
 	return nil
 }
 
+// offered records that a worker got a task, which it started or refused.
+func (de *Deployment) offered(worker, task string, refused bool) {
+	of := Offer{Worker: worker, Task: task, At: time.Now(), Refused: refused}
+	de.evidence.change(func(ev *Evidence) { ev.Offers = append(ev.Offers, of) })
+	if !refused && de.op.Started != nil {
+		de.op.Started(task)
+	}
+}
+
+func (de *Deployment) workerReplied(worker, task string, leaving, notStarted bool) {
+	if notStarted {
+		de.offered(worker, task, true)
+	}
+	if de.op.Replied != nil {
+		de.op.Replied(worker, leaving)
+	}
+}
+
 // declare puts the resources through the first instance and waits until every instance has applied them.
 func (de *Deployment) declare(ctx context.Context) error {
 	list := []lovageresource.Resource{
--- a/lovagetrial/fault.go
+++ b/lovagetrial/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"lovagestack/lovagefake"
@@ -24,14 +25,23 @@
 	FaultCrossedReply    Fault = "crossedReply"         // of workers
 	FaultWorkerFailsAll  Fault = "workerFailsEverything"
 	FaultRacingOperators Fault = "racingOperators"
+	FaultPartition       Fault = "partition"       // of the instance's data centre from the others and the platform
+	FaultCallersCut      Fault = "callersCut"      // callers' connections break; new ones to the instance are closed
+	FaultCallersSilent   Fault = "callersSilent"   // existing connections of callers
+	FaultCancellations   Fault = "cancellations"   // waves of jobs that are cancelled at once
+	FaultLeavingList     Fault = "leavingByList"   // a worker is leaving, told by the platform's list only
+	FaultLeavingHeader   Fault = "leavingByHeader" // told by the header of its replies; the list shows it as live
+	FaultLeavingRefusal  Fault = "leavingByRefusal"
 	FaultKill            Fault = "kill"
+	FaultKillBoth        Fault = "killOwnerAndReplica"
 )
 
-// Faults returns all faults. Kill is the last, because nothing else can happen to a process that was killed.
+// Faults returns all faults. Those that kill are the last, because nothing else can happen to a process that was killed.
 func Faults() []Fault {
 	return []Fault{
 		FaultPause, FaultCut, FaultSilent, FaultSlowStore, FaultStoreDown, FaultReplyLost, FaultLateReply,
-		FaultCrossedReply, FaultWorkerFailsAll, FaultRacingOperators, FaultKill,
+		FaultCrossedReply, FaultWorkerFailsAll, FaultRacingOperators, FaultPartition, FaultCallersCut, FaultCallersSilent,
+		FaultCancellations, FaultLeavingList, FaultLeavingHeader, FaultLeavingRefusal, FaultKill, FaultKillBoth,
 	}
 }
 
@@ -45,20 +55,34 @@
 	linkDelay   = 60 * time.Millisecond  // one way
 )
 
-// NotApplicable returns why faults cannot occur together, empty if they can. Each single fault can occur at every step,
-// because the work of a cell uses all links all the time.
-func NotApplicable(faults ...Fault) string {
-	has := map[Fault]bool{}
-	for _, fa := range faults {
-		has[fa] = true
-	}
+// NotApplicable returns why the cell cannot occur, empty if it can. Each single fault can occur at every step, because
+// the work of a cell uses all links all the time.
+func (ce Cell) NotApplicable() string {
 	switch {
-	case has[FaultStoreDown] && has[FaultSlowStore]:
-		return "a store that is down answers nothing, so it cannot answer slowly"
-	case has[FaultReplyLost] && has[FaultCrossedReply]:
-		return "a worker's reply that is lost cannot be that of another request"
-	case has[FaultCut] && has[FaultSilent]:
-		return "a connection that is cut is not silent"
+	case ce.has(FaultStoreDown) && ce.has(FaultSlowStore):
+		return "storeDown with slowStore: a store that is down answers nothing, so it cannot answer slowly"
+	case ce.has(FaultReplyLost) && ce.has(FaultCrossedReply):
+		return "replyLostAfterEffect with crossedReply: a worker's reply that is lost cannot be that of another request"
+	case ce.has(FaultCut) && ce.has(FaultSilent):
+		return "cut with silentConnection: a connection that is cut is not silent"
+	case ce.has(FaultCallersCut) && ce.has(FaultCallersSilent):
+		return "callersCut with callersSilent: a caller's connection that is cut is not silent"
+	case ce.has(FaultCut) && ce.has(FaultPartition):
+		return "cut with partition: a partition changes nothing for an instance whose links are all cut"
+	case ce.has(FaultKill) && ce.has(FaultKillBoth):
+		return "kill with killOwnerAndReplica: an instance dies once"
+	case ce.has(FaultLeavingHeader) && ce.has(FaultLeavingRefusal):
+		return "leavingByHeader with leavingByRefusal: a worker that refuses everything answers nothing else"
+	}
+	for _, sg := range ce.Later {
+		switch {
+		case sg.Step.Step == ce.Step.Step:
+			return "the same step twice: these are the pairs of faults"
+		case sg.Step.Prepare != nil && ce.Step.Prepare != nil:
+			return "two of takeOver, handOver and shutDown: the first instance ends once"
+		case slices.Equal(sg.Faults, ce.Faults):
+			return "the same fault twice: it lasts until both end"
+		}
 	}
 	return ""
 }
@@ -69,12 +93,34 @@
 	switch fa {
 	case FaultKill:
 		it.Kill()
+	case FaultKillBoth:
+		de.killWithReplicas(it)
 	case FaultPause:
 		it.Pause()
 	case FaultCut:
 		de.Isolate(it, true)
 	case FaultSilent:
 		de.Silence(it)
+	case FaultPartition:
+		de.Partition(it.DataCentre, true)
+	case FaultCallersCut:
+		de.cutCallers(it, true)
+	case FaultCallersSilent:
+		de.silenceCallers()
+	case FaultCancellations:
+		ce.waves.Go(func() { ce.cancelWaves(it) })
+	case FaultRacingOperators:
+		ce.waves.Go(ce.race)
+	case FaultLeavingList, FaultLeavingHeader, FaultLeavingRefusal:
+		ce.beginLeaving(fa)
+	default:
+		ce.beginOuter(fa, it)
+	}
+}
+
+// beginOuter starts a fault of the platform or of the workers.
+func (ce *cellRun) beginOuter(fa Fault, it *Instance) {
+	switch fa {
 	case FaultSlowStore:
 		ce.platform(func(pf *lovagefake.PlatformFaults) { pf.Slow = lovagefake.Duration(slowStore) })
 	case FaultStoreDown:
@@ -87,27 +133,46 @@
 			pf.DelayCommits, pf.DelayBy = lateCommits, lovagefake.Duration(lateBy)
 		})
 		ce.workers(func(wf *lovagefake.WorkerFaults) { wf.LateReply = lovagefake.Duration(lateReply) })
-		de.Delay(it, linkDelay)
+		ce.de.Delay(it, linkDelay)
 	case FaultCrossedReply:
 		ce.workers(func(wf *lovagefake.WorkerFaults) { wf.CrossReplies = true })
 	case FaultWorkerFailsAll:
 		ce.workers(func(wf *lovagefake.WorkerFaults) { wf.FailEverything = true })
-	case FaultRacingOperators:
-		ce.racing.Go(ce.race)
+	default:
+		panic("there is no fault " + string(fa))
 	}
 }
 
-// end heals everything but processes that have ended.
-func (ce *cellRun) end(it *Instance) {
+// end heals everything but processes that have ended and workers that are leaving.
+func (ce *cellRun) end(hit []*Instance) {
 	de := ce.de
-	it.Resume()
-	de.Isolate(it, false)
-	de.Delay(it, 0)
-	de.platform.SetFaults(lovagefake.PlatformFaults{})
-	for _, wo := range de.workers {
-		wo.SetFaults(lovagefake.WorkerFaults{})
+	for _, it := range hit {
+		it.Resume()
 	}
-	ce.racing.Wait()
+	for _, it := range hit {
+		if ce.has(FaultCut) {
+			de.Isolate(it, false)
+		}
+		if ce.has(FaultPartition) {
+			de.Partition(it.DataCentre, false)
+		}
+		if ce.has(FaultLateReply) {
+			de.Delay(it, 0)
+		}
+		if ce.has(FaultCallersCut) {
+			de.cutCallers(it, false)
+		}
+	}
+	if ce.has(FaultCallersSilent) {
+		for _, it := range de.Instances() {
+			it.Caller.Close() // idle connections that are silent; a caller of its own would replace them after timeouts
+		}
+	}
+	de.platform.SetFaults(lovagefake.PlatformFaults{})
+	ce.workers(func(wf *lovagefake.WorkerFaults) {
+		*wf = lovagefake.WorkerFaults{Leaving: wf.Leaving, Refuse: wf.Refuse}
+	})
+	ce.waves.Wait()
 }
 
 func (ce *cellRun) platform(change func(pf *lovagefake.PlatformFaults)) {
@@ -118,12 +183,16 @@
 
 func (ce *cellRun) workers(change func(wf *lovagefake.WorkerFaults)) {
 	for _, wo := range ce.de.workers {
-		wf := wo.Faults()
-		change(&wf)
-		wo.SetFaults(wf)
+		ce.changeWorker(wo, change)
 	}
 }
 
+func (ce *cellRun) changeWorker(wo *Worker, change func(wf *lovagefake.WorkerFaults)) {
+	wf := wo.Faults()
+	change(&wf)
+	wo.SetFaults(wf)
+}
+
 // race has one operator per running instance replace the same revision of one resource, several times.
 func (ce *cellRun) race() {
 	ctx, cancel := context.WithTimeout(ce.ctx, faultTime)
--- a/lovagetrial/instance.go
+++ b/lovagetrial/instance.go
@@ -17,6 +17,7 @@
 	"lovagestack/lovageapi"
 	"lovagestack/lovageconfig"
 	"lovagestack/lovageentry"
+	"lovagestack/lovagefake"
 	"lovagestack/lovageledger"
 	"lovagestack/lovageplatform"
 	"lovagestack/lovagetrace"
@@ -36,9 +37,11 @@
 	done     chan struct{}
 	cut      int // requests that a shutdown cut; valid when done is closed
 	err      error
-	faulted  atomic.Bool // a fault of the trial has hit the process
-	killed   atomic.Bool // Kill was called
-	stopping atomic.Bool // ShutDown was called
+	faulted  atomic.Bool               // a fault of the trial has hit the process
+	killed   atomic.Bool               // Kill was called
+	stopping atomic.Bool               // ShutDown was called
+	closed   atomic.Pointer[time.Time] // when the listener of callers began to close
+	callers  *lovagefake.Relay         // between callers and the process; nil without Options.CallerLinks
 
 	mu      sync.Mutex
 	resume  func()
@@ -151,12 +154,31 @@
 		return err
 	}
 	it.servers = []*lovageapi.Server{caller, operator}
-	it.Entry.AddServer(caller)
+	it.Entry.AddServer(&callerServer{Server: caller, it: it})
 	it.Entry.AddServer(operator)
-	it.Caller, it.Operator = lovageapi.NewClient(caller.Address()), lovageapi.NewClient(operator.Address())
+	address := caller.Address()
+	if it.de.op.CallerLinks {
+		if it.callers, err = lovagefake.NewRelay(address); err != nil {
+			return err
+		}
+		address = it.callers.Address()
+	}
+	it.Caller, it.Operator = lovageapi.NewClient(address), lovageapi.NewClient(operator.Address())
 	return nil
 }
 
+// callerServer notes when the process stops to listen for callers.
+type callerServer struct {
+	*lovageapi.Server
+	it *Instance
+}
+
+func (cs *callerServer) Shutdown(ctx context.Context) error {
+	now := time.Now()
+	cs.it.closed.CompareAndSwap(nil, &now)
+	return cs.Server.Shutdown(ctx)
+}
+
 func (it *Instance) run(ctx context.Context) {
 	defer close(it.done)
 	it.cut, it.err = it.Entry.Serve(ctx)
@@ -169,12 +191,14 @@
 func (it *Instance) ID() string { return it.Entry.ID() }
 
 // Running reports whether the process neither has ended nor was told to.
-func (it *Instance) Running() bool {
+func (it *Instance) Running() bool { return !it.ended() && !it.killed.Load() && !it.stopping.Load() }
+
+func (it *Instance) ended() bool {
 	select {
 	case <-it.done:
-		return false
+		return true
 	default:
-		return !it.killed.Load() && !it.stopping.Load()
+		return false
 	}
 }
 
@@ -185,6 +209,9 @@
 	<-it.done
 	it.Caller.Close()
 	it.Operator.Close()
+	if it.callers != nil {
+		it.callers.Close()
+	}
 }
 
 // Kill ends the process abruptly: its connections break first, then it stops without a hand-over.
@@ -215,9 +242,11 @@
 	it.stop()
 	<-it.done
 	it.de.platform.RemoveInstance(it.Name)
-	it.de.evidence.shutdown(Shutdown{
-		Process: it.ID(), Began: began, Ended: time.Now(), Cut: it.cut, Faulted: it.faulted.Load(),
-	})
+	sh := Shutdown{Process: it.ID(), Began: began, Ended: time.Now(), Cut: it.cut, Faulted: it.faulted.Load()}
+	if at := it.closed.Load(); at != nil {
+		sh.Closed = *at
+	}
+	it.de.evidence.shutdown(sh)
 	return it.cut, it.err
 }
 
--- /dev/null
+++ b/lovagetrial/leaving.go
@@ -0,0 +1,126 @@
+package lovagetrial
+
+import (
+	"slices"
+	"time"
+
+	"lovagestack/lovagefake"
+	"lovagestack/lovageplatform"
+)
+
+// Limits of invariant 6 in a cell.
+const (
+	// listedLimit is for a worker that only the list shows as leaving. It is the 3 s of invariant 6, because the interval
+	// of 2 s at which instances read the list is not among the timings that ShortTiming scales.
+	listedLimit = 3 * time.Second
+	// toldLimit is for a worker that says so itself. The 3 s of invariant 6 are three heartbeats, which are 0.3 s under
+	// ShortTiming; the rest is for goroutines that wait for a processor while cells run in parallel.
+	toldLimit = time.Second
+	// judgedTime is how long work goes on after the limit.
+	judgedTime = 300 * time.Millisecond
+)
+
+// hindering are the faults that can keep a sign that a worker is leaving from an instance, or end the process that got
+// it. With one of them the limit counts from the first sign after the faults.
+var hindering = []Fault{
+	FaultPause, FaultCut, FaultSilent, FaultReplyLost, FaultLateReply, FaultPartition, FaultKill, FaultKillBoth,
+}
+
+// leavingWorker is the worker that leaves, the faster one of the two in the first data centre.
+func (ce *cellRun) leavingWorker() *Worker { return ce.de.workers[0] }
+
+func (ce *cellRun) beginLeaving(fa Fault) {
+	wo := ce.leavingWorker()
+	switch fa {
+	case FaultLeavingList:
+		in := wo.Instance()
+		in.State = lovageplatform.StateLeaving
+		ce.de.platform.PutInstance(in)
+		ce.mu.Lock()
+		ce.listed = time.Now()
+		ce.mu.Unlock()
+	case FaultLeavingHeader:
+		ce.changeWorker(wo, func(wf *lovagefake.WorkerFaults) { wf.Leaving = true })
+	case FaultLeavingRefusal:
+		ce.changeWorker(wo, func(wf *lovagefake.WorkerFaults) { wf.Leaving, wf.Refuse = true, true })
+	}
+}
+
+// workerReplied notes when the worker says that it is leaving.
+func (ce *cellRun) workerReplied(worker string, leaving bool) {
+	if !leaving {
+		return
+	}
+	ce.mu.Lock()
+	defer ce.mu.Unlock()
+	ce.signs = append(ce.signs, time.Now())
+}
+
+// leavingRecord returns the record for the check, and false if there was no sign yet. from is the time from which on
+// signs count if a fault was hindering.
+func (ce *cellRun) leavingRecord(from time.Time) (Leaving, bool) {
+	ce.mu.Lock()
+	defer ce.mu.Unlock()
+	out := Leaving{Worker: ce.leavingWorker().ID, Limit: toldLimit}
+	if !ce.listed.IsZero() {
+		out.Since, out.Limit = ce.listed, listedLimit
+		if from.After(ce.listed) {
+			out.Since = from
+		}
+	}
+	early := false
+	for _, at := range ce.signs {
+		if at.Before(from) {
+			early = true
+			continue
+		}
+		if out.Since.IsZero() || at.Add(toldLimit).Before(out.Since.Add(out.Limit)) {
+			out.Since, out.Limit = at, toldLimit
+		}
+	}
+	if out.Since.IsZero() && early && time.Since(from) > toldLimit {
+		out.Since = from // the worker got nothing after the faults, so that the early sign has reached all
+	}
+	return out, !out.Since.IsZero()
+}
+
+// awaitLeaving lets the work go on until a leaving worker must not get any, and for some time after that.
+func (ce *cellRun) awaitLeaving() {
+	if !ce.has(FaultLeavingList, FaultLeavingHeader, FaultLeavingRefusal) {
+		return
+	}
+	var from time.Time
+	if ce.has(hindering...) || ce.has(FaultStoreDown) && ce.has(FaultLeavingList) {
+		from = time.Now() // links are whole, and ended processes run again
+	}
+	for end := time.Now().Add(reachWithin); time.Now().Before(end); _ = pauseFor(ce.ctx, pollEvery) {
+		le, ok := ce.leavingRecord(from)
+		due := le.Since.Add(le.Limit)
+		if !ok || time.Now().Before(due.Add(judgedTime)) {
+			continue
+		}
+		worked := false
+		ce.de.evidence.change(func(ev *Evidence) {
+			worked = slices.ContainsFunc(ev.Offers, func(of Offer) bool { return of.At.After(due) })
+			if worked {
+				ev.Leaving = append(ev.Leaving, le)
+			}
+		})
+		if worked {
+			return
+		}
+	}
+	ce.problem("invariant 6 was not judged: the worker gave no sign that it is leaving, or no task was started after its limit")
+}
+
+// checkLeaving judges invariant 6. A task that the worker refuses counts too: it is work that it was given.
+func (ch *checker) checkLeaving() {
+	for _, le := range ch.ev.Leaving {
+		for _, of := range ch.ev.Offers {
+			if of.Worker == le.Worker && of.At.After(le.Since.Add(le.Limit)) {
+				ch.add(6, "%s got task %s at %s, %s after the first sign that it is leaving", of.Worker, of.Task, stamp(of.At),
+					of.At.Sub(le.Since).Round(time.Millisecond))
+			}
+		}
+	}
+}
--- a/lovagetrial/matrix_test.go
+++ b/lovagetrial/matrix_test.go
@@ -1,10 +1,13 @@
 package lovagetrial
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -12,7 +15,7 @@
 )
 
 // cellsAtOnce bounds the cells that run in parallel. Each has about ten listeners and a few hundred goroutines.
-const cellsAtOnce = 8
+const cellsAtOnce = 12
 
 // matrixSeed seeds the cells and the sample of pairs.
 const matrixSeed = 20261204
@@ -20,12 +23,23 @@
 // pairSample is the number of cells with two faults that run unless LOVAGE_MATRIX=all.
 const pairSample = 32
 
+// stepSample is the number of cells with faults at two steps that run unless LOVAGE_MATRIX=all, and threeSample that of
+// cells with three faults.
+const (
+	stepSample  = 32
+	threeSample = 24
+)
+
 // runCells runs the cells and fails the test for each that shows a fault.
-func runCells(t *testing.T, what string, cells []Cell, notApplicable []string) {
+func runCells(t *testing.T, what string, cells []Cell, notApplicable map[string]int) {
 	var mu sync.Mutex
 	var running sync.WaitGroup
 	places := make(chan struct{}, cellsAtOnce)
-	calls, longest := 0, time.Duration(0)
+	// Cells with silent connections wait for timeouts of up to 20 s; begun last they would run alone at the end.
+	slices.SortStableFunc(cells, func(a, b Cell) int {
+		return cmp.Compare(silentFaults(b), silentFaults(a))
+	})
+	calls, longest := 0, CellResult{}
 	for _, ce := range cells {
 		places <- struct{}{}
 		running.Go(func() {
@@ -33,18 +47,33 @@
 			res := ce.Run(context.Background())
 			mu.Lock()
 			defer mu.Unlock()
-			calls, longest = calls+res.Calls, max(longest, res.Took)
+			calls += res.Calls
+			if res.Took > longest.Took {
+				longest = res
+			}
 			if res.Wrong() {
 				t.Errorf("cell %s: violations %v, problems %q\n%s", ce, res.Violations, res.Problems, res.Report)
 			}
 		})
 	}
 	running.Wait()
-	for _, reason := range notApplicable {
-		fmt.Println("not applicable:", reason)
+	none := 0
+	for _, reason := range slices.Sorted(maps.Keys(notApplicable)) {
+		fmt.Printf("not applicable, %d cells: %s\n", notApplicable[reason], reason)
+		none += notApplicable[reason]
 	}
 	fmt.Printf("%s: %d cells run, %d not applicable; %d requests judged, longest cell %s\n", what, len(cells),
-		len(notApplicable), calls, longest.Round(time.Millisecond))
+		none, calls, longest.Took.Round(time.Millisecond))
+}
+
+func silentFaults(ce Cell) int {
+	n := 0
+	for _, fa := range []Fault{FaultSilent, FaultCallersSilent} {
+		if ce.has(fa) {
+			n++
+		}
+	}
+	return n
 }
 
 // seeds returns the seeds to run: more than one only if LOVAGE_MATRIX_SEEDS says so.
@@ -70,15 +99,16 @@
 		t.Skip("takes about two minutes")
 	}
 	var cells []Cell
-	var not []string
+	not := map[string]int{}
 	for _, seed := range seeds(t) {
 		for _, st := range Steps() {
 			for _, fa := range Faults() {
-				if reason := NotApplicable(fa); reason != "" {
-					not = append(not, fmt.Sprintf("%s at %s: %s", fa, st.Step, reason))
+				ce := Cell{Step: st, Faults: []Fault{fa}, Seed: seed}
+				if reason := ce.NotApplicable(); reason != "" {
+					not[reason]++
 					continue
 				}
-				cells = append(cells, Cell{Step: st, Faults: []Fault{fa}, Seed: seed})
+				cells = append(cells, ce)
 			}
 		}
 	}
@@ -91,25 +121,102 @@
 		t.Skip("takes about half a minute")
 	}
 	var cells []Cell
-	var not []string
+	not := map[string]int{}
 	faults := Faults()
 	for _, seed := range seeds(t) {
 		for _, st := range Steps() {
 			for i, first := range faults {
 				for _, second := range faults[i+1:] {
-					if reason := NotApplicable(first, second); reason != "" {
-						not = append(not, fmt.Sprintf("%s with %s at %s: %s", first, second, st.Step, reason))
+					ce := Cell{Step: st, Faults: []Fault{first, second}, Seed: seed}
+					if reason := ce.NotApplicable(); reason != "" {
+						not[reason]++
 						continue
 					}
-					cells = append(cells, Cell{Step: st, Faults: []Fault{first, second}, Seed: seed})
+					cells = append(cells, ce)
 				}
 			}
 		}
 	}
 	if os.Getenv("LOVAGE_MATRIX") != "all" {
-		rng := rand.New(rand.NewPCG(matrixSeed, 0))
-		rng.Shuffle(len(cells), func(i, j int) { cells[i], cells[j] = cells[j], cells[i] })
-		cells = cells[:pairSample]
+		cells = sample(cells, pairSample)
 	}
 	runCells(t, "fault matrix, pairs of faults", cells, not)
 }
+
+// sample draws n cells with the fixed seed of the matrix.
+func sample(cells []Cell, n int) []Cell {
+	rng := rand.New(rand.NewPCG(matrixSeed, 0))
+	rng.Shuffle(len(cells), func(i, j int) { cells[i], cells[j] = cells[j], cells[i] })
+	return cells[:min(n, len(cells))]
+}
+
+// Guards against a second fault at a later step, while the first one lasts or right after it.
+func TestFaultMatrixSteps(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes about a quarter of a minute")
+	}
+	var cells []Cell
+	not := map[string]int{}
+	faults := Faults()
+	for _, seed := range seeds(t) {
+		for _, first := range Steps() {
+			for _, second := range Steps() {
+				for _, fa := range faults {
+					for _, fb := range faults {
+						ce := Cell{Step: first, Faults: []Fault{fa}, Later: []Stage{{second, []Fault{fb}}}, Seed: seed}
+						if reason := ce.NotApplicable(); reason != "" {
+							not[reason]++
+							continue
+						}
+						cells = append(cells, ce)
+					}
+				}
+			}
+		}
+	}
+	if os.Getenv("LOVAGE_MATRIX") != "all" {
+		cells = sample(cells, sampleSize(t, stepSample))
+	}
+	runCells(t, "fault matrix, faults at two steps", cells, not)
+}
+
+// Guards against three faults at the same step that are survived in pairs.
+func TestFaultMatrixThree(t *testing.T) {
+	mode := os.Getenv("LOVAGE_MATRIX")
+	if mode != "all" && mode != "three" {
+		t.Skip("runs with LOVAGE_MATRIX=three or all")
+	}
+	var cells []Cell
+	not := map[string]int{}
+	faults := Faults()
+	for _, seed := range seeds(t) {
+		for _, st := range Steps() {
+			for i, first := range faults {
+				for k, second := range faults[i+1:] {
+					for _, third := range faults[i+k+2:] {
+						ce := Cell{Step: st, Faults: []Fault{first, second, third}, Seed: seed}
+						if reason := ce.NotApplicable(); reason != "" {
+							not[reason]++
+							continue
+						}
+						cells = append(cells, ce)
+					}
+				}
+			}
+		}
+	}
+	runCells(t, "fault matrix, three faults", sample(cells, sampleSize(t, threeSample)), not)
+}
+
+// sampleSize returns the number of cells of a sample, which LOVAGE_MATRIX_SAMPLE replaces.
+func sampleSize(t *testing.T, standard int) int {
+	text := os.Getenv("LOVAGE_MATRIX_SAMPLE")
+	if text == "" {
+		return standard
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 1 {
+		t.Fatalf("LOVAGE_MATRIX_SAMPLE=%q is not a positive number", text)
+	}
+	return n
+}
--- a/lovagetrial/partition.go
+++ b/lovagetrial/partition.go
@@ -1,6 +1,12 @@
 package lovagetrial
 
-import "time"
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"lovagestack/lovageledger"
+)
 
 // nodes returns the nodes that the process can have links to.
 func (de *Deployment) nodes(it *Instance) []string {
@@ -61,3 +67,47 @@
 		}
 	}
 }
+
+// cutCallers breaks the connections of callers to every instance. While cut is set, the process closes new ones at once.
+func (de *Deployment) cutCallers(it *Instance, cut bool) {
+	if !cut {
+		it.callers.SetRefuse(false)
+		return
+	}
+	it.callers.SetRefuse(true)
+	for _, other := range de.Processes() {
+		other.faulted.Store(true)
+		other.callers.Cut()
+	}
+}
+
+// silenceCallers drops all further bytes of the existing connections of callers to every instance.
+func (de *Deployment) silenceCallers() {
+	for _, it := range de.Processes() {
+		it.faulted.Store(true)
+		it.callers.Silence()
+	}
+}
+
+// killWithReplicas kills the process and those that hold the replicas of its ranges, according to the table.
+func (de *Deployment) killWithReplicas(it *Instance) {
+	ids := map[string]bool{it.ID(): true}
+	rows, err := de.platform.Memory().Scan(context.Background(), "range/")
+	if err != nil {
+		panic(err) // a context that does not end is the only cause
+	}
+	for _, row := range rows {
+		var ro lovageledger.Row
+		if json.Unmarshal(row.Value, &ro) == nil && ro.Owner == it.ID() {
+			ids[ro.Replica] = true
+		}
+	}
+	for _, other := range de.Running() {
+		if ids[other.ID()] {
+			other.Kill()
+		}
+	}
+	if !it.killed.Load() {
+		it.Kill() // one that is shutting down does not count as running
+	}
+}
--- a/lovagetrial/record.go
+++ b/lovagetrial/record.go
@@ -28,6 +28,7 @@
 	Key       string
 	Payloads  []int // bytes of each task's payload, for a submission
 	Invoked   time.Time
+	Wrote     time.Time // when the request had been written to a connection; zero if it was not
 	Returned  time.Time
 	Answer    lovageapi.AnswerReply // without Err
 	Err       error                 // the request has no answer
@@ -74,10 +75,25 @@
 type Shutdown struct {
 	Process      string
 	Began, Ended time.Time
+	Closed       time.Time // when the process began to close the listener of callers; zero if it did not
 	Cut          int
 	Faulted      bool // a fault of the trial had hit the process, so that requests may have been lost
 }
 
+// Offer is a task that a worker got.
+type Offer struct {
+	Worker, Task string
+	At           time.Time
+	Refused      bool // not started
+}
+
+// Leaving says that a worker was leaving.
+type Leaving struct {
+	Worker string
+	Since  time.Time // of the first sign that could reach every instance that runs
+	Limit  time.Duration
+}
+
 // Evidence is everything that a check needs.
 type Evidence struct {
 	Starts    map[string]int // by "key/task", over all workers
@@ -87,6 +103,8 @@
 	InForce   []InForceRecord
 	Watches   []WatchRecord
 	Shutdowns []Shutdown
+	Offers    []Offer
+	Leaving   []Leaving
 }
 
 // recorder collects evidence.
--- a/lovagetrial/step.go
+++ b/lovagetrial/step.go
@@ -16,7 +16,8 @@
 	// Prepare brings the deployment to the step if the work of a cell does not do so by itself. It is called once,
 	// when work is under way, and may be nil.
 	Prepare func(de *Deployment)
-	// Counts tells whether the step counts at this instance; nil: at any.
+	// Counts tells whether the step counts at this instance; nil: at any. It holds for the first faults of a cell only:
+	// an instance that these have hit may never reach the step.
 	Counts func(it *Instance) bool
 }
 
@@ -28,11 +29,25 @@
 func atOthers(it *Instance) bool { return it.Name != firstName }
 
 func shutDownFirst(de *Deployment) {
-	it := de.Instance(firstName)
-	go func() { _, _ = it.ShutDown() }() // the evidence records the result
+	if it := firstRunning(de); it != nil {
+		go func() { _, _ = it.ShutDown() }() // the evidence records the result
+	}
+}
+
+func killFirst(de *Deployment) {
+	if it := firstRunning(de); it != nil {
+		it.Kill()
+	}
 }
 
-func killFirst(de *Deployment) { de.Instance(firstName).Kill() }
+// firstRunning returns the instance with the name firstName or, if an earlier fault has ended it, the next one that
+// runs, and nil if there is none.
+func firstRunning(de *Deployment) *Instance {
+	if running := de.Running(); len(running) > 0 {
+		return running[0]
+	}
+	return nil
+}
 
 // Steps returns the steps of the fault matrix, in the order of docs/design.md.
 func Steps() []StepCase {
--- a/lovagetrial/work.go
+++ b/lovagetrial/work.go
@@ -15,6 +15,7 @@
 	cellTasks   = 3
 	cellRunTime = 20 * time.Millisecond
 	cellPause   = 20 * time.Millisecond // between two jobs of a caller
+	latePause   = 10 * time.Millisecond // between two looks for instances that are shutting down
 	markerPause = 60 * time.Millisecond // between two changes of the configuration
 )
 
@@ -27,6 +28,7 @@
 		cw := &callerWork{ce: ce, stream: uint64(i)}
 		ce.work.Go(cw.run)
 	}
+	ce.work.Go((&lateWork{ce: ce}).run)
 	ce.work.Go((&operatorWork{ce: ce}).run)
 	ce.work.Go((&watchWork{ce: ce}).run)
 }
@@ -93,6 +95,31 @@
 	_, _ = ca.Submit(ctx, it, jo) // the record is judged
 }
 
+// lateWork is a caller whose balancer does not know yet that an instance is shutting down.
+type lateWork struct{ ce *cellRun }
+
+func (lw *lateWork) run() {
+	ce := lw.ce
+	ca := ce.de.NewCaller()
+	var late sync.WaitGroup
+	defer late.Wait()
+	for n := 0; pauseFor(ce.ctx, latePause) == nil; n++ {
+		for _, it := range ce.de.Instances() {
+			running := ce.de.Running()
+			if !it.stopping.Load() || it.ended() || len(running) == 0 {
+				continue
+			}
+			late.Go(func() {
+				repeatable := n%2 == 1
+				key, err := ce.mint(ce.ctx, ca, running[n%len(running)], repeatable)
+				if err == nil {
+					ce.submit(ca, it, ce.job(key, repeatable))
+				}
+			})
+		}
+	}
+}
+
 // operatorWork is an operator that changes one resource again and again, at one instance after the other.
 type operatorWork struct{ ce *cellRun }
 
