lovagebackend: test that a reply is bound to its request by the connection

Cause: the worker protocol does not require a worker to name the task in its reply, and the matrix notices crossed replies only if it does. Nothing showed that the client pairs no reply with another request by itself. Change: a worker that names nothing and answers late, and callers that give up while their reply is on the way, with fewer connections than callers. Conclusion: holds for workers that send one reply for each request.

--- /dev/null
+++ b/lovagebackend/pairing_test.go
@@ -0,0 +1,92 @@
+package lovagebackend_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"lovagestack/lovagebackend"
+)
+
+// namelessWorker answers each request of a connection in turn, after a delay, with the payload and without the name of
+// the task. It goes on after the client has given up, as a worker does that does not notice.
+func namelessWorker(t *testing.T, delay func() time.Duration) string {
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	var serving sync.WaitGroup
+	serve := func(co net.Conn) {
+		defer co.Close() //nolint:errcheck // nothing is lost
+		br := bufio.NewReader(co)
+		for {
+			req, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			payload, err := io.ReadAll(req.Body)
+			if err != nil {
+				return
+			}
+			time.Sleep(delay())
+			if _, err := fmt.Fprintf(co, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(payload), payload); err != nil {
+				return
+			}
+		}
+	}
+	serving.Go(func() {
+		for {
+			co, err := li.Accept()
+			if err != nil {
+				return
+			}
+			serving.Go(func() { serve(co) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = li.Close()
+		serving.Wait()
+	})
+	return li.Addr().String()
+}
+
+// Guards against a late reply that is taken for that of the next request on the same connection. The worker protocol
+// does not require a worker to name the task, so that only the connection binds a reply to its request.
+func TestReplyIsBoundByItsConnection(t *testing.T) {
+	const callers, runs = 8, 60
+	addr := namelessWorker(t, func() time.Duration { return time.Duration(rand.Int64N(int64(6 * time.Millisecond))) })
+	cl := newClient(t, lovagebackend.Settings{Connections: 3}) // fewer than callers, so that connections are used again
+	var running sync.WaitGroup
+	var mu sync.Mutex
+	outcomes := map[lovagebackend.State]int{}
+	for ca := range callers {
+		running.Go(func() {
+			for n := range runs {
+				limit := time.Minute
+				if n%3 > 0 { // gives up, mostly while the worker is about to answer
+					limit = time.Duration(n%7) * time.Millisecond
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), limit)
+				payload := fmt.Sprintf("caller %d run %d", ca, n)
+				res := cl.Run(ctx, task(addr, fmt.Sprintf("k.%d/%d", ca, n), payload))
+				cancel()
+				mu.Lock()
+				outcomes[res.State]++
+				mu.Unlock()
+				if res.State == lovagebackend.Succeeded && string(res.Body) != payload {
+					t.Errorf("%q got the reply %q", payload, res.Body)
+				}
+			}
+		})
+	}
+	running.Wait()
+	must.Positive(t, outcomes[lovagebackend.Succeeded])
+	must.Positive(t, outcomes[lovagebackend.Unknown], must.Sprint("no request was given up after it was written"))
+}
