lovageentry: prefetch keys for submissions without a key

Cause: a submission without a key cost a message for the key besides the forward. Jobs has the method KeyFor. TestProbeLeavesPendingJobs ends when its call is given up; it hung instead of failing when the probe was broken on purpose.

--- a/lovageapi/caller.go
+++ b/lovageapi/caller.go
@@ -27,6 +27,8 @@
 type Jobs interface {
 	// Mint returns new keys. An error means that none can be minted now.
 	Mint(ctx context.Context, req lovagejob.MintRequest) (lovagejob.Minted, error)
+	// KeyFor returns a key for one submission that has none. An error means that none can be minted now.
+	KeyFor(ctx context.Context, service string, repeatable bool) (lovagejob.Key, error)
 	// Submit starts the job unless its key is known, and waits for the answer. When the context ends the job goes on.
 	Submit(ctx context.Context, sub lovagejob.Submission) (lovagejob.Answer, error)
 	// Ask waits until the job has ended or the time has come.
@@ -113,15 +115,13 @@
 		return
 	}
 	if sub.Key.IsZero() {
-		mi, err := api.jobs.Mint(ctx.Request().Context(), lovagejob.MintRequest{
-			Service: sub.Service, Count: 1, Repeatable: true,
-		})
-		if err != nil || len(mi.Keys) != 1 {
+		key, err := api.jobs.KeyFor(ctx.Request().Context(), sub.Service, sub.Repeatable)
+		if err != nil {
 			setRetryAfter(ctx, time.Second)
 			writeError(ctx, http.StatusServiceUnavailable, fmt.Sprintf("nothing was started: no key can be minted now: %v", err))
 			return
 		}
-		sub.Key = mi.Keys[0]
+		sub.Key = key
 	}
 	an, err := api.jobs.Submit(ctx.Request().Context(), sub)
 	if writeFault(ctx, err) {
--- a/lovageapi/fakes_test.go
+++ b/lovageapi/fakes_test.go
@@ -47,6 +47,14 @@
 	return out, nil
 }
 
+func (fa *fakeJobs) KeyFor(ctx context.Context, service string, repeatable bool) (lovagejob.Key, error) {
+	mi, err := fa.Mint(ctx, lovagejob.MintRequest{Service: service, Count: 1, Repeatable: repeatable})
+	if err != nil {
+		return lovagejob.Key{}, err
+	}
+	return mi.Keys[0], nil
+}
+
 func testKey(nonce string) lovagejob.Key {
 	return lovagejob.Key{DataCentre: "kandla", Range: 12, Epoch: 7, Minted: testNow, Nonce: nonce}
 }
--- a/lovageapi/route_test.go
+++ b/lovageapi/route_test.go
@@ -233,8 +233,12 @@
 	base, owner := startAPI(t, se), startAPI(t, se)
 	key := testKey("pending") // what the owner says when it is asked
 	asked := make(chan struct{})
-	owner.jobs.submit = func(_ context.Context, sub lovagejob.Submission) (lovagejob.Answer, error) {
-		<-asked
+	owner.jobs.submit = func(ctx context.Context, sub lovagejob.Submission) (lovagejob.Answer, error) {
+		select {
+		case <-asked:
+		case <-ctx.Done():
+			return lovagejob.Answer{}, ctx.Err()
+		}
 		return lovagejob.Answer{Key: sub.Key, Outcome: lovagejob.Complete, Tasks: 1, Started: 1}, nil
 	}
 	owner.jobs.asked = func(n int) {
--- a/lovageentry/caller.go
+++ b/lovageentry/caller.go
@@ -82,7 +82,7 @@
 // error is a *FaultError if the request itself is wrong and ctx's error if ctx ended; the job goes on in that case.
 func (in *Instance) Submit(ctx context.Context, sub lovagejob.Submission) (lovagejob.Answer, error) {
 	if sub.Key.IsZero() {
-		mi, err := in.Mint(ctx, lovagejob.MintRequest{Service: sub.Service, Count: 1, Repeatable: sub.Repeatable})
+		key, err := in.KeyFor(ctx, sub.Service, sub.Repeatable)
 		if errors.Is(err, ErrNoKeys) {
 			return lovagejob.Answer{
 				Outcome: lovagejob.NotRun, Reason: err.Error(), Tasks: len(sub.Tasks), RetryAt: time.Now().Add(time.Second),
@@ -91,7 +91,7 @@
 		if err != nil {
 			return lovagejob.Answer{}, err
 		}
-		sub.Key = mi.Keys[0]
+		sub.Key = key
 	}
 	return in.answer(ctx, &request{
 		kind: kindSubmit, sub: &sub, key: sub.Key, fingerprint: fingerprint(&sub),
--- a/lovageentry/domain.go
+++ b/lovageentry/domain.go
@@ -1,6 +1,7 @@
 package lovageentry
 
 import (
+	"maps"
 	"slices"
 
 	"go.uber.org/zap"
@@ -60,8 +61,11 @@
 func (lo *controlLoop) decide() (changed bool) {
 	ds := &lo.domains
 	deciding := ds.layout.Deciding(ds.live, 2)
-	lo.logDeciding(deciding)
+	moved := lo.logDeciding(deciding)
 	lo.in.domains.set(ds.layout, deciding)
+	if moved {
+		lo.in.stocks.drop()
+	}
 	if self := (lovagedomain.Member{ID: lo.in.id, DataCentre: lo.in.settings.DataCentre}); !slices.Contains(ds.live, self) {
 		deciding = ds.layout.Deciding(append(slices.Clone(ds.live), self), 1)
 	}
@@ -81,8 +85,8 @@
 	return changed
 }
 
-// logDeciding logs the domains whose deciding instance has changed.
-func (lo *controlLoop) logDeciding(deciding [][]string) {
+// logDeciding logs the domains whose deciding instance has changed and reports whether there are any.
+func (lo *controlLoop) logDeciding(deciding [][]string) (moved bool) {
 	now := make(map[string]string, len(deciding))
 	for i, ids := range deciding {
 		if len(ids) == 0 {
@@ -95,7 +99,9 @@
 				zap.String("now", ids[0]))
 		}
 	}
+	moved = !maps.Equal(now, lo.domains.before)
 	lo.domains.before = now
+	return moved
 }
 
 // quota returns this instance's part of a team's quota of running tasks.
--- a/lovageentry/instance.go
+++ b/lovageentry/instance.go
@@ -75,6 +75,7 @@
 	ledgerWriter  *lovageplatform.Writer
 	addresses     addressBook
 	callers       callerBook
+	stocks        *keyStocks
 	domains       *domainBook
 	servers       []Server
 	inFlight      gauge // requests of callers and peers
@@ -138,6 +139,7 @@
 		return nil, err
 	}
 	in.peerAddress = address
+	in.stocks = newKeyStocks(in.counts, in.mintStock)
 	in.backend = newBackend(op.Metrics, op.Dial)
 	in.store = lovageresource.NewStore(keptChanges)
 	in.ledgerWriter = lovageplatform.NewWriter(op.Platform, in.id, lovageplatform.WriterSettings{})
--- a/lovageentry/mint.go
+++ b/lovageentry/mint.go
@@ -102,6 +102,20 @@
 	return false
 }
 
+// elsewhere reports whether an instance other than the one given decides for workers of the service, and whether one of
+// these has just failed to give keys.
+func (db *domainBook) elsewhere(id, service string, now time.Time) (elsewhere, silent bool) {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	for _, i := range db.layout.ForService(service) {
+		if ids := db.deciding[i]; len(ids) > 0 && ids[0] != id {
+			elsewhere = true
+			silent = silent || now.Before(db.silent[ids[0]])
+		}
+	}
+	return elsewhere, silent
+}
+
 // isSilent reports whether the instance has just failed to give keys.
 func (db *domainBook) isSilent(id string, now time.Time) bool {
 	db.mu.Lock()
@@ -135,7 +149,7 @@
 			if err != nil {
 				return mi, err
 			}
-			mi.Keys = rp.keys
+			mi = lovagejob.Minted{Keys: rp.keys, CallerAddress: in.callerAddress}
 		case !in.domains.isSilent(id, time.Now()):
 			mi = in.mintAt(ctx, id, req, decidingTimeout)
 			if len(mi.Keys) == 0 && ctx.Err() == nil {
--- a/lovagestack/main_test.go
+++ b/lovagestack/main_test.go
@@ -61,6 +61,11 @@
 	}}, nil
 }
 
+func (fa *fakeJobs) KeyFor(ctx context.Context, _ string, _ bool) (lovagejob.Key, error) {
+	mi, err := fa.Mint(ctx, lovagejob.MintRequest{})
+	return mi.Keys[0], err
+}
+
 func (fa *fakeJobs) Submit(_ context.Context, sub lovagejob.Submission) (lovagejob.Answer, error) {
 	fa.calls = append(fa.calls, sub)
 	return fa.next(sub.Key)
