lovagebench: measure direct routes, with the latency that the users state

Cause: the measurement had no latency, and its variants did not tell callers that use the owner's address from those behind a balancer. Change: the variant central uses addresses; central, random instance is now called central, balancer; central, no key submits jobs that may be repeated without a key. Options.Latency (on in Full) delays connections between data centres by 1.4 ms and to callers by 1 ms, and the round trip of the ideal is measured with the latter. lovagestack bench --no-latency switches it off. The weight of a service has no effect under central and is measured under lending only. Ruled out: relays of lovagefake, because they delay one chunk after the other and so slow down shared sessions.

--- a/lovageapi/client.go
+++ b/lovageapi/client.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -66,28 +67,56 @@
 }
 
 // NewClient returns a client of the API at an IP address and port.
-func NewClient(address string) *Client {
+func NewClient(address string, options ...ClientOption) *Client {
 	cl := NewFixedClient(address)
 	cl.routes = newRoutes(address)
+	for _, set := range options {
+		set(cl)
+	}
 	return cl
 }
 
+// ClientOption changes a new Client.
+type ClientOption func(cl *Client)
+
+// WithDial returns an option to open connections with a function like net.Dialer.DialContext.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) ClientOption {
+	return func(cl *Client) {
+		for _, hc := range cl.clients() {
+			if tr, ok := hc.Transport.(*http.Transport); ok {
+				tr.DialContext = dial
+			}
+		}
+	}
+}
+
+// clients returns the HTTP clients that the client uses.
+func (cl *Client) clients() []*http.Client {
+	if cl.routes == nil {
+		return []*http.Client{cl.http}
+	}
+	return []*http.Client{cl.http, cl.routes.http}
+}
+
 // NewFixedClient returns a client that makes every call at the address, for callers that cannot reach others and for
 // tests that mean one instance.
-func NewFixedClient(address string) *Client {
+func NewFixedClient(address string, options ...ClientOption) *Client {
 	tr := &http.Transport{
 		Proxy:               nil, // instances are reached directly
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     time.Minute, // below the server's, so that the client closes first
 	}
-	return &Client{base: "http://" + address, http: &http.Client{Transport: tr}}
+	cl := &Client{base: "http://" + address, http: &http.Client{Transport: tr}}
+	for _, set := range options {
+		set(cl)
+	}
+	return cl
 }
 
 // Close closes idle connections.
 func (cl *Client) Close() {
-	cl.http.CloseIdleConnections()
-	if cl.routes != nil {
-		cl.routes.http.CloseIdleConnections()
+	for _, hc := range cl.clients() {
+		hc.CloseIdleConnections()
 	}
 }
 
--- a/lovageapi/route.go
+++ b/lovageapi/route.go
@@ -43,6 +43,7 @@
 type RouteCounts struct {
 	Direct   int64 // sent to the owner's address
 	FellBack int64 // of these, sent again to the base address
+	Probes   int64 // questions whether a silent owner works on the job
 }
 
 // keyRange is a key range; all its keys have the same owner at a time.
@@ -62,7 +63,7 @@
 	owners  map[keyRange]string
 	avoided map[string]time.Time // address, and the time until which it is not used
 
-	direct, fellBack atomic.Int64
+	direct, fellBack, probes atomic.Int64
 }
 
 func newRoutes(base string) *routes {
@@ -209,6 +210,7 @@
 }
 
 func (pr *probe) run() {
+	pr.cl.routes.probes.Add(1)
 	ctx, cancel := context.WithTimeout(pr.ctx, pr.cl.routes.probeTimeout)
 	defer cancel()
 	out, err := pr.cl.askAt(ctx, pr.cl.routes.http, "http://"+pr.owner, askQuestion(pr.key, 0))
@@ -266,5 +268,5 @@
 	if cl.routes == nil {
 		return RouteCounts{}
 	}
-	return RouteCounts{Direct: cl.routes.direct.Load(), FellBack: cl.routes.fellBack.Load()}
+	return RouteCounts{Direct: cl.routes.direct.Load(), FellBack: cl.routes.fellBack.Load(), Probes: cl.routes.probes.Load()}
 }
--- a/lovageapi/route_test.go
+++ b/lovageapi/route_test.go
@@ -55,10 +55,8 @@
 
 // badOwners returns addresses that are no use as an owner's, by what is wrong with them.
 func badOwners(t *testing.T, ta *testAPI) map[string]string {
-	li, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	closed := li.Addr().String()
-	must.NoError(t, li.Close())
+	// A port that was free a moment ago may get another listener; port 1 is privileged and has none.
+	const closed = "127.0.0.1:1"
 	web := func(fn http.HandlerFunc) string {
 		srv := httptest.NewServer(fn)
 		t.Cleanup(srv.Close)
@@ -136,7 +134,8 @@
 			must.NoError(t, err)
 			must.Eq(t, lovagejob.Complete, an.Outcome)
 			must.Eq(t, key, an.Key)
-			must.Eq(t, RouteCounts{Direct: 1, FellBack: 1}, cl.RouteCounts())
+			must.Eq(t, 1, cl.RouteCounts().Direct)
+			must.Eq(t, 1, cl.RouteCounts().FellBack)
 			if within > 0 {
 				must.Eq(t, map[string]int{key.String(): 1}, st.byKey)
 			}
@@ -253,5 +252,21 @@
 	an, err := cl.Submit(context.Background(), routedJob(key.String(), time.Minute))
 	must.NoError(t, err)
 	must.Eq(t, lovagejob.Complete, an.Outcome)
-	must.Eq(t, RouteCounts{Direct: 1}, cl.RouteCounts())
+	must.Eq(t, 1, cl.RouteCounts().Direct)
+	must.Eq(t, 0, cl.RouteCounts().FellBack)
+	must.GreaterEq(t, 3, cl.RouteCounts().Probes)
+}
+
+// BenchmarkOwner measures what choosing the address adds to a request.
+func BenchmarkOwner(b *testing.B) {
+	ro := newRoutes("127.0.0.1:1")
+	key := testKey("k1")
+	ro.learn("10.1.0.1:7001", key)
+	text := key.String()
+	b.ReportAllocs()
+	for b.Loop() {
+		if ro.owner(text) == "" {
+			b.Fatal("no owner")
+		}
+	}
 }
--- a/lovagebench/bench_test.go
+++ b/lovagebench/bench_test.go
@@ -19,8 +19,8 @@
 // smallOptions runs every kind of row in about a second each.
 func smallOptions() Options {
 	op := Quick()
-	op.Variants = []Variant{op.Variants[0], op.Variants[2], op.Variants[5]}
-	op.Parallel, op.Loads = 3, []float64{0.4}
+	op.Variants = []Variant{op.Variants[0], op.Variants[2], op.Variants[3], op.Variants[6]}
+	op.Parallel, op.Loads = 4, []float64{0.4}
 	op.Learn, op.Settle, op.Measured = 500*time.Millisecond, 100*time.Millisecond, time.Second
 	op.Services = op.Services[:3]
 	op.MaxTasks = 20
@@ -33,7 +33,7 @@
 	re, err := Run(t.Context(), smallOptions(), io.Discard)
 	must.NoError(t, err)
 	must.SliceEmpty(t, re.Violations())
-	must.SliceLen(t, 3*(1+len(Scenarios())), re.Rows)
+	must.SliceLen(t, 4*(1+len(Scenarios())), re.Rows)
 	for _, ro := range re.Rows {
 		must.Positive(t, ro.Report.Jobs)
 		must.Positive(t, ro.Report.Outcomes["complete"], must.Sprintf("%s, %s", ro.Variant.Name, ro.Point))
--- a/lovagebench/callers.go
+++ b/lovagebench/callers.go
@@ -32,7 +32,9 @@
 )
 
 // callers is the lovageload.Target: many callers of one deployment. A caller takes a key that was minted ahead of time
-// and sends the job to the instance that minted it or, if random is set, to a random one. Without a definite answer it
+// and sends the job to the instance where it got the key or, if random is set, to a random one. The client of the
+// variant may then use the owner's address. With the variant's NoKey, jobs that may be repeated have no key; the scenario
+// that cancels all jobs does not know them. Without a definite answer it
 // submits the job again, elsewhere.
 type callers struct {
 	de     *deployment
@@ -190,11 +192,14 @@
 func (ca *callers) Submit(ctx context.Context, sub *lovagejob.Submission) (lovagejob.Answer, error) {
 	key, home := sub.Key, 0
 	var err error
-	if key.IsZero() {
+	noKey := ca.de.va.NoKey && sub.Repeatable && key.IsZero()
+	switch {
+	case noKey:
+	case key.IsZero():
 		if key, home, err = ca.take(ctx, sub.Repeatable); err != nil {
 			return lovagejob.Answer{}, err
 		}
-	} else {
+	default:
 		ca.mu.Lock()
 		home = ca.homes[key]
 		ca.mu.Unlock()
@@ -212,6 +217,10 @@
 	for until, tries := time.Now().Add(retryFor), 1; ; tries++ {
 		sent := time.Now()
 		reply, err := ca.de.instances[at].client.Submit(ctx, request)
+		if err == nil && noKey {
+			key, noKey = reply.Key, false
+			request.Key = key.String()
+		}
 		if err == nil {
 			ca.split(&reply, time.Since(sent))
 			ca.check(key, &reply, len(sub.Tasks))
@@ -256,9 +265,12 @@
 // request translates the payloads to those of the stand-in workers.
 func (ca *callers) request(sub *lovagejob.Submission, key lovagejob.Key) (lovageapi.JobRequest, error) {
 	out := lovageapi.JobRequest{
-		Key: key.String(), Service: sub.Service, Team: sub.Team, Repeatable: sub.Repeatable, Deadline: sub.Deadline,
+		Service: sub.Service, Team: sub.Team, Repeatable: sub.Repeatable, Deadline: sub.Deadline,
 		DeclaredRunTime: lovageconfig.Duration(sub.DeclaredRunTime), Tasks: make([]lovageapi.TaskRequest, len(sub.Tasks)),
 	}
+	if !key.IsZero() {
+		out.Key = key.String()
+	}
 	for i, ta := range sub.Tasks {
 		var pa lovageload.Payload
 		if err := json.Unmarshal(ta.Payload, &pa); err != nil {
--- a/lovagebench/deployment.go
+++ b/lovagebench/deployment.go
@@ -73,12 +73,13 @@
 	workers   []*lovagefake.Worker
 	speeds    []float64
 	pools     []lovageresource.Resource
+	centres   map[string]string // data centre by address of a peer or worker; not changed once an instance runs
 	instances []*instance
 }
 
 // newDeployment starts a deployment and waits until its resources are in force on every instance.
 func newDeployment(ctx context.Context, op Options, va Variant) (*deployment, error) {
-	de := &deployment{op: op, va: va}
+	de := &deployment{op: op, va: va, centres: map[string]string{}}
 	de.fakePlatform()
 	de.platform = httptest.NewServer(de.fake)
 	err := de.startWorkers()
@@ -118,6 +119,7 @@
 			if err != nil {
 				return err
 			}
+			de.setCentre(address, dc)
 			de.workers, de.speeds = append(de.workers, wo), append(de.speeds, speed)
 			in := wo.Instance()
 			de.fake.PutInstance(in)
@@ -139,6 +141,7 @@
 				return errors.Wrapf(err, "start instance %s-%d", dc, i)
 			}
 			de.instances = append(de.instances, in)
+			de.setCentre(in.entry.PeerAddress(), dc)
 			de.fake.PutInstance(lovageplatform.Instance{
 				ID: fmt.Sprintf("%s-%d", dc, i), DataCentre: dc, Kind: lovageplatform.KindEntry,
 				Address: in.entry.PeerAddress(), State: lovageplatform.StateLive,
@@ -169,6 +172,7 @@
 	in := &instance{metrics: lovagemetric.New(), dataCentre: dc}
 	in.entry, err = lovageentry.New(lovageentry.Options{
 		Settings: se, Platform: client, Metrics: in.metrics, Policy: de.va.Policy, Seed: de.op.Seeds[0],
+		Dial: de.dialFrom(dc),
 	})
 	if err != nil {
 		return nil, err
@@ -188,10 +192,34 @@
 	}
 	in.address = in.caller.Address()
 	in.entry.Advertise(in.address)
-	in.client = lovageapi.NewFixedClient(in.address)
+	dial := lovageapi.WithDial(dialer(func(string) time.Duration { return de.op.Latency.Callers }))
+	if de.va.OwnerAddress {
+		in.client = lovageapi.NewClient(in.address, dial)
+	} else {
+		in.client = lovageapi.NewFixedClient(in.address, dial)
+	}
 	return in, nil
 }
 
+func (de *deployment) setCentre(address, dc string) {
+	if de.centres != nil {
+		de.centres[address] = dc
+	}
+}
+
+// dialFrom returns how an instance of a data centre reaches peers and workers, nil if there is no latency to add.
+func (de *deployment) dialFrom(dc string) lovageentry.Dial {
+	if de.op.Latency.DataCentres <= 0 {
+		return nil
+	}
+	return dialer(func(address string) time.Duration {
+		if other := de.centres[address]; other == "" || other == dc {
+			return 0
+		}
+		return de.op.Latency.DataCentres
+	})
+}
+
 // declare puts the services, teams and pools and waits until every instance applied them.
 func (de *deployment) declare(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
--- a/lovagebench/doc.go
+++ b/lovagebench/doc.go
@@ -6,8 +6,17 @@
 // deployment per [Variant] is warmed up, so that speeds and run times are learned, and then takes the same seeded
 // open-loop loads as the others. Every row also checks that no task was started twice and no answer was partial.
 //
-// It does not simulate network latency between data centres, and it does not judge times: [Report.Violations] concerns
-// the invariants only.
+// It does not judge times: [Report.Violations] concerns the invariants only.
+//
+// # Latency
+//
+// [Options.Latency] adds the one-way latency that the users state: 1.4 ms between instances, and between an instance and
+// a worker, of different data centres, and 1 ms between callers and instances. Only the dialling side of a connection is
+// wrapped, which delays both directions without limiting the throughput. The platform stand-in has its own latency.
+//
+// The ideal counts one round trip between a caller and a worker that it calls directly, measured over a connection with
+// the latency to callers. Measured jobs have the same round trip to their instance. What the dispatcher adds, such as
+// the way to a worker or a peer of another data centre, is no part of the ideal.
 //
 // # Messages
 //
@@ -18,8 +27,10 @@
 //	refused    task requests that workers answered as not started (workers' Refused)
 //	probed     asks for slots and returns of slots between instances (peer_requests_sent slotsAsk and slotsReturn)
 //	forwarded  submissions, cancellations and key requests sent on by instances (peer_requests_sent submit, cancel, mint)
-//	polled     questions about a key sent on by instances (peer_requests_sent ask); callers wait instead of polling
+//	polled     questions about a key sent on by instances (peer_requests_sent ask), and questions to a silent owner by the
+//	           clients of callers that use addresses; callers wait instead of polling
 //	duplicate  tasks started more often than once, and submissions that callers repeated
+//	           or that fell back from the owner's address
 //
 // Response over ideal compares with the slots that are free when a job is sent and can be below 1; mean/bound compares
 // with what no dispatcher can beat on idle workers (lovageload.Bound).
--- /dev/null
+++ b/lovagebench/latency_test.go
@@ -0,0 +1,72 @@
+package lovagebench
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a latency that adds up for messages which are on their way together, is missing in a direction, or
+// changes the stream.
+func TestDelayedConn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const delay = 1400 * time.Microsecond
+		near, far := net.Pipe()
+		dc := newDelayedConn(near, delay)
+		began := time.Now()
+		buf := make([]byte, 1)
+		for i := range 10 {
+			_, err := fmt.Fprint(dc, i)
+			must.NoError(t, err)
+		}
+		for i := range 10 {
+			_, err := io.ReadFull(far, buf)
+			must.NoError(t, err)
+			must.Eq(t, fmt.Sprint(i), string(buf))
+		}
+		must.Eq(t, delay, time.Since(began))
+		for i := range 10 {
+			_, err := fmt.Fprint(far, i)
+			must.NoError(t, err)
+		}
+		for i := range 10 {
+			_, err := io.ReadFull(dc, buf)
+			must.NoError(t, err)
+			must.Eq(t, fmt.Sprint(i), string(buf))
+		}
+		must.Eq(t, 2*delay, time.Since(began))
+		must.NoError(t, dc.SetDeadline(time.Now().Add(time.Second)))
+		_, err := dc.Read(buf)
+		must.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		must.NoError(t, dc.SetDeadline(time.Time{}))
+		must.NoError(t, far.Close())
+		_, err = dc.Read(buf)
+		must.ErrorIs(t, err, io.EOF)
+		must.NoError(t, dc.Close())
+		_, err = dc.Write(buf)
+		must.ErrorIs(t, err, net.ErrClosed)
+	})
+}
+
+// Guards against an ideal without the latency that the measured jobs have.
+func TestRoundTripHasTheLatency(t *testing.T) {
+	op := smallOptions()
+	op.Latency.Callers = 20 * time.Millisecond
+	de := &deployment{op: op}
+	de.fakePlatform()
+	must.NoError(t, de.startWorkers())
+	defer func() {
+		for _, wo := range de.workers {
+			wo.Close()
+		}
+	}()
+	took, err := roundTrip(t.Context(), de)
+	must.NoError(t, err)
+	must.GreaterEq(t, 40*time.Millisecond, took)
+}
--- a/lovagebench/measure.go
+++ b/lovagebench/measure.go
@@ -87,9 +87,12 @@
 // roundTripCalls is enough for a median that does not depend on the first connections.
 const roundTripCalls = 101
 
-// roundTrip returns the median time of a task without run time on a worker that is called directly.
+// roundTrip returns the median time of a task without run time on a worker that is called directly, over a connection
+// with the latency to callers. It is the network's part of the ideal. A dispatcher's own way to a worker of another data
+// centre is no part of it.
 func roundTrip(ctx context.Context, de *deployment) (time.Duration, error) {
-	client := &http.Client{Transport: &http.Transport{}}
+	dial := dialer(func(string) time.Duration { return de.op.Latency.Callers })
+	client := &http.Client{Transport: &http.Transport{DialContext: dial}}
 	defer client.CloseIdleConnections()
 	address := de.workers[0].Instance().Address
 	took := make([]time.Duration, roundTripCalls)
@@ -198,6 +201,10 @@
 func (rr *rowRun) counts() map[string]float64 {
 	out := make(map[string]float64)
 	for _, in := range rr.de.instances {
+		routes := in.client.RouteCounts()
+		out["caller_direct"] += float64(routes.Direct)
+		out["caller_repeated"] += float64(routes.FellBack)
+		out["caller_probes"] += float64(routes.Probes)
 		counters, err := in.counters()
 		if err != nil {
 			rr.ca.violation("metrics of instance %s cannot be read: %v", in.entry.ID(), err)
@@ -222,7 +229,7 @@
 	}
 	out["worker_duplicate_starts"] = float64(started - len(unique))
 	out["caller_submissions"] = float64(rr.ca.submissions.Load())
-	out["caller_repeated"] = float64(rr.ca.repeated.Load())
+	out["caller_repeated"] += float64(rr.ca.repeated.Load())
 	return out
 }
 
@@ -242,7 +249,7 @@
 		Refused:   int64(co["worker_refused"]),
 		Probed:    int64(peer("slotsAsk", "slotsReturn")),
 		Forwarded: int64(peer("submit", "cancel", "mint")),
-		Polled:    int64(peer("ask")),
+		Polled:    int64(peer("ask") + co["caller_probes"]),
 		Duplicate: int64(duplicate + co["caller_repeated"]),
 	}
 }
--- a/lovagebench/options.go
+++ b/lovagebench/options.go
@@ -14,17 +14,21 @@
 	Name           string
 	Policy         lovagedispatch.Policy
 	Weight         lovageresource.Weight // of all services
-	RandomInstance bool                  // callers send each job to a random instance instead of the one that minted its key
+	RandomInstance bool                  // callers send each job to a random instance, as through a balancer, and use no addresses
+	OwnerAddress   bool                  // callers send each job to the address of its key's owner
+	NoKey          bool                  // callers submit jobs that may be repeated without a key
 	Baseline       bool                  // the chosen policy has to be better in each row
 }
 
-// Variants returns the chosen policy with both weights and with callers that ignore where a key comes from, the other
-// sharing policies, and the baselines that the design names.
+// Variants returns the chosen policy with three kinds of callers, the other sharing policies, and the baselines that the
+// design names. The weight of a service has no effect under the policy central, which borrows no slots and forwards or
+// not by where callers send their jobs, so it is measured under lending only.
 func Variants() []Variant {
 	const response = lovageresource.WeightResponseTime
 	return []Variant{
-		{Name: "central", Policy: lovagedispatch.Central, Weight: response},
-		{Name: "central, random instance", Policy: lovagedispatch.Central, Weight: response, RandomInstance: true},
+		{Name: "central", Policy: lovagedispatch.Central, Weight: response, OwnerAddress: true},
+		{Name: "central, balancer", Policy: lovagedispatch.Central, Weight: response, RandomInstance: true},
+		{Name: "central, no key", Policy: lovagedispatch.Central, Weight: response, RandomInstance: true, NoKey: true},
 		{Name: "lending", Policy: lovagedispatch.Lending, Weight: response},
 		{Name: "lending, weight messages", Policy: lovagedispatch.Lending, Weight: lovageresource.WeightMessages},
 		{Name: "lending, random instance", Policy: lovagedispatch.Lending, Weight: response, RandomInstance: true},
@@ -52,6 +56,7 @@
 	InstancesPerDataCentre int
 	Services               []lovageload.Service
 	MaxTasks               int
+	Latency                Latency
 }
 
 // learnLoad keeps all workers in use while speeds and run times are learned.
@@ -63,7 +68,7 @@
 	return Options{
 		Variants: Variants(), Parallel: 3, Loads: []float64{0.3, 0.6, 0.8, 0.95}, Scenarios: Scenarios(), Seeds: []uint64{1},
 		Learn: 10 * time.Second, Settle: 2 * time.Second, Measured: 6 * time.Second,
-		Workers: 48, InstancesPerDataCentre: 2, Services: services(), MaxTasks: 350,
+		Workers: 48, InstancesPerDataCentre: 2, Services: services(), MaxTasks: 350, Latency: statedLatency(),
 	}
 }
 
--- a/lovagestack/bench.go
+++ b/lovagestack/bench.go
@@ -21,6 +21,7 @@
 	Measured time.Duration `arg:"--measured" placeholder:"DURATION" help:"time in which the jobs of a row are sent"`
 	Variants []string      `arg:"--variants" placeholder:"NAME" help:"one or more names; the first is the one that the targets are for"`
 	NoFaults bool          `arg:"--no-faults" help:"leave the scenarios out"`
+	NoDelay  bool          `arg:"--no-latency" help:"loopback without the latency that the users state"`
 	Report   string        `arg:"--report" placeholder:"FILE" help:"write all rows with their counters to a JSON file"`
 }
 
@@ -73,6 +74,9 @@
 	if len(cmd.Loads) > 0 {
 		op.Loads = cmd.Loads
 	}
+	if cmd.NoDelay {
+		op.Latency = lovagebench.Latency{}
+	}
 	if cmd.NoFaults {
 		op.Scenarios = nil
 	}
