lovageentry, lovagebench: test the owner's address and prefetched keys in whole deployments

Cause: after the merge of decision domains the deciding instance did not name its own address in POST /v1/keys.

--- a/lovagebench/bench_test.go
+++ b/lovagebench/bench_test.go
@@ -38,6 +38,12 @@
 		must.Positive(t, ro.Report.Jobs)
 		must.Positive(t, ro.Report.Outcomes["complete"], must.Sprintf("%s, %s", ro.Variant.Name, ro.Point))
 		must.Positive(t, ro.Report.Messages.Useful)
+		if ro.Variant.OwnerAddress {
+			must.Positive(t, ro.Counters["caller_direct"], must.Sprint(ro.Point))
+		}
+		if ro.Variant.NoKey && ro.Point == loadName(0.4) {
+			must.Positive(t, ro.Counters["lovage_prefetched_keys_used_total"])
+		}
 	}
 	var out bytes.Buffer
 	must.NoError(t, re.Write(&out))
--- a/lovagetrial/route_test.go
+++ b/lovagetrial/route_test.go
@@ -57,6 +57,11 @@
 	t.Cleanup(func() { de.Close(); ad.each((*lovagefake.Relay).Close) })
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
+	for _, it := range de.Instances() { // the one that decides names its own address
+		mi, err := it.Caller.Mint(ctx, lovagejob.MintRequest{Service: ServiceName, Count: 1})
+		must.NoError(t, err)
+		must.NotEq(t, "", mi.CallerAddress, must.Sprint(it.Name))
+	}
 	for name, fault := range map[string]func(re *lovagefake.Relay){
 		"none":   func(*lovagefake.Relay) {},
 		"cut":    (*lovagefake.Relay).Cut,
