--- a/lovageentry/caller.go
+++ b/lovageentry/caller.go
@@ -25,6 +25,9 @@
 // trials this had a mean response over ideal of 1.14 at load 0.6, where six instances that lend each other slots had
 // 1.53.
 func (in *Instance) Mint(ctx context.Context, req lovagejob.MintRequest) (lovagejob.Minted, error) {
+	if !in.knows(req.Service) {
+		req.Service = "" // no instance would give keys for it, and the job is to be refused under a key
+	}
 	if in.policy == lovagedispatch.Central {
 		if mi, err := in.mintInDomain(ctx, req); err != nil || len(mi.Keys) > 0 {
 			return mi, err
--- a/lovageentry/domain_test.go
+++ b/lovageentry/domain_test.go
@@ -1,6 +1,7 @@
 package lovageentry
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -19,7 +20,7 @@
 )
 
 // testLoop returns the control loop of an instance in kandla that is not served.
-func testLoop(t *testing.T) *controlLoop {
+func testLoop(t testing.TB) *controlLoop {
 	t.Helper()
 	settings := lovageconfig.Defaults()
 	settings.ID, settings.DataCentre = "kandla-1", "kandla"
@@ -40,7 +41,7 @@
 	}}
 }
 
-func (lo *controlLoop) applyResources(t *testing.T, list ...lovageresource.Resource) {
+func (lo *controlLoop) applyResources(t testing.TB, list ...lovageresource.Resource) {
 	t.Helper()
 	_, err := lo.in.store.RestoreResources(list, 1)
 	must.NoError(t, err)
@@ -138,6 +139,26 @@
 	must.SliceEmpty(t, lo.in.domains.choose("price", lo.now), must.Sprint("keys of a leaving instance"))
 }
 
+// Guards against domains that are computed again although neither the resources nor the set of live members changed: a
+// peer's state or address changes more often.
+func TestDecidingIsComputedOnce(t *testing.T) {
+	lo := testLoop(t)
+	lo.applyResources(t, pools...)
+	lo.see(lovagemember.Live, "lami", "suva")
+	layout, deciding := lo.in.domains.layout, lo.in.domains.deciding
+	view := []lovagemember.DataCentre{{Name: "kandla", Members: []lovagemember.Member{{Instance: lo.in.id, State: lovagemember.Live}}}}
+	for _, dc := range []string{"lami", "suva"} {
+		view = append(view, lovagemember.DataCentre{Name: dc, Members: []lovagemember.Member{
+			{Instance: dc + "-8", State: lovagemember.Gone}, {Instance: dc + "-9", State: lovagemember.Suspect, Address: "127.0.0.1:8"},
+		}})
+	}
+	lo.membersChanged(lovagemember.MembersChanged{DataCentres: view})
+	lo.heartbeatMessage()
+	must.True(t, layout == lo.in.domains.layout && &deciding[0] == &lo.in.domains.deciding[0])
+	lo.see(lovagemember.Live, "lami")
+	must.True(t, layout == lo.in.domains.layout && &deciding[0] != &lo.in.domains.deciding[0])
+}
+
 // Guards against a heartbeat without the queue of a domain, and against one that says it twice.
 func TestDomainLoads(t *testing.T) {
 	lo := testLoop(t)
@@ -159,6 +180,18 @@
 	must.MapContainsKey(t, lo.in.domains.loads, "west/paper", must.Sprint("the choice here knows the own domains too"))
 }
 
+// Guards against keys from an instance that has not applied their service yet: it would refuse the jobs for good.
+func TestNoKeysForUnknownService(t *testing.T) {
+	in := testLoop(t).in
+	ended, cancel := context.WithCancel(context.Background())
+	cancel() // a request that reaches the control loop, which does not run, fails
+	res, err := in.handleMint(ended, &lovagemessage.Mint{Count: 1, Service: "price"})
+	must.NoError(t, err)
+	must.SliceEmpty(t, res.GetMint().GetKeys())
+	_, err = in.handleMint(ended, &lovagemessage.Mint{Count: 1})
+	must.ErrorIs(t, err, context.Canceled)
+}
+
 // Guards against a choice by loads that nobody reports any more, and against one without reported loads.
 func TestReportedLoadsExpire(t *testing.T) {
 	lo := testLoop(t)
--- a/lovageentry/forward.go
+++ b/lovageentry/forward.go
@@ -160,6 +160,10 @@
 }
 
 func (in *Instance) handleMint(ctx context.Context, msg *lovagemessage.Mint) (*lovagemessage.Response, error) {
+	if name := msg.GetService(); name != "" && !in.knows(name) {
+		// A job of a service that has not been applied here would be refused, so its key must come from elsewhere.
+		return &lovagemessage.Response{Body: &lovagemessage.Response_Mint{Mint: &lovagemessage.MintReply{}}}, nil
+	}
 	rp, err := in.do(ctx, &request{kind: kindMint, mint: lovagejob.MintRequest{
 		Service: msg.GetService(), Count: int(msg.GetCount()), Repeatable: msg.GetRepeatable(),
 	}})
--- a/lovageentry/mint.go
+++ b/lovageentry/mint.go
@@ -11,6 +11,7 @@
 	"lovagestack/lovagedomain"
 	"lovagestack/lovagejob"
 	"lovagestack/lovagemessage"
+	"lovagestack/lovageresource"
 )
 
 // The deciding instance is asked for keys for a short time only, and after a failure not for a while: minting elsewhere
@@ -120,6 +121,12 @@
 	db.silent[id] = now.Add(decidingBackOff)
 }
 
+// knows reports whether the service is declared as far as this instance knows.
+func (in *Instance) knows(service string) bool {
+	_, ok := in.store.Get(lovageresource.KindService, service)
+	return ok
+}
+
 // mintInDomain returns keys of the deciding instance of a domain for the service, else of the next one. There are none
 // if neither gave any in time.
 func (in *Instance) mintInDomain(ctx context.Context, req lovagejob.MintRequest) (lovagejob.Minted, error) {
