--- a/lovageentry/domain_test.go
+++ b/lovageentry/domain_test.go
@@ -159,6 +159,26 @@
 	must.True(t, layout == lo.in.domains.layout && &deciding[0] != &lo.in.domains.deciding[0])
 }
 
+// Guards against a balancer that is sent to an instance that does not decide for the service, and against estimates that
+// go to instances which do not decide next for the same domain, or to nobody while the instance shuts down.
+func TestDecidesByService(t *testing.T) {
+	lo := testLoop(t)
+	lo.applyResources(t, pools...)
+	lo.see(lovagemember.Live, "lami", "suva")
+	must.True(t, lo.in.domains.decides(lo.in.id, ""))
+	must.True(t, lo.in.domains.decides(lo.in.id, "ticket"))
+	must.False(t, lo.in.domains.decides(lo.in.id, "proof"))
+	must.True(t, lo.in.domains.decides("suva-9", "proof"))
+	must.Eq(t, []string{"lami-9", "suva-9"}, lo.nextDeciding())
+	lo.see(lovagemember.Leaving, "lami")
+	must.False(t, lo.in.domains.decides(lo.in.id, ""))
+	must.Eq(t, []string{"lami-9"}, lo.nextDeciding())
+	lo = testLoop(t)
+	lo.applyResources(t, pool("e", "suva", "east", 0, "proof"))
+	lo.see(lovagemember.Live, "suva")
+	must.SliceEmpty(t, lo.nextDeciding())
+}
+
 // Guards against a heartbeat without the queue of a domain, and against one that says it twice.
 func TestDomainLoads(t *testing.T) {
 	lo := testLoop(t)
