lovagetrial: demand a caller address with every key

Change: the test of services that are decided apart takes a reply without a caller address for wrong.

--- a/lovagetrial/domain_test.go
+++ b/lovagetrial/domain_test.go
@@ -95,13 +95,17 @@
 	must.Len(t, 0, Check(de.Evidence()))
 }
 
-// owner mints a key for a service at an instance and returns the ID of the key's owner according to the table.
+// owner mints a key for a service at an instance and returns the ID of the key's owner according to the table, or what is
+// wrong with the reply.
 func (de *Deployment) owner(ctx context.Context, t *testing.T, it *Instance, service string) string {
 	t.Helper()
 	mi, err := it.Caller.Mint(ctx, lovagejob.MintRequest{Service: service, Count: 1})
 	if err != nil {
 		return err.Error()
 	}
+	if mi.CallerAddress == "" {
+		return "the reply names no caller address"
+	}
 	row := fmt.Sprintf("range/%s/%d", mi.Keys[0].DataCentre, mi.Keys[0].Range)
 	rows, err := de.platform.Memory().Scan(ctx, row)
 	must.NoError(t, err)
