--- a/lovageentry/domain_test.go
+++ b/lovageentry/domain_test.go
@@ -1,6 +1,7 @@
 package lovageentry
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -19,7 +20,7 @@
 )
 
 // testLoop returns the control loop of an instance in kandla that is not served.
-func testLoop(t *testing.T) *controlLoop {
+func testLoop(t testing.TB) *controlLoop {
 	t.Helper()
 	settings := lovageconfig.Defaults()
 	settings.ID, settings.DataCentre = "kandla-1", "kandla"
@@ -27,6 +28,7 @@
 	in, err := New(Options{Settings: settings, Platform: lovageplatform.NewMemory(), Seed: 1})
 	must.NoError(t, err)
 	t.Cleanup(in.Kill)
+	in.id = "kandla-1" // without the suffix, which is random, so that the hashes are the same in each run
 	in.control.wake = time.NewTimer(time.Hour)
 	return in.control
 }
@@ -40,7 +42,7 @@
 	}}
 }
 
-func (lo *controlLoop) applyResources(t *testing.T, list ...lovageresource.Resource) {
+func (lo *controlLoop) applyResources(t testing.TB, list ...lovageresource.Resource) {
 	t.Helper()
 	_, err := lo.in.store.RestoreResources(list, 1)
 	must.NoError(t, err)
@@ -111,7 +113,8 @@
 	// While the instance holds a job of the service the workers stay, and for a while after its end.
 	sub := lovagejob.Submission{Service: "proof"}
 	lo.byKey[lovagejob.Key{Range: 1}] = &job{sub: &sub}
-	lo.see(lovagemember.Live, "suva") // the domains of lami have no instance there any more
+	lo.see(lovagemember.Live, "suva") // a domain of lami moves here, because no instance is left there
+	must.Eq(t, 2, lo.domains.number())
 	must.SliceContains(t, lo.used(), "w-e")
 	lo.now = lo.now.Add(time.Hour)
 	lo.narrow()
@@ -138,6 +141,46 @@
 	must.SliceEmpty(t, lo.in.domains.choose("price", lo.now), must.Sprint("keys of a leaving instance"))
 }
 
+// Guards against domains that are computed again although neither the resources nor the set of live members changed: a
+// peer's state or address changes more often.
+func TestDecidingIsComputedOnce(t *testing.T) {
+	lo := testLoop(t)
+	lo.applyResources(t, pools...)
+	lo.see(lovagemember.Live, "lami", "suva")
+	layout, deciding := lo.in.domains.layout, lo.in.domains.deciding
+	view := []lovagemember.DataCentre{{Name: "kandla", Members: []lovagemember.Member{{Instance: lo.in.id, State: lovagemember.Live}}}}
+	for _, dc := range []string{"lami", "suva"} {
+		view = append(view, lovagemember.DataCentre{Name: dc, Members: []lovagemember.Member{
+			{Instance: dc + "-8", State: lovagemember.Gone}, {Instance: dc + "-9", State: lovagemember.Suspect, Address: "127.0.0.1:8"},
+		}})
+	}
+	lo.membersChanged(lovagemember.MembersChanged{DataCentres: view})
+	lo.heartbeatMessage()
+	must.True(t, layout == lo.in.domains.layout && &deciding[0] == &lo.in.domains.deciding[0])
+	lo.see(lovagemember.Live, "lami")
+	must.True(t, layout == lo.in.domains.layout && &deciding[0] != &lo.in.domains.deciding[0])
+}
+
+// Guards against a balancer that is sent to an instance that does not decide for the service, and against estimates that
+// go to instances which do not decide next for the same domain, or to nobody while the instance shuts down.
+func TestDecidesByService(t *testing.T) {
+	lo := testLoop(t)
+	lo.applyResources(t, pools...)
+	lo.see(lovagemember.Live, "lami", "suva")
+	must.True(t, lo.in.domains.decides(lo.in.id, ""))
+	must.True(t, lo.in.domains.decides(lo.in.id, "ticket"))
+	must.False(t, lo.in.domains.decides(lo.in.id, "proof"))
+	must.True(t, lo.in.domains.decides("suva-9", "proof"))
+	must.Eq(t, []string{"lami-9", "suva-9"}, lo.nextDeciding())
+	lo.see(lovagemember.Leaving, "lami")
+	must.False(t, lo.in.domains.decides(lo.in.id, ""))
+	must.Eq(t, []string{"lami-9"}, lo.nextDeciding())
+	lo = testLoop(t)
+	lo.applyResources(t, pool("e", "suva", "east", 0, "proof"))
+	lo.see(lovagemember.Live, "suva")
+	must.SliceEmpty(t, lo.nextDeciding())
+}
+
 // Guards against a heartbeat without the queue of a domain, and against one that says it twice.
 func TestDomainLoads(t *testing.T) {
 	lo := testLoop(t)
@@ -159,6 +202,18 @@
 	must.MapContainsKey(t, lo.in.domains.loads, "west/paper", must.Sprint("the choice here knows the own domains too"))
 }
 
+// Guards against keys from an instance that has not applied their service yet: it would refuse the jobs for good.
+func TestNoKeysForUnknownService(t *testing.T) {
+	in := testLoop(t).in
+	ended, cancel := context.WithCancel(context.Background())
+	cancel() // a request that reaches the control loop, which does not run, fails
+	res, err := in.handleMint(ended, &lovagemessage.Mint{Count: 1, Service: "price"})
+	must.NoError(t, err)
+	must.SliceEmpty(t, res.GetMint().GetKeys())
+	_, err = in.handleMint(ended, &lovagemessage.Mint{Count: 1})
+	must.ErrorIs(t, err, context.Canceled)
+}
+
 // Guards against a choice by loads that nobody reports any more, and against one without reported loads.
 func TestReportedLoadsExpire(t *testing.T) {
 	lo := testLoop(t)
--- a/lovageentry/mint.go
+++ b/lovageentry/mint.go
@@ -11,6 +11,7 @@
 	"lovagestack/lovagedomain"
 	"lovagestack/lovagejob"
 	"lovagestack/lovagemessage"
+	"lovagestack/lovageresource"
 )
 
 // The deciding instance is asked for keys for a short time only, and after a failure not for a while: minting elsewhere
@@ -86,7 +87,8 @@
 	if do < 0 {
 		return nil
 	}
-	return db.deciding[do]
+	ids := db.deciding[do]
+	return ids[:min(len(ids), 2)]
 }
 
 // decides reports whether an instance is the deciding one of a domain that has workers of the service, or of any domain if
@@ -134,6 +136,12 @@
 	db.silent[id] = now.Add(decidingBackOff)
 }
 
+// knows reports whether the service is declared as far as this instance knows.
+func (in *Instance) knows(service string) bool {
+	_, ok := in.store.Get(lovageresource.KindService, service)
+	return ok
+}
+
 // mintInDomain returns keys of the deciding instance of a domain for the service, else of the next one. There are none
 // if neither gave any in time.
 func (in *Instance) mintInDomain(ctx context.Context, req lovagejob.MintRequest) (lovagejob.Minted, error) {
@@ -149,7 +157,7 @@
 			if err != nil {
 				return mi, err
 			}
-			mi = lovagejob.Minted{Keys: rp.keys, CallerAddress: in.callerAddress}
+			mi.Keys, mi.CallerAddress = rp.keys, in.callerAddress
 		case !in.domains.isSilent(id, time.Now()):
 			mi = in.mintAt(ctx, id, req, decidingTimeout)
 			if len(mi.Keys) == 0 && ctx.Err() == nil {
