lovagemember: take reports about instances that only reply

About a third of the instances stayed in full mesh: they had sessions with 8 others that use relays, sent them heartbeats as seeds and got replies only. A reply names neither address nor data centre, and it counted as hearing directly, so that reports were not taken and the instances were not counted. Ruled out: sessions kept up for seeds or not closed when idle; the sessions in question carried heartbeats (11.7 a second received where 3 were due). Change: reports are left out only while the instance's own heartbeats come. Its state still depends on replies alone. Conclusion: the new test fails without the change.

--- a/lovagemember/instance.go
+++ b/lovagemember/instance.go
@@ -16,6 +16,7 @@
 	known                   time.Time // when any source last named it
 	heard                   time.Time // last direct sign of life; zero: never
 	beat                    time.Time // last heartbeat or reply to one; zero: never
+	told                    time.Time // last heartbeat, which unlike a reply holds all that is to be known; zero: never
 	reported                time.Time // when its relay heard from it, by the newest report; zero: no report
 	said                    State     // by the newest report
 	leaving                 bool      // by its own last heartbeat or the newest report
@@ -69,6 +70,7 @@
 	it := co.instance(ev.Instance)
 	it.dataCentre, it.address, it.leaving, it.details = ev.DataCentre, ev.Address, ev.Leaving, ev.Details
 	it.callerAddress = ev.CallerAddress
+	it.told = co.now
 	co.beat(it, ev.Relays)
 	co.leavingHeard(ev.Instance, ev.LeavingWorkers)
 }
--- a/lovagemember/relay_test.go
+++ b/lovagemember/relay_test.go
@@ -336,6 +336,22 @@
 	})
 }
 
+// Guards against an instance that stays without data centre and address because it only replies to heartbeats: one that
+// uses relays sends none to those elsewhere that do not. Instances in full mesh then never counted it and stayed so.
+func TestReportsAddToReplies(t *testing.T) {
+	co := New(Settings{Instance: "a", DataCentre: "kandla", Address: "a:1", MeshInstances: 2})
+	co.Step(start, SessionUp{"b"}, nil)
+	co.Step(start, PeerHeard{Instance: "b", Relays: true}, nil)
+	co.Step(start, heartbeat("c"), nil)
+	must.False(t, co.Role().Relays)
+	co.Step(start.Add(time.Second), PeerHeard{Instance: "b", Relays: true}, nil)
+	co.Step(start.Add(time.Second), SummarySeen{Summary{DataCentre: "navlakhi", Relay: "r", Members: []Report{
+		{Instance: "b", Address: "b:1", State: Live, Age: 500 * time.Millisecond, Details: 1},
+	}}}, nil)
+	must.Eq(t, Live, stateOf(co, "b"))
+	must.True(t, co.Role().Relays)
+}
+
 // Guards against a summary that loses what other parts of the instance add to heartbeats, or the age of a report.
 func TestSummariesCarryDetails(t *testing.T) {
 	co := New(Settings{Instance: "a", DataCentre: "kandla", Address: "a:1", MeshInstances: 1})
--- a/lovagemember/summary.go
+++ b/lovagemember/summary.go
@@ -54,8 +54,8 @@
 	if at.After(it.known) {
 		it.known = at
 	}
-	if co.heardDirectly(it) && su.Relay != re.Instance { // what a relay says of itself counts as its heartbeat
-		return
+	if co.now.Sub(it.told) < co.se.SuspectAfter && su.Relay != re.Instance {
+		return // its heartbeats say it better; what a relay says of itself counts as one
 	}
 	if at.After(it.refusedSince) {
 		it.refusedSince = time.Time{}
