lovagetrial: leave out seeds in trials with relays; wait for the end of a relay

Cause: with the summaries left out, TestPartitionWithRelays passed, because all instances were seeds of each other and seeds get heartbeats while they are not known. Change: with Mesh set, each instance has one seed. TestRelayIsKilled goes on after the killed relay is silent for all, and bounds the wait until all have heard of all by 30 s.

--- a/lovagetrial/instance.go
+++ b/lovagetrial/instance.go
@@ -81,7 +81,7 @@
 	se.Shutdown = lovageconfig.Shutdown{BalancerLag: ti.BalancerLag, Deadline: ti.ShutdownDeadline}
 	se.Platform.Timeout = ti.PlatformTimeout
 	for _, other := range de.Instances() {
-		if other.Running() {
+		if other.Running() && (de.op.Mesh == 0 || len(se.Peers.Seeds) == 0) { // heartbeats to seeds would hide faults of relays
 			se.Peers.Seeds = append(se.Peers.Seeds, netip.MustParseAddrPort(other.Entry.PeerAddress()))
 		}
 	}
--- a/lovagetrial/relay_test.go
+++ b/lovagetrial/relay_test.go
@@ -81,6 +81,10 @@
 	}
 }
 
+// hearLimit bounds the wait until every instance has heard from every other, which takes about a second. It is below the
+// minute after which an ended relay that all others still wait for would be forgotten.
+const hearLimit = 30 * time.Second
+
 // requireInForce changes the team at an instance and requires that the change gets into force, and that every running
 // instance comes to say so of every running instance.
 func (rt *relayTrial) requireInForce(when string, at *Instance) {
@@ -104,9 +108,10 @@
 		return err == nil && res.Outcome == lovageresource.Accepted
 	})
 	must.NoError(rt.t, rt.op.AwaitInForce(rt.ctx, rt.revision), must.Sprint(when))
-	running := rt.Running()
+	running, limit := rt.Running(), time.Now().Add(hearLimit)
 	for _, it := range running {
 		rt.await(it.Name+" hears of the revision at all", func() bool {
+			must.True(rt.t, time.Now().Before(limit), must.Sprintf("%s: %s does not hear from all", when, it.Name))
 			_, applied := it.Entry.Keeper().InForce(rt.revision)
 			for _, other := range running {
 				known := false
@@ -122,6 +127,17 @@
 	}
 }
 
+// sees reports whether an instance has lately heard from another one, directly or through relays.
+func sees(it, other *Instance) bool {
+	_, applied := it.Entry.Keeper().InForce(0)
+	for _, ap := range applied {
+		if ap.Instance == other.ID() {
+			return ap.Answered
+		}
+	}
+	return false
+}
+
 // Guards against jobs and changes that do not get through relays, and against a data centre that is lost with its relay.
 func TestRelayIsKilled(t *testing.T) {
 	rt := newRelayTrial(t)
@@ -139,6 +155,15 @@
 	must.NotEq(t, relay.ID(), next.ID())
 	rt.requireInForce("after the relay was killed", plain)
 	rt.requireAnswers("after the relay was killed", rt.Running()...)
+	rt.await("the relay is silent for everybody", func() bool {
+		for _, it := range rt.Running() {
+			if sees(it, relay) {
+				return false
+			}
+		}
+		return true
+	})
+	rt.requireInForce("after the relay was gone", plain)
 	_, err := relay.Restart()
 	must.NoError(t, err)
 	rt.requireInForce("after the relay's restart", next)
@@ -156,15 +181,6 @@
 			outside = append(outside, it)
 		}
 	}
-	sees := func(it, other *Instance) bool {
-		_, applied := it.Entry.Keeper().InForce(0)
-		for _, ap := range applied {
-			if ap.Instance == other.ID() {
-				return ap.Answered
-			}
-		}
-		return false
-	}
 	rt.Partition("gandhidham", true)
 	rt.await("the partition is noticed", func() bool { return !sees(outside[0], inside[0]) && !sees(inside[0], outside[0]) })
 	rt.requireAnswers("during the partition", outside...)
