lovageentry: tell unchanged contents of summaries once a minute

Change: a report holds addresses, load and domains only if they changed after what the receiver has confirmed, or a minute has passed. The state live takes no bytes. Age, applied revision and leaving workers are in each report. Load that changes each second is still sent each second. TestBriefReportsKeepTheContents fails if a change is left out.

--- a/lovageentry/heartbeat.go
+++ b/lovageentry/heartbeat.go
@@ -29,7 +29,7 @@
 	due      time.Time
 	topology uint64    // hash of the ranges and peers that the target has confirmed
 	told     time.Time // when it did
-	ranges   uint64    // last change of a range row in the summaries that the target has confirmed
+	news     uint64    // last change of the summaries' contents that the target has confirmed
 	refresh  time.Time // when it is told all of them again
 	used     bool      // in this round
 }
@@ -40,12 +40,12 @@
 	brief    *lovagemessage.Heartbeat
 	full     *lovagemessage.Heartbeat
 	topology uint64
-	built    map[lovagemember.Contents][]*lovagemessage.DataCentreSummary
+	built    map[lovagemember.Contents][]*summaryNews
 }
 
 func (lo *controlLoop) newHeartbeatRound() *heartbeatRound {
 	ro := &heartbeatRound{
-		lo: lo, brief: lo.heartbeatMessage(), built: make(map[lovagemember.Contents][]*lovagemessage.DataCentreSummary),
+		lo: lo, brief: lo.heartbeatMessage(), built: make(map[lovagemember.Contents][]*summaryNews),
 	}
 	ro.full, ro.topology = lo.withTopology(ro.brief)
 	if lo.in.relay.Load() {
@@ -132,15 +132,16 @@
 	}
 	ht.due = lo.now.Add(interval)
 	if !lo.now.Before(ht.refresh) {
-		ht.ranges, ht.refresh = 0, lo.now.Add(rangesRefresh)
+		ht.news, ht.refresh = 0, lo.now.Add(newsRefresh)
 	}
 	msg := ro.brief
 	if ht.topology != ro.topology || lo.now.Sub(ht.told) >= topologyRefresh {
 		msg = ro.full
 	}
+	summaries := ro.summaries(met, ht.news)
 	hs := &heartbeatSender{
 		in: lo.in, address: address, deadline: lo.now.Add(lo.in.settings.Heartbeat.Interval), full: msg == ro.full,
-		topology: ro.topology, ranges: lo.ranges.last, summaries: ro.summaries(met, ht.ranges),
+		topology: ro.topology, news: lo.news.last, summaries: summaries,
 	}
 	lo.in.counts.heartbeats.Inc(1)
 	lo.in.counts.summaries.Inc(int64(len(hs.summaries)))
@@ -202,7 +203,7 @@
 	deadline  time.Time
 	full      bool   // req holds the topology
 	topology  uint64 // its hash
-	ranges    uint64 // last change of a range row in the summaries
+	news      uint64 // last change of the summaries' contents
 	summaries []*lovagemessage.DataCentreSummary
 }
 
@@ -244,7 +245,7 @@
 		ht.topology, ht.told = hs.topology, lo.now
 	}
 	if len(hs.summaries) > 0 {
-		ht.ranges = max(ht.ranges, hs.ranges)
+		ht.news = max(ht.news, hs.news)
 	}
 }
 
--- a/lovageentry/instance.go
+++ b/lovageentry/instance.go
@@ -183,7 +183,7 @@
 		}),
 		requests: make(map[uint64]*request), abandons: make(map[uint64]*abandon), jobs: make(map[uint64]*job),
 		byKey: make(map[lovagejob.Key]*job), offers: make(map[lovagejob.Key]*offer), calls: make(map[uint64]chan<- any),
-		heartbeats: make(map[string]*heartbeatTarget), ranges: rangeBook{rows: make(map[lovageledger.RangeID]*rangeNews)},
+		heartbeats: make(map[string]*heartbeatTarget), news: newNewsBook(),
 		leavingWorkers: make(map[string]bool), estimateCopies: make(map[string]*estimateCopy),
 		domains: domains{layout: lovagedomain.Divide(nil, 0), wide: make(wideServices)},
 		drained: make(chan struct{}),
--- a/lovageentry/loop.go
+++ b/lovageentry/loop.go
@@ -58,7 +58,7 @@
 	teams         []lovagedispatch.Team
 	nextHeartbeat time.Time
 	heartbeats    map[string]*heartbeatTarget // by address
-	ranges        rangeBook
+	news          newsBook
 	released      map[string]bool // addresses of instances that heartbeats are not exchanged with
 
 	domains        domains
--- a/lovageentry/member.go
+++ b/lovageentry/member.go
@@ -172,6 +172,7 @@
 		}
 	}
 	lo.members.members, lo.members.dataCentres = members, dataCentres
+	lo.news.forget(members)
 	lo.in.addresses.set(addresses)
 	lo.in.callers.set(callers)
 	lo.setAddresses()
--- /dev/null
+++ b/lovageentry/news_test.go
@@ -0,0 +1,69 @@
+package lovageentry
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"lovagestack/lovagemember"
+	"lovagestack/lovagemessage"
+)
+
+// Guards against a receiver that takes brief reports for something else than what the sender knows, also when messages
+// or their confirmations are lost, and against contents that are sent again although they are confirmed.
+func TestBriefReportsKeepTheContents(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		sender, receiver := newNewsBook(), newNewsBook()
+		confirmed := uint64(0)
+		loads, callers := [3]int32{}, [3]string{}
+		for range rapid.IntRange(1, 20).Draw(rt, "rounds") {
+			full := &lovagemessage.DataCentreSummary{DataCentre: "kandla", Relay: "kandla-0"}
+			for i := range loads {
+				if rapid.IntRange(0, 3).Draw(rt, "change") == 0 {
+					loads[i] = int32(rapid.IntRange(0, 3).Draw(rt, "load"))
+					callers[i] = rapid.SampledFrom([]string{"", "10.1.0.1:1", "10.1.0.2:1"}).Draw(rt, "caller")
+				}
+				full.Members = append(full.Members, &lovagemessage.MemberSummary{
+					Instance: fmt.Sprint(i), Address: "10.1.0.1:3", CallerAddress: callers[i], AgeMillis: int64(rapid.IntRange(0, 9).Draw(rt, "age")),
+					AppliedRevision: int64(rapid.IntRange(1, 9).Draw(rt, "revision")), Load: &lovagemessage.Load{FreeSlots: loads[i]},
+					Domains: []*lovagemessage.DomainLoad{{Domain: "d", Slots: loads[i]}}, LeavingWorkers: []string{"w"},
+				})
+			}
+			news := sender.newSummaryNews(full)
+			sent := news.since(confirmed)
+			if rapid.IntRange(0, 4).Draw(rt, "lost") == 0 {
+				continue
+			}
+			if got := receiver.complete(sent); !proto.Equal(got, full) {
+				rt.Fatalf("received %v, sent %v", got, full)
+			}
+			if rapid.IntRange(0, 4).Draw(rt, "unconfirmed") > 0 {
+				confirmed = sender.last
+				must.Eq(rt, "", news.since(confirmed).GetMembers()[0].GetAddress())
+			}
+		}
+		receiver.forget(map[string]lovagemember.Member{"1": {}})
+		must.MapLen(rt, min(1, len(receiver.heard)), receiver.heard)
+	})
+}
+
+// Guards against range rows that a relay leaves out or files under another data centre, and against an older row that
+// replaces a newer one.
+func TestRangeNews(t *testing.T) {
+	row := func(n int32, version int64) *lovagemessage.RangeState {
+		return &lovagemessage.RangeState{DataCentre: "kandla", Range: n, Version: version}
+	}
+	nb := newNewsBook()
+	nb.note("kandla", row(0, 1), row(1, 5))
+	nb.note("navlakhi", row(2, 1))
+	told := nb.last
+	must.Len(t, 2, nb.since("kandla", 0))
+	must.Len(t, 1, nb.since("navlakhi", 0))
+	nb.note("kandla", row(0, 2), row(1, 4))
+	must.Eq(t, []int64{2}, []int64{nb.since("kandla", told)[0].GetVersion()})
+	must.Len(t, 1, nb.since("kandla", told))
+	must.SliceEmpty(t, nb.since("kandla", nb.last))
+}
--- a/lovageentry/summary.go
+++ b/lovageentry/summary.go
@@ -11,9 +11,6 @@
 	"lovagestack/lovagemessage"
 )
 
-// rangesRefresh is the time after which a relay's peer is told all range rows again although it has confirmed them.
-const rangesRefresh = time.Minute
-
 // memberSummary returns what a heartbeat says of its sender, as the details that lovagemember passes on in summaries.
 func memberSummary(msg *lovagemessage.Heartbeat) *lovagemessage.MemberSummary {
 	return &lovagemessage.MemberSummary{
@@ -34,7 +31,7 @@
 			details = memberSummary(own)
 		}
 		out.Members = append(out.Members, &lovagemessage.MemberSummary{
-			Instance: re.Instance, Address: re.Address, State: string(re.State), AgeMillis: re.Age.Milliseconds(),
+			Instance: re.Instance, Address: re.Address, State: fromState(re.State), AgeMillis: re.Age.Milliseconds(),
 			LeavingWorkers: re.LeavingWorkers, CallerAddress: details.GetCallerAddress(),
 			AppliedRevision: details.GetAppliedRevision(), Load: details.GetLoad(), Domains: details.GetDomains(),
 		})
@@ -42,6 +39,21 @@
 	return out
 }
 
+// fromState encodes a state. That of nearly all instances takes no bytes.
+func fromState(st lovagemember.State) string {
+	if st == lovagemember.Live {
+		return ""
+	}
+	return string(st)
+}
+
+func toState(text string) lovagemember.State {
+	if text == "" {
+		return lovagemember.Live
+	}
+	return lovagemember.State(text)
+}
+
 func toSummary(msg *lovagemessage.DataCentreSummary) lovagemember.Summary {
 	out := lovagemember.Summary{
 		DataCentre: msg.GetDataCentre(), Relay: msg.GetRelay(),
@@ -50,49 +62,13 @@
 	for _, me := range msg.GetMembers() {
 		out.Members = append(out.Members, lovagemember.Report{
 			Instance: me.GetInstance(), Address: me.GetAddress(), CallerAddress: me.GetCallerAddress(),
-			State: lovagemember.State(me.GetState()), Age: time.Duration(me.GetAgeMillis()) * time.Millisecond, LeavingWorkers: me.GetLeavingWorkers(), Details: me,
+			State: toState(me.GetState()), Age: time.Duration(me.GetAgeMillis()) * time.Millisecond,
+			LeavingWorkers: me.GetLeavingWorkers(), Details: me,
 		})
 	}
 	return out
 }
 
-// rangeBook holds the newest range rows that heartbeats and summaries brought, for the summaries of a relay.
-type rangeBook struct {
-	rows map[lovageledger.RangeID]*rangeNews
-	last uint64 // number of the last change
-}
-
-type rangeNews struct {
-	row        *lovagemessage.RangeState
-	dataCentre string // whose instances told it
-	change     uint64
-}
-
-func (rb *rangeBook) note(dataCentre string, rows ...*lovagemessage.RangeState) {
-	for _, row := range rows {
-		id := toRange(row).Range
-		if old := rb.rows[id]; old != nil && old.row.GetVersion() >= row.GetVersion() {
-			continue
-		}
-		rb.last++
-		rb.rows[id] = &rangeNews{row: row, dataCentre: dataCentre, change: rb.last}
-	}
-}
-
-// since returns the rows that instances of a data centre told after a change.
-func (rb *rangeBook) since(dataCentre string, change uint64) []*lovagemessage.RangeState {
-	var out []*lovagemessage.RangeState
-	if change == rb.last {
-		return nil
-	}
-	for _, rn := range rb.rows {
-		if rn.dataCentre == dataCentre && rn.change > change {
-			out = append(out, rn.row)
-		}
-	}
-	return out
-}
-
 // summariesReceived are the summaries of a heartbeat or of the reply to one.
 type summariesReceived struct {
 	summaries []*lovagemessage.DataCentreSummary
@@ -100,7 +76,7 @@
 
 func (sr *summariesReceived) apply(lo *controlLoop) {
 	for _, msg := range sr.summaries {
-		lo.stepMember(lovagemember.SummarySeen{Summary: toSummary(msg)})
+		lo.stepMember(lovagemember.SummarySeen{Summary: toSummary(lo.news.complete(msg))})
 		if msg.GetDataCentre() != lo.in.settings.DataCentre {
 			lo.rangesHeard(msg.GetDataCentre(), msg.GetRelay(), msg.GetRanges())
 		}
@@ -112,7 +88,7 @@
 	if len(rows) == 0 {
 		return
 	}
-	lo.ranges.note(dataCentre, rows...)
+	lo.news.note(dataCentre, rows...)
 	heard := &lovageledger.RangesHeard{Peer: peer}
 	for _, row := range rows {
 		heard.Ranges = append(heard.Ranges, toRange(row))
@@ -135,35 +111,10 @@
 	lo.log.Info("role among the instances changed", zap.Bool("relays", cm.Role.Relays), zap.Bool("relay", cm.Role.Relay))
 	lo.in.relays.Store(cm.Role.Relays)
 	lo.in.relay.Store(cm.Role.Relay)
-	lo.setAddresses()
-}
-
-// summaries returns the summaries for a heartbeat to an instance, with the range rows that changed after what the target
-// has confirmed.
-func (ro *heartbeatRound) summaries(instance string, confirmed uint64) []*lovagemessage.DataCentreSummary {
-	lo := ro.lo
-	kind := lo.member.ContentsFor(instance)
-	if kind == lovagemember.NoSummaries {
-		return nil
-	}
-	list, ok := ro.built[kind]
-	if !ok {
-		summaries := lo.member.Summaries(kind)
-		for i := range summaries {
-			list = append(list, fromSummary(&summaries[i], ro.brief))
-		}
-		ro.built[kind] = list
-	}
-	out := make([]*lovagemessage.DataCentreSummary, len(list))
-	for i, su := range list {
-		out[i] = su
-		if rows := lo.ranges.since(su.GetDataCentre(), confirmed); len(rows) > 0 {
-			out[i] = &lovagemessage.DataCentreSummary{
-				DataCentre: su.GetDataCentre(), Relay: su.GetRelay(), Members: su.GetMembers(), Ranges: rows,
-			}
-		}
+	for _, ht := range lo.heartbeats {
+		ht.news = 0 // another relay may have told it something since
 	}
-	return out
+	lo.setAddresses()
 }
 
 // ownSummary is the answer of an instance that takes the place of its data centre's relay.
@@ -173,7 +124,7 @@
 	var out []*lovagemessage.DataCentreSummary
 	for _, su := range lo.member.Summaries(lovagemember.OwnSummary) {
 		msg := fromSummary(&su, own)
-		msg.Ranges = lo.ranges.since(su.DataCentre, 0)
+		msg.Ranges = lo.news.since(su.DataCentre, 0)
 		out = append(out, msg)
 	}
 	return out
@@ -181,7 +132,7 @@
 
 func (lo *controlLoop) noteOwnRanges() {
 	for _, rs := range lo.ledger.Ranges() {
-		lo.ranges.note(lo.in.settings.DataCentre, fromRange(rs))
+		lo.news.note(lo.in.settings.DataCentre, fromRange(rs))
 	}
 }
 
