--- a/lovagemember/doc.go
+++ b/lovagemember/doc.go
@@ -5,6 +5,9 @@
 // [Core] merges them. It is a deterministic state machine: it reads no clock, opens no connection and starts no
 // goroutine. It does not judge workers by their outcomes; that is the task of lovagedispatch.
 //
+// With more than a set number of instances it also decides who is the relay of a data centre, with whom sessions are kept
+// up, and what summaries of a data centre hold. It does not encode or send them.
+//
 // # Usage
 //
 //	co := lovagemember.New(lovagemember.Settings{Instance: "kandla-1", DataCentre: "kandla", Address: "10.0.0.1:7101"})
