lovageledger, lovageentry: copy the end of a job to the replica before the caller is answered

Cause: an answer was given as soon as the job had ended; if the owner died before the next copy, the replica answered "unknown" for an answer that a caller already had. Change: answers wait for the acknowledgement by the replica's ledger, for at most 50 ms (WakeAt and Wake), then they are given with BeforeCopy set and counted in lovage_answers_before_copy_total. Requests that come meanwhile wait as well. Replicas keep full answers within MaxKeptBytes as before; a full answer that is dropped is given to those who wait for its copy. Ruled out: a field in ResultCopyReply; a copy that is not kept is answered with a fault, so the messages stay as they are. Conclusion: an answer that is not counted as given before its copy is known to the replica of that moment.

--- a/lovageentry/counts.go
+++ b/lovageentry/counts.go
@@ -15,40 +15,43 @@
 
 // counts holds the counters of an instance.
 type counts struct {
-	registry         *lovagemetric.Registry
-	events           metrics.Counter
-	admitted         metrics.Counter
-	tasksStarted     metrics.Counter
-	tasksNotSent     metrics.Counter
-	forwards         metrics.Counter
-	forwardsFailed   metrics.Counter
-	accepts          metrics.Counter
-	resultCopies     metrics.Counter
-	slotsAsks        metrics.Counter
-	slotsReturns     metrics.Counter
-	heartbeats       metrics.Counter
-	heartbeatsFailed metrics.Counter
-	tableReads       metrics.Counter
-	tableWrites      metrics.Counter
-	tableFailed      metrics.Counter
-	restarts         metrics.Counter
-	answered         lovagemetric.CounterFamily
-	tasksEnded       lovagemetric.CounterFamily
-	taskTime         *lovagemetric.Timer
+	registry          *lovagemetric.Registry
+	events            metrics.Counter
+	admitted          metrics.Counter
+	tasksStarted      metrics.Counter
+	tasksNotSent      metrics.Counter
+	forwards          metrics.Counter
+	forwardsFailed    metrics.Counter
+	accepts           metrics.Counter
+	resultCopies      metrics.Counter
+	answersBeforeCopy metrics.Counter
+	slotsAsks         metrics.Counter
+	slotsReturns      metrics.Counter
+	heartbeats        metrics.Counter
+	heartbeatsFailed  metrics.Counter
+	tableReads        metrics.Counter
+	tableWrites       metrics.Counter
+	tableFailed       metrics.Counter
+	restarts          metrics.Counter
+	answered          lovagemetric.CounterFamily
+	tasksEnded        lovagemetric.CounterFamily
+	taskTime          *lovagemetric.Timer
 }
 
 func newCounts(re *lovagemetric.Registry) *counts {
 	counter := func(name, help string) metrics.Counter { return re.Counter(name, help).With() }
 	return &counts{
-		registry:         re,
-		events:           counter("control_events", "Events that the control loop handled."),
-		admitted:         counter("jobs_admitted", "Jobs whose key was accepted here."),
-		tasksStarted:     counter("tasks_started", "Task requests sent to workers."),
-		tasksNotSent:     counter("tasks_not_sent", "Tasks whose worker was no longer declared; nothing was sent."),
-		forwards:         counter("forwards", "Requests sent on to the instance that decides their key."),
-		forwardsFailed:   counter("forwards_failed", "Forwards without an answer."),
-		accepts:          counter("accepts", "Batches of keys sent to replicas."),
-		resultCopies:     counter("result_copies", "Batches of answers sent to replicas."),
+		registry:       re,
+		events:         counter("control_events", "Events that the control loop handled."),
+		admitted:       counter("jobs_admitted", "Jobs whose key was accepted here."),
+		tasksStarted:   counter("tasks_started", "Task requests sent to workers."),
+		tasksNotSent:   counter("tasks_not_sent", "Tasks whose worker was no longer declared; nothing was sent."),
+		forwards:       counter("forwards", "Requests sent on to the instance that decides their key."),
+		forwardsFailed: counter("forwards_failed", "Forwards without an answer."),
+		accepts:        counter("accepts", "Batches of keys sent to replicas."),
+		resultCopies:   counter("result_copies", "Batches of answers sent to replicas."),
+		answersBeforeCopy: counter("answers_before_copy",
+			"Answers given although the replica had not acknowledged the end of the job within 50 ms."),
 		slotsAsks:        counter("slots_asks", "Requests for slots sent to peers."),
 		slotsReturns:     counter("slots_returns", "Borrowed slots given back, in messages."),
 		heartbeats:       counter("heartbeats", "Heartbeats sent."),
--- a/lovageentry/loop.go
+++ b/lovageentry/loop.go
@@ -52,6 +52,7 @@
 	services      map[string]serviceInfo
 	wakeAt        time.Time
 	wake          *time.Timer
+	ledgerWake    *time.Timer
 	drained       chan struct{}
 	draining      bool
 	sharing       int // live instances that share the workers of the own data centre
@@ -77,6 +78,8 @@
 	defer ticker.Stop()
 	lo.wake = time.NewTimer(time.Hour)
 	defer lo.wake.Stop()
+	lo.ledgerWake = time.NewTimer(time.Hour)
+	defer lo.ledgerWake.Stop()
 	for {
 		select {
 		case ev := <-lo.events:
@@ -90,6 +93,9 @@
 			lo.now = time.Now()
 			lo.wakeAt = time.Time{}
 			lo.stepCore(lovagedispatch.Tick{})
+		case <-lo.ledgerWake.C:
+			lo.now = time.Now()
+			lo.stepLedger(&lovageledger.Wake{})
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -167,6 +173,10 @@
 		lo.sendTransfer(cm)
 	case lovageledger.ReplyTransfer:
 		lo.answerCall(cm.Call, cm)
+	case lovageledger.ReplyResult:
+		lo.answerCall(cm.Call, cm)
+	case lovageledger.WakeAt:
+		lo.ledgerWake.Reset(max(0, cm.At.Sub(lo.now)))
 	case lovageledger.ReadTable:
 		lo.in.table.read(cm)
 	case lovageledger.CommitTable:
--- a/lovageentry/replicate.go
+++ b/lovageentry/replicate.go
@@ -64,8 +64,11 @@
 	lc := &ledgerCall{
 		lo: lo, address: lo.members.address(cm.Peer),
 		req: &lovagemessage.Request{Body: &lovagemessage.Request_ResultCopy{ResultCopy: msg}},
-		event: func(_ *lovagemessage.Response, err error) lovageledger.Event {
-			return &lovageledger.ResultReplied{Peer: cm.Peer, Range: cm.Range, Batch: cm.Batch, Failed: err != nil}
+		event: func(res *lovagemessage.Response, err error) lovageledger.Event {
+			return &lovageledger.ResultReplied{
+				Peer: cm.Peer, Range: cm.Range, Batch: cm.Batch, Failed: err != nil || res.GetResultCopy() == nil,
+				Accepted: res.GetFault() == "",
+			}
 		},
 	}
 	go lc.run()
@@ -175,12 +178,22 @@
 		return nil, err
 	}
 	id := lovageledger.RangeID{DataCentre: msg.GetDataCentre(), Index: int(msg.GetRange())}
-	if !in.control.post(ctx, &ledgerEvent{in: in, ev: &lovageledger.PeerResult{Peer: from, Range: id, Records: records}}) {
-		return nil, ctx.Err()
+	rp, err := in.askLedger(ctx, func(call uint64) lovageledger.Event {
+		return &lovageledger.PeerResult{Call: call, Peer: from, Range: id, Records: records}
+	})
+	if err != nil {
+		return nil, err
+	}
+	out := &lovagemessage.Response{Body: &lovagemessage.Response_ResultCopy{ResultCopy: &lovagemessage.ResultCopyReply{}}}
+	if rr, _ := rp.(lovageledger.ReplyResult); !rr.Accepted {
+		out.Fault = faultNotKept
 	}
-	return &lovagemessage.Response{Body: &lovagemessage.Response_ResultCopy{ResultCopy: &lovagemessage.ResultCopyReply{}}}, nil
+	return out, nil
 }
 
+// faultNotKept answers a ResultCopy for a range that this instance neither owns nor keeps for the sender.
+const faultNotKept = "rangeNotKept"
+
 func fromRecords(records []lovageledger.Record) []*lovagemessage.Record {
 	out := make([]*lovagemessage.Record, len(records))
 	for i := range records {
--- a/lovageentry/request.go
+++ b/lovageentry/request.go
@@ -171,6 +171,9 @@
 	if re == nil {
 		return
 	}
+	if cm.BeforeCopy {
+		lo.in.counts.answersBeforeCopy.Inc(1)
+	}
 	if cm.Answer.Outcome != lovagejob.Pending {
 		lo.release(re)
 	}
--- a/lovageledger/bench_test.go
+++ b/lovageledger/bench_test.go
@@ -64,7 +64,7 @@
 			})
 		case SendResult:
 			du.step(peer, &PeerResult{Peer: id, Range: co.Range, Records: co.Records})
-			du.step(le, &ResultReplied{Peer: co.Peer, Range: co.Range, Batch: co.Batch})
+			du.step(le, &ResultReplied{Peer: co.Peer, Range: co.Range, Batch: co.Batch, Accepted: true})
 		case SendAccept:
 			du.held = append(du.held, co)
 		case Minted:
--- a/lovageledger/break_test.go
+++ b/lovageledger/break_test.go
@@ -82,6 +82,21 @@
 			rg.store.expire(le.highest - 180_000)
 			rg.store.floor = le.floor()
 		})},
+	{name: "an answer does not wait for the copy", want: "copy before answer", rule: eachOwned(
+		func(le *Ledger, rg *keyRange) {
+			for _, cw := range le.waits.queue {
+				if cw.rg == rg {
+					le.releaseAnswer(rg, cw.sk, false)
+				}
+			}
+		})},
+	{name: "copies are empty", want: "copy before answer", rule: eachCopy(func(sr *SendResult) { sr.Records = nil })},
+	{name: "copies hold no results", want: "copy before answer", rule: eachCopy(func(sr *SendResult) {
+		for i := range sr.Records {
+			sr.Records[i].Answer.Results = nil
+		}
+	})},
+	{name: "an acknowledged end is forgotten by the replica", want: "copy before answer", rule: forgetCopies},
 	{name: "fingerprints are not compared", want: "other content", rule: forgetFingerprints},
 	{name: "answers are crossed", want: "invariant 3", rule: eachReply(func(wo *world, re *Reply) bool {
 		if wo.stats["admitted"]%7 == 0 && len(wo.keys) > 3 {
@@ -181,6 +196,19 @@
 	}
 }
 
+func forgetCopies(_ *world, no *node, out []Command) []Command {
+	for _, rg := range no.le.ranges {
+		for id, bucket := range rg.store.buckets {
+			for slot, re := range bucket {
+				if sk := id.key(slot); rg.rep != nil && re.state == stateEnded {
+					rg.store.put(sk, record{fingerprint: re.fingerprint, state: stateForeign})
+				}
+			}
+		}
+	}
+	return out
+}
+
 func forgetFingerprints(wo *world, no *node, out []Command) []Command {
 	return eachOwned(func(_ *Ledger, rg *keyRange) {
 		for id, bucket := range rg.store.buckets {
--- a/lovageledger/claim.go
+++ b/lovageledger/claim.go
@@ -159,6 +159,8 @@
 	le.setOwner(rg, own)
 	if own.replica != "" {
 		own.link = &link{peer: own.replica}
+	} else {
+		le.dropCopies(rg) // without a replica answers are given at once
 	}
 	if before != nil && before.link != nil {
 		// Waiting keys start under the new epoch: at once without a replica, else after its acknowledgement.
@@ -171,7 +173,7 @@
 
 // becomeOwner prepares records that were kept for another owner.
 func (le *Ledger) becomeOwner(rg *keyRange) {
-	rg.copies = resultCopies{}
+	le.dropCopies(rg)
 	rg.retryAt = le.now
 	rg.ownedSince = le.highest
 }
--- a/lovageledger/command.go
+++ b/lovageledger/command.go
@@ -32,11 +32,15 @@
 // Reply answers a Submit, an Ask or a Cancel. With Fault set the answer holds only the key, the outcome Unknown and
 // the reason.
 type Reply struct {
-	Request uint64
-	Answer  lovagejob.Answer
-	Fault   Fault
+	Request    uint64
+	Answer     lovagejob.Answer
+	Fault      Fault
+	BeforeCopy bool // the replica has not acknowledged the end of the job
 }
 
+// WakeAt asks for a Wake at the time, or soon after it. A later WakeAt does not replace an earlier one.
+type WakeAt struct{ At time.Time }
+
 // Forward asks the integrator to send the request to the first target that takes it and to give that answer to the
 // caller. If no target answers, the answer is Unknown. The ledger keeps nothing about the request.
 type Forward struct {
@@ -119,6 +123,12 @@
 	Accepted bool
 }
 
+// ReplyResult answers a PeerResult.
+type ReplyResult struct {
+	Call     uint64
+	Accepted bool // the records are known here from now on
+}
+
 // ReadTable reads every row with the prefix; answered by TableRead. The read must not be served from a cache.
 type ReadTable struct {
 	ID     uint64
@@ -145,6 +155,8 @@
 func (SendResult) command()    {}
 func (SendTransfer) command()  {}
 func (ReplyTransfer) command() {}
+func (ReplyResult) command()   {}
+func (WakeAt) command()        {}
 func (ReadTable) command()     {}
 func (CommitTable) command()   {}
 func (Drained) command()       {}
--- a/lovageledger/copies.go
+++ b/lovageledger/copies.go
@@ -7,7 +7,8 @@
 
 // resultCopies is the queue of ended keys to be copied: by an owner to the replica, by a former owner to the current
 // one. One batch at a time is unacknowledged. Safety does not depend on copies; they let the receiver answer with the
-// outcome instead of "unknown".
+// outcome instead of "unknown". The answer of a job that ended here waits for the acknowledgement of its copy, see
+// copyWaits.
 type resultCopies struct {
 	queue    []shortKey
 	inFlight []shortKey
@@ -21,12 +22,21 @@
 const maxCopyQueue = 100_000
 
 // copyResult queues the end of a key for the instance that may have to tell it, and sends it at once unless a batch is
-// unacknowledged. Waiting for the next tick would leave the end unknown if the owner dies within that time.
-func (le *Ledger) copyResult(rg *keyRange, sk shortKey) {
-	if len(rg.copies.queue) < maxCopyQueue && le.copyPeer(rg) != "" {
-		rg.copies.queue = append(rg.copies.queue, sk)
-		le.tickCopies(rg)
+// unacknowledged. It reports whether answers have to wait for the acknowledgement.
+func (le *Ledger) copyResult(rg *keyRange, sk shortKey) (wait bool) {
+	closed := rg.own != nil && rg.own.link != nil && rg.own.link.closed
+	if len(rg.copies.queue) >= maxCopyQueue || !closed && le.copyPeer(rg) == "" {
+		return false
 	}
+	rg.copies.queue = append(rg.copies.queue, sk)
+	if closed {
+		// The snapshot may hold the key as running, so its end follows. The range has no replica yet: nobody waits.
+		le.holdAnswer(rg, sk, 0)
+		return false
+	}
+	held := le.holdAnswer(rg, sk, le.se.CopyTimeout)
+	le.tickCopies(rg)
+	return held
 }
 
 // copyPeer returns the instance to copy results to, or "" if there is none.
@@ -34,7 +44,7 @@
 	switch {
 	case rg.own != nil && rg.own.link != nil && !rg.own.link.closed:
 		return rg.own.link.peer
-	case rg.own == nil && rg.row.Owner != le.se.Instance:
+	case rg.own == nil && rg.row.Owner != "" && rg.row.Owner != le.se.Instance:
 		return rg.row.Owner
 	}
 	return ""
@@ -65,8 +75,12 @@
 	peer := le.copyPeer(rg)
 	me, known := le.members[peer]
 	switch {
+	case peer == "" && rg.own != nil && rg.own.link != nil:
+		return // sent when the new replica knows the range
+	case rg.own != nil && !le.draining && (!known || me.State == MemberGone):
+		return // Rule D is due, or the instance comes back
 	case !known || me.State == MemberGone:
-		rc.queue = nil // nobody is left who could use them
+		le.dropCopies(rg) // nobody is left who could use them
 		return
 	case me.State != MemberLive:
 		return
@@ -99,10 +113,18 @@
 	}
 	if ev.Failed {
 		rg.copies.requeue()
-		rg.copies.retryAt = le.now.Add(le.se.RetryAfter)
+		rg.copies.retryAt = le.now.Add(le.se.AcceptTimeout / 5)
 		return
 	}
+	if !ev.Accepted {
+		le.table.wantRanges = true // the peer is neither the replica nor the new owner
+	}
+	done := rg.copies.inFlight
 	rg.copies.inFlight, rg.copies.batch = nil, 0
+	for _, sk := range done {
+		le.releaseAnswer(rg, sk, !ev.Accepted)
+	}
+	le.tickCopies(rg)
 }
 
 // Uncopied returns the number of ends that have not been copied to the replica or the new owner yet. An instance that
--- a/lovageledger/event.go
+++ b/lovageledger/event.go
@@ -67,10 +67,11 @@
 
 // ResultReplied is the outcome of a SendResult.
 type ResultReplied struct {
-	Peer   string
-	Range  RangeID
-	Batch  uint64
-	Failed bool
+	Peer     string
+	Range    RangeID
+	Batch    uint64
+	Failed   bool // no reply: the peer may have taken the records or not
+	Accepted bool
 }
 
 // TransferReplied is the outcome of a SendTransfer.
@@ -92,8 +93,9 @@
 	Keys  []AcceptKey
 }
 
-// PeerResult is a SendResult of another instance. It needs no reply beyond the confirmation of delivery.
+// PeerResult is a SendResult of another instance; answered by ReplyResult.
 type PeerResult struct {
+	Call    uint64
 	Peer    string
 	Range   RangeID
 	Records []Record
@@ -169,6 +171,9 @@
 // Tick tells the time. It is due at least every 100 ms.
 type Tick struct{}
 
+// Wake follows a WakeAt. It ends the waits that have reached their time, and costs less than a Tick.
+type Wake struct{}
+
 // Drain starts the hand-over of every owned range; answered by Drained.
 type Drain struct{}
 
@@ -190,4 +195,5 @@
 func (*RangesHeard) event()     {}
 func (*TunablesChanged) event() {}
 func (*Tick) event()            {}
+func (*Wake) event()            {}
 func (*Drain) event()           {}
--- a/lovageledger/fake_test.go
+++ b/lovageledger/fake_test.go
@@ -183,6 +183,8 @@
 		wo.commit(no, co)
 	case Drained:
 		no.drained = true
+	case WakeAt:
+		wo.after(co.At.Sub(wo.clock(no)), func() { wo.step(no, &Wake{}) })
 	default:
 		wo.peerCommand(no, co)
 	}
@@ -198,10 +200,9 @@
 		})
 	case SendResult:
 		reply := &ResultReplied{Peer: co.Peer, Range: co.Range, Batch: co.Batch}
-		wo.send(no.id, co.Peer, func() {
-			wo.step(wo.nodes[co.Peer], &PeerResult{Peer: no.id, Range: co.Range, Records: co.Records})
-			wo.send(co.Peer, no.id, func() { wo.step(no, reply) }, func() {})
-		}, func() { wo.step(no, failed(reply)) })
+		wo.call(no, co.Peer, reply, func(call uint64) Event {
+			return &PeerResult{Call: call, Peer: no.id, Range: co.Range, Records: co.Records}
+		})
 	case SendTransfer:
 		reply := &TransferReplied{
 			Peer: co.Peer, Range: co.Chunk.Range.Range, Transfer: co.Chunk.Transfer, Chunk: co.Chunk.Chunk,
@@ -214,6 +215,8 @@
 			reply := ev.(*AcceptReplied)
 			reply.Accepted, reply.Epoch = co.Accepted, co.Epoch
 		})
+	case ReplyResult:
+		wo.answerCall(no, co.Call, func(ev Event) { ev.(*ResultReplied).Accepted = co.Accepted })
 	case ReplyTransfer:
 		wo.answerCall(no, co.Call, func(ev Event) { ev.(*TransferReplied).Accepted = co.Accepted })
 	default:
@@ -263,7 +266,7 @@
 	case *AcceptReplied:
 		ev.Failed, ev.Accepted = true, false
 	case *ResultReplied:
-		ev.Failed = true
+		ev.Failed, ev.Accepted = true, false
 	case *TransferReplied:
 		ev.Failed, ev.Accepted = true, false
 	}
--- a/lovageledger/kept.go
+++ b/lovageledger/kept.go
@@ -36,12 +36,31 @@
 			break
 		}
 		ka.bytes -= entry.bytes
-		if de := entry.rg.store.details[entry.sk]; de != nil && len(de.waiters) == 0 {
-			delete(entry.rg.store.details, entry.sk)
-		}
+		le.dropAnswer(entry.rg, entry.sk)
 		*entry = keptAnswer{}
 		ka.head++
 	}
+	ka.compact()
+}
+
+// dropAnswer drops the full answer of a key. Those who wait for a copy of it get it now, because it is whole only now.
+func (le *Ledger) dropAnswer(rg *keyRange, sk shortKey) {
+	de := rg.store.details[sk]
+	if de == nil {
+		return
+	}
+	if de.answer.Outcome != "" {
+		le.answerWaiters(rg, sk, de.answer, !de.copyUntil.IsZero())
+	}
+	switch {
+	case !de.copyUntil.IsZero():
+		de.answer = lovagejob.Answer{} // the mark stays until the copy of the outcome is acknowledged
+	case len(de.waiters) == 0:
+		delete(rg.store.details, sk)
+	}
+}
+
+func (ka *keptAnswers) compact() {
 	if ka.head > len(ka.queue)/2 {
 		n := copy(ka.queue, ka.queue[ka.head:])
 		clear(ka.queue[n:])
--- a/lovageledger/ledger.go
+++ b/lovageledger/ledger.go
@@ -25,6 +25,8 @@
 
 	requests requests
 	kept     keptAnswers
+	waits    copyWaits
+	wakeAt   time.Time // of the last WakeAt that no Wake has followed
 	table    tableState
 	lease    leaseState
 
@@ -128,6 +130,9 @@
 		}
 	case *Tick:
 		le.tick()
+	case *Wake:
+		le.wakeAt = time.Time{}
+		le.expireWaits()
 	case *TunablesChanged:
 		if ev.KeyLifetime > 0 {
 			le.se.KeyLifetime = ev.KeyLifetime
@@ -224,7 +229,7 @@
 func (le *Ledger) floor() int64 { return le.highest - le.se.KeyLifetime.Milliseconds() }
 
 func (le *Ledger) tick() {
-	le.requests.expire(le)
+	le.expireWaits()
 	le.kept.expire(le)
 	floor := le.floor()
 	for _, id := range le.order {
--- a/lovageledger/owner.go
+++ b/lovageledger/owner.go
@@ -111,8 +111,7 @@
 	if de := rg.store.details[sk]; de != nil && de.cancelled {
 		// Rule A: this owner decides the key and has admitted it nowhere; the record refuses it for good.
 		ans := lovagejob.Answer{Key: sk.long(rg.id), Outcome: lovagejob.Cancelled, Reason: "cancelled before it was started"}
-		le.recordEnd(rg, sk, re, ans)
-		le.copyResult(rg, sk)
+		le.endHere(rg, sk, re, ans)
 		return
 	}
 	re.state = stateRunning
@@ -204,6 +203,7 @@
 func (le *Ledger) endAddition(rg *keyRange) {
 	pending := rg.own.link.pending()
 	rg.own.sent, rg.own.link = nil, nil
+	le.dropCopies(rg)
 	for _, sk := range pending {
 		// Rule A: no replica in the row, and none can come to be in it without a new addition.
 		le.start(rg, sk)
--- a/lovageledger/record.go
+++ b/lovageledger/record.go
@@ -87,7 +87,8 @@
 type detail struct {
 	answer    lovagejob.Answer // full answer, if ended
 	waiters   []uint64
-	cancelled bool // cancelled before it was admitted
+	copyUntil time.Time // if set: the end has no acknowledged copy yet, and answers wait until this time, see copyWaits
+	cancelled bool      // cancelled before it was admitted
 }
 
 // bucketMillis is the width of a bucket of records by mint time. Whole buckets are dropped, so records need no queue
--- a/lovageledger/replica.go
+++ b/lovageledger/replica.go
@@ -137,21 +137,34 @@
 	ans.Key = rec.Key
 	if ans.Outcome == lovagejob.Complete && len(ans.Results) == 0 {
 		rg.store.end(sk, re, ans) // the sender no longer keeps the results
-		le.answerWaiters(rg, sk, rg.store.answer(rg.id, sk, re))
+		if re, ok := rg.store.get(sk); ok {
+			le.answerWaiters(rg, sk, rg.store.answer(rg.id, sk, re), rg.own != nil && le.copyPeer(rg) != "")
+		}
+		if rg.own != nil {
+			le.copyResult(rg, sk)
+		}
+		return
+	}
+	if rg.own != nil {
+		le.endHere(rg, sk, re, ans) // the replica of this owner has to learn of it too
 		return
 	}
 	le.recordEnd(rg, sk, re, ans)
 }
 
-// peerResult takes ends of keys, as the replica or as the new owner.
+// peerResult takes ends of keys, as the replica or as the new owner. The acknowledgement allows the sender to answer
+// callers, so it is given only by an instance that will answer for the range after the sender's death.
 func (le *Ledger) peerResult(ev *PeerResult) {
 	rg := le.ranges[ev.Range]
 	if rg == nil || rg.own == nil && rg.rep == nil && rg.inc == nil {
+		le.emit(ReplyResult{Call: ev.Call})
 		return
 	}
 	for i := range ev.Records {
 		le.mergeRecord(rg, &ev.Records[i])
 	}
+	accepted := rg.own != nil || rg.rep != nil && rg.rep.owner == ev.Peer || rg.inc != nil && rg.inc.owner == ev.Peer
+	le.emit(ReplyResult{Call: ev.Call, Accepted: accepted})
 }
 
 // tickReplica forgets an addition that was never committed and whose owner has fallen silent.
--- a/lovageledger/request.go
+++ b/lovageledger/request.go
@@ -114,7 +114,7 @@
 func (le *Ledger) answerRecord(rg *keyRange, wa *waiter, re record) {
 	switch {
 	case re.state == stateEnded:
-		le.reply(wa, rg.store.answer(rg.id, wa.sk, re))
+		le.replyEnd(rg, wa, re)
 	case re.state == stateForeign && !le.endMayCome(rg):
 		le.replyState(wa)
 	default:
@@ -313,15 +313,26 @@
 		ans.Outcome, ans.Results = lovagejob.Failed, nil
 	}
 	// NotRun here, Rule A: the key was admitted by this instance alone and is refused for good by this record.
-	le.recordEnd(rg, sk, re, ans)
-	le.copyResult(rg, sk)
+	le.endHere(rg, sk, re, ans)
 }
 
-// recordEnd stores the end of a key and answers everyone who waits for it.
+// endHere records the end of a key that this instance decided. Those who wait for it are answered when the replica has
+// a copy, or at once if none is due.
+func (le *Ledger) endHere(rg *keyRange, sk shortKey, re record, ans lovagejob.Answer) {
+	le.storeEnd(rg, sk, re, ans)
+	if !le.copyResult(rg, sk) {
+		le.answerWaiters(rg, sk, ans, le.copyPeer(rg) != "")
+	}
+}
+
+// recordEnd stores the end of a key that another instance told, and answers everyone who waits for it.
 func (le *Ledger) recordEnd(rg *keyRange, sk shortKey, re record, ans lovagejob.Answer) {
+	le.storeEnd(rg, sk, re, ans)
+	le.answerWaiters(rg, sk, ans, false)
+}
+
+func (le *Ledger) storeEnd(rg *keyRange, sk shortKey, re record, ans lovagejob.Answer) {
 	rg.store.end(sk, re, ans)
-	de := rg.store.detail(sk)
-	de.answer = ans
-	le.kept.add(le, rg, sk, &de.answer)
-	le.answerWaiters(rg, sk, ans)
+	rg.store.detail(sk).answer = ans
+	le.kept.add(le, rg, sk, &ans)
 }
--- a/lovageledger/settings.go
+++ b/lovageledger/settings.go
@@ -22,6 +22,7 @@
 	AnswerKept      time.Duration // time a full answer is kept after the end; default 60 s
 	MaxKeptBytes    int           // bound on the memory of full answers; the oldest go first; default 32 MiB
 	AcceptTimeout   time.Duration // an unacknowledged accept batch is sent again after this; default 500 ms
+	CopyTimeout     time.Duration // an answer waits at most this long for the replica to have the end; default 50 ms
 	ReplicaTimeout  time.Duration // a replica without acknowledgements for this long is dropped (Rule D); default 2 s
 	RetryAfter      time.Duration // back-off after a failed table or peer operation; default 1 s
 	BatchKeys       int           // most keys in one accept batch or result copy; default 1,000
@@ -40,6 +41,7 @@
 	setDefault(&se.AnswerKept, time.Minute)
 	setDefault(&se.MaxKeptBytes, 32<<20)
 	setDefault(&se.AcceptTimeout, 500*time.Millisecond)
+	setDefault(&se.CopyTimeout, 50*time.Millisecond)
 	setDefault(&se.ReplicaTimeout, 2*time.Second)
 	setDefault(&se.RetryAfter, time.Second)
 	setDefault(&se.BatchKeys, 1000)
--- a/lovageledger/transfer.go
+++ b/lovageledger/transfer.go
@@ -119,6 +119,7 @@
 	if li := rg.own.link; li != nil && li.closed {
 		li.closed = false
 		le.flushAccepts(rg)
+		le.tickCopies(rg)
 	}
 }
 
--- a/lovageledger/waiter.go
+++ b/lovageledger/waiter.go
@@ -45,7 +45,7 @@
 // expire answers the waiters whose time has come with the state of their keys.
 func (rs *requests) expire(le *Ledger) {
 	for len(rs.byTime) > 0 && !rs.byTime[0].until.After(le.now) {
-		le.replyState(rs.byTime[0]) // replies and thereby drops it
+		le.replyState(rs.byTime[0]) // replies and thereby drops it, or lets it wait for a copy of the end
 	}
 }
 
@@ -95,7 +95,7 @@
 	}
 	switch {
 	case ok && re.state == stateEnded:
-		le.reply(wa, rg.store.answer(rg.id, wa.sk, re))
+		le.replyEnd(rg, wa, re)
 	case ok && re.state == stateRunning:
 		le.reply(wa, lovagejob.Answer{Key: wa.key, Outcome: lovagejob.Pending})
 	case ok && re.state == stateForeign:
@@ -130,7 +130,7 @@
 }
 
 // answerWaiters gives the answer to all who wait for the key.
-func (le *Ledger) answerWaiters(rg *keyRange, sk shortKey, ans lovagejob.Answer) {
+func (le *Ledger) answerWaiters(rg *keyRange, sk shortKey, ans lovagejob.Answer, beforeCopy bool) {
 	de := rg.store.details[sk]
 	if de == nil {
 		return
@@ -139,7 +139,8 @@
 	de.waiters = nil
 	for _, request := range waiting {
 		if wa := le.requests.waiting[request]; wa != nil && wa.sk == sk && rangeOf(wa.key) == rg.id {
-			le.reply(wa, ans)
+			le.requests.drop(wa.request)
+			le.emit(Reply{Request: wa.request, Answer: ans, BeforeCopy: beforeCopy})
 		}
 	}
 }
--- a/lovageledger/world_test.go
+++ b/lovageledger/world_test.go
@@ -54,6 +54,8 @@
 	admittedBy string
 	refused    bool // dispatch has said that no task was started
 	ended      bool
+	endedAt    time.Duration
+	copied     bool   // a final answer was given after an acknowledged copy of it
 	print      uint64 // of the first submission that was admitted; 0 if not known
 	saidNotRun bool
 	final      lovagejob.Answer // first final answer that a caller got
@@ -207,7 +209,7 @@
 	if no.dead || jo.ended {
 		return
 	}
-	jo.ended = true
+	jo.ended, jo.endedAt = true, wo.now
 	ans := lovagejob.Answer{Key: key, Outcome: lovagejob.Complete, Tasks: 1, Started: 1}
 	switch roll := wo.rng.IntN(10); {
 	case cancel:
@@ -241,6 +243,9 @@
 	if ans.Key != qu.key {
 		wo.fail("invariant 3: a request for %s gets an answer for %s", qu.key, ans.Key)
 	}
+	if re.Fault == "" {
+		wo.checkCopy(no, re)
+	}
 	if re.Fault != "" || !ans.Outcome.Final() {
 		return
 	}
