lovageledger, lovageconfig, lovageentry: bound the records of an instance

Cause: nothing bounded the memory of records; at 13,650 tasks a second in jobs of 7 the key lifetime of 15 min makes 1.75 million records at one instance. Change: limits.records (default 500,000) bounds the records of all ranges. Above it the oldest ended records are dropped, none minted within 2 min and none whose end has no acknowledged copy; the range's floor rises with them, so that such keys never start and are answered "unknown". If that is not enough, no key is minted: POST /v1/keys answers 503 with a retry time, minted keys are still decided. A key and its record are packed into byte arrays of 24 bytes, and the map of details is replaced when it is empty, because a map keeps the memory of its largest size. Transfers carried the right DroppedBefore in all cases: each chunk holds the floor at its time and the last one the highest; a replica that takes over raises a floor of its own and needs none from the owner. Conclusion: records are bounded except for keys of the last 2 min and jobs that have not ended.

--- a/lovageconfig/check.go
+++ b/lovageconfig/check.go
@@ -125,6 +125,7 @@
 		{"limits.bodyBytes", li.BodyBytes, 1 << 32},
 		{"limits.queuedTasks", int64(li.QueuedTasks), 1 << 30},
 		{"limits.queuedJobs", int64(li.QueuedJobs), 1 << 30},
+		{"limits.records", int64(li.Records), 1 << 30},
 		{"limits.callerRequests", int64(li.CallerRequests), 1 << 30},
 		{"limits.operatorRequests", int64(li.OperatorRequests), 1 << 30},
 	} {
--- a/lovageconfig/settings.go
+++ b/lovageconfig/settings.go
@@ -47,6 +47,7 @@
 	MaxDeadline      time.Duration `toml:"maxDeadline"`      // how far ahead a deadline may lie; default 10m, below the key lifetime
 	QueuedTasks      int           `toml:"queuedTasks"`      // in the whole instance; default 100000
 	QueuedJobs       int           `toml:"queuedJobs"`       // in the whole instance; default 20000
+	Records          int           `toml:"records"`          // remembered keys in the whole instance; default 500000
 	CallerRequests   int           `toml:"callerRequests"`   // in progress at the caller API; default 20000
 	OperatorRequests int           `toml:"operatorRequests"` // in progress at the operator API, with watches; default 2000
 }
@@ -93,6 +94,7 @@
 			MaxDeadline:      10 * time.Minute,
 			QueuedTasks:      100_000,
 			QueuedJobs:       20_000,
+			Records:          500_000,
 			CallerRequests:   20_000,
 			OperatorRequests: 2_000,
 		},
--- a/lovageconfig/settings_test.go
+++ b/lovageconfig/settings_test.go
@@ -71,6 +71,7 @@
 		{"seed twice", "[peers]\nseeds = [\"10.0.0.1:1\",\n\"10.0.0.1:1\"]", "peers.seeds[1]"},
 		{"seed port", "[peers]\nseeds = [\"10.0.0.1:0\"]", "peers.seeds[0]"},
 		{"negative limit", "[limits]\nqueuedTasks = -1\ntasksPerJob = 1", "limits.queuedTasks"},
+		{"no records", "[limits]\nrecords = 0", "limits.records"},
 		{"payload above body", "[limits]\nbodyBytes = 100", "limits.payloadBytes"},
 		{"lease below renewal", "[lease]\nttl = \"1s\"", "lease.ttl"},
 		{"heartbeat order", "[heartbeat]\nsuspect = \"7s\"", "heartbeat.suspect"},
--- a/lovageentry/caller.go
+++ b/lovageentry/caller.go
@@ -52,6 +52,9 @@
 	if len(rp.keys) > 0 {
 		return rp.keys, nil
 	}
+	if rp.full {
+		return nil, errors.Wrapf(ErrNoKeys, "the instance remembers %d keys, which is limits.records", in.settings.Limits.Records)
+	}
 	for _, id := range rp.peers {
 		if keys := in.mintAt(ctx, id, count, repeatable, mintPeerTimeout); len(keys) > 0 {
 			return keys, nil
--- a/lovageentry/counts.go
+++ b/lovageentry/counts.go
@@ -25,6 +25,7 @@
 	accepts           metrics.Counter
 	resultCopies      metrics.Counter
 	answersBeforeCopy metrics.Counter
+	mintsRefused      metrics.Counter
 	slotsAsks         metrics.Counter
 	slotsReturns      metrics.Counter
 	heartbeats        metrics.Counter
@@ -52,6 +53,7 @@
 		resultCopies:   counter("result_copies", "Batches of answers sent to replicas."),
 		answersBeforeCopy: counter("answers_before_copy",
 			"Answers given although the replica had not acknowledged the end of the job within 50 ms."),
+		mintsRefused:     counter("mints_refused", "Requests for keys refused because of limits.records."),
 		slotsAsks:        counter("slots_asks", "Requests for slots sent to peers."),
 		slotsReturns:     counter("slots_returns", "Borrowed slots given back, in messages."),
 		heartbeats:       counter("heartbeats", "Heartbeats sent."),
@@ -74,6 +76,11 @@
 	co.registry.GaugeFunc("control_backlog", "Events that wait for the control loop.", func() float64 {
 		return float64(len(in.control.events))
 	})
+	co.registry.GaugeFunc("records", "Keys that the instance remembers.", func() float64 {
+		return float64(in.records.Load())
+	})
+	co.registry.GaugeFunc("records_dropped_early", "Records dropped before the lifetime of their keys, because of limits.records.",
+		func() float64 { return float64(in.droppedEarly.Load()) })
 	co.registry.GaugeFunc("applied_revision", "Revision of the configuration in force here.", func() float64 {
 		return float64(in.store.Revision())
 	})
--- a/lovageentry/instance.go
+++ b/lovageentry/instance.go
@@ -75,6 +75,8 @@
 	servers          []Server
 	inFlight         gauge // requests of callers and peers
 	jobsHeld         gauge // admitted jobs that have not ended or have tasks at workers
+	records          atomic.Int64
+	droppedEarly     atomic.Int64
 	stopping         atomic.Bool
 	handedOver       atomic.Bool
 	askDecidingAfter atomic.Int64 // Unix time in nanoseconds
@@ -165,6 +167,7 @@
 		ledger: lovageledger.New(lovageledger.Settings{
 			Instance: in.id, DataCentre: se.DataCentre, Address: in.peerAddress, Rand: rng,
 			LeaseTTL: se.Lease.TTL, RenewEvery: se.Lease.Renewal,
+			MaxRecords: se.Limits.Records,
 		}),
 		member: lovagemember.New(lovagemember.Settings{
 			Instance: in.id, DataCentre: se.DataCentre, Address: in.peerAddress,
--- a/lovageentry/request.go
+++ b/lovageentry/request.go
@@ -33,6 +33,7 @@
 	answer lovagejob.Answer
 	keys   []lovagejob.Key
 	peers  []string // for a Mint that no own range can serve
+	full   bool     // a Mint was refused because of limits.records
 	fault  lovageledger.Fault
 }
 
@@ -161,8 +162,11 @@
 }
 
 func (lo *controlLoop) minted(cm lovageledger.Minted) {
+	if cm.Full {
+		lo.in.counts.mintsRefused.Inc(1)
+	}
 	if re := lo.take(cm.Request); re != nil {
-		re.replies <- reply{keys: cm.Keys, peers: cm.Peers}
+		re.replies <- reply{keys: cm.Keys, peers: cm.Peers, full: cm.Full}
 	}
 }
 
--- a/lovageledger/command.go
+++ b/lovageledger/command.go
@@ -10,11 +10,13 @@
 // Command is an output of Step: one of the value types of this file.
 type Command interface{ command() }
 
-// Minted answers a Mint. If Keys is empty, no owned range can accept now and Peers lists the live peers to ask.
+// Minted answers a Mint. If Keys is empty, no owned range can accept now and Peers lists the live peers to ask, or Full
+// says that this instance remembers as many keys as it may.
 type Minted struct {
 	Request uint64
 	Keys    []lovagejob.Key
 	Peers   []string
+	Full    bool
 }
 
 // Admit hands a key to dispatch. It is given at most once per key, over all instances.
--- a/lovageledger/copywait.go
+++ b/lovageledger/copywait.go
@@ -72,7 +72,7 @@
 			de.copyUntil = mark
 		}
 		if mark.IsZero() && de.answer.Outcome == "" && len(de.waiters) == 0 && !de.cancelled {
-			delete(rg.store.details, sk) // only the mark was left of it
+			rg.store.dropDetail(sk) // only the mark was left of it
 		}
 	}
 }
--- a/lovageledger/kept.go
+++ b/lovageledger/kept.go
@@ -56,7 +56,7 @@
 	case !de.copyUntil.IsZero():
 		de.answer = lovagejob.Answer{} // the mark stays until the copy of the outcome is acknowledged
 	case len(de.waiters) == 0:
-		delete(rg.store.details, sk)
+		rg.store.dropDetail(sk)
 	}
 }
 
--- a/lovageledger/ledger.go
+++ b/lovageledger/ledger.go
@@ -26,9 +26,12 @@
 	requests requests
 	kept     keptAnswers
 	waits    copyWaits
-	wakeAt   time.Time // of the last WakeAt that no Wake has followed
-	table    tableState
-	lease    leaseState
+
+	droppedEarly int64 // records
+
+	wakeAt time.Time // of the last WakeAt that no Wake has followed
+	table  tableState
+	lease  leaseState
 
 	nextID   uint64    // last number given to a batch, read, transaction or transfer
 	claimAt  time.Time // no claim before this time
@@ -190,7 +193,7 @@
 
 // CanMint reports whether a Mint would give keys now.
 func (le *Ledger) CanMint() bool {
-	return le.mintFrom(true) != nil
+	return !le.full() && le.mintFrom(true) != nil
 }
 
 // Records returns the number of keys remembered.
@@ -240,6 +243,7 @@
 		le.tickReplica(rg)
 		le.tickCopies(rg)
 	}
+	le.dropEarly(0)
 	le.maintain()
 }
 
--- a/lovageledger/record.go
+++ b/lovageledger/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"maps"
 	"math"
 	"slices"
@@ -70,7 +71,7 @@
 	stateEnded
 )
 
-// record is what is remembered of a key for the key's lifetime. Its size of 16 bytes bounds the memory of an instance.
+// record is what is remembered of a key for the key's lifetime.
 type record struct {
 	fingerprint uint64
 	tasks       uint16
@@ -79,6 +80,29 @@
 	outcome     uint8 // index into finalOutcomes, if ended
 }
 
+// packedRecord is a record as the store holds it. Byte arrays need no alignment: a key and its record take 24 bytes in
+// a bucket, where structs took 32.
+type packedRecord [14]byte
+
+func (re record) pack() (pr packedRecord) {
+	binary.LittleEndian.PutUint64(pr[0:], re.fingerprint)
+	binary.LittleEndian.PutUint16(pr[8:], re.tasks)
+	binary.LittleEndian.PutUint16(pr[10:], re.started)
+	pr[12], pr[13] = uint8(re.state), re.outcome
+	return pr
+}
+
+func (pr packedRecord) state() recordState { return recordState(pr[12]) }
+
+func (pr packedRecord) unpack() record {
+	return record{
+		fingerprint: binary.LittleEndian.Uint64(pr[0:]),
+		tasks:       binary.LittleEndian.Uint16(pr[8:]),
+		started:     binary.LittleEndian.Uint16(pr[10:]),
+		state:       pr.state(), outcome: pr[13],
+	}
+}
+
 var finalOutcomes = [...]lovagejob.Outcome{
 	lovagejob.Complete, lovagejob.Failed, lovagejob.NotRun, lovagejob.Cancelled,
 }
@@ -102,25 +126,56 @@
 	epoch int64
 }
 
-// slotKey is a key within its bucket.
-type slotKey struct {
-	nonce  uint64
-	offset uint16
-}
+// slotKey is a key within its bucket: the nonce and the offset of the mint time.
+type slotKey [10]byte
 
 func (sk shortKey) split() (bucketID, slotKey) {
-	return bucketID{index: sk.minted / bucketMillis, epoch: sk.epoch},
-		slotKey{nonce: sk.nonce, offset: uint16(sk.minted % bucketMillis)}
+	var slot slotKey
+	binary.LittleEndian.PutUint64(slot[0:], sk.nonce)
+	binary.LittleEndian.PutUint16(slot[8:], uint16(sk.minted%bucketMillis))
+	return bucketID{index: sk.minted / bucketMillis, epoch: sk.epoch}, slot
 }
 
 func (id bucketID) key(slot slotKey) shortKey {
-	return shortKey{epoch: id.epoch, minted: id.index*bucketMillis + int64(slot.offset), nonce: slot.nonce}
+	return shortKey{
+		epoch: id.epoch, nonce: binary.LittleEndian.Uint64(slot[0:]),
+		minted: id.index*bucketMillis + int64(binary.LittleEndian.Uint16(slot[8:])),
+	}
+}
+
+// endMillis is the mint time before which all keys of the bucket were minted.
+func (id bucketID) endMillis() int64 { return (id.index + 1) * bucketMillis }
+
+// bucket holds the records of a bucketID.
+type bucket struct {
+	records map[slotKey]packedRecord
+	ended   int // records of keys that have ended
+}
+
+// retain keeps the records for which keep holds. The map is built anew, because a map does not give memory back.
+func (bu *bucket) retain(keep func(slot slotKey, pr packedRecord) bool) (dropped int) {
+	kept := &bucket{records: map[slotKey]packedRecord{}}
+	for slot, pr := range bu.records {
+		if !keep(slot, pr) {
+			continue
+		}
+		kept.records[slot] = pr
+		if pr.state() == stateEnded {
+			kept.ended++
+		}
+	}
+	dropped = len(bu.records) - len(kept.records)
+	if dropped > 0 {
+		*bu = *kept
+	}
+	return dropped
 }
 
 // store holds the records of one range.
 type store struct {
-	buckets map[bucketID]map[slotKey]record
+	buckets map[bucketID]*bucket
 	details map[shortKey]*detail
+	peak    int // most details since the map was made, as far as seen
 	count   int
 	newest  int64 // highest mint time of a key that has had a record
 	floor   int64 // records of keys minted before this time may have been dropped, here or at a sender
@@ -128,37 +183,64 @@
 
 func newStore() *store {
 	return &store{
-		buckets: map[bucketID]map[slotKey]record{}, details: map[shortKey]*detail{},
+		buckets: map[bucketID]*bucket{}, details: map[shortKey]*detail{},
 		newest: math.MinInt64, floor: math.MinInt64,
 	}
 }
 
 func (st *store) get(sk shortKey) (record, bool) {
 	id, slot := sk.split()
-	re, ok := st.buckets[id][slot]
-	return re, ok
+	bu := st.buckets[id]
+	if bu == nil {
+		return record{}, false
+	}
+	pr, ok := bu.records[slot]
+	return pr.unpack(), ok
 }
 
 func (st *store) put(sk shortKey, re record) {
 	id, slot := sk.split()
-	bucket := st.buckets[id]
-	if bucket == nil {
-		bucket = map[slotKey]record{}
-		st.buckets[id] = bucket
+	bu := st.buckets[id]
+	if bu == nil {
+		bu = &bucket{records: map[slotKey]packedRecord{}}
+		st.buckets[id] = bu
+	}
+	before, known := bu.records[slot]
+	bu.records[slot] = re.pack()
+	if known && before.state() == stateEnded {
+		bu.ended--
+	}
+	if re.state == stateEnded {
+		bu.ended++
+	}
+	if !known {
+		st.count++
 	}
-	before := len(bucket)
-	bucket[slot] = re
 	st.newest = max(st.newest, sk.minted)
-	st.count += len(bucket) - before
 }
 
 func (st *store) remove(sk shortKey) {
 	id, slot := sk.split()
-	bucket := st.buckets[id]
-	before := len(bucket)
-	delete(bucket, slot)
-	st.count += len(bucket) - before
+	if bu := st.buckets[id]; bu != nil {
+		if pr, known := bu.records[slot]; known {
+			delete(bu.records, slot)
+			st.count--
+			if pr.state() == stateEnded {
+				bu.ended--
+			}
+		}
+	}
+	st.dropDetail(sk)
+}
+
+// dropDetail forgets the detail of a key. The map is replaced when it is empty, because a map keeps the memory for the
+// most entries that it ever held.
+func (st *store) dropDetail(sk shortKey) {
 	delete(st.details, sk)
+	st.peak = max(st.peak, len(st.details))
+	if len(st.details) == 0 && st.peak > 1000 {
+		st.details, st.peak = map[shortKey]*detail{}, 0
+	}
 }
 
 // detail returns the detail of a key, creating it.
@@ -175,37 +257,53 @@
 // could not be told without their records. Waiters of dropped keys are answered when their time comes.
 func (st *store) expire(floor int64) {
 	st.floor = max(st.floor, floor)
-	dropped := false
-	for id, bucket := range st.buckets {
-		if (id.index+1)*bucketMillis > floor {
-			continue
-		}
-		running := map[slotKey]record{}
-		for slot, re := range bucket {
-			if re.state == stateRunning {
-				running[slot] = re
-			}
-		}
-		if len(running) == len(bucket) {
+	dropped := 0
+	for id, bu := range st.buckets {
+		if id.endMillis() > floor {
 			continue
 		}
-		st.count -= len(bucket) - len(running)
-		dropped = true
-		st.buckets[id] = running
-		if len(running) == 0 {
+		dropped += bu.retain(func(_ slotKey, pr packedRecord) bool { return pr.state() == stateRunning })
+		if len(bu.records) == 0 {
 			delete(st.buckets, id)
 		}
 	}
-	if !dropped {
+	if dropped == 0 {
 		return
 	}
+	st.count -= dropped
 	for sk := range st.details {
 		if _, ok := st.get(sk); !ok {
-			delete(st.details, sk)
+			st.dropDetail(sk)
 		}
 	}
 }
 
+// dropEnded drops the ended records of a bucket, apart from those whose end is still to be copied, and remembers that
+// keys as old as them may have been dropped.
+func (st *store) dropEnded(id bucketID) (dropped int) {
+	bu := st.buckets[id]
+	dropped = bu.retain(func(slot slotKey, pr packedRecord) bool {
+		de := st.details[id.key(slot)]
+		return pr.state() != stateEnded || de != nil && (!de.copyUntil.IsZero() || len(de.waiters) > 0)
+	})
+	if dropped == 0 {
+		return 0
+	}
+	st.count -= dropped
+	st.floor = max(st.floor, id.endMillis())
+	if len(bu.records) == 0 {
+		delete(st.buckets, id)
+	}
+	for sk := range st.details {
+		if at, slot := sk.split(); at == id {
+			if _, ok := bu.records[slot]; !ok {
+				st.dropDetail(sk)
+			}
+		}
+	}
+	return dropped
+}
+
 // bucketIDs returns the buckets in order of their times.
 func (st *store) bucketIDs() []bucketID {
 	return slices.SortedFunc(maps.Keys(st.buckets), func(a, b bucketID) int {
@@ -215,9 +313,12 @@
 
 // bucketKeys returns the keys of a bucket in order, so that equal runs give equal commands.
 func (st *store) bucketKeys(id bucketID) []shortKey {
-	bucket := st.buckets[id]
-	out := make([]shortKey, 0, len(bucket))
-	for slot := range bucket {
+	bu := st.buckets[id]
+	if bu == nil {
+		return nil
+	}
+	out := make([]shortKey, 0, len(bu.records))
+	for slot := range bu.records {
 		out = append(out, id.key(slot))
 	}
 	slices.SortFunc(out, shortKey.compare)
--- a/lovageledger/request.go
+++ b/lovageledger/request.go
@@ -97,7 +97,7 @@
 	case sk.epoch < rg.own.completeSince:
 		return "the records of the key's epoch are lost"
 	case sk.minted < max(le.floor(), rg.store.floor):
-		return "the key is older than the lifetime of keys"
+		return "the key is older than the records that are kept"
 	case sk.minted > le.ceiling(rg):
 		return "the key's mint time lies in the future"
 	}
@@ -106,7 +106,8 @@
 
 // ceiling returns the mint time after which a key cannot have been minted by an instance that is known here.
 func (le *Ledger) ceiling(rg *keyRange) int64 {
-	sender := rg.store.floor + le.se.KeyLifetime.Milliseconds() // the clock of an earlier owner at its last transfer
+	// The clock of an earlier owner at its last transfer, or a later time if that owner dropped records early.
+	sender := rg.store.floor + le.se.KeyLifetime.Milliseconds()
 	return max(le.highest, rg.mintMax, sender) + maxMintAhead.Milliseconds()
 }
 
@@ -248,6 +249,11 @@
 
 // mint issues keys from a range that can accept now.
 func (le *Ledger) mint(ev *Mint) {
+	if !le.draining && le.full() {
+		// Peers are not asked: the records of their keys could come here with their ranges' copies.
+		le.emit(Minted{Request: ev.Request, Full: true})
+		return
+	}
 	rg := le.mintFrom(ev.Repeatable)
 	if rg == nil || le.draining {
 		minted := Minted{Request: ev.Request}
--- a/lovageledger/settings.go
+++ b/lovageledger/settings.go
@@ -21,6 +21,8 @@
 	KeyLifetime     time.Duration // a key older than this never starts; default 15 min
 	AnswerKept      time.Duration // time a full answer is kept after the end; default 60 s
 	MaxKeptBytes    int           // bound on the memory of full answers; the oldest go first; default 32 MiB
+	MaxRecords      int           // above it the oldest ended records are dropped early, then no key is minted; default 500,000
+	MinRecordAge    time.Duration // records of younger keys are not dropped early; default 2 min
 	AcceptTimeout   time.Duration // an unacknowledged accept batch is sent again after this; default 500 ms
 	CopyTimeout     time.Duration // an answer waits at most this long for the replica to have the end; default 50 ms
 	ReplicaTimeout  time.Duration // a replica without acknowledgements for this long is dropped (Rule D); default 2 s
@@ -40,6 +42,8 @@
 	setDefault(&se.KeyLifetime, 15*time.Minute)
 	setDefault(&se.AnswerKept, time.Minute)
 	setDefault(&se.MaxKeptBytes, 32<<20)
+	setDefault(&se.MaxRecords, 500_000)
+	setDefault(&se.MinRecordAge, 2*time.Minute)
 	setDefault(&se.AcceptTimeout, 500*time.Millisecond)
 	setDefault(&se.CopyTimeout, 50*time.Millisecond)
 	setDefault(&se.ReplicaTimeout, 2*time.Second)
--- a/lovageledger/sim_test.go
+++ b/lovageledger/sim_test.go
@@ -229,6 +229,9 @@
 		rt.Repeat(repeat)
 		wo.recover()
 		repeat[""](rt)
+		for _, no := range wo.nodes {
+			wo.stats["records dropped early"] += int(no.le.droppedEarly)
+		}
 		for name, n := range wo.stats {
 			total[name] += n
 		}
--- a/lovagestack/check.go
+++ b/lovagestack/check.go
@@ -38,6 +38,7 @@
   maxDeadline = "10m0s"             # how far ahead a deadline may lie
   queuedTasks = 100000
   queuedJobs = 20000
+  records = 500000                  # remembered keys
   callerRequests = 20000            # in progress at the caller API
   operatorRequests = 2000           # in progress at the operator API, with watches
   [lease]
