lovageplatform: create the row of a writer in a transaction of its own and fail when it was deleted

Cause: rows operation/<id> of ended processes cannot be deleted safely while a first transaction that arrives late can create its row and take effect. Change: a Writer first creates its row in a transaction that does nothing else, and checks it at a version above 0 from then on. A row that is gone or at a lower version than known was deleted: the Writer then fails every transaction with ErrRowDeleted, ambiguous only if an earlier attempt may have taken effect before. Test changed: scripts of three tests have one more action for the creation; what they demand is as before. TestWriterRowDeleted does not compile without ErrRowDeleted. Conclusion: a delayed first commit does nothing but create its row, a delayed later one fails.

--- a/lovageplatform/errors.go
+++ b/lovageplatform/errors.go
@@ -26,6 +26,8 @@
 	ErrAmbiguous = errors.New("request may have taken effect")
 	// ErrNotFound is returned by GetObject for an object that does not exist.
 	ErrNotFound = errors.New("object does not exist")
+	// ErrRowDeleted is returned by a Writer whose row operation/<name> was deleted: others take its process for ended.
+	ErrRowDeleted = errors.New("the row of the writer was deleted")
 )
 
 // Error is a failed request to the platform.
@@ -71,7 +73,11 @@
 }
 
 // conclude returns an error of the given effect for a transaction as a whole. It keeps only the text of err, because
-// the effect of a single attempt must not be found by errors.Is in the error of the transaction.
+// the effect of a single attempt must not be found by errors.Is in the error of the transaction, and ErrRowDeleted.
 func conclude(operation string, effect Effect, err error) error {
-	return &Error{Operation: operation, Effect: effect, Err: errors.Newf("%v", err)}
+	cause := errors.Newf("%v", err)
+	if errors.Is(err, ErrRowDeleted) {
+		cause = err // made by the Writer, without an effect of its own
+	}
+	return &Error{Operation: operation, Effect: effect, Err: cause}
 }
--- a/lovageplatform/writer.go
+++ b/lovageplatform/writer.go
@@ -31,6 +31,10 @@
 
 // Writer commits transactions so that the loss of a reply or a delayed request can neither hide nor repeat a write.
 //
+// The first transaction of a writer creates its row and does nothing else; every later one checks the row at a version
+// above 0. If the row is deleted after the process has ended, a commit of the process that arrives later still can
+// create the row again, but do nothing else.
+//
 // Every transaction also checks and writes the row operation/<name>, which holds the ID of the last operation. An
 // attempt that failed is sent again with the same ID; if it had taken effect, the check of that row fails and the row
 // holds the ID. Transactions of one writer are serialised. Only one live process may use a name.
@@ -44,7 +48,8 @@
 	nonce   string
 	count   uint64
 	known   bool  // version is that of the operation row
-	version int64 // version the next transaction checks
+	version int64 // version the next transaction checks; above 0 if known
+	deleted bool  // the row was deleted after it had been created
 	pending *pendingOperation
 	landed  map[string]CommitResult // results of settled transactions whose Commit ended as ambiguous
 }
@@ -77,7 +82,8 @@
 //
 // Without an error the result is final: committed, or the conflicting rows. An error that matches ErrAmbiguous means
 // that ctx ended first and the transaction may still take effect; the next Commit or Settle first finds out, and
-// after that it can no longer take effect late. Any other error means that it had and will have no effect.
+// after that it can no longer take effect late. Any other error means that it had and will have no effect. An error that
+// matches ErrRowDeleted means that no further transaction of this writer can take effect.
 //
 // An empty operation ID is replaced by a fresh one. An ID must never be given to two different transactions. The
 // transaction of an ambiguous end may be committed again with its ID: it is then applied only if it was not before.
@@ -144,24 +150,59 @@
 	return wr.nonce + "-" + strconv.FormatUint(wr.count, 10) + suffix
 }
 
-// load reads the operation row unless its version is known.
+// load makes sure that the operation row exists and its version is known.
 func (wr *Writer) load(ctx context.Context) error {
+	if wr.deleted {
+		return errors.Wrapf(ErrRowDeleted, "row %q", wr.key)
+	}
 	for pause := wr.se.MinBackoff; !wr.known; pause = wr.nextPause(pause) {
-		rows, err := wr.table.Read(ctx, wr.key)
-		if err == nil && len(rows) == 1 {
-			wr.version, wr.known = rows[0].Version, true
-			return nil
-		}
-		if err == nil {
-			err = errors.Newf("read of row %q gave %d rows", wr.key, len(rows))
-		}
-		if !wait(ctx, pause) {
-			return errors.Wrapf(err, "read row %q", wr.key)
+		err := wr.create(ctx)
+		if err != nil && !wait(ctx, pause) {
+			return errors.Wrapf(err, "create row %q", wr.key)
 		}
 	}
 	return nil
 }
 
+// create attempts the first transaction. It can be repeated: a repeat finds the row and has no effect.
+func (wr *Writer) create(ctx context.Context) error {
+	id := wr.newID("-create")
+	res, err := wr.table.Commit(ctx, Transaction{
+		OperationID: id, Checks: []Check{{Key: wr.key}}, Writes: []Write{{Key: wr.key, Value: []byte(id)}},
+	})
+	switch {
+	case err != nil:
+		return err
+	case res.Committed:
+		wr.version, wr.known = 1, true
+		return nil
+	}
+	for _, ro := range res.Conflicts {
+		if ro.Key == wr.key && ro.Version > 0 {
+			wr.version, wr.known = ro.Version, true
+			return nil
+		}
+	}
+	return errors.Newf("the conflict does not hold row %q", wr.key)
+}
+
+// gone reports whether the row, as a conflict shows it, was deleted since it was at the version: versions only rise
+// while a row exists, and a late first transaction creates it at version 1.
+func (wr *Writer) gone(ro Row, version int64) bool {
+	wr.deleted = wr.deleted || ro.Version < version
+	return wr.deleted
+}
+
+// rowDeleted is the error of a transaction that found the row deleted. Whether an earlier attempt of it took effect
+// before that cannot be told.
+func (wr *Writer) rowDeleted(unsure bool) error {
+	effect := EffectRefused
+	if unsure {
+		effect = EffectAmbiguous
+	}
+	return &Error{Operation: "commit", Effect: effect, Err: errors.Wrapf(ErrRowDeleted, "row %q", wr.key)}
+}
+
 // send attempts the transaction until its effect is known or ctx ends.
 func (wr *Writer) send(ctx context.Context, tx Transaction) (CommitResult, error) {
 	unsure := false // an earlier attempt may have taken effect or may do so later
@@ -241,6 +282,9 @@
 	}
 	ro := res.Conflicts[at]
 	checked := wr.version
+	if wr.gone(ro, checked) {
+		return CommitResult{}, false, wr.rowDeleted(unsure)
+	}
 	wr.version = ro.Version
 	if string(ro.Value) == tx.OperationID {
 		return recovered(tx), true, nil
@@ -320,8 +364,11 @@
 // settled concludes from the current operation row what became of the pending transaction.
 func (wr *Writer) settled(pe *pendingOperation, ro Row) error {
 	checked := wr.version
-	wr.version = ro.Version
 	wr.pending = nil
+	if wr.gone(ro, checked) {
+		return errors.Wrapf(ErrRowDeleted, "what became of operation %q is not known: row %q", pe.tx.OperationID, wr.key)
+	}
+	wr.version = ro.Version
 	switch {
 	case string(ro.Value) == pe.tx.OperationID:
 		if len(wr.landed) >= maxLanded {
--- a/lovageplatform/writer_test.go
+++ b/lovageplatform/writer_test.go
@@ -138,7 +138,7 @@
 // Guards against a wrong version after a lost reply, and against the operation row showing in results.
 func TestWriterRecoversVersions(t *testing.T) {
 	ctx := context.Background()
-	ta := newFlakyTable(script("ok", "lost"))
+	ta := newFlakyTable(script("ok", "ok", "lost")) // the first creates the row
 	wr := fastWriter(ta)
 	res, err := wr.Commit(ctx, Transaction{Writes: []Write{{Key: "a"}}})
 	must.NoError(t, err)
@@ -157,11 +157,13 @@
 		t.Run(action, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
-			ta := newFlakyTable(nil)
-			ta.next = func() string { cancel(); return action }
+			ta := newFlakyTable(script())
 			wr := fastWriter(ta)
+			_, err := wr.Commit(ctx, Transaction{OperationID: "before"}) // creates the row
+			must.NoError(t, err)
+			ta.next = func() string { cancel(); return action }
 			tx := Transaction{OperationID: "op", Writes: []Write{{Key: "a"}}}
-			_, err := wr.Commit(ctx, tx)
+			_, err = wr.Commit(ctx, tx)
 			must.ErrorIs(t, err, ErrAmbiguous)
 			must.False(t, errors.Is(err, ErrNotSent))
 			ta.next = script()
@@ -192,7 +194,7 @@
 		if calls++; calls != 1 {
 			return "ok"
 		}
-		version := int64(3)
+		version := int64(4) // created by one, then written three times
 		for range 2 {
 			res, err := ta.Memory.Commit(ctx, Transaction{
 				Checks: []Check{{"operation/k1", version}}, Writes: []Write{{Key: "operation/k1"}},
@@ -206,3 +208,74 @@
 	_, err := one.Commit(ctx, Transaction{Writes: []Write{{Key: "a"}}})
 	must.ErrorIs(t, err, ErrAmbiguous)
 }
+
+// Guards against a delayed first transaction that does more than create the row, against a delayed later one that takes
+// effect after the row was deleted, and against a writer that goes on after that.
+func TestWriterRowDeleted(t *testing.T) {
+	ctx := context.Background()
+	deleteRow := func(ta *flakyTable) {
+		_, err := ta.Memory.Commit(ctx, Transaction{Writes: []Write{{Key: "operation/k1", Delete: true}}})
+		must.NoError(t, err)
+	}
+	for _, late := range []string{"first", "later", "none"} {
+		t.Run(late, func(t *testing.T) {
+			script := map[string][]string{
+				"first": {"held", "ok", "ok"}, "later": {"ok", "held", "ok", "ok"}, "none": {"ok", "ok"},
+			}[late]
+			ta := newFlakyTable(nil)
+			ta.next = func() string {
+				if len(script) == 0 {
+					return "ok"
+				}
+				action := script[0]
+				script = script[1:]
+				return action
+			}
+			wr := fastWriter(ta)
+			for i := range 3 {
+				res, err := wr.Commit(ctx, Transaction{Writes: []Write{{Key: fmt.Sprintf("a%d", i)}}})
+				must.NoError(t, err)
+				must.True(t, res.Committed)
+			}
+			deleteRow(ta)
+			before := len(ta.rows)
+			for len(ta.held) > 0 {
+				ta.landOne(0)
+			}
+			row := ta.row("operation/k1")
+			must.Eq(t, late == "first", row.Version == 1, must.Sprint("only a first transaction creates the row"))
+			delete(ta.rows, "operation/k1")
+			must.MapLen(t, before, ta.rows)
+			if late == "first" {
+				ta.rows["operation/k1"] = row
+			}
+			for range 2 {
+				_, err := wr.Commit(ctx, Transaction{Writes: []Write{{Key: "b"}}})
+				must.ErrorIs(t, err, ErrRowDeleted)
+				must.False(t, errors.Is(err, ErrAmbiguous))
+			}
+			must.Eq(t, 0, ta.row("b").Version)
+		})
+	}
+}
+
+// Guards against a definite end of a transaction whose attempt may have taken effect before the row was deleted.
+func TestWriterRowDeletedMeanwhile(t *testing.T) {
+	ctx := context.Background()
+	ta := newFlakyTable(nil)
+	calls := 0
+	ta.next = func() string {
+		if calls++; calls == 2 {
+			return "lost"
+		}
+		if calls == 3 {
+			_, _ = ta.Memory.Commit(ctx, Transaction{Writes: []Write{{Key: "operation/k1", Delete: true}}})
+		}
+		return "ok"
+	}
+	wr := fastWriter(ta)
+	_, err := wr.Commit(ctx, Transaction{Writes: []Write{{Key: "a"}}})
+	must.ErrorIs(t, err, ErrAmbiguous)
+	must.ErrorIs(t, err, ErrRowDeleted)
+	must.Eq(t, 1, ta.row("a").Version)
+}
