--- a/lovageledger/record.go
+++ b/lovageledger/record.go
@@ -349,7 +349,7 @@
 
 // detailBytes is the memory that a kept answer takes besides its results: the detail, its place in the map and in the
 // queue of kept answers.
-const detailBytes = 350
+const detailBytes = 380
 
 // answerBytes is the memory that a kept answer takes, roughly.
 func answerBytes(ans *lovagejob.Answer) int {
