--- a/lovagesync/cluster_test.go
+++ b/lovagesync/cluster_test.go
@@ -22,6 +22,8 @@
 	silent    bool // requests get no reply and have no effect
 	loseReply int  // so many commits take effect but their reply is lost
 	noObjects bool
+	noDelete  bool // objects cannot be deleted
+	objects   map[string]bool
 }
 
 func (li *link) set(change func(li *link)) {
@@ -74,6 +76,26 @@
 	return res, err
 }
 
+func (li *link) PutObject(ctx context.Context, name string, data []byte) error {
+	li.set(func(li *link) {
+		if li.objects == nil {
+			li.objects = map[string]bool{}
+		}
+		li.objects[name] = true
+	})
+	return li.Memory.PutObject(ctx, name, data)
+}
+
+func (li *link) DeleteObject(ctx context.Context, name string) error {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	if li.noDelete {
+		return errors.New("object store refuses deletions")
+	}
+	delete(li.objects, name)
+	return li.Memory.DeleteObject(ctx, name)
+}
+
 func (li *link) GetObject(ctx context.Context, name string) ([]byte, error) {
 	li.mu.Lock()
 	missing := li.noObjects
--- a/lovagesync/keeper.go
+++ b/lovagesync/keeper.go
@@ -119,6 +119,7 @@
 	accepted int64             // latest revision accepted through this instance
 
 	snapshotDue time.Time // since when a snapshot is missing; used by run only
+	unsure      []string  // objects of snapshots whose commit was ambiguous or whose deletion failed; used by run only
 	tableFailed Counter
 	callFailed  Counter
 	refused     Counter
--- a/lovagesync/keeper_test.go
+++ b/lovagesync/keeper_test.go
@@ -215,6 +215,31 @@
 	}
 }
 
+// Guards against snapshot objects that stay for good after failed deletions or commits whose reply was lost.
+func TestSnapshotObjectsAreDeleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t)
+		defer cl.stop()
+		no := cl.start(nodeID(0), func(se *Settings, _ *link) { se.SnapshotEvery, se.KeepChanges = 8, 4 })
+		time.Sleep(3 * time.Second)
+		change := func(n int) (objects int) {
+			for i := range n {
+				no.put("a", i+1)
+				time.Sleep(700 * time.Millisecond)
+			}
+			time.Sleep(3 * time.Second)
+			no.link.set(func(li *link) { objects = len(li.objects) })
+			return objects
+		}
+		no.link.set(func(li *link) { li.noDelete = true })
+		must.Greater(t, 2, change(40))
+		no.link.set(func(li *link) { li.noDelete = false })
+		must.Eq(t, 1, change(9))
+		no.link.set(func(li *link) { li.loseReply = 3 })
+		must.Eq(t, 1, change(9))
+	})
+}
+
 // Guards against a status that claims something about an instance that did not answer.
 func TestInForce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/lovagesync/load.go
+++ b/lovagesync/load.go
@@ -25,6 +25,9 @@
 	Revision int64  `json:"revision"`
 	Object   string `json:"object"`
 	Pruned   int64  `json:"pruned"` // change rows up to this revision are deleted
+
+	// Objects of earlier snapshots, which the next snapshot deletes again in case their deletion failed.
+	Obsolete []string `json:"obsolete,omitempty"`
 }
 
 func parseSnapshotRow(row lovageplatform.Row) (snapshotRow, error) {
@@ -204,6 +207,9 @@
 func (ke *Keeper) writeSnapshot(ctx context.Context, row lovageplatform.Row, old snapshotRow) error {
 	ctx, cancel := context.WithTimeout(ctx, ke.LoadTimeout)
 	defer cancel()
+	if current, err := ke.settleUnsure(ctx, row); err != nil || !current {
+		return err
+	}
 	data, revision, err := ke.Store.Snapshot()
 	if err != nil {
 		return err
@@ -213,6 +219,17 @@
 		Object:   fmt.Sprintf("configuration-%d-%s-%s", revision, ke.ID, strconv.FormatInt(time.Now().UnixMilli(), 36)),
 		Pruned:   max(old.Pruned, min(revision-ke.KeepChanges, old.Pruned+4*ke.SnapshotEvery)),
 	}
+	if next.Obsolete, err = ke.deleteObjects(ctx, old.Obsolete); err != nil {
+		return err
+	}
+	if old.Object != "" {
+		next.Obsolete = append(next.Obsolete, old.Object)
+	}
+	for _, name := range ke.unsure {
+		if name != old.Object {
+			next.Obsolete = append(next.Obsolete, name)
+		}
+	}
 	if err := ke.Objects.PutObject(ctx, next.Object, data); err != nil {
 		return errors.Wrapf(err, "put snapshot object %q", next.Object)
 	}
@@ -230,14 +247,50 @@
 	res, err := ke.Writer.Commit(ctx, tx)
 	switch {
 	case err != nil && ambiguous(err):
-		return errors.Wrapf(err, "commit snapshot %d; its object %q stays", revision, next.Object)
+		ke.unsure = append(ke.unsure, next.Object)
+		return errors.Wrapf(err, "commit snapshot %d; its object %q stays until the next one", revision, next.Object)
 	case err != nil || !res.Committed:
-		_ = ke.Objects.DeleteObject(ctx, next.Object) // nothing refers to it; if this fails it only takes space
+		if ke.Objects.DeleteObject(ctx, next.Object) != nil {
+			ke.unsure = append(ke.unsure, next.Object)
+		}
 		return errors.Wrapf(err, "commit snapshot %d", revision)
 	}
-	ke.snapshotDue = time.Time{}
-	if old.Object != "" {
-		_ = ke.Objects.DeleteObject(ctx, old.Object) // readers that still want it fall back to the resource rows
-	}
+	ke.snapshotDue, ke.unsure = time.Time{}, nil
+	// Readers that still want an earlier object fall back to the resource rows.
+	_, _ = ke.deleteObjects(ctx, next.Obsolete) // the next snapshot deletes what is left
 	return nil
 }
+
+// maxObsolete bounds the objects that wait for their deletion. With more of them no snapshot is written, so that an
+// object store that takes objects and deletes none does not fill up.
+const maxObsolete = 64
+
+// deleteObjects deletes objects and returns those that are left. The error says that they are too many.
+func (ke *Keeper) deleteObjects(ctx context.Context, names []string) (left []string, err error) {
+	for _, name := range names {
+		if err := ke.Objects.DeleteObject(ctx, name); err != nil {
+			left = append(left, name)
+		}
+	}
+	if len(left) >= maxObsolete {
+		return left, errors.Newf("%d snapshot objects could not be deleted", len(left))
+	}
+	return left, nil
+}
+
+// settleUnsure makes sure that no earlier snapshot's commit can still take effect, before another object is written: an
+// outage in which every commit is ambiguous thereby leaves one object and not one for each poll. It reports whether
+// the snapshot row is still the current one.
+func (ke *Keeper) settleUnsure(ctx context.Context, row lovageplatform.Row) (current bool, err error) {
+	if len(ke.unsure) == 0 {
+		return true, nil
+	}
+	if _, err := ke.Writer.Commit(ctx, lovageplatform.Transaction{}); err != nil {
+		return false, errors.Wrap(err, "settle the commit of an earlier snapshot")
+	}
+	rows, err := ke.read(ctx, snapshotKey)
+	if err != nil {
+		return false, err
+	}
+	return rows[0].Version == row.Version, nil
+}
