--- a/lovageentry/caller.go
+++ b/lovageentry/caller.go
@@ -46,6 +46,9 @@
 	if len(rp.keys) > 0 {
 		return lovagejob.Minted{Keys: rp.keys, CallerAddress: in.callerAddress}, nil
 	}
+	if rp.full {
+		return lovagejob.Minted{}, errors.Wrapf(ErrNoKeys, "the instance remembers %d keys, which is limits.records", in.settings.Limits.Records)
+	}
 	for _, id := range rp.peers {
 		if mi := in.mintAt(ctx, id, req, mintPeerTimeout); len(mi.Keys) > 0 {
 			return mi, nil
--- a/lovageentry/counts.go
+++ b/lovageentry/counts.go
@@ -15,54 +15,63 @@
 
 // counts holds the counters of an instance.
 type counts struct {
-	registry         *lovagemetric.Registry
-	events           metrics.Counter
-	admitted         metrics.Counter
-	tasksStarted     metrics.Counter
-	tasksNotSent     metrics.Counter
-	forwards         metrics.Counter
-	forwardsFailed   metrics.Counter
-	ownersNamed      metrics.Counter
-	keysPrefetched   metrics.Counter
-	keyRefills       metrics.Counter
-	keyStocksEmpty   metrics.Counter
-	keysDropped      metrics.Counter
-	accepts          metrics.Counter
-	resultCopies     metrics.Counter
-	estimateCopies   metrics.Counter
-	slotsAsks        metrics.Counter
-	slotsReturns     metrics.Counter
-	heartbeats       metrics.Counter
-	heartbeatsFailed metrics.Counter
-	summaries        metrics.Counter
-	tableReads       metrics.Counter
-	tableWrites      metrics.Counter
-	tableFailed      metrics.Counter
-	restarts         metrics.Counter
-	answered         lovagemetric.CounterFamily
-	mints            lovagemetric.CounterFamily
-	tasksEnded       lovagemetric.CounterFamily
-	taskTime         *lovagemetric.Timer
+	registry          *lovagemetric.Registry
+	events            metrics.Counter
+	admitted          metrics.Counter
+	tasksStarted      metrics.Counter
+	tasksNotSent      metrics.Counter
+	forwards          metrics.Counter
+	forwardsFailed    metrics.Counter
+	ownersNamed       metrics.Counter
+	keysPrefetched    metrics.Counter
+	keyRefills        metrics.Counter
+	keyStocksEmpty    metrics.Counter
+	keysDropped       metrics.Counter
+	accepts           metrics.Counter
+	resultCopies      metrics.Counter
+	estimateCopies    metrics.Counter
+	slotsAsks         metrics.Counter
+	slotsReturns      metrics.Counter
+	heartbeats        metrics.Counter
+	heartbeatsFailed  metrics.Counter
+	summaries         metrics.Counter
+	tableReads        metrics.Counter
+	tableWrites       metrics.Counter
+	tableFailed       metrics.Counter
+	restarts          metrics.Counter
+	answered          lovagemetric.CounterFamily
+	mints             lovagemetric.CounterFamily
+	tasksEnded        lovagemetric.CounterFamily
+	taskTime          *lovagemetric.Timer
+	answersBeforeCopy metrics.Counter
+	rowsDeleted       metrics.Counter
+	rangesFreed       metrics.Counter
+	mintsRefused      metrics.Counter
 }
 
 func newCounts(re *lovagemetric.Registry) *counts {
 	counter := func(name, help string) metrics.Counter { return re.Counter(name, help).With() }
 	return &counts{
-		registry:         re,
-		events:           counter("control_events", "Events that the control loop handled."),
-		admitted:         counter("jobs_admitted", "Jobs whose key was accepted here."),
-		tasksStarted:     counter("tasks_started", "Task requests sent to workers."),
-		tasksNotSent:     counter("tasks_not_sent", "Tasks whose worker was no longer declared; nothing was sent."),
-		forwards:         counter("forwards", "Requests sent on to the instance that decides their key."),
-		forwardsFailed:   counter("forwards_failed", "Forwards without an answer."),
-		ownersNamed:      counter("owners_named", "Answers to forwarded requests that told the owner's address."),
-		keysPrefetched:   counter("prefetched_keys_used", "Submissions without a key that got a prefetched one."),
-		keyRefills:       counter("prefetched_key_refills", "Requests for keys for submissions without one."),
-		keyStocksEmpty:   counter("prefetched_keys_waits", "Submissions without a key that had to wait for a refill."),
-		keysDropped:      counter("prefetched_keys_dropped", "Prefetched keys that were not used in time or after a change of the deciding instance."),
-		accepts:          counter("accepts", "Batches of keys sent to replicas."),
-		resultCopies:     counter("result_copies", "Batches of answers sent to replicas."),
-		estimateCopies:   counter("estimate_copies", "Copies of learned run times, speeds and ejections sent to peers."),
+		registry:       re,
+		events:         counter("control_events", "Events that the control loop handled."),
+		admitted:       counter("jobs_admitted", "Jobs whose key was accepted here."),
+		tasksStarted:   counter("tasks_started", "Task requests sent to workers."),
+		tasksNotSent:   counter("tasks_not_sent", "Tasks whose worker was no longer declared; nothing was sent."),
+		forwards:       counter("forwards", "Requests sent on to the instance that decides their key."),
+		forwardsFailed: counter("forwards_failed", "Forwards without an answer."),
+		ownersNamed:    counter("owners_named", "Answers to forwarded requests that told the owner's address."),
+		keysPrefetched: counter("prefetched_keys_used", "Submissions without a key that got a prefetched one."),
+		keyRefills:     counter("prefetched_key_refills", "Requests for keys for submissions without one."),
+		keyStocksEmpty: counter("prefetched_keys_waits", "Submissions without a key that had to wait for a refill."),
+		keysDropped:    counter("prefetched_keys_dropped", "Prefetched keys that were not used in time or after a change of the deciding instance."),
+		accepts:        counter("accepts", "Batches of keys sent to replicas."),
+		resultCopies:   counter("result_copies", "Batches of answers sent to replicas."),
+		estimateCopies: counter("estimate_copies", "Copies of learned run times, speeds and ejections sent to peers."),
+		answersBeforeCopy: counter("answers_before_copy",
+			"Answers given although the replica had not acknowledged the end of the job within 50 ms."),
+		rowsDeleted:      counter("rows_deleted", "Table rows of ended instances that this instance deleted."),
+		rangesFreed:      counter("ranges_freed", "Key ranges freed whose owner and replica had ended."),
+		mintsRefused:     counter("mints_refused", "Requests for keys refused because of limits.records."),
 		slotsAsks:        counter("slots_asks", "Requests for slots sent to peers."),
 		slotsReturns:     counter("slots_returns", "Borrowed slots given back, in messages."),
 		heartbeats:       counter("heartbeats", "Heartbeats sent."),
@@ -99,6 +108,11 @@
 	co.registry.GaugeFunc("domains_decided", "Decision domains for which this instance decides.", func() float64 {
 		return float64(in.domains.decided.Load())
 	})
+	co.registry.GaugeFunc("records", "Keys that the instance remembers.", func() float64 {
+		return float64(in.records.Load())
+	})
+	co.registry.GaugeFunc("records_dropped_early", "Records dropped before the lifetime of their keys, because of limits.records.",
+		func() float64 { return float64(in.droppedEarly.Load()) })
 	co.registry.GaugeFunc("applied_revision", "Revision of the configuration in force here.", func() float64 {
 		return float64(in.store.Revision())
 	})
--- a/lovageentry/instance.go
+++ b/lovageentry/instance.go
@@ -72,7 +72,8 @@
 	store         *lovageresource.Store
 	keeper        *lovagesync.Keeper
 	table         *tableAccess
-	ledgerWriter  *lovageplatform.Writer
+	ledgerWriter  watchedWriter
+	failed        chan error // why the instance cannot go on
 	addresses     addressBook
 	callers       callerBook
 	stocks        *keyStocks
@@ -80,6 +81,8 @@
 	servers       []Server
 	inFlight      gauge // requests of callers and peers
 	jobsHeld      gauge // admitted jobs that have not ended or have tasks at workers
+	records       atomic.Int64
+	droppedEarly  atomic.Int64
 	stopping      atomic.Bool
 	handedOver    atomic.Bool
 	relays, relay atomic.Bool // role among the instances, see lovagemember.Role
@@ -117,7 +120,7 @@
 	se := op.Settings
 	in := &Instance{
 		settings: se, id: se.ID + "-" + suffix(rng), platform: op.Platform, tracer: op.Tracer,
-		policy: op.Policy, counts: newCounts(op.Metrics), observer: op.Observer,
+		policy: op.Policy, counts: newCounts(op.Metrics), observer: op.Observer, failed: make(chan error, 1),
 		callerAddress: se.CallerAddress(),
 		domains:       newDomainBook(se.DataCentre, loadKeep*se.Heartbeat.Gone, rng.Uint64()),
 	}
@@ -142,11 +145,11 @@
 	in.stocks = newKeyStocks(in.counts, in.mintStock)
 	in.backend = newBackend(op.Metrics, op.Dial)
 	in.store = lovageresource.NewStore(keptChanges)
-	in.ledgerWriter = lovageplatform.NewWriter(op.Platform, in.id, lovageplatform.WriterSettings{})
+	in.ledgerWriter = in.writer("")
 	in.table = newTableAccess(in)
 	in.keeper = lovagesync.New(lovagesync.DefaultSettings(in.id), lovagesync.Parts{
 		Table: op.Platform, Objects: op.Platform,
-		Writer: lovageplatform.NewWriter(op.Platform, in.id+"-sync", lovageplatform.WriterSettings{}),
+		Writer: in.writer(lovageledger.SyncSuffix),
 		Peers:  (*syncPeers)(in), Store: in.store, Log: in.log, Counters: syncCounters{in.counts},
 	})
 	in.control = newControlLoop(in, op.Policy, rng)
@@ -154,6 +157,11 @@
 	return in, nil
 }
 
+// writer returns the writer of the row operation/<id><suffix>.
+func (in *Instance) writer(suffix string) watchedWriter {
+	return watchedWriter{lovageplatform.NewWriter(in.platform, in.id+suffix, lovageplatform.WriterSettings{}), in}
+}
+
 // suffixLength is the number of letters and digits that tell the processes of one instance apart.
 const suffixLength = 6
 
@@ -177,6 +185,7 @@
 		ledger: lovageledger.New(lovageledger.Settings{
 			Instance: in.id, DataCentre: se.DataCentre, Address: in.peerAddress, Rand: rng,
 			LeaseTTL: se.Lease.TTL, RenewEvery: se.Lease.Renewal,
+			MaxRecords: se.Limits.Records,
 		}),
 		member: lovagemember.New(lovagemember.Settings{
 			Instance: in.id, DataCentre: se.DataCentre, Address: in.peerAddress,
@@ -238,6 +247,7 @@
 	platform.Add(service{&tableWriter{in.table}, "tableWriter"})
 	platform.Add(service{&listReader{in: in}, "listReader"})
 	platform.Add(service{in.keeper, "keeper"})
+	platform.Add(service{newCleanup(in), "cleanup"})
 	control := suture.New("control", suture.Spec{EventHook: in.superviseEvent})
 	control.Add(service{in.control, "controlLoop"})
 	control.Add(service{&resourceWatcher{in: in}, "resourceWatcher"})
@@ -257,15 +267,20 @@
 		}
 	}
 	in.log.Info("instance started", zap.String("dataCentre", in.settings.DataCentre), zap.String("peer", in.peerAddress))
+	stopped := false
 	select {
 	case <-ctx.Done():
 		cut = in.shutDown()
+	case err = <-in.failed:
+		err = errors.Wrap(err, "the rows of this process were deleted, because it had not renewed its lease for 10 min")
+		cut = int(in.inFlight.value())
 	case err = <-done:
+		stopped = true
 		err = errors.Wrap(err, "the supervisor stopped")
 	}
 	in.end()
 	in.backend.Close()
-	if err == nil {
+	if !stopped {
 		<-done
 	}
 	in.log.Info("instance stopped", zap.Int("cut", cut))
--- a/lovageledger/ledger.go
+++ b/lovageledger/ledger.go
@@ -25,8 +25,13 @@
 
 	requests requests
 	kept     keptAnswers
-	table    tableState
-	lease    leaseState
+	waits    copyWaits
+
+	droppedEarly int64 // records
+
+	wakeAt time.Time // of the last WakeAt that no Wake has followed
+	table  tableState
+	lease  leaseState
 
 	nextID   uint64    // last number given to a batch, read, transaction or transfer
 	claimAt  time.Time // no claim before this time
@@ -128,6 +133,9 @@
 		}
 	case *Tick:
 		le.tick()
+	case *Wake:
+		le.wakeAt = time.Time{}
+		le.expireWaits()
 	case *TunablesChanged:
 		if ev.KeyLifetime > 0 {
 			le.se.KeyLifetime = ev.KeyLifetime
@@ -185,7 +193,7 @@
 
 // CanMint reports whether a Mint would give keys now.
 func (le *Ledger) CanMint() bool {
-	return le.mintFrom(true) != nil
+	return !le.full() && le.mintFrom(true) != nil
 }
 
 // Records returns the number of keys remembered.
@@ -224,7 +232,7 @@
 func (le *Ledger) floor() int64 { return le.highest - le.se.KeyLifetime.Milliseconds() }
 
 func (le *Ledger) tick() {
-	le.requests.expire(le)
+	le.expireWaits()
 	le.kept.expire(le)
 	floor := le.floor()
 	for _, id := range le.order {
@@ -235,6 +243,7 @@
 		le.tickReplica(rg)
 		le.tickCopies(rg)
 	}
+	le.dropEarly(0)
 	le.maintain()
 }
 
--- a/lovageledger/request.go
+++ b/lovageledger/request.go
@@ -97,7 +97,7 @@
 	case sk.epoch < rg.own.completeSince:
 		return "the records of the key's epoch are lost"
 	case sk.minted < max(le.floor(), rg.store.floor):
-		return "the key is older than the lifetime of keys"
+		return "the key is older than the records that are kept"
 	case sk.minted > le.ceiling(rg):
 		return "the key's mint time lies in the future"
 	}
@@ -106,7 +106,8 @@
 
 // ceiling returns the mint time after which a key cannot have been minted by an instance that is known here.
 func (le *Ledger) ceiling(rg *keyRange) int64 {
-	sender := rg.store.floor + le.se.KeyLifetime.Milliseconds() // the clock of an earlier owner at its last transfer
+	// The clock of an earlier owner at its last transfer, or a later time if that owner dropped records early.
+	sender := rg.store.floor + le.se.KeyLifetime.Milliseconds()
 	return max(le.highest, rg.mintMax, sender) + maxMintAhead.Milliseconds()
 }
 
@@ -114,7 +115,7 @@
 func (le *Ledger) answerRecord(rg *keyRange, wa *waiter, re record) {
 	switch {
 	case re.state == stateEnded:
-		le.reply(wa, rg.store.answer(rg.id, wa.sk, re))
+		le.replyEnd(rg, wa, re)
 	case re.state == stateForeign && !le.endMayCome(rg):
 		le.replyState(wa)
 	default:
@@ -248,6 +249,11 @@
 
 // mint issues keys from a range that can accept now.
 func (le *Ledger) mint(ev *Mint) {
+	if !le.draining && le.full() {
+		// Peers are not asked: the records of their keys could come here with their ranges' copies.
+		le.emit(Minted{Request: ev.Request, Full: true})
+		return
+	}
 	rg := le.mintFrom(ev.Repeatable)
 	if rg == nil || le.draining {
 		minted := Minted{Request: ev.Request}
@@ -313,15 +319,26 @@
 		ans.Outcome, ans.Results = lovagejob.Failed, nil
 	}
 	// NotRun here, Rule A: the key was admitted by this instance alone and is refused for good by this record.
-	le.recordEnd(rg, sk, re, ans)
-	le.copyResult(rg, sk)
+	le.endHere(rg, sk, re, ans)
 }
 
-// recordEnd stores the end of a key and answers everyone who waits for it.
+// endHere records the end of a key that this instance decided. Those who wait for it are answered when the replica has
+// a copy, or at once if none is due.
+func (le *Ledger) endHere(rg *keyRange, sk shortKey, re record, ans lovagejob.Answer) {
+	le.storeEnd(rg, sk, re, ans)
+	if !le.copyResult(rg, sk) {
+		le.answerWaiters(rg, sk, ans, le.copyPeer(rg) != "")
+	}
+}
+
+// recordEnd stores the end of a key that another instance told, and answers everyone who waits for it.
 func (le *Ledger) recordEnd(rg *keyRange, sk shortKey, re record, ans lovagejob.Answer) {
+	le.storeEnd(rg, sk, re, ans)
+	le.answerWaiters(rg, sk, ans, false)
+}
+
+func (le *Ledger) storeEnd(rg *keyRange, sk shortKey, re record, ans lovagejob.Answer) {
 	rg.store.end(sk, re, ans)
-	de := rg.store.detail(sk)
-	de.answer = ans
-	le.kept.add(le, rg, sk, &de.answer)
-	le.answerWaiters(rg, sk, ans)
+	rg.store.detail(sk).answer = ans
+	le.kept.add(le, rg, sk, &ans)
 }
