lovagetrial, lovagehistory, lovagestack: delete resources in histories, pair faults of processes, judge late requests by order

Cause: operators of the histories never deleted a resource; runs with processes had faults of one instance only. Ruled out: a fault of the server. Change: the trial has a connection of its own accepted before the listener closes. Connections are accepted in order, so that the server knows all opened before; no time is needed. Operators delete a fifth of what they change; the model and Check require that a missing resource was deleted. In runs with processes a second instance is killed or stopped with some kills, and a data centre can lose the platform. Conclusion: links between real processes are still not cut; an instance has no setting to advertise a proxy's address for peers.

--- a/lovagehistory/configuration.go
+++ b/lovagehistory/configuration.go
@@ -12,7 +12,7 @@
 type change struct {
 	revision int64
 	name     string
-	content  string
+	content  string // empty: the resource was deleted
 	before   *change
 	digest   uint64 // of this change and all before it
 }
@@ -30,10 +30,13 @@
 	return st.last.revision
 }
 
-// at returns the last change of a resource up to a revision.
+// at returns the revision and the content of a resource as of a revision, 0 and nothing if it does not exist then.
 func (st configState) at(name string, revision int64) (rev int64, content string) {
 	for ch := st.last; ch != nil; ch = ch.before {
 		if ch.revision <= revision && ch.name == name {
+			if ch.content == "" {
+				return 0, ""
+			}
 			return ch.revision, ch.content
 		}
 	}
@@ -51,8 +54,9 @@
 	return st
 }
 
-// CheckConfiguration checks that configuration writes are compare-and-set on the resource's revision, that revisions
-// have no gaps, that a read of the current resource sees the last committed write, and that the revision applied by an
+// CheckConfiguration checks that configuration writes, of which those without content delete the resource, are
+// compare-and-set on the resource's revision, that a deleted resource can only be created again, that revisions have no
+// gaps, that a read of the current resource sees the last committed write, and that the revision applied by an
 // instance never goes back and shows exactly the configuration committed up to it.
 func CheckConfiguration(entries []Entry) error {
 	model := porcupine.NondeterministicModel{
@@ -73,21 +77,22 @@
 
 func stepConfig(st configState, op *Operation, out *output) []configState {
 	current, content := st.at(op.Name, st.head())
+	fits := current == op.Revision && (op.Content != "" || current > 0) // what does not exist cannot be deleted
 	switch {
 	case op.Kind == ConfigWrite && (!out.seen || out.State == Unclear):
-		if current != op.Revision {
+		if !fits {
 			return []configState{st}
 		}
 		return []configState{st, st.commit(op.Name, op.Content)}
 	case !out.seen, op.Kind == ConfigWrite && out.State == NoEffect:
 		return []configState{st}
 	case op.Kind == ConfigWrite && out.State == Committed:
-		if current != op.Revision || out.Revision != st.head()+1 {
+		if !fits || out.Revision != st.head()+1 {
 			return nil
 		}
 		return []configState{st.commit(op.Name, op.Content)}
 	case op.Kind == ConfigWrite && out.State == Refused:
-		if current == op.Revision || out.Revision != current {
+		if fits || out.Revision != current {
 			return nil // refused without cause, or with a wrong current revision
 		}
 		return []configState{st}
--- a/lovagehistory/history_test.go
+++ b/lovagehistory/history_test.go
@@ -69,6 +69,12 @@
 		applied(21, "i", "a", 1, "x"), applied(30, "i", "a", 3, "z"), applied(31, "j", "b", 2, "y"),
 		written(40, 0, "b", 2, "w", "", 0), read(50, "b", 2, "y"), read(60, "b", 4, "w"), // took effect late
 	}
+	deleted := []Entry{
+		written(1, 5, "a", 0, "x", Committed, 1), written(10, 12, "a", 1, "", Committed, 2), // deleted
+		written(13, 14, "a", 1, "y", Refused, 0), written(13, 14, "a", 0, "", Refused, 0),
+		applied(20, "i", "a", 2, ""), read(21, "a", 0, ""),
+		written(30, 32, "a", 0, "z", Committed, 3), applied(40, "i", "a", 3, "z"), // created again
+	}
 	ranges := []Entry{
 		owning(Acquire, 1, 3, 0, "a", Committed), owning(Act, 4, 5, 1, "a", ""), owning(Renew, 6, 7, 1, "a", Committed),
 		owning(Acquire, 8, 9, 1, "b", Unclear), owning(Acquire, 8, 12, 1, "c", Refused), owner(14, 2, "b"),
@@ -107,6 +113,11 @@
 		{"an instance applies what was never committed", CheckConfiguration, config, applied(70, "j", "a", 3, "v")},
 		{"an instance is ahead of the head", CheckConfiguration, config, applied(70, "j", "a", 9, "z")},
 
+		{"a resource missing without a deletion", CheckConfiguration, deleted, applied(50, "i", "a", 3, "")},
+		{"a deleted resource shown again", CheckConfiguration, deleted, applied(50, "i", "a", 2, "x")},
+		{"a change of a deleted resource", CheckConfiguration, deleted[:6], written(50, 51, "a", 1, "q", Committed, 3)},
+		{"a deletion of what does not exist", CheckConfiguration, deleted[:6], written(50, 51, "a", 0, "", Committed, 3)},
+
 		{"two holders of an epoch", CheckOwnership, ranges, owning(Acquire, 20, 21, 1, "c", Committed)},
 		{"an act under another's epoch", CheckOwnership, ranges, owning(Act, 20, 21, 2, "a", "")},
 		{"an act under an epoch that nobody holds", CheckOwnership, ranges, owning(Act, 20, 0, 3, "b", "")},
--- a/lovagestack/history_test.go
+++ b/lovagestack/history_test.go
@@ -64,6 +64,12 @@
 	return pe.operator.Put(ctx, re)
 }
 
+func (pe *processEndpoint) Delete(ctx context.Context, kind lovageresource.Kind, name string, revision int64) (
+	lovageresource.WriteResult, error,
+) {
+	return pe.operator.Delete(ctx, kind, name, revision)
+}
+
 func (pe *processEndpoint) List(ctx context.Context) (li lovageapi.ListReply, ready bool, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+pe.ip.operator+"/readyz", nil)
 	if err != nil {
@@ -146,8 +152,16 @@
 	read()
 }
 
-// faults kills and replaces, or pauses past its lease, one instance after the other, while the platform loses replies
-// or is down.
+// Companions of a killed instance: what happens to a second one at the same time.
+const (
+	companionNone = iota
+	companionKilled
+	companionStopped
+	companions
+)
+
+// faults kills and replaces, or pauses past its lease, one instance after the other, while the platform loses replies,
+// is down or cannot be reached by one data centre. With some kills a second instance is killed or paused.
 func (hr *historyRun) faults(ctx context.Context, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	sleep := func(d time.Duration) bool {
@@ -161,39 +175,80 @@
 	for round := rng.IntN(2); sleep(time.Second); round++ {
 		n := rng.IntN(len(hr.current))
 		pe := hr.current[n] // only this goroutine changes it
-		fa := lovagefake.PlatformFaults{LoseReplies: 2 + rng.IntN(8)}
-		if rng.IntN(3) == 0 {
-			fa = lovagefake.PlatformFaults{Down: true}
-		}
-		if rng.IntN(2) == 0 {
+		second := (n + 1 + rng.IntN(len(hr.current)-1)) % len(hr.current)
+		fa := hr.platformFaults(rng)
+		if rng.IntN(3) > 0 {
 			hr.note("platform faults %+v", fa)
 			hr.de.faults(fa)
 		}
 		if round%2 == 0 {
-			hr.note("SIGKILL %s", pe.ip.id)
-			pe.ip.signal(syscall.SIGKILL)
-			pe.ip.exitCode()
+			companion := rng.IntN(companions)
+			hr.kill(pe)
+			switch companion {
+			case companionKilled:
+				hr.kill(hr.current[second])
+			case companionStopped:
+				hr.signal(hr.current[second], syscall.SIGSTOP)
+			}
 			sleep(time.Duration(500+rng.IntN(2000)) * time.Millisecond)
 			hr.de.faults(lovagefake.PlatformFaults{})
-			hr.note("no platform faults, replace %s", pe.ip.id)
-			next := hr.endpoint(hr.de.entry(pe.ip.id, pe.ip.dataCentre))
-			hr.mu.Lock()
-			hr.current[n] = next
-			hr.mu.Unlock()
+			hr.replace(n)
+			switch companion {
+			case companionKilled:
+				hr.replace(second)
+			case companionStopped:
+				hr.signal(hr.current[second], syscall.SIGCONT)
+			}
 			continue
 		}
-		hr.note("SIGSTOP %s", pe.ip.id)
-		pe.ip.signal(syscall.SIGSTOP)
+		hr.signal(pe, syscall.SIGSTOP)
 		sleep(time.Second)
 		hr.note("no platform faults")
 		hr.de.faults(lovagefake.PlatformFaults{})
 		sleep(pastLease)
-		hr.note("SIGCONT %s", pe.ip.id)
-		pe.ip.signal(syscall.SIGCONT)
+		hr.signal(pe, syscall.SIGCONT)
 	}
 	hr.de.faults(lovagefake.PlatformFaults{})
 }
 
+// platformFaults draws what happens to the platform.
+func (hr *historyRun) platformFaults(rng *rand.Rand) lovagefake.PlatformFaults {
+	switch rng.IntN(3) {
+	case 0:
+		return lovagefake.PlatformFaults{Down: true}
+	case 1:
+		dc := hr.current[rng.IntN(len(hr.current))].ip.dataCentre
+		var cut []string
+		for _, pe := range hr.current {
+			if pe.ip.dataCentre == dc {
+				cut = append(cut, pe.ip.id)
+			}
+		}
+		return lovagefake.PlatformFaults{Partitioned: cut}
+	}
+	return lovagefake.PlatformFaults{LoseReplies: 2 + rng.IntN(8)}
+}
+
+func (hr *historyRun) signal(pe *processEndpoint, sig syscall.Signal) {
+	hr.note("%s %s", sig, pe.ip.id)
+	pe.ip.signal(sig)
+}
+
+func (hr *historyRun) kill(pe *processEndpoint) {
+	hr.signal(pe, syscall.SIGKILL)
+	pe.ip.exitCode()
+}
+
+// replace starts a process in place of the one that was killed.
+func (hr *historyRun) replace(n int) {
+	ip := hr.current[n].ip
+	hr.note("no platform faults, replace %s", ip.id)
+	next := hr.endpoint(hr.de.entry(ip.id, ip.dataCentre))
+	hr.mu.Lock()
+	hr.current[n] = next
+	hr.mu.Unlock()
+}
+
 func processOptions(t *testing.T) (uint64, time.Duration) {
 	seed, duration := uint64(processSeed), processDuration
 	var err error
--- /dev/null
+++ b/lovagetrial/check_configuration.go
@@ -0,0 +1,139 @@
+package lovagetrial
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"lovagestack/lovageresource"
+)
+
+// checkWrites judges that racing operators cannot both replace the same revision.
+func (ch *checker) checkWrites() {
+	type base struct {
+		kind, name string
+		revision   int64
+	}
+	revisions, bases := map[int64]*WriteRecord{}, map[base]*WriteRecord{}
+	for i := range ch.ev.Writes {
+		wr := &ch.ev.Writes[i]
+		if wr.Err != nil || wr.Result.Outcome != lovageresource.Accepted {
+			continue
+		}
+		if other := revisions[wr.Result.Revision]; other != nil {
+			ch.add(8, "revision %d was accepted twice: at %s and %s", wr.Result.Revision, other.Process, wr.Process)
+		}
+		revisions[wr.Result.Revision] = wr
+		ba := base{string(wr.Resource.Kind), wr.Resource.Name, wr.Resource.Revision}
+		// What was deleted may be created again, which is a change of revision 0 too.
+		if other := bases[ba]; other != nil &&
+			(ba.revision != 0 || !ch.deletedBetween(wr, other.Result.Revision, wr.Result.Revision)) {
+			ch.add(8, "%s %q: two changes of revision %d were accepted: %d and %d", ba.kind, ba.name, ba.revision,
+				other.Result.Revision, wr.Result.Revision)
+		}
+		bases[ba] = wr
+	}
+}
+
+// deletedBetween reports whether a deletion of the resource lies, or may lie, between two revisions in either order.
+func (ch *checker) deletedBetween(of *WriteRecord, a, b int64) bool {
+	after, until := min(a, b), max(a, b)
+	for i := range ch.ev.Writes {
+		wr := &ch.ev.Writes[i]
+		if !wr.Deleted || wr.Resource.Kind != of.Resource.Kind || wr.Resource.Name != of.Resource.Name {
+			continue
+		}
+		switch {
+		case wr.Err != nil, wr.Result.Outcome == lovageresource.Ambiguous:
+			if wr.Resource.Revision >= after && wr.Resource.Revision < until {
+				return true
+			}
+		case wr.Result.Outcome == lovageresource.Accepted:
+			if wr.Result.Revision > after && wr.Result.Revision <= until {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// shownState is the newest that an instance has shown.
+type shownState struct {
+	read      *ReadRecord
+	resources map[string]int64 // revision by kind and name
+}
+
+// checkReads judges that no instance, restarted or not, goes back, and that a revision means the same everywhere.
+// A resource that is missing later has gone back too, unless it was deleted.
+func (ch *checker) checkReads() {
+	reads := slices.Clone(ch.ev.Reads)
+	slices.SortStableFunc(reads, func(a, b ReadRecord) int { return a.Returned.Compare(b.Returned) })
+	shown := map[string]shownState{}
+	specs := map[string]string{}
+	for i := range reads {
+		re := &reads[i]
+		ch.checkSpecs(re, specs)
+		before, ok := shown[re.Name]
+		if ok && re.Invoked.Before(before.read.Returned) {
+			continue // concurrent reads have no order
+		}
+		now := shownState{read: re, resources: map[string]int64{}}
+		for _, it := range re.Resources {
+			now.resources[string(it.Kind)+"/"+it.Name] = it.Revision
+		}
+		if ok {
+			if re.Revision < before.read.Revision {
+				ch.add(8, "%s went back from revision %d (%s, %s) to %d (%s, %s)", re.Name, before.read.Revision,
+					before.read.Process, stamp(before.read.Returned), re.Revision, re.Process, stamp(re.Returned))
+			}
+			for name, revision := range before.resources {
+				if _, exists := now.resources[name]; !exists && ch.deletedBetween(named(name), revision, re.Revision) {
+					continue
+				}
+				if now.resources[name] < revision {
+					ch.add(8, "%s: %s went back from revision %d to %d", re.Name, name, revision, now.resources[name])
+				}
+			}
+		}
+		shown[re.Name] = now
+	}
+}
+
+// named returns a record that names a resource by kind and name, as in shownState.
+func named(text string) *WriteRecord {
+	kind, name, _ := strings.Cut(text, "/")
+	return &WriteRecord{Resource: lovageresource.Resource{Kind: lovageresource.Kind(kind), Name: name}}
+}
+
+// checkWatches judges that a watch has no gaps and does not go back.
+func (ch *checker) checkWatches() {
+	for _, wa := range ch.ev.Watches {
+		last := wa.From
+		for _, revision := range wa.Revisions {
+			if revision != last+1 {
+				ch.add(8, "the watch at %s from revision %d shows %d after %d", wa.Process, wa.From, revision, last)
+			}
+			last = revision
+		}
+	}
+}
+
+// checkSpecs judges that one revision of a resource is the same wherever it is read and as it was accepted.
+func (ch *checker) checkSpecs(re *ReadRecord, specs map[string]string) {
+	for _, it := range re.Resources {
+		spec, err := json.Marshal(it.Spec)
+		if err != nil {
+			ch.add(8, "%s: %s %q cannot be encoded: %v", re.Name, it.Kind, it.Name, err)
+			continue
+		}
+		at := fmt.Sprintf("%s/%s at revision %d", it.Kind, it.Name, it.Revision)
+		if other, ok := specs[at]; ok && other != string(spec) {
+			ch.add(8, "%s: %s is %s, elsewhere %s", re.Name, at, spec, other)
+		}
+		specs[at] = string(spec)
+	}
+}
+
+func stamp(t time.Time) string { return t.Format("05.000") }
--- a/lovagetrial/check_test.go
+++ b/lovagetrial/check_test.go
@@ -107,7 +107,7 @@
 		{"request lost after a shutdown began", 7, "cut: ", func(ev *Evidence) {
 			last(ev).Err = fmt.Errorf("EOF")
 			last(ev).Wrote = epoch.Add(time.Millisecond)
-			ev.Shutdowns = []Shutdown{{Process: "p", Began: epoch.Add(-1), Closed: epoch.Add(30 * time.Millisecond)}}
+			ev.Shutdowns = []Shutdown{{Process: "p", Began: epoch.Add(-1), Closed: epoch.Add(2 * time.Millisecond)}}
 		}},
 		{"task started for a leaving worker", 6, "got task", func(ev *Evidence) {
 			ev.Leaving = []Leaving{{Worker: "w", Since: epoch, Limit: time.Second}}
@@ -133,6 +133,19 @@
 			re.Invoked, re.Returned = epoch.Add(time.Minute), epoch.Add(time.Minute+1)
 			ev.Reads = append(ev.Reads, re)
 		}},
+		{"resource missing without a deletion", 8, "went back from revision 3 to 0", func(ev *Evidence) {
+			ev.Reads = append(ev.Reads, ReadRecord{
+				Name: "k2", Process: "k2", Invoked: epoch.Add(time.Minute), Returned: epoch.Add(time.Minute + 1), Revision: 4,
+			})
+		}},
+		{"created twice without a deletion between", 8, "two changes of revision 0", func(ev *Evidence) {
+			for i := range ev.Writes {
+				ev.Writes[i].Resource.Revision = 0
+			}
+			de := ev.Writes[1]
+			de.Deleted, de.Resource.Revision, de.Result.Revision = true, 3, 4
+			ev.Writes = append(ev.Writes, de)
+		}},
 		{"revision of two meanings", 8, "elsewhere", func(ev *Evidence) {
 			ev.Reads[2].Resources[0].Spec = lovageresource.Team{Weight: 9}
 		}},
--- a/lovagetrial/history.go
+++ b/lovagetrial/history.go
@@ -27,6 +27,7 @@
 	Ask(ctx context.Context, key string, wait time.Duration) (lovageapi.AnswerReply, error)
 	Cancel(ctx context.Context, key string) (lovageapi.AnswerReply, error)
 	Put(ctx context.Context, re lovageresource.Resource) (lovageresource.WriteResult, error)
+	Delete(ctx context.Context, kind lovageresource.Kind, name string, revision int64) (lovageresource.WriteResult, error)
 	// List also reports whether the instance was ready before the call.
 	List(ctx context.Context) (li lovageapi.ListReply, ready bool, err error)
 }
@@ -195,7 +196,7 @@
 func Summary(entries []lovagehistory.Entry) string {
 	count, outcomes, keys := map[lovagehistory.Kind]int{}, map[string]int{}, map[string]bool{}
 	states := map[lovagehistory.State]int{}
-	open := 0
+	open, deletions := 0, 0
 	for i := range entries {
 		en := &entries[i]
 		count[en.Operation.Kind]++
@@ -207,11 +208,14 @@
 		}
 		if en.Operation.Kind == lovagehistory.ConfigWrite {
 			states[en.Result.State]++
+			if en.Operation.Content == "" && en.Result.State == lovagehistory.Committed {
+				deletions++
+			}
 		}
 		if en.Return == 0 {
 			open++
 		}
 	}
-	return fmt.Sprintf("%d operations, %d without response, %d keys; by kind %v; outcomes %v; configuration writes %v",
-		len(entries), open, len(keys), count, outcomes, states)
+	return fmt.Sprintf("%d operations, %d without response, %d keys; by kind %v; outcomes %v; configuration writes %v, "+
+		"%d deletions committed", len(entries), open, len(keys), count, outcomes, states, deletions)
 }
--- a/lovagetrial/history_client.go
+++ b/lovagetrial/history_client.go
@@ -245,7 +245,7 @@
 	for pauseFor(ctx, time.Duration(ho.rng.IntN(60))*time.Millisecond) == nil {
 		eps := ho.hi.co.Endpoints()
 		from, at := eps[ho.rng.IntN(len(eps))], eps[ho.rng.IntN(len(eps))]
-		name, write := raceNames[ho.rng.IntN(len(raceNames))], ho.rng.IntN(3) > 0
+		name, write, remove := raceNames[ho.rng.IntN(len(raceNames))], ho.rng.IntN(3) > 0, ho.rng.IntN(5) == 0
 		li, _, err := ho.hi.list(ctx, from)
 		if err != nil || !write {
 			continue
@@ -256,6 +256,10 @@
 				revision = it.Revision
 			}
 		}
+		if remove && revision > 0 {
+			ho.hi.remove(ctx, at, name, revision)
+			continue
+		}
 		ho.hi.put(ctx, at, name, revision)
 	}
 }
@@ -301,6 +305,22 @@
 	res, err := ep.Put(ctx, lovageresource.Resource{
 		Kind: lovageresource.KindTeam, Name: name, Revision: revision, Spec: team,
 	})
+	writeDone(done, res, err)
+}
+
+// remove deletes a raced resource. A write without content stands for it.
+func (hi *History) remove(ctx context.Context, ep Endpoint, name string, revision int64) {
+	ctx, cancel := callContext(ctx)
+	defer cancel()
+	done := hi.re.Begin(lovagehistory.Operation{
+		Kind: lovagehistory.ConfigWrite, Client: ep.Name(), Name: name, Revision: revision,
+	})
+	res, err := ep.Delete(ctx, lovageresource.KindTeam, name, revision)
+	writeDone(done, res, err)
+}
+
+// writeDone records the result of a change. One without a result stays open in the history.
+func writeDone(done func(lovagehistory.Result), res lovageresource.WriteResult, err error) {
 	var reply *lovageapi.ReplyError
 	switch {
 	case errors.As(err, &reply), errors.Is(err, lovageapi.ErrNotSent):
--- a/lovagetrial/history_trial.go
+++ b/lovagetrial/history_trial.go
@@ -45,6 +45,12 @@
 	return te.op.Put(ctx, te.it, re)
 }
 
+func (te trialEndpoint) Delete(ctx context.Context, kind lovageresource.Kind, name string, revision int64) (
+	lovageresource.WriteResult, error,
+) {
+	return te.op.Delete(ctx, te.it, kind, name, revision)
+}
+
 func (te trialEndpoint) List(ctx context.Context) (lovageapi.ListReply, bool, error) {
 	ready, _ := te.it.Entry.Ready()
 	li, err := te.op.Read(ctx, te.it)
--- a/lovagetrial/instance.go
+++ b/lovagetrial/instance.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"slices"
 	"strings"
@@ -40,7 +41,7 @@
 	faulted  atomic.Bool               // a fault of the trial has hit the process
 	killed   atomic.Bool               // Kill was called
 	stopping atomic.Bool               // ShutDown was called
-	closed   atomic.Pointer[time.Time] // when the listener of callers began to close
+	closed   atomic.Pointer[time.Time] // connections of callers that were opened before this were accepted
 	callers  *lovagefake.Relay         // between callers and the process; nil without Options.CallerLinks
 
 	mu      sync.Mutex
@@ -167,15 +168,25 @@
 	return nil
 }
 
-// callerServer notes when the process stops to listen for callers.
+// callerServer notes until when connections of callers were accepted.
 type callerServer struct {
 	*lovageapi.Server
 	it *Instance
 }
 
+// Shutdown first has a connection of its own accepted. Connections are accepted in order, so that the server waits for
+// the requests on all that were opened before, however busy the machine is.
 func (cs *callerServer) Shutdown(ctx context.Context) error {
 	now := time.Now()
-	cs.it.closed.CompareAndSwap(nil, &now)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+cs.Address()+"/", nil)
+	if err != nil {
+		return err
+	}
+	tr := &http.Transport{DisableKeepAlives: true}
+	if res, err := tr.RoundTrip(req); err == nil {
+		_ = res.Body.Close()
+		cs.it.closed.CompareAndSwap(nil, &now)
+	}
 	return cs.Server.Shutdown(ctx)
 }
 
--- a/lovagetrial/operator.go
+++ b/lovagetrial/operator.go
@@ -28,6 +28,20 @@
 	return rec.Result, rec.Err
 }
 
+// Delete deletes a resource at an instance.
+func (op *Operator) Delete(ctx context.Context, it *Instance, kind lovageresource.Kind, name string, revision int64) (
+	lovageresource.WriteResult, error,
+) {
+	rec := WriteRecord{
+		Process: it.ID(), Resource: lovageresource.Resource{Kind: kind, Name: name, Revision: revision}, Deleted: true,
+		Invoked: time.Now(),
+	}
+	rec.Result, rec.Err = it.Operator.Delete(ctx, kind, name, revision)
+	rec.Returned = time.Now()
+	op.de.evidence.change(func(ev *Evidence) { ev.Writes = append(ev.Writes, rec) })
+	return rec.Result, rec.Err
+}
+
 // Read lists the resources of an instance. Only what an instance shows while it is ready is recorded, because a new
 // instance that is not ready may not have the newest revision.
 func (op *Operator) Read(ctx context.Context, it *Instance) (lovageapi.ListReply, error) {
--- a/lovagetrial/record.go
+++ b/lovagetrial/record.go
@@ -29,6 +29,7 @@
 	Payloads  []int // bytes of each task's payload, for a submission
 	Invoked   time.Time
 	Wrote     time.Time // when the request had been written to a connection; zero if it was not
+	Reused    bool      // the connection had been used before
 	Returned  time.Time
 	Answer    lovageapi.AnswerReply // without Err
 	Err       error                 // the request has no answer
@@ -41,6 +42,7 @@
 type WriteRecord struct {
 	Process  string
 	Resource lovageresource.Resource // with the revision that it replaces
+	Deleted  bool                    // the change deletes the resource
 	Invoked  time.Time
 	Returned time.Time
 	Result   lovageresource.WriteResult
@@ -75,7 +77,7 @@
 type Shutdown struct {
 	Process      string
 	Began, Ended time.Time
-	Closed       time.Time // when the process began to close the listener of callers; zero if it did not
+	Closed       time.Time // connections of callers that were opened before this were accepted; zero if that is not known
 	Cut          int
 	Faulted      bool // a fault of the trial had hit the process, so that requests may have been lost
 }
