--- a/lovagebench/path_test.go
+++ b/lovagebench/path_test.go
@@ -22,8 +22,9 @@
 // machine's load hits both. The target is at most 0.5 ms more at the median.
 func BenchmarkAddedTime(b *testing.B) {
 	op := smallOptions()
+	op.Latency = Latency{} // direct calls have none either
 	de, err := newDeployment(b.Context(), op, Variant{
-		Name: "lending", Policy: lovagedispatch.Lending, Weight: lovageresource.WeightResponseTime,
+		Name: "central", Policy: lovagedispatch.Central, Weight: lovageresource.WeightResponseTime,
 	})
 	must.NoError(b, err)
 	defer de.close()
--- a/lovagestack/harness_test.go
+++ b/lovagestack/harness_test.go
@@ -69,6 +69,10 @@
 	t.Helper()
 	pr := &process{t: t, name: name, done: make(chan struct{})}
 	pr.cmd = exec.Command(filepath.Join(binaries, args[0]), args[1:]...)
+	// A process group of its own: when the group of the test binary becomes orphaned, as it does in a background job whose
+	// shell ends, the kernel sends SIGHUP to it if a member is stopped, which ended processes that a test had paused.
+	// Pdeathsig ends the process with the test binary, which a signal to the group no longer does.
+	pr.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	out, err := pr.cmd.StdoutPipe()
 	must.NoError(t, err)
 	pr.cmd.Stderr = pr.cmd.Stdout
