lovageentry: allow as many connections to a worker as it has slots

Cause: each instance had an equal part of a worker's connections. One instance decides for a worker, and above eight instances in a data centre its part of 64 connections is smaller than the 8 slots that it fills. Change: the part is at least the number of slots, within the worker's limit. Measured: TestConnectionsTo fails for 30 instances with the former rule (2 instead of 8); today's deployments have two instances in a data centre and keep 32. Conclusion: the sum over more than eight instances can exceed the limit while views differ; a connection that the worker refuses is a task that was not started.

--- a/lovageentry/backends.go
+++ b/lovageentry/backends.go
@@ -20,7 +20,9 @@
 	}})
 }
 
-// connectionsPerInstance is this instance's part of a worker's connection limit, at least one.
-func (lo *controlLoop) connectionsPerInstance(limit int) int {
-	return max(1, limit/max(1, lo.sharing))
+// connectionsTo returns how many connections this instance may have to a worker: an equal part of the worker's limit, but
+// one for each slot if the limit allows that. A deciding instance uses all slots of the worker while the others use none,
+// and an equal part among more than eight instances would be fewer than 8 of 64 connections.
+func connectionsTo(limit, slots, instances int) int {
+	return max(1, min(limit, max(slots, limit/max(1, instances))))
 }
--- a/lovageentry/entry_test.go
+++ b/lovageentry/entry_test.go
@@ -13,6 +13,16 @@
 	"lovagestack/lovageplatform"
 )
 
+// Guards against a deciding instance that cannot use all slots of a worker because other instances exist, and against
+// more connections than the worker takes.
+func TestConnectionsTo(t *testing.T) {
+	for _, tc := range []struct{ limit, slots, instances, want int }{
+		{64, 8, 1, 64}, {64, 8, 2, 32}, {64, 8, 8, 8}, {64, 8, 30, 8}, {4, 8, 1, 4}, {4, 8, 30, 4}, {0, 8, 3, 1}, {64, 8, 0, 64},
+	} {
+		must.Eq(t, tc.want, connectionsTo(tc.limit, tc.slots, tc.instances), must.Sprintf("%+v", tc))
+	}
+}
+
 // Guards against two submissions with other content that pass for the same one.
 func TestFingerprint(t *testing.T) {
 	base := lovagejob.Submission{Service: "ticket", Team: "gate", Tasks: []lovagejob.Task{{Payload: []byte("ab")}, {Payload: []byte("c")}}}
