--- a/lovageentry/estimates.go
+++ b/lovageentry/estimates.go
@@ -45,8 +45,11 @@
 			ec = &estimateCopy{}
 			lo.estimateCopies[id] = ec
 		}
+		if ec.inFlight {
+			continue
+		}
 		changed := current.Since(ec.acknowledged)
-		if ec.inFlight || len(changed.Services)+len(changed.Workers) == 0 {
+		if len(changed.Services)+len(changed.Workers) == 0 {
 			continue
 		}
 		ec.inFlight = true
