--- /dev/null
+++ b/lovagefleet/claim.go
@@ -0,0 +1,161 @@
+package lovagefleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// renewInterval is how often an instance renews its row and reads those of the others.
+	renewInterval = 500 * time.Millisecond
+	// staleAfter is how long after its last renewal an instance without a session counts as gone: three renewals.
+	staleAfter = 1600 * time.Millisecond
+	// strangerUptime is how long an instance runs before it claims domains of other data centres, whose own instances
+	// may be starting too.
+	strangerUptime = 2500 * time.Millisecond
+	// candidateStep is the delay of each further candidate for a domain, in case the ones before it cannot claim.
+	candidateStep = 700 * time.Millisecond
+	// homeUptime is how long an instance must have been seen before a domain is handed to it.
+	homeUptime = 1500 * time.Millisecond
+)
+
+// instanceRow is what an instance writes about itself.
+type instanceRow struct {
+	ID          string `json:"id"`
+	DataCentre  string `json:"dataCentre"`
+	Address     string `json:"address"` // of its peer sessions
+	Incarnation string `json:"incarnation"`
+	Leaving     bool   `json:"leaving,omitempty"`
+	Beat        int64  `json:"beat"`
+}
+
+// domainRow says who owns a domain. The row's version is the owner's fence.
+type domainRow struct {
+	Owner       string `json:"owner"`
+	Incarnation string `json:"incarnation"`
+	Address     string `json:"address"`
+}
+
+// member is an instance as seen from here.
+type member struct {
+	instanceRow
+	version   int64     // of the row
+	renewed   time.Time // when the version was seen to change
+	first     time.Time // when this incarnation was first seen
+	connected bool      // there is a session
+	refused   bool      // its machine refuses connections: the process is gone
+}
+
+func (me *member) live(now time.Time) bool {
+	if me.refused {
+		return false
+	}
+	return me.connected || now.Sub(me.renewed) < staleAfter
+}
+
+// domain is a group of workers that one instance orders.
+type domain struct {
+	name       string
+	dataCentre string
+	row        domainRow
+	version    int64 // 0: the row does not exist
+	orphaned   time.Time
+}
+
+// claimView is what decideClaims looks at.
+type claimView struct {
+	now     time.Time
+	self    *member
+	started time.Time
+	members map[string]*member
+	leaving bool
+}
+
+// candidates returns the instances that should own the domain, best first.
+func (cv *claimView) candidates(do *domain) []*member {
+	var home, strangers []*member
+	for _, me := range cv.members {
+		if me.Leaving || !me.live(cv.now) {
+			continue
+		}
+		if me.DataCentre == do.dataCentre {
+			home = append(home, me)
+		} else {
+			strangers = append(strangers, me)
+		}
+	}
+	rank := func(list []*member) {
+		slices.SortFunc(list, func(a, b *member) int {
+			ha, hb := xxhash.Sum64String(do.name+"/"+a.ID), xxhash.Sum64String(do.name+"/"+b.ID)
+			switch {
+			case ha < hb:
+				return -1
+			case ha > hb:
+				return 1
+			}
+			return 0
+		})
+	}
+	rank(home)
+	rank(strangers)
+	return append(home, strangers...)
+}
+
+type claimAction string
+
+const (
+	claimNone     claimAction = ""
+	claimNow      claimAction = "claim"
+	claimIfReach  claimAction = "claimIfReachable" // only if its workers can be reached from here
+	claimHandOver claimAction = "handOver"
+)
+
+// owns reports whether the domain's row names this process.
+func (cv *claimView) owns(do *domain) bool {
+	return do.version > 0 && do.row.Owner == cv.self.ID && do.row.Incarnation == cv.self.Incarnation
+}
+
+// decideClaim says what this instance should do about a domain, and to whom to hand it over.
+func (cv *claimView) decideClaim(do *domain) (claimAction, *member) {
+	mine := cv.owns(do)
+	list := cv.candidates(do)
+	if mine {
+		do.orphaned = time.Time{}
+		for _, me := range list {
+			if me.ID == cv.self.ID {
+				if me.DataCentre == do.dataCentre {
+					return claimNone, nil
+				}
+				continue
+			}
+			home := me.DataCentre == do.dataCentre && cv.now.Sub(me.first) >= homeUptime
+			if me.connected && (cv.leaving || home) {
+				return claimHandOver, me
+			}
+		}
+		return claimNone, nil
+	}
+	if cv.leaving {
+		return claimNone, nil
+	}
+	if ow := cv.members[do.row.Owner]; do.version > 0 && ow != nil && ow.Incarnation == do.row.Incarnation && ow.live(cv.now) {
+		do.orphaned = time.Time{}
+		return claimNone, nil
+	}
+	if do.orphaned.IsZero() {
+		do.orphaned = cv.now
+	}
+	at := slices.IndexFunc(list, func(me *member) bool { return me.ID == cv.self.ID })
+	if at < 0 || cv.now.Sub(do.orphaned) < time.Duration(at)*candidateStep {
+		return claimNone, nil
+	}
+	if cv.self.DataCentre == do.dataCentre {
+		return claimNow, nil
+	}
+	if cv.now.Sub(cv.started) < strangerUptime {
+		return claimNone, nil
+	}
+	return claimIfReach, nil
+}
--- /dev/null
+++ b/lovagefleet/link.go
@@ -0,0 +1,289 @@
+package lovagefleet
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lovagestack/lovagepool"
+)
+
+const (
+	// lookWait is how long a worker may hold a look for an end. Each look extends the leases of 1 s.
+	lookWait = 400 * time.Millisecond
+	// lookSlack is how much later than lookWait an answer may come before the worker counts as silent.
+	lookSlack = 300 * time.Millisecond
+	// orderTimeout bounds the answer to a start or stop.
+	orderTimeout = 250 * time.Millisecond
+	// silentRetry is the pause between looks at a worker that does not answer.
+	silentRetry = 200 * time.Millisecond
+)
+
+// link carries the orders of one worker. Its looks follow each other without a pause.
+type link struct {
+	no      *Node
+	worker  lovagepool.Worker
+	lease   time.Duration
+	cancel  context.CancelFunc
+	mu      sync.Mutex
+	fence   int64
+	clock   int64 // last reading of the worker's clock, milliseconds
+	readAt  time.Time
+	born    int64
+	lastEnd int64
+	silent  bool
+}
+
+func (no *Node) newLink(wo lovagepool.Worker, fence int64) *link {
+	ctx, cancel := context.WithCancel(no.ctx)
+	li := &link{no: no, worker: wo, lease: no.se.Pool.Lease, cancel: cancel, fence: fence, born: wo.Born}
+	go li.loop(ctx)
+	return li
+}
+
+func (li *link) setFence(fence int64) {
+	li.mu.Lock()
+	li.fence = fence
+	li.mu.Unlock()
+}
+
+// expires returns until when an order sent now may keep runs alive, on the worker's clock; 0 if its clock is unknown.
+func (li *link) expires() int64 {
+	if li.readAt.IsZero() {
+		return 0
+	}
+	return li.clock + time.Since(li.readAt).Milliseconds() + li.lease.Milliseconds()
+}
+
+// heard takes the clock of an answer.
+func (li *link) heard(re Report) {
+	if re.Clock == 0 {
+		return
+	}
+	li.mu.Lock()
+	li.clock, li.readAt = re.Clock, time.Now()
+	li.mu.Unlock()
+}
+
+// loop looks at the worker until the link ends.
+func (li *link) loop(ctx context.Context) {
+	for ctx.Err() == nil {
+		li.mu.Lock()
+		lo := Look{
+			Worker: li.worker.ID, Address: li.worker.Address, Fence: li.fence, Expires: li.expires(), LastSeen: li.lastEnd,
+			Wait: lookWait,
+		}
+		li.mu.Unlock()
+		if lo.Expires == 0 {
+			lo.Wait = 0
+		}
+		sent := time.Now()
+		callCtx, cancel := context.WithTimeout(ctx, lo.Wait+lookSlack)
+		re, err := li.no.workers.Look(callCtx, lo)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			li.lost(ctx, err)
+			continue
+		}
+		li.heard(re)
+		switch re.Rejected {
+		case "":
+			li.look(sent, lo, re)
+		case ReasonFence:
+			li.no.fenced(li.worker.ID, lo.Fence)
+			sleep(ctx, silentRetry)
+		default:
+			li.lost(ctx, errors.New("look rejected: "+string(re.Rejected)))
+		}
+	}
+}
+
+// look passes a list on to the pool.
+func (li *link) look(sent time.Time, lo Look, re Report) {
+	li.mu.Lock()
+	crashed := re.Born != 0 && li.born != 0 && re.Born != li.born
+	if re.Born != 0 {
+		li.born = re.Born
+	}
+	if crashed {
+		li.lastEnd = 0
+	}
+	li.lastEnd = max(li.lastEnd, re.LastEnd)
+	wasSilent := li.silent
+	li.silent = false
+	li.mu.Unlock()
+	if wasSilent {
+		li.no.log.Info("worker answers again", zap.String("worker", li.worker.ID))
+	}
+	id := li.worker.ID
+	li.no.post(func(now time.Time) {
+		if crashed {
+			li.no.pool.Silent(now, id, true)
+		}
+		if lo.Expires != 0 {
+			li.no.pool.Extended(sent, id)
+		}
+		li.no.pool.Listed(now, sent, id, re.Active, re.Ended)
+	})
+}
+
+// lost notes that the worker does not answer.
+func (li *link) lost(ctx context.Context, err error) {
+	var refused ErrRefused
+	crashed := errors.As(err, &refused)
+	li.mu.Lock()
+	first := !li.silent
+	li.silent = true
+	li.mu.Unlock()
+	if first {
+		li.no.count("workerSilent")
+		li.no.log.Warn("worker does not answer", zap.String("worker", li.worker.ID), zap.Bool("refused", crashed), zap.Error(err))
+	}
+	id := li.worker.ID
+	li.no.post(func(now time.Time) { li.no.pool.Silent(now, id, crashed) })
+	sleep(ctx, silentRetry)
+}
+
+func (li *link) order(task string, attempt int, spec string) Order {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	return Order{
+		Worker: li.worker.ID, Address: li.worker.Address, Fence: li.fence, Task: task, Attempt: attempt, Spec: spec,
+		Expires: li.expires(),
+	}
+}
+
+// start orders a run.
+func (li *link) start(ctx context.Context, cm lovagepool.StartRun) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	or := li.order(cm.Task, cm.Attempt, cm.Spec)
+	re, err := li.no.workers.Start(ctx, or)
+	if err == nil {
+		li.heard(re)
+	}
+	li.no.post(func(now time.Time) {
+		var refused ErrRefused
+		switch {
+		case errors.As(err, &refused):
+			li.no.pool.Started(now, cm.Worker, cm.Task, cm.Attempt, true, "refused")
+			li.no.pool.Silent(now, cm.Worker, false)
+		case err != nil:
+			li.no.pool.StartUnanswered(now, cm.Worker, cm.Task, cm.Attempt)
+		default:
+			li.no.pool.Started(now, cm.Worker, cm.Task, cm.Attempt, re.Rejected != "", string(re.Rejected))
+		}
+	})
+	if err == nil && re.Rejected == ReasonFence {
+		li.no.fenced(cm.Worker, or.Fence)
+	}
+}
+
+// stop orders the end of a run.
+func (li *link) stop(ctx context.Context, cm lovagepool.StopRun) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	re, err := li.no.workers.Stop(ctx, li.order(cm.Task, cm.Attempt, ""))
+	if err != nil || re.Rejected != "" {
+		return // repeated by the pool until the end is certain
+	}
+	li.heard(re)
+	li.no.post(func(now time.Time) { li.no.pool.Stopped(now, cm.Worker, cm.Task, cm.Attempt) })
+}
+
+// fenced hears that another instance has ordered the worker. The domain's row shows whether it still is this
+// instance's; if so, it is claimed again for a higher fence.
+func (no *Node) fenced(worker string, fence int64) {
+	no.count("fenced")
+	no.post(func(now time.Time) {
+		no.pool.Silent(now, worker, false)
+		for _, wo := range no.registered() {
+			if wo.ID == worker && no.fences[wo.DataCentre] == fence {
+				name := wo.DataCentre
+				no.reclaim.Store(name, true)
+				no.log.Warn("fenced off", zap.String("worker", worker), zap.String("domain", name), zap.Int64("fence", fence))
+			}
+		}
+		no.wakeOwner()
+	})
+}
+
+// workersOf returns the IDs of the workers of a domain.
+func (no *Node) workersOf(name string) []string {
+	var ids []string
+	for _, wo := range no.registered() {
+		if wo.DataCentre == name {
+			ids = append(ids, wo.ID)
+		}
+	}
+	return ids
+}
+
+// refreshWorkers makes links and the pool match the registry and the domains that are owned.
+func (no *Node) refreshWorkers(now time.Time) {
+	var list []lovagepool.Worker
+	used := map[string]bool{}
+	for _, re := range no.registered() {
+		fence, ok := no.fences[re.DataCentre]
+		if !ok {
+			continue
+		}
+		if ha := no.handing[re.DataCentre]; ha != nil && !ha.pending[re.ID] {
+			continue
+		}
+		if aw, ok := no.awaiting[re.DataCentre]; ok {
+			if now.After(aw.until) {
+				delete(no.awaiting, re.DataCentre)
+			} else if !aw.free[re.ID] {
+				continue
+			}
+		}
+		used[re.ID] = true
+		list = append(list, re.Worker)
+		li := no.links[re.ID]
+		if li != nil && (li.worker.Address != re.Address || li.worker.Born != re.Born) {
+			li.cancel()
+			li = nil
+		}
+		if li == nil {
+			no.links[re.ID] = no.newLink(re.Worker, fence)
+		} else {
+			li.setFence(fence)
+		}
+	}
+	no.pool.SetWorkers(now, list)
+	for id, li := range no.links {
+		// A worker that is gone from the registry may still run what was started.
+		if !used[id] && !no.pool.HasRuns(id) {
+			li.cancel()
+			delete(no.links, id)
+		}
+	}
+}
+
+// released tells the new owner of a worker that it has no run of this instance any more.
+func (no *Node) released(worker string) {
+	for _, wo := range no.registered() {
+		if wo.ID != worker {
+			continue
+		}
+		if ha := no.handing[wo.DataCentre]; ha != nil {
+			delete(ha.pending, worker)
+			if len(ha.pending) == 0 {
+				delete(no.handing, wo.DataCentre)
+				delete(no.fences, wo.DataCentre)
+			}
+			go no.sendReleased(ha.to, []string{worker})
+		}
+	}
+	if li := no.links[worker]; li != nil {
+		li.cancel()
+		delete(no.links, worker)
+	}
+}
--- /dev/null
+++ b/lovagefleet/node.go
@@ -0,0 +1,410 @@
+package lovagefleet
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"lovagestack/lovagemetric"
+	"lovagestack/lovagepeer"
+	"lovagestack/lovagepool"
+)
+
+// Settings of a Node. All are required.
+type Settings struct {
+	ID          string
+	DataCentre  string
+	DataCentres []string // all of them, in the same order on every instance
+	PeerListen  string   // address for sessions with other instances
+	Pool        lovagepool.Settings
+}
+
+// Dependencies of a Node. All are required.
+type Dependencies struct {
+	Store    Store
+	Registry Registry
+	Workers  WorkerClient
+	Metrics  *lovagemetric.Registry
+	Log      *zap.Logger
+}
+
+// Node is one instance. Its methods are safe for concurrent use.
+type Node struct {
+	se       Settings
+	store    Store
+	registry Registry
+	workers  WorkerClient
+	log      *zap.Logger
+	mesh     *lovagepeer.Mesh
+	started  time.Time
+	self     instanceRow
+	counts   lovagemetric.CounterFamily
+	startLag *lovagemetric.Timer // from the arrival of a job to the order of its first start, at the owner
+
+	events    chan func(now time.Time)
+	ctx       context.Context
+	config    atomic.Pointer[Configuration]
+	owners    sync.Map // domain name to ownerRef
+	peers     sync.Map // instance ID to *peerStanding
+	addresses sync.Map // instance ID to the address of its sessions
+	reclaim   sync.Map // names of domains that need a higher fence
+	known     atomic.Pointer[[]Registered]
+	leaving   atomic.Bool
+	moved     atomic.Bool // all domains have been handed over
+	nextRef   atomic.Int64
+
+	// Owned by ownLoop.
+	dataCentres []string
+	members     map[string]*member
+	domains     map[string]*domain
+	beat        int64
+	storeLost   bool
+	hurry       chan struct{}
+	takeovers   chan takeOverRequest
+
+	hurryRegistry chan struct{}
+
+	// Owned by loop.
+	pool     *lovagepool.Pool
+	fences   map[string]int64    // of the domains whose workers this instance orders
+	handing  map[string]*handing // domains being handed over
+	awaiting map[string]awaitedRelease
+	links    map[string]*link
+	waiters  map[string]chan lovagepool.Finish
+	counted  map[string]int64
+	standing sentStanding
+}
+
+// ownerRef is the owner of a domain, under a fence.
+type ownerRef struct {
+	ID, Address string
+	self        bool
+	fence       int64
+}
+
+// handing is a domain of which the new owner gets the workers one by one.
+type handing struct {
+	to      string          // address
+	pending map[string]bool // workers that still have runs of this instance
+}
+
+// awaitedRelease is a domain that a former owner is handing over worker by worker.
+type awaitedRelease struct {
+	from  string
+	until time.Time
+	free  map[string]bool
+}
+
+const (
+	// eventQueue is how many events may wait for the control loop.
+	eventQueue = 4096
+	// tickInterval is how often leases and deadlines are checked while jobs are in progress, idleTickInterval otherwise.
+	tickInterval     = 20 * time.Millisecond
+	idleTickInterval = 100 * time.Millisecond
+	// releaseTimeout is how long a new owner waits for a worker that the former owner hands over; most tasks last less
+	// than a second.
+	releaseTimeout = 3 * time.Second
+	// pingInterval and pingTimeout of peer sessions. A caller sends a job again 1.3 s after it lost its connection; until
+	// then the loss of the instance that held the connection must have been noticed and the job's runs stopped.
+	pingInterval = 250 * time.Millisecond
+	pingTimeout  = 500 * time.Millisecond
+)
+
+// New returns a node; Run starts it.
+func New(se Settings, de Dependencies) *Node {
+	now := time.Now()
+	no := &Node{
+		se: se, store: de.Store, registry: de.Registry, workers: de.Workers, log: de.Log, started: now,
+		self: instanceRow{
+			ID: se.ID, DataCentre: se.DataCentre, Address: se.PeerListen, Incarnation: strconv.FormatInt(now.UnixNano(), 36),
+		},
+		counts:      de.Metrics.Counter("fleet_events", "decisions and events of the instance", "event"),
+		startLag:    de.Metrics.Timer("fleet_start_lag", "from the arrival of a job to the order of its first start").With(),
+		events:      make(chan func(time.Time), eventQueue),
+		dataCentres: se.DataCentres, members: map[string]*member{}, domains: map[string]*domain{},
+		hurry: make(chan struct{}, 1), hurryRegistry: make(chan struct{}, 1), takeovers: make(chan takeOverRequest, 16),
+		pool: lovagepool.New(se.Pool), fences: map[string]int64{}, handing: map[string]*handing{},
+		awaiting: map[string]awaitedRelease{}, links: map[string]*link{}, waiters: map[string]chan lovagepool.Finish{},
+		counted: map[string]int64{},
+	}
+	no.mesh = lovagepeer.New(lovagepeer.Options{
+		Instance: se.ID, DataCentre: se.DataCentre, Listen: se.PeerListen, Address: se.PeerListen,
+		Counters:    lovagemetric.PeerCounters{Registry: de.Metrics},
+		SessionDown: no.sessionDown, SessionUp: func(string) { no.wakeOwner() },
+		PingInterval: pingInterval, PingTimeout: pingTimeout, WriteTimeout: pingTimeout,
+		DialTimeout: pingTimeout, HandshakeTimeout: pingTimeout, MaxBackoff: pingTimeout,
+	}, no)
+	return no
+}
+
+// Run works until the context ends.
+func (no *Node) Run(ctx context.Context) error {
+	no.ctx = ctx
+	var wg sync.WaitGroup
+	meshErr := make(chan error, 1)
+	run := func(loop func(context.Context)) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			loop(ctx)
+		}()
+	}
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		meshErr <- no.mesh.Serve(ctx)
+	}()
+	run(no.loop)
+	run(no.configLoop)
+	run(no.registryLoop)
+	run(no.ownLoop)
+	run(no.standingLoop)
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-meshErr:
+		if ctx.Err() == nil {
+			return errors.Wrap(err, "sessions with other instances")
+		}
+	}
+	wg.Wait()
+	return nil
+}
+
+// Ready reports whether callers may be sent here.
+func (no *Node) Ready() bool { return no.config.Load() != nil && !no.leaving.Load() }
+
+// Configuration returns the newest known configuration, or nil.
+func (no *Node) Configuration() *Configuration { return no.config.Load() }
+
+// Leave hands over what the instance owns. Jobs in progress go on; the instance goes on answering its callers.
+func (no *Node) Leave() {
+	no.leaving.Store(true)
+	no.log.Info("leaving")
+	no.wakeOwner()
+}
+
+// post hands an event to the control loop.
+func (no *Node) post(ev func(now time.Time)) {
+	select {
+	case no.events <- ev:
+	case <-no.ctx.Done():
+	}
+}
+
+func (no *Node) count(name string) { no.counts.With(name).Inc(1) }
+
+func (no *Node) wakeOwner() {
+	select {
+	case no.hurry <- struct{}{}:
+	default:
+	}
+}
+
+func (no *Node) wakeRegistry() {
+	select {
+	case no.hurryRegistry <- struct{}{}:
+	default:
+	}
+}
+
+// sessionDown hears that a peer cannot be reached.
+func (no *Node) sessionDown(instance string, refused bool) {
+	no.peers.Delete(instance)
+	no.post(func(time.Time) { no.pool.DropLender(instance) })
+	if refused {
+		no.wakeOwner()
+	}
+}
+
+// loop owns the pool. It takes all events that wait before it places anything.
+func (no *Node) loop(ctx context.Context) {
+	timer := time.NewTimer(idleTickInterval)
+	defer timer.Stop()
+	var nextTick time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ev := <-no.events:
+			now := time.Now()
+			ev(now)
+			for more := true; more; {
+				select {
+				case ev = <-no.events:
+					ev(now)
+				default:
+					more = false
+				}
+			}
+		case <-timer.C:
+		}
+		now := time.Now()
+		if !now.Before(nextTick) {
+			no.pool.Tick(now)
+			interval := tickInterval
+			if no.pool.Idle() {
+				interval = idleTickInterval
+			}
+			nextTick = now.Add(interval)
+			timer.Reset(interval)
+			no.publishCounts()
+		}
+		no.carryOut(now, no.pool.Commands(now))
+	}
+}
+
+// publishCounts copies the pool's counts to the metrics.
+func (no *Node) publishCounts() {
+	for name, n := range no.pool.Counts {
+		if d := n - no.counted[name]; d != 0 {
+			no.counted[name] = n
+			no.counts.With(name).Inc(d)
+		}
+	}
+}
+
+// carryOut sends commands on their way.
+func (no *Node) carryOut(now time.Time, list []lovagepool.Command) {
+	for _, cmd := range list {
+		switch cm := cmd.(type) {
+		case lovagepool.StartRun:
+			if li := no.links[cm.Worker]; li != nil {
+				go li.start(no.ctx, cm)
+			} else {
+				no.pool.Started(now, cm.Worker, cm.Task, cm.Attempt, true, "noLink")
+			}
+		case lovagepool.StopRun:
+			if li := no.links[cm.Worker]; li != nil {
+				go li.stop(no.ctx, cm)
+			}
+		case lovagepool.Finish:
+			if wa := no.waiters[cm.Ref]; wa != nil {
+				delete(no.waiters, cm.Ref)
+				wa <- cm
+			}
+		case lovagepool.Lend:
+			go no.lend(cm)
+		case lovagepool.Recall:
+			go no.withdraw(cm.Lender, cm.Ref)
+		case lovagepool.Release:
+			no.released(cm.Worker)
+		}
+	}
+}
+
+// noteOwner keeps the owner with the highest fence of a domain.
+func (no *Node) noteOwner(name string, ow ownerRef) {
+	for {
+		old, loaded := no.owners.LoadOrStore(name, ow)
+		if !loaded || old.(ownerRef).fence >= ow.fence {
+			return
+		}
+		if no.owners.CompareAndSwap(name, old, ow) {
+			return
+		}
+	}
+}
+
+// registered returns the workers that were last read from the registry.
+func (no *Node) registered() []Registered {
+	if list := no.known.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
+
+// registryLoop follows the registered workers.
+func (no *Node) registryLoop(ctx context.Context) {
+	ticker := time.NewTicker(registryInterval)
+	defer ticker.Stop()
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		list, err := no.registry.Workers(callCtx)
+		cancel()
+		if err != nil {
+			no.count("registryErrors")
+		} else {
+			no.known.Store(&list)
+			no.post(no.refreshWorkers)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-no.hurryRegistry:
+		case <-ticker.C:
+		}
+	}
+}
+
+// configLoop follows the configuration. Versions never go back.
+func (no *Node) configLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		after := int64(0)
+		if co := no.config.Load(); co != nil {
+			after = co.Version
+		}
+		callCtx, cancel := context.WithTimeout(ctx, configWait+storeTimeout)
+		co, err := no.registry.Configuration(callCtx, after, configWait)
+		cancel()
+		switch {
+		case err != nil:
+			no.count("configurationErrors")
+			sleep(ctx, configRetry)
+		case co != nil:
+			no.apply(co)
+		}
+	}
+}
+
+const (
+	// configWait is how long the platform may hold a request for a newer configuration, which must be in force 2 s after
+	// it was accepted.
+	configWait = time.Second
+	// configRetry is the pause after a failed request.
+	configRetry = 200 * time.Millisecond
+)
+
+func (no *Node) apply(co *Configuration) {
+	for {
+		old := no.config.Load()
+		if old != nil && old.Version >= co.Version {
+			return
+		}
+		if no.config.CompareAndSwap(old, co) {
+			no.log.Info("configuration in force", zap.Int64("version", co.Version), zap.Int("routes", len(co.Routes)))
+			return
+		}
+	}
+}
+
+func sleep(ctx context.Context, du time.Duration) {
+	timer := time.NewTimer(du)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// AwaitIdle waits until no job of another instance is in progress here and all workers have been handed over, or until
+// ctx ends.
+func (no *Node) AwaitIdle(ctx context.Context) {
+	for ctx.Err() == nil {
+		idle := make(chan bool, 1)
+		no.post(func(time.Time) { idle <- no.pool.Idle() && len(no.handing) == 0 })
+		select {
+		case ok := <-idle:
+			if ok {
+				return
+			}
+		case <-ctx.Done():
+		}
+		sleep(ctx, tickInterval)
+	}
+}
--- /dev/null
+++ b/lovagefleet/own.go
@@ -0,0 +1,381 @@
+package lovagefleet
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"lovagestack/lovagemessage"
+	"lovagestack/lovageplatform"
+)
+
+const (
+	instancePrefix = "instance/"
+	domainPrefix   = "domain/"
+	// storeTimeout bounds a call to the store; it answers in 4 to 10 ms and may be 60 times slower.
+	storeTimeout = 900 * time.Millisecond
+	// reachTimeout bounds the connection that tests whether a worker can be reached.
+	reachTimeout = 300 * time.Millisecond
+	// registryInterval is how often the registered workers are read. A worker that starts draining must get no starts
+	// 2 s later.
+	registryInterval = 600 * time.Millisecond
+	// expiredRowAfter is when the row of an instance that is gone is removed.
+	expiredRowAfter = 20 * time.Second
+)
+
+// ownLoop renews this instance's row, follows those of the others and claims domains.
+func (no *Node) ownLoop(ctx context.Context) {
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+	for {
+		no.serveTakeOvers(ctx)
+		if err := no.renew(ctx); err != nil {
+			no.lostStore("renew", err)
+		} else if err := no.readRows(ctx); err != nil {
+			no.lostStore("read rows", err)
+		} else {
+			no.regainedStore()
+		}
+		no.claim(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-no.hurry:
+		case <-ticker.C:
+		}
+	}
+}
+
+func (no *Node) lostStore(op string, err error) {
+	no.count("storeErrors")
+	if !no.storeLost {
+		no.storeLost = true
+		no.log.Warn("store lost", zap.String("op", op), zap.Error(err))
+	}
+}
+
+func (no *Node) regainedStore() {
+	if no.storeLost {
+		no.storeLost = false
+		no.log.Info("store regained")
+		now := time.Now()
+		for _, me := range no.members { // nobody could be seen to renew meanwhile
+			me.renewed = now
+		}
+	}
+}
+
+func (no *Node) renew(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	row := no.self
+	no.beat++
+	row.Beat, row.Leaving = no.beat, no.leaving.Load()
+	value, err := json.Marshal(row)
+	if err != nil {
+		return err
+	}
+	_, err = no.store.Commit(ctx, lovageplatform.Transaction{
+		Writes: []lovageplatform.Write{{Key: instancePrefix + no.self.ID, Value: value}},
+	})
+	return errors.Wrap(err, "renew the instance's row")
+}
+
+func (no *Node) readRows(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	rows, err := no.store.Scan(ctx, "")
+	if err != nil {
+		return errors.Wrap(err, "read the instances' rows")
+	}
+	now := time.Now()
+	seen := map[string]bool{}
+	for _, row := range rows {
+		switch {
+		case strings.HasPrefix(row.Key, instancePrefix):
+			var in instanceRow
+			if err := json.Unmarshal(row.Value, &in); err != nil || instancePrefix+in.ID != row.Key {
+				no.log.Warn("unreadable row of an instance", zap.String("key", row.Key), zap.Error(err))
+				continue
+			}
+			seen[in.ID] = true
+			no.noteMember(now, in, row.Version)
+		case strings.HasPrefix(row.Key, domainPrefix):
+			var dr domainRow
+			if err := json.Unmarshal(row.Value, &dr); err != nil {
+				no.log.Warn("unreadable row of a domain", zap.String("key", row.Key), zap.Error(err))
+				continue
+			}
+			no.noteDomain(strings.TrimPrefix(row.Key, domainPrefix), dr, row.Version)
+		}
+	}
+	for id, me := range no.members {
+		if !seen[id] && id != no.self.ID {
+			no.mesh.Disconnect(me.Address)
+			delete(no.members, id)
+			no.addresses.Delete(id)
+		}
+	}
+	no.removeExpired(ctx, now)
+	return nil
+}
+
+// noteMember takes an instance's row. A changed version is a sign of life.
+func (no *Node) noteMember(now time.Time, in instanceRow, version int64) {
+	me := no.members[in.ID]
+	if me == nil || me.Incarnation != in.Incarnation {
+		if me != nil {
+			no.log.Info("instance restarted", zap.String("instance", in.ID))
+			if me.Address != in.Address {
+				no.mesh.Disconnect(me.Address)
+			}
+		}
+		me = &member{first: now}
+		no.members[in.ID] = me
+		if in.ID != no.self.ID {
+			no.addresses.Store(in.ID, in.Address)
+		}
+	}
+	if me.version != version {
+		me.version, me.renewed, me.refused = version, now, false
+	}
+	me.instanceRow = in
+	if in.ID != no.self.ID && in.Address != no.self.Address {
+		if me.live(now) {
+			no.mesh.Connect(in.ID, in.Address)
+		} else {
+			no.mesh.Disconnect(in.Address)
+		}
+		me.connected = no.mesh.Connected(in.Address)
+	}
+}
+
+// removeExpired removes the rows of instances that are gone, one at a time.
+func (no *Node) removeExpired(ctx context.Context, now time.Time) {
+	for id, me := range no.members {
+		if id == no.self.ID || me.connected || now.Sub(me.renewed) < expiredRowAfter {
+			continue
+		}
+		_, err := no.store.Commit(ctx, lovageplatform.Transaction{
+			Checks: []lovageplatform.Check{{Key: instancePrefix + id, Version: me.version}},
+			Writes: []lovageplatform.Write{{Key: instancePrefix + id, Delete: true}},
+		})
+		if err != nil {
+			no.log.Warn("remove the row of an instance that is gone", zap.String("instance", id), zap.Error(err))
+		}
+		return
+	}
+}
+
+func (no *Node) noteDomain(name string, dr domainRow, version int64) {
+	do := no.domain(name)
+	if do.version == version {
+		return
+	}
+	do.row, do.version = dr, version
+	no.applyOwnership(do)
+}
+
+// domain returns the record of a domain, which is named after its data centre.
+func (no *Node) domain(name string) *domain {
+	do := no.domains[name]
+	if do == nil {
+		do = &domain{name: name, dataCentre: name}
+		no.domains[name] = do
+	}
+	return do
+}
+
+// applyOwnership makes the control loop use, or no longer use, the workers of a domain.
+func (no *Node) applyOwnership(do *domain) {
+	mine := do.row.Owner == no.self.ID && do.row.Incarnation == no.self.Incarnation
+	name, fence := do.name, do.version
+	no.log.Info("owner of domain", zap.String("domain", name), zap.String("owner", do.row.Owner),
+		zap.Int64("fence", fence), zap.Bool("self", mine))
+	no.noteOwner(name, ownerRef{ID: do.row.Owner, Address: do.row.Address, self: mine, fence: fence})
+	no.post(func(now time.Time) {
+		if mine {
+			no.fences[name] = fence
+			delete(no.handing, name)
+		} else if no.handing[name] == nil {
+			delete(no.fences, name)
+		}
+		no.refreshWorkers(now)
+		no.standing.at = time.Time{} // tell all peers at once
+		no.sendStanding(now)
+	})
+	if mine {
+		no.wakeRegistry()
+	}
+}
+
+// claim decides about each data centre's domain.
+func (no *Node) claim(ctx context.Context) {
+	now := time.Now()
+	self := no.members[no.self.ID]
+	if self == nil {
+		return // not even the own row has been read yet
+	}
+	self.renewed = now
+	for _, me := range no.members {
+		if me != self {
+			me.connected = no.mesh.Connected(me.Address)
+		}
+	}
+	cv := &claimView{now: now, self: self, started: no.started, members: no.members, leaving: no.leaving.Load()}
+	for _, dc := range no.dataCentres {
+		do := no.domain(dc)
+		action, to := cv.decideClaim(do)
+		if _, again := no.reclaim.LoadAndDelete(dc); again && action == claimNone && cv.owns(do) {
+			action = claimNow
+		}
+		switch action {
+		case claimIfReach:
+			if !no.reachesWorkers(ctx, dc) {
+				continue
+			}
+			fallthrough
+		case claimNow:
+			no.take(ctx, do)
+		case claimHandOver:
+			no.handOver(ctx, do, to)
+		}
+	}
+}
+
+// take writes this instance as the owner of a domain.
+func (no *Node) take(ctx context.Context, do *domain) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	dr := domainRow{Owner: no.self.ID, Incarnation: no.self.Incarnation, Address: no.self.Address}
+	value, err := json.Marshal(dr)
+	if err != nil {
+		no.log.Error("encode a domain's row", zap.Error(err))
+		return
+	}
+	key := domainPrefix + do.name
+	res, err := no.store.Commit(ctx, lovageplatform.Transaction{
+		Checks: []lovageplatform.Check{{Key: key, Version: do.version}},
+		Writes: []lovageplatform.Write{{Key: key, Value: value}},
+	})
+	if err != nil { // if it took effect, the next read shows it
+		no.lostStore("claim "+do.name, err)
+		return
+	}
+	if !res.Committed {
+		no.log.Info("claim lost to another instance", zap.String("domain", do.name))
+		return
+	}
+	no.count("domainsClaimed")
+	no.noteDomain(do.name, dr, res.Versions[key])
+}
+
+// handOver asks another instance to take a domain, and frees the workers for it one by one.
+func (no *Node) handOver(ctx context.Context, do *domain, to *member) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	no.log.Info("handing over domain", zap.String("domain", do.name), zap.String("to", to.ID))
+	name := do.name
+	var ids []string
+	done := make(chan struct{})
+	no.post(func(time.Time) {
+		ids = no.workersOf(name)
+		no.pool.HandOver(ids)
+		ha := &handing{to: to.Address, pending: map[string]bool{}}
+		for _, id := range ids {
+			ha.pending[id] = true
+		}
+		no.handing[name] = ha
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return
+	}
+	resp, err := no.mesh.Call(ctx, to.Address, &lovagemessage.Request{
+		Body: &lovagemessage.Request_TakeOver{TakeOver: &lovagemessage.TakeOver{Domain: name}},
+	})
+	if err != nil || !resp.GetTakeOver().GetAccepted() {
+		no.log.Warn("domain not taken over", zap.String("domain", name), zap.String("by", to.ID), zap.Error(err))
+		no.post(func(time.Time) {
+			delete(no.handing, name)
+			no.pool.KeepWorkers(ids)
+		})
+		return
+	}
+	no.count("domainsHandedOver")
+	if no.leaving.Load() {
+		no.moved.Store(true)
+		no.post(func(time.Time) { no.pool.Leave() })
+	}
+}
+
+// takeOver serves the request of an owner to take its domain.
+func (no *Node) takeOver(ctx context.Context, name, from string) bool {
+	result := make(chan bool, 1)
+	select {
+	case no.takeovers <- takeOverRequest{domain: name, from: from, result: result}:
+	case <-ctx.Done():
+		return false
+	}
+	no.wakeOwner()
+	select {
+	case ok := <-result:
+		return ok
+	case <-ctx.Done():
+		return false
+	}
+}
+
+type takeOverRequest struct {
+	domain, from string
+	result       chan bool
+}
+
+// serveTakeOvers claims domains that their owners hand over, without waiting for the next renewal.
+func (no *Node) serveTakeOvers(ctx context.Context) {
+	for {
+		select {
+		case re := <-no.takeovers:
+			do := no.domain(re.domain)
+			if do.row.Owner != re.from || no.leaving.Load() {
+				re.result <- false
+				continue
+			}
+			until := time.Now().Add(releaseTimeout)
+			no.post(func(time.Time) {
+				no.awaiting[re.domain] = awaitedRelease{from: re.from, until: until, free: map[string]bool{}}
+			})
+			no.take(ctx, do)
+			re.result <- do.row.Owner == no.self.ID
+		default:
+			return
+		}
+	}
+}
+
+// reachesWorkers reports whether one of the workers of a data centre accepts a connection.
+func (no *Node) reachesWorkers(ctx context.Context, dataCentre string) bool {
+	tried := 0
+	for _, wo := range no.registered() {
+		if wo.DataCentre != dataCentre {
+			continue
+		}
+		if tried++; tried > 3 {
+			return false
+		}
+		dialer := net.Dialer{Timeout: reachTimeout}
+		co, err := dialer.DialContext(ctx, "tcp", wo.Address)
+		if err == nil {
+			_ = co.Close()
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/lovagefleet/peer.go
@@ -0,0 +1,317 @@
+package lovagefleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lovagestack/lovagejob"
+	"lovagestack/lovagemessage"
+	"lovagestack/lovagepeer"
+	"lovagestack/lovagepool"
+)
+
+const (
+	// standingInterval is how often an owner tells other owners how full it is.
+	standingInterval = 50 * time.Millisecond
+	// memberInterval is how often the other instances are told.
+	memberInterval = 500 * time.Millisecond
+)
+
+// peerStanding is the last report of a peer.
+type peerStanding struct {
+	services map[string]*lovagemessage.ServiceStanding
+	received time.Time
+}
+
+func (ps *peerStanding) free(service string) int32 {
+	if st := ps.services[service]; st != nil {
+		return st.GetFreeTasks()
+	}
+	return 0
+}
+
+// sentStanding is what was last sent, so that an unchanged report is repeated less often.
+type sentStanding struct {
+	services map[string]lovagepool.Standing
+	at       time.Time
+}
+
+// Handle serves the requests of other instances.
+func (no *Node) Handle(ctx context.Context, from string, req *lovagemessage.Request) (*lovagemessage.Response, error) {
+	switch body := req.GetBody().(type) {
+	case *lovagemessage.Request_Place:
+		return no.servePlace(ctx, body.Place)
+	case *lovagemessage.Request_Withdraw:
+		no.post(func(now time.Time) { no.pool.Cancel(now, body.Withdraw.GetRef()) })
+	case *lovagemessage.Request_Standing:
+		no.serveStanding(from, body.Standing)
+	case *lovagemessage.Request_TakeOver:
+		ok := no.takeOver(ctx, body.TakeOver.GetDomain(), from)
+		return &lovagemessage.Response{Body: &lovagemessage.Response_TakeOver{
+			TakeOver: &lovagemessage.TakeOverReply{Accepted: ok},
+		}}, nil
+	default:
+		return nil, errors.Newf("unexpected request %s", lovagepeer.Kind(req))
+	}
+	return &lovagemessage.Response{Body: &lovagemessage.Response_Empty{Empty: &lovagemessage.Empty{}}}, nil
+}
+
+func (no *Node) servePlace(ctx context.Context, pl *lovagemessage.Place) (*lovagemessage.Response, error) {
+	jo := jobOf(pl)
+	if err := jo.Work.Check(); err != nil {
+		return nil, err
+	}
+	fi, err := no.submitLocal(ctx, jo)
+	if err != nil {
+		return nil, err
+	}
+	return &lovagemessage.Response{Body: &lovagemessage.Response_Place{Place: replyOf(fi)}}, nil
+}
+
+func (no *Node) serveStanding(from string, st *lovagemessage.Standing) {
+	now := time.Now()
+	ps := &peerStanding{services: map[string]*lovagemessage.ServiceStanding{}, received: now}
+	free := map[string]int{}
+	for _, se := range st.GetServices() {
+		ps.services[se.GetService()] = se
+		free[se.GetService()] = int(se.GetFreeTasks())
+		if se.GetQueuedTasks() > 0 || st.GetLeaving() {
+			free[se.GetService()] = 0
+		}
+	}
+	no.peers.Store(from, ps)
+	if address, ok := no.addresses.Load(from); ok {
+		for _, do := range st.GetDomains() {
+			no.noteOwner(do.GetDomain(), ownerRef{ID: from, Address: address.(string), fence: do.GetFence()})
+		}
+	}
+	no.post(func(now time.Time) {
+		if len(free) > 0 {
+			no.pool.SetLender(now, from, free)
+		} else {
+			no.pool.DropLender(from)
+		}
+		if len(st.GetReleased()) > 0 {
+			no.takeReleased(now, from, st.GetReleased())
+		}
+	})
+}
+
+// takeReleased notes workers that a former owner has handed over.
+func (no *Node) takeReleased(now time.Time, from string, ids []string) {
+	for _, aw := range no.awaiting {
+		if aw.from == from {
+			for _, id := range ids {
+				aw.free[id] = true
+			}
+		}
+	}
+	no.refreshWorkers(now)
+}
+
+// standingLoop tells peers how full this instance's workers are.
+func (no *Node) standingLoop(ctx context.Context) {
+	ticker := time.NewTicker(standingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			no.post(no.sendStanding)
+		}
+	}
+}
+
+// sendStanding sends a report to the owners when it has changed, and to everyone now and then.
+func (no *Node) sendStanding(now time.Time) {
+	services := map[string]lovagepool.Standing{}
+	if len(no.fences) > 0 {
+		for _, wo := range no.registered() {
+			if _, ok := services[wo.Service]; !ok {
+				services[wo.Service] = no.pool.Standing(now, wo.Service)
+			}
+		}
+	}
+	toAll := now.Sub(no.standing.at) >= memberInterval
+	if !toAll && equalStandings(services, no.standing.services) {
+		return
+	}
+	no.standing.services = services
+	if toAll {
+		no.standing.at = now
+	}
+	st := &lovagemessage.Standing{Instance: no.self.ID, DataCentre: no.self.DataCentre, Leaving: no.leaving.Load()}
+	for name, se := range services {
+		st.Services = append(st.Services, &lovagemessage.ServiceStanding{
+			Service: name, FreeTasks: int32(se.FreeTasks), QueuedTasks: int32(se.QueuedTasks),
+		})
+	}
+	for name, fence := range no.fences {
+		if no.handing[name] == nil {
+			st.Domains = append(st.Domains, &lovagemessage.OwnedDomain{Domain: name, Fence: fence})
+		}
+	}
+	for _, address := range no.standingTargets(toAll) {
+		go no.sendNotice(address, st)
+	}
+}
+
+func equalStandings(a, b map[string]lovagepool.Standing) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for name, st := range a {
+		if b[name] != st {
+			return false
+		}
+	}
+	return true
+}
+
+// standingTargets returns the addresses of the other owners, or of all peers.
+func (no *Node) standingTargets(all bool) []string {
+	var list []string
+	seen := map[string]bool{no.self.Address: true}
+	add := func(address string) {
+		if address != "" && !seen[address] && no.mesh.Connected(address) {
+			seen[address] = true
+			list = append(list, address)
+		}
+	}
+	no.owners.Range(func(_, value any) bool {
+		add(value.(ownerRef).Address)
+		return true
+	})
+	if all {
+		no.addresses.Range(func(_, value any) bool {
+			add(value.(string))
+			return true
+		})
+	}
+	return list
+}
+
+func (no *Node) sendNotice(address string, st *lovagemessage.Standing) {
+	ctx, cancel := context.WithTimeout(no.ctx, pingTimeout)
+	defer cancel()
+	if _, err := no.mesh.Call(ctx, address, &lovagemessage.Request{
+		Body: &lovagemessage.Request_Standing{Standing: st},
+	}); err != nil {
+		no.count("standingNotSent")
+	}
+}
+
+// sendReleased tells a new owner about workers; if that fails it takes them after releaseTimeout.
+func (no *Node) sendReleased(address string, ids []string) {
+	no.sendNotice(address, &lovagemessage.Standing{Instance: no.self.ID, DataCentre: no.self.DataCentre, Released: ids})
+}
+
+// lend has another owner run tasks.
+func (no *Node) lend(cm lovagepool.Lend) {
+	address, ok := no.addresses.Load(cm.Lender)
+	if !ok {
+		no.post(func(now time.Time) { no.pool.LentEnded(now, cm.Ref, nil, false, true) })
+		return
+	}
+	ctx, cancel := context.WithDeadline(no.ctx, cm.Work.Deadline.Add(answerSlack))
+	defer cancel()
+	resp, err := no.mesh.Call(ctx, address.(string), &lovagemessage.Request{
+		Body: &lovagemessage.Request_Place{Place: placeMessage(cm.Ref, cm.Work, cm.Tasks)},
+	})
+	notSent := errors.Is(err, lovagepeer.ErrNotSent)
+	ends := finishOf(resp.GetPlace()).Lent
+	no.post(func(now time.Time) { no.pool.LentEnded(now, cm.Ref, ends, err == nil, notSent) })
+}
+
+func (no *Node) withdraw(lender, ref string) {
+	if address, ok := no.addresses.Load(lender); ok {
+		no.withdrawFrom(address.(string), ref)
+	}
+}
+
+// placeMessage returns the message that passes a job, or some of its tasks, to another instance.
+func placeMessage(ref string, wo *lovagejob.Work, lent []lovagepool.LentTask) *lovagemessage.Place {
+	pl := &lovagemessage.Place{
+		Ref: ref, Id: wo.ID, Queue: wo.Queue, Service: wo.Service, Spec: wo.Spec, Priority: int32(wo.Priority),
+		MaxAttempts: int32(wo.MaxAttempts), SlackFactor: wo.SlackFactor, TargetLatencyMicros: wo.TargetLatency.Microseconds(),
+		AgeMicros: time.Since(wo.Arrived).Microseconds(), RemainingMicros: time.Until(wo.Deadline).Microseconds(),
+	}
+	for _, st := range wo.Steps {
+		ws := &lovagemessage.WorkStep{
+			Count: int32(st.Count), MilliCores: st.Room.MilliCores, MemoryMb: st.Room.MemoryMB, Accelerators: st.Room.Accelerators,
+			RunTimeMicros: st.RunTime.Microseconds(), Constraint: st.Constraint, Affinity: st.Affinity,
+			AntiAffinity: int32(st.AntiAffinity), Checkpointed: st.Checkpointed, Image: st.Image,
+		}
+		for _, de := range st.DependsOn {
+			ws.DependsOn = append(ws.DependsOn, int32(de))
+		}
+		pl.Steps = append(pl.Steps, ws)
+	}
+	for _, lt := range lent {
+		pl.Lent = append(pl.Lent, &lovagemessage.LentTask{Step: int32(lt.Step), Index: int32(lt.Index), Attempt: int32(lt.Attempt)})
+	}
+	return pl
+}
+
+// jobOf is the inverse of placeMessage, with times on this instance's clock.
+func jobOf(pl *lovagemessage.Place) *lovagepool.Job {
+	now := time.Now()
+	wo := &lovagejob.Work{
+		ID: pl.GetId(), Queue: pl.GetQueue(), Service: pl.GetService(), Spec: pl.GetSpec(), BestEffort: true,
+		Priority: int(pl.GetPriority()), MaxAttempts: int(pl.GetMaxAttempts()), SlackFactor: pl.GetSlackFactor(),
+		TargetLatency: time.Duration(pl.GetTargetLatencyMicros()) * time.Microsecond,
+		Arrived:       now.Add(-time.Duration(pl.GetAgeMicros()) * time.Microsecond),
+		Deadline:      now.Add(time.Duration(pl.GetRemainingMicros()) * time.Microsecond),
+	}
+	for _, ws := range pl.GetSteps() {
+		st := lovagejob.Step{
+			Count: int(ws.GetCount()),
+			Room: lovagejob.Room{
+				MilliCores: ws.GetMilliCores(), MemoryMB: ws.GetMemoryMb(), Accelerators: ws.GetAccelerators(),
+			},
+			RunTime: time.Duration(ws.GetRunTimeMicros()) * time.Microsecond, Constraint: ws.GetConstraint(),
+			Affinity: ws.GetAffinity(), AntiAffinity: int(ws.GetAntiAffinity()), Checkpointed: ws.GetCheckpointed(),
+			Image: ws.GetImage(),
+		}
+		for _, de := range ws.GetDependsOn() {
+			st.DependsOn = append(st.DependsOn, int(de))
+		}
+		wo.Steps = append(wo.Steps, st)
+	}
+	jo := &lovagepool.Job{Ref: pl.GetRef(), Work: wo}
+	for _, lt := range pl.GetLent() {
+		jo.Lent = append(jo.Lent, lovagepool.LentTask{
+			Step: int(lt.GetStep()), Index: int(lt.GetIndex()), Attempt: int(lt.GetAttempt()),
+		})
+	}
+	return jo
+}
+
+func replyOf(fi lovagepool.Finish) *lovagemessage.PlaceReply {
+	pr := &lovagemessage.PlaceReply{
+		Outcome: string(fi.Outcome), Reason: fi.Reason, RetryMillis: fi.RetryIn.Milliseconds(),
+	}
+	for _, en := range fi.Lent {
+		pr.Ends = append(pr.Ends, &lovagemessage.LentEnd{
+			Step: int32(en.Step), Index: int32(en.Index), Attempt: int32(en.Attempt), How: string(en.How),
+		})
+	}
+	return pr
+}
+
+func finishOf(pr *lovagemessage.PlaceReply) lovagepool.Finish {
+	fi := lovagepool.Finish{
+		Outcome: lovagepool.Outcome(pr.GetOutcome()), Reason: pr.GetReason(),
+		RetryIn: time.Duration(pr.GetRetryMillis()) * time.Millisecond,
+	}
+	for _, en := range pr.GetEnds() {
+		fi.Lent = append(fi.Lent, lovagepool.LentEnd{
+			LentTask: lovagepool.LentTask{Step: int(en.GetStep()), Index: int(en.GetIndex()), Attempt: int(en.GetAttempt())},
+			How:      lovagepool.How(en.GetHow()),
+		})
+	}
+	return fi
+}
--- /dev/null
+++ b/lovagefleet/route.go
@@ -0,0 +1,165 @@
+package lovagefleet
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"lovagestack/lovagejob"
+	"lovagestack/lovagemessage"
+	"lovagestack/lovagepeer"
+	"lovagestack/lovagepool"
+)
+
+const (
+	// ownerWait is how long a job waits for an instance that can place it, as while a domain changes hands.
+	ownerWait = 300 * time.Millisecond
+	// ownerPoll is the pause between two looks for such an instance.
+	ownerPoll = 20 * time.Millisecond
+	// answerSlack is how long after the caller's deadline the owner's answer is still awaited.
+	answerSlack = 100 * time.Millisecond
+	// retryWithoutOwner is when callers should come back if no instance owns workers.
+	retryWithoutOwner = time.Second
+	// retryUnsupported is when callers may come back with a job that this version cannot run.
+	retryUnsupported = time.Minute
+)
+
+// Submit has a job run and returns how it ended. If ctx ends, the job is cancelled.
+func (no *Node) Submit(ctx context.Context, wo *lovagejob.Work) Answer {
+	if part := wo.Unsupported(); part != "" {
+		no.count("refusedUnsupported")
+		no.log.Warn("job refused: part not supported", zap.String("job", wo.ID), zap.String("part", part))
+		return Answer{Outcome: lovagepool.NotRun, Reason: "not supported: " + part, RetryIn: retryUnsupported}
+	}
+	ctx, cancel := context.WithDeadline(ctx, wo.Deadline.Add(answerSlack))
+	defer cancel()
+	until := time.Now().Add(ownerWait)
+	failed := map[string]bool{}
+	for {
+		ow, ok := no.chooseOwner(wo.Service, failed)
+		if ok {
+			fi, err := no.submitTo(ctx, ow, wo)
+			switch {
+			case errors.Is(err, lovagepeer.ErrNotSent):
+				no.count("placeNotSent")
+				failed[ow.ID] = true
+			case err != nil:
+				no.count("placeUnknown")
+				return Answer{Outcome: lovagepool.Unknown, Reason: "the owner of the workers has been lost: " + err.Error()}
+			case fi.Outcome == lovagepool.Moved:
+				no.count("placeMoved")
+			default:
+				return Answer{Outcome: fi.Outcome, Reason: fi.Reason, RetryIn: fi.RetryIn}
+			}
+		}
+		if time.Now().After(until) || ctx.Err() != nil {
+			no.count("refusedWithoutOwner")
+			return Answer{Outcome: lovagepool.NotRun, Reason: "no instance owns workers of the service", RetryIn: retryWithoutOwner}
+		}
+		sleep(ctx, ownerPoll)
+		clear(failed)
+	}
+}
+
+// chooseOwner returns the owner of the workers in this data centre, or else the one with the most free room.
+func (no *Node) chooseOwner(service string, failed map[string]bool) (ownerRef, bool) {
+	usable := func(ow ownerRef) bool {
+		if failed[ow.ID] {
+			return false
+		}
+		if ow.self {
+			return !no.moved.Load()
+		}
+		return ow.Address != "" && no.mesh.Connected(ow.Address)
+	}
+	if ow, ok := no.owners.Load(no.se.DataCentre); ok && usable(ow.(ownerRef)) {
+		return ow.(ownerRef), true
+	}
+	var best ownerRef
+	bestFree, found := int32(-1), false
+	no.owners.Range(func(_, value any) bool {
+		ow := value.(ownerRef)
+		if !usable(ow) {
+			return true
+		}
+		free := int32(0)
+		if ps, ok := no.peers.Load(ow.ID); ok {
+			free = ps.(*peerStanding).free(service)
+		}
+		if free > bestFree {
+			best, bestFree, found = ow, free, true
+		}
+		return true
+	})
+	return best, found
+}
+
+// submitTo passes a job to an owner. After ErrNotSent the owner has not got it; after another error it may have.
+func (no *Node) submitTo(ctx context.Context, ow ownerRef, wo *lovagejob.Work) (lovagepool.Finish, error) {
+	ref := no.newRef()
+	if ow.self {
+		return no.submitLocal(ctx, &lovagepool.Job{Ref: ref, Work: wo})
+	}
+	resp, err := no.mesh.Call(ctx, ow.Address, &lovagemessage.Request{
+		Body: &lovagemessage.Request_Place{Place: placeMessage(ref, wo, nil)},
+	})
+	if err != nil {
+		if ctx.Err() != nil {
+			go no.withdrawFrom(ow.Address, ref)
+		}
+		return lovagepool.Finish{}, err
+	}
+	return finishOf(resp.GetPlace()), nil
+}
+
+func (no *Node) newRef() string {
+	return no.self.ID + "/" + no.self.Incarnation + "/" + strconv.FormatInt(no.nextRef.Add(1), 36)
+}
+
+// submitLocal gives a job to this instance's pool and waits for its end.
+func (no *Node) submitLocal(ctx context.Context, jo *lovagepool.Job) (lovagepool.Finish, error) {
+	wait := make(chan lovagepool.Finish, 1)
+	no.post(func(now time.Time) {
+		no.waiters[jo.Ref] = wait
+		no.pool.Submit(now, jo)
+	})
+	select {
+	case fi := <-wait:
+		return fi, nil
+	case <-ctx.Done():
+		no.post(func(now time.Time) {
+			delete(no.waiters, jo.Ref)
+			no.pool.Cancel(now, jo.Ref)
+		})
+		return lovagepool.Finish{}, errors.Wrap(ctx.Err(), "wait for the job")
+	case <-no.ctx.Done():
+		return lovagepool.Finish{}, errors.New("the instance has stopped")
+	}
+}
+
+// withdrawFrom cancels a job at the owner that it was passed to.
+func (no *Node) withdrawFrom(address, ref string) {
+	ctx, cancel := context.WithTimeout(no.ctx, pingTimeout)
+	defer cancel()
+	_, err := no.mesh.Call(ctx, address, &lovagemessage.Request{
+		Body: &lovagemessage.Request_Withdraw{Withdraw: &lovagemessage.Withdraw{Ref: ref}},
+	})
+	if err != nil {
+		no.count("withdrawFailed") // the owner stops the job at its deadline, or when the session ends
+	}
+}
+
+// Pending returns how many jobs of a queue this instance has that have not begun.
+func (no *Node) Pending(ctx context.Context, queue string) int {
+	result := make(chan int, 1)
+	no.post(func(time.Time) { result <- no.pool.Pending(queue) })
+	select {
+	case n := <-result:
+		return n
+	case <-ctx.Done():
+		return 0
+	}
+}
--- a/lovagemetric/registry.go
+++ b/lovagemetric/registry.go
@@ -31,11 +31,12 @@
 	LabelPeer       LabelName = "peer"
 	LabelDataCentre LabelName = "data_centre"
 	LabelReason     LabelName = "reason"
+	LabelEvent      LabelName = "event"
 )
 
 var labelNames = []LabelName{
 	LabelKind, LabelService, LabelTeam, LabelOutcome, LabelState, LabelSource, LabelOperation, LabelPeer, LabelDataCentre,
-	LabelReason,
+	LabelReason, LabelEvent,
 }
 
 const otherValue = "other"
--- a/lovagepeer/counters.go
+++ b/lovagepeer/counters.go
@@ -36,12 +36,17 @@
 	kindEstimates   = "estimates"
 	kindConfigDelta = "configDelta"
 	kindConfigAsk   = "configAsk"
+	kindPlace       = "place"
+	kindWithdraw    = "withdraw"
+	kindStanding    = "standing"
+	kindTakeOver    = "takeOver"
 	kindOther       = "other"
 )
 
 var kinds = []string{
 	kindHello, kindHeartbeat, kindSubmit, kindAsk, kindCancel, kindMint, kindAccept, kindResultCopy, kindTransfer,
-	kindSlotsAsk, kindSlotsReturn, kindEstimates, kindConfigDelta, kindConfigAsk, kindOther,
+	kindSlotsAsk, kindSlotsReturn, kindEstimates, kindConfigDelta, kindConfigAsk, kindPlace,
+	kindWithdraw, kindStanding, kindTakeOver, kindOther,
 }
 
 // Kind returns the kind of a request, such as "accept", for labels of counters and names of spans.
@@ -75,6 +80,14 @@
 		return kindConfigDelta
 	case *lovagemessage.Request_ConfigAsk:
 		return kindConfigAsk
+	case *lovagemessage.Request_Place:
+		return kindPlace
+	case *lovagemessage.Request_Withdraw:
+		return kindWithdraw
+	case *lovagemessage.Request_Standing:
+		return kindStanding
+	case *lovagemessage.Request_TakeOver:
+		return kindTakeOver
 	}
 	return kindOther
 }
--- /dev/null
+++ b/lovagepool/estimate.go
@@ -0,0 +1,112 @@
+package lovagepool
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// speedWeight of a new sample, after the first ones; 1/32 follows a change within about 30 tasks.
+	speedWeight = 1.0 / 32
+	// workerWeight follows a worker that turns slow within a few tasks.
+	workerWeight = 0.25
+	// estimateWeight is the share of the caller's estimate against the learned mean of its queue, on a log scale. Both
+	// are off by a similar factor.
+	estimateWeight = 0.5
+	// defaultRunTime is used for a queue without estimates and without samples.
+	defaultRunTime = 200 * time.Millisecond
+	// maxSpeedFactor bounds what one sample can say.
+	maxSpeedFactor = 20.0
+	// minSamples before a learned figure is used.
+	minSamples = 5
+)
+
+// class holds what is learned about the jobs of a queue.
+type class struct {
+	logWork float64 // mean of the logarithm of run time in seconds on a worker of speed 1
+	samples int
+	cores   float64 // mean of MilliCores
+}
+
+// speed is a learned factor on run times, on a log scale: 0 is as estimated, above 0 slower.
+type speed struct {
+	log     float64
+	samples int
+}
+
+func (sp *speed) add(sample, weight float64) {
+	sp.samples++
+	sp.log += (sample - sp.log) * math.Max(weight, 1/float64(sp.samples))
+}
+
+func (po *Pool) classOf(queue string) *class {
+	cl := po.classes[queue]
+	if cl == nil {
+		cl = &class{}
+		po.classes[queue] = cl
+	}
+	return cl
+}
+
+// expectedRunTime combines the caller's estimate with what the queue's tasks took.
+func (cl *class) expectedRunTime(declared time.Duration) time.Duration {
+	known := cl.samples >= minSamples
+	switch {
+	case declared > 0 && known:
+		lo := estimateWeight*math.Log(declared.Seconds()) + (1-estimateWeight)*cl.logWork
+		return time.Duration(math.Exp(lo) * float64(time.Second))
+	case declared > 0:
+		return declared
+	case known:
+		return time.Duration(math.Exp(cl.logWork) * float64(time.Second))
+	}
+	return defaultRunTime
+}
+
+// factor returns by how much longer than on a worker of speed 1 a task takes on the worker.
+func (po *Pool) factor(wo *worker) float64 {
+	lo := 0.0
+	if ki := po.kinds[wo.Kind]; ki != nil && ki.samples >= minSamples {
+		lo = ki.log
+	}
+	if wo.speed.samples > 0 {
+		lo += wo.speed.log
+	}
+	return math.Exp(lo)
+}
+
+// learn takes the run time of a task that is done. The kinds' factors are relative to the callers' estimates, so the
+// mean over all kinds is near 1.
+func (po *Pool) learn(ru *run, took time.Duration) {
+	jo := ru.task.job
+	if took <= 0 {
+		return
+	}
+	st := &jo.Work.Steps[ru.task.step]
+	wo := ru.worker
+	ki := po.kinds[wo.Kind]
+	if ki == nil {
+		ki = &speed{}
+		po.kinds[wo.Kind] = ki
+	}
+	expected := jo.class.expectedRunTime(st.RunTime)
+	if st.RunTime > 0 {
+		expected = st.RunTime
+	}
+	bound := math.Log(maxSpeedFactor)
+	sample := math.Max(-bound, math.Min(bound, math.Log(took.Seconds()/expected.Seconds())))
+	// A worker counts as slow against its kind only by what is far outside the spread of single tasks.
+	off := sample - ki.log
+	if math.Abs(off) < math.Ln2 {
+		off = 0
+	}
+	wo.speed.add(off, workerWeight)
+	if off == 0 {
+		ki.add(sample, speedWeight)
+	}
+	cl := jo.class
+	cl.samples++
+	wei := math.Max(speedWeight, 1/float64(cl.samples))
+	cl.logWork += (math.Log(took.Seconds()) - math.Log(po.factor(wo)) - cl.logWork) * wei
+	cl.cores += (float64(st.Room.MilliCores) - cl.cores) * wei
+}
--- /dev/null
+++ b/lovagepool/place.go
@@ -0,0 +1,256 @@
+package lovagepool
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+const (
+	// packing is the share of a worker's cores that tasks of mixed sizes fill.
+	packing = 0.85
+	// holdShare is the part of a job's time after which a job that has not begun, and is not expected to begin in time, is
+	// refused. Until then the expectation may change.
+	holdShare = 0.25
+	// sureFactor is by how much the expected wait must exceed the time left for a job to be refused on arrival.
+	sureFactor = 1.5
+	// minRetry is the shortest time after which a refused caller should come back.
+	minRetry = time.Second
+	// fitWeight makes a worker that is left with much free room count as that much slower, to keep large holes.
+	fitWeight = 0.15
+)
+
+func (wo *worker) hasLabel(label string) bool {
+	return label == "" || slices.Contains(wo.Labels, label)
+}
+
+// schedule starts what can start, lends what other owners have room for, and refuses what has no prospect.
+func (po *Pool) schedule(now time.Time) {
+	if len(po.queue) == 0 {
+		return
+	}
+	order := po.sortQueue(now)
+	for _, jo := range order {
+		if jo.Lent != nil {
+			po.placeLent(now, jo)
+			continue
+		}
+		po.place(now, jo)
+	}
+	po.lendQueue(now, order)
+	po.refuseHopeless(now, order)
+	kept := po.queue[:0]
+	for _, jo := range po.queue {
+		if !jo.ended && jo.waiting > 0 {
+			kept = append(kept, jo)
+		}
+	}
+	clear(po.queue[len(kept):])
+	po.queue = kept
+}
+
+// fastest returns the smallest factor among the workers of a service that may get starts.
+func (po *Pool) fastest(now time.Time, service string) float64 {
+	best := 0.0
+	for _, wo := range po.order {
+		if wo.Service != service || !po.usable(now, wo) {
+			continue
+		}
+		if fa := po.factor(wo); best == 0 || fa < best {
+			best = fa
+		}
+	}
+	if best == 0 {
+		return 1
+	}
+	return best
+}
+
+// sortQueue orders jobs: first those that can still be in time, by the latest moment at which they must start; then the
+// late ones, shortest first. Lent tasks come last, as they are only for room that is left.
+func (po *Pool) sortQueue(now time.Time) []*Job {
+	type entry struct {
+		jo    *Job
+		tier  int
+		value int64
+	}
+	fast := map[string]float64{}
+	list := make([]entry, 0, len(po.queue))
+	for _, jo := range po.queue {
+		if jo.ended || jo.waiting == 0 || jo.after != nil {
+			continue
+		}
+		fa, ok := fast[jo.Work.Service]
+		if !ok {
+			fa = po.fastest(now, jo.Work.Service)
+			fast[jo.Work.Service] = fa
+		}
+		run := time.Duration(float64(jo.runTime) * fa)
+		latest := jo.goal.Add(-run)
+		en := entry{jo: jo, value: latest.UnixNano()}
+		switch {
+		case jo.Lent != nil:
+			en.tier = 2
+		case latest.Before(now):
+			en.tier, en.value = 1, int64(run)*int64(jo.waiting)
+		}
+		list = append(list, en)
+	}
+	sort.SliceStable(list, func(i, j int) bool {
+		if list[i].tier != list[j].tier {
+			return list[i].tier < list[j].tier
+		}
+		return list[i].value < list[j].value
+	})
+	order := make([]*Job, len(list))
+	for i := range list {
+		order[i] = list[i].jo
+	}
+	return order
+}
+
+// place starts tasks of a job where there is room.
+func (po *Pool) place(now time.Time, jo *Job) {
+	for _, ta := range jo.tasks {
+		if jo.waiting == 0 {
+			return
+		}
+		if ta.state != taskReady {
+			continue
+		}
+		wo := po.choose(now, ta)
+		if wo == nil {
+			return
+		}
+		po.start(now, ta, wo)
+	}
+}
+
+// choose returns the worker on which the task is expected to end first. A slow worker is passed over if the job would be
+// late there and could be in time on a faster one that is busy now.
+func (po *Pool) choose(now time.Time, ta *task) *worker {
+	jo := ta.job
+	st := &jo.Work.Steps[ta.step]
+	var best *worker
+	var bestCost, bestFactor float64
+	fast := 0.0
+	for _, wo := range po.order {
+		if wo.Service != jo.Work.Service || !st.Room.Fits(wo.Capacity) || !wo.hasLabel(st.Constraint) || !po.usable(now, wo) {
+			continue
+		}
+		fa := po.factor(wo)
+		if st.Affinity != "" && wo.Rack != st.Affinity {
+			fa *= remoteFactor
+		}
+		if fast == 0 || fa < fast {
+			fast = fa
+		}
+		free := po.free(wo)
+		if !st.Room.Fits(free) || (st.AntiAffinity > 0 && wo.count(jo, ta.step) >= st.AntiAffinity) {
+			continue
+		}
+		cost := fa * (1 + fitWeight*float64(free.MilliCores-st.Room.MilliCores)/float64(max(wo.Capacity.MilliCores, 1)))
+		if wo.ID == ta.avoid {
+			cost *= maxSpeedFactor
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost, bestFactor = wo, cost, fa
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	run := time.Duration(float64(jo.runTime) * bestFactor)
+	latest := jo.goal.Add(-time.Duration(float64(jo.runTime) * fast))
+	if now.Add(run).After(jo.goal) && latest.After(now) {
+		return nil
+	}
+	return best
+}
+
+// remoteFactor is how much longer a task takes away from its data, where the settings say nothing else.
+const remoteFactor = 2.0
+
+func (wo *worker) count(jo *Job, step int) int {
+	n := 0
+	for _, ru := range wo.runs {
+		if ru.task != nil && ru.task.job == jo && ru.task.step == step {
+			n++
+		}
+	}
+	return n
+}
+
+// rate returns the work that the usable workers of a service do per second, in thousandths of a core of speed 1.
+func (po *Pool) rate(now time.Time, service string) float64 {
+	sum := 0.0
+	for _, wo := range po.order {
+		if wo.Service == service && po.usable(now, wo) {
+			sum += packing * float64(wo.Capacity.MilliCores) / po.factor(wo)
+		}
+	}
+	return sum
+}
+
+// remaining is the work of the job's waiting tasks, in thousandths of a core times seconds.
+func (jo *Job) remaining() float64 {
+	sum := 0.0
+	for _, ta := range jo.tasks {
+		if ta.state == taskReady || ta.state == taskBlocked {
+			sum += float64(jo.Work.Steps[ta.step].Room.MilliCores)
+		}
+	}
+	return sum * jo.runTime.Seconds()
+}
+
+// refuseHopeless refuses jobs of which nothing has started and that are not expected to start in time: at once when the
+// wait is far too long, else after a part of their time, so that callers can go elsewhere or come back.
+func (po *Pool) refuseHopeless(now time.Time, order []*Job) {
+	ahead := map[string]float64{}
+	rates := map[string]float64{}
+	for _, jo := range order {
+		if jo.ended || jo.waiting == 0 || jo.Lent != nil {
+			continue
+		}
+		service := jo.Work.Service
+		rate, ok := rates[service]
+		if !ok {
+			rate = po.rate(now, service)
+			rates[service] = rate
+		}
+		own := jo.remaining()
+		before := ahead[service]
+		ahead[service] += own
+		if jo.begun > 0 {
+			continue
+		}
+		if rate == 0 {
+			po.refuseWithoutWorkers(now, jo)
+			continue
+		}
+		wait := time.Duration((before + own*float64(jo.waiting-1)/float64(jo.waiting)) / rate * float64(time.Second))
+		run := time.Duration(float64(jo.runTime) * po.fastest(now, service))
+		left := jo.goal.Sub(now) - run
+		age := now.Sub(jo.Work.Arrived)
+		whole := jo.goal.Sub(jo.Work.Arrived)
+		early := float64(wait) > sureFactor*float64(left) && float64(age) < holdShare*float64(whole)/2
+		due := wait > left && float64(age) >= holdShare*float64(whole)/2 && float64(age) < holdShare*float64(whole)*1.2
+		if left > 0 && (early || due) {
+			po.Counts["refusedHopeless"]++
+			po.finish(jo, NotRun, "not expected to start in time", max(wait-left, minRetry))
+			ahead[service] -= own
+		}
+	}
+}
+
+// withoutWorkersHold is how long a job waits while no worker can be used, as after a take-over.
+const withoutWorkersHold = 100 * time.Millisecond
+
+func (po *Pool) refuseWithoutWorkers(now time.Time, jo *Job) {
+	if now.Sub(jo.Work.Arrived) >= withoutWorkersHold {
+		po.Counts["refusedWithoutWorkers"]++
+		po.finish(jo, NotRun, "no worker can be used", minRetry)
+	}
+}
+
+func (po *Pool) retryIn(_ *Job) time.Duration { return minRetry }
--- /dev/null
+++ b/lovagepool/pool.go
@@ -0,0 +1,219 @@
+// Package lovagepool decides which tasks run on the workers that an instance owns.
+//
+// A Pool is a deterministic state machine. Its methods take events with their time and return the commands that follow
+// from them. It reads no clock, opens no connection and starts no goroutine; one goroutine calls it. Workers start
+// whatever they are told, so the pool alone keeps their rooms: a run takes room from the moment its start is ordered
+// until its end is certain, which is when the worker lists the end, the worker's process is gone, or every lease that
+// an order could have given has lapsed.
+//
+// # Usage
+//
+//	po := lovagepool.New(lovagepool.DefaultSettings())
+//	po.SetWorkers(now, workers)
+//	po.Submit(now, job)
+//	for _, cmd := range po.Commands(now) { ... } // carry out; feed replies back by Started, Listed, Lost, LentEnded
+//
+// Files: pool.go holds the state, submit.go admission and ends of jobs, place.go the choice of workers, runs.go what
+// becomes of runs, workers.go the workers' health, estimate.go learned run times, lend.go tasks run by other owners.
+package lovagepool
+
+import (
+	"slices"
+	"time"
+
+	"lovagestack/lovagejob"
+)
+
+// Settings are the limits of a Pool.
+type Settings struct {
+	Lease        time.Duration // longest time for which one order keeps runs alive, by the worker's clock
+	ClockDrift   float64       // how much slower a worker's clock may run
+	StopGrace    time.Duration // how long a stop takes at most
+	OrderTimeout time.Duration // until an unanswered start is stopped
+}
+
+// DefaultSettings returns the figures of the users' workers: leases of 1 s, clocks up to 2% slow, stops within 50 ms.
+func DefaultSettings() Settings {
+	return Settings{Lease: time.Second, ClockDrift: 0.02, StopGrace: 50 * time.Millisecond, OrderTimeout: 250 * time.Millisecond}
+}
+
+// lapse returns how long after an order was sent a run that it kept alive may still be running.
+func (se Settings) lapse() time.Duration {
+	return time.Duration(float64(se.Lease)*(1+se.ClockDrift)) + se.StopGrace
+}
+
+// Outcome says how a job ended.
+type Outcome string
+
+// Outcomes of a job.
+const (
+	Completed Outcome = "completed"
+	Failed    Outcome = "failed"  // a task failed too often
+	NotRun    Outcome = "notRun"  // no task has been started and none will be
+	Moved     Outcome = "moved"   // not run here; another instance owns the workers
+	Unknown   Outcome = "unknown" // tasks may have run; nothing is known of the end
+)
+
+// Job is a submitted Work, or the tasks of one that another owner lends.
+type Job struct {
+	Ref  string // unique per submission
+	Work *lovagejob.Work
+	Lent []LentTask // only these tasks, now or never; nil: the whole job
+
+	tasks   []*task
+	byStep  [][]*task
+	class   *class
+	runTime time.Duration // expected for one task on a worker of speed 1
+	goal    time.Time     // by which a caller is served in time
+	waiting int           // tasks that are ready to start
+	running int           // tasks with a run, here or lent
+	undone  int
+	begun   int // starts ordered or lent that may have been carried out
+	ended   bool
+	after   *Job // an earlier submission of the same ID, whose runs must end first
+}
+
+// LentTask names a task that another owner may start.
+type LentTask struct{ Step, Index, Attempt int }
+
+// LentEnd says what became of a lent task.
+type LentEnd struct {
+	LentTask
+	How How
+}
+
+type taskState string
+
+const (
+	taskBlocked taskState = "blocked" // by steps that are not done
+	taskReady   taskState = "ready"
+	taskRunning taskState = "running" // has a run
+	taskLent    taskState = "lent"
+	taskHeld    taskState = "held" // may still run with another owner until heldUntil
+	taskDone    taskState = "done"
+)
+
+type task struct {
+	job         *Job
+	step, index int
+	state       taskState
+	attempt     int // highest number of a start
+	failed      int // runs that ended failed
+	heldUntil   time.Time
+	run         *run
+	avoid       string // worker of the last failed run
+	how         How    // end of a lent task
+}
+
+// Command is something the pool wants done.
+type Command interface{ command() }
+
+// StartRun orders a worker to start a task.
+type StartRun struct {
+	Worker  string
+	Task    string
+	Attempt int
+	Spec    string
+}
+
+// StopRun orders a worker to stop a run, or to reject it if it arrives later.
+type StopRun struct {
+	Worker  string
+	Task    string
+	Attempt int
+}
+
+// Finish ends a job.
+type Finish struct {
+	Ref     string
+	Outcome Outcome
+	Reason  string
+	RetryIn time.Duration // with NotRun: when callers should come back
+	Lent    []LentEnd     // for lent jobs, in the order of Job.Lent
+}
+
+// Lend asks another owner to run tasks now.
+type Lend struct {
+	Lender string // ID of the other owner
+	Ref    string
+	Work   *lovagejob.Work
+	Tasks  []LentTask
+}
+
+// Recall cancels an earlier Lend.
+type Recall struct{ Lender, Ref string }
+
+// Release says that a worker being handed over has no run any more.
+type Release struct{ Worker string }
+
+func (StartRun) command() {}
+func (StopRun) command()  {}
+func (Finish) command()   {}
+func (Lend) command()     {}
+func (Recall) command()   {}
+func (Release) command()  {}
+
+// Pool holds the workers, runs and jobs of one instance.
+type Pool struct {
+	se        Settings
+	workers   map[string]*worker
+	order     []*worker // by ID, for runs that can be repeated
+	jobs      map[string]*Job
+	list      []*Job          // all jobs, in the order of their submission
+	byID      map[string]*Job // whole jobs, by the caller's ID
+	queue     []*Job          // with tasks that are ready
+	classes   map[string]*class
+	kinds     map[string]*speed
+	lenders   map[string]*lender
+	lent      map[string]*loan
+	nextLoan  int
+	withdrawn map[string]time.Time // cancellations that arrived before their jobs
+	leaving   bool
+	out       []Command
+	dirty     bool             // something has changed that placing depends on
+	Counts    map[string]int64 // decisions by reason
+}
+
+// New returns a pool without workers.
+func New(se Settings) *Pool {
+	return &Pool{
+		se: se, workers: map[string]*worker{}, jobs: map[string]*Job{}, byID: map[string]*Job{}, classes: map[string]*class{},
+		kinds: map[string]*speed{}, lenders: map[string]*lender{}, lent: map[string]*loan{}, Counts: map[string]int64{},
+		withdrawn: map[string]time.Time{},
+	}
+}
+
+// Commands places what can be placed and returns the commands since the last call.
+func (po *Pool) Commands(now time.Time) []Command {
+	if po.dirty {
+		po.dirty = false
+		po.schedule(now)
+	}
+	out := po.out
+	po.out = nil
+	return out
+}
+
+func (po *Pool) emit(cmd Command) { po.out = append(po.out, cmd) }
+
+// Idle reports whether no job is in progress.
+func (po *Pool) Idle() bool { return len(po.jobs) == 0 }
+
+// Tick lets time pass: leases lapse, runs become overdue, waiting jobs become hopeless.
+func (po *Pool) Tick(now time.Time) {
+	for _, wo := range po.order {
+		po.checkRuns(now, wo)
+	}
+	for _, jo := range slices.Clone(po.list) {
+		po.releaseHeld(now, jo)
+		if !jo.ended && !now.Before(jo.Work.Deadline) {
+			po.giveUp(now, jo)
+		}
+	}
+	for ref, at := range po.withdrawn {
+		if now.Sub(at) > withdrawnKept {
+			delete(po.withdrawn, ref)
+		}
+	}
+	po.dirty = po.dirty || len(po.queue) > 0
+}
--- /dev/null
+++ b/lovagepool/runs.go
@@ -0,0 +1,292 @@
+package lovagepool
+
+import (
+	"slices"
+	"time"
+
+	"lovagestack/lovagejob"
+)
+
+// How says how a run, or a lent task, ended.
+type How string
+
+// Ends of a run. A worker lists all but the last two.
+const (
+	HowDone     How = "done"
+	HowFailed   How = "failed"
+	HowStopped  How = "stopped"
+	HowLapsed   How = "lapsed"   // killed because its lease ran out, or with its worker
+	HowRejected How = "rejected" // never begun
+	HowDeclined How = "declined" // of a lent task: there was no room
+)
+
+type runState string
+
+const (
+	runOrdered  runState = "ordered"  // the start is not answered yet
+	runRunning  runState = "running"  // the worker has it
+	runStopping runState = "stopping" // a stop has been ordered
+)
+
+type runKey struct {
+	task    string
+	attempt int
+}
+
+// run takes room on a worker until its end is certain.
+type run struct {
+	key      runKey
+	task     *task // nil: started by another instance before this one owned the worker
+	worker   *worker
+	room     lovagejob.Room
+	state    runState
+	ordered  time.Time
+	began    time.Time
+	expected time.Duration
+	stopSent time.Time
+	missing  int // listings in a row without it
+}
+
+const (
+	// overdueFactor and overdueSlack say when a run counts as stuck: estimates are off by up to a factor of about 3.
+	overdueFactor = 4
+	overdueSlack  = 300 * time.Millisecond
+	// stopRepeat is the pause before an unconfirmed stop is ordered again.
+	stopRepeat = 250 * time.Millisecond
+)
+
+// Started takes the reply to a start. How is empty if the worker has the run, HowRejected if it does not, with the
+// reason given; retry tells that the same worker must not be asked again for this task.
+func (po *Pool) Started(now time.Time, worker, taskName string, attempt int, rejected bool, reason string) {
+	ru := po.find(worker, taskName, attempt)
+	if ru == nil {
+		return
+	}
+	if !rejected {
+		if ru.state == runOrdered {
+			ru.state, ru.began = runRunning, now
+		}
+		return
+	}
+	po.Counts["startRejected:"+reason]++
+	if ru.task != nil {
+		ru.task.avoid = worker
+	}
+	po.endRun(now, ru, HowRejected)
+	po.dirty = true
+}
+
+// StartUnanswered notes that a start may have been carried out, or may be later. The run is stopped by number.
+func (po *Pool) StartUnanswered(now time.Time, worker, taskName string, attempt int) {
+	if ru := po.find(worker, taskName, attempt); ru != nil && ru.state == runOrdered {
+		po.Counts["startUnanswered"]++
+		po.stop(now, ru)
+		ru.task.avoid = worker
+		po.dirty = true
+	}
+}
+
+// Stopped takes the reply to a stop: from now on the worker rejects the run, and what runs ends in the listing.
+func (po *Pool) Stopped(now time.Time, worker, taskName string, attempt int) {
+	ru := po.find(worker, taskName, attempt)
+	if ru == nil || ru.state != runStopping || !ru.began.IsZero() {
+		return
+	}
+	ru.missing = 0
+	ru.stopSent = now.Add(time.Hour) // acknowledged: no need to repeat it
+}
+
+// Active is a run that a worker lists.
+type Active struct {
+	Task    string
+	Attempt int
+}
+
+// Ended is an end that a worker lists.
+type Ended struct {
+	Task    string
+	Attempt int
+	How     How
+}
+
+// Listed takes a worker's list of runs and ends, from a call that was sent at the given time.
+func (po *Pool) Listed(now, sent time.Time, worker string, active []Active, ended []Ended) {
+	wo := po.workers[worker]
+	if wo == nil {
+		return
+	}
+	wo.reachable = true
+	for _, en := range ended {
+		if ru := wo.find(runKey{en.Task, en.Attempt}); ru != nil {
+			po.endRun(now, ru, en.How)
+		}
+	}
+	listed := make(map[runKey]bool, len(active))
+	for _, ac := range active {
+		key := runKey{ac.Task, ac.Attempt}
+		listed[key] = true
+		ru := wo.find(key)
+		switch {
+		case ru == nil:
+			po.adoptOrphan(now, wo, key)
+		case ru.state == runOrdered:
+			ru.state = runRunning
+			if ru.began.IsZero() {
+				ru.began = now
+			}
+		case ru.state == runStopping && ru.began.IsZero():
+			ru.began = now
+		}
+	}
+	for _, ru := range slices.Clone(wo.runs) {
+		if listed[ru.key] {
+			ru.missing = 0
+			continue
+		}
+		// Ends are listed until they are acknowledged, so a run that was there and is in neither list is gone.
+		confirmed := ru.state == runRunning && sent.After(ru.began)
+		stopped := ru.state == runStopping && ru.stopSent.After(now)
+		if confirmed || stopped {
+			if ru.missing++; ru.missing >= 2 {
+				po.endRun(now, ru, HowLapsed)
+			}
+		}
+	}
+	po.dirty = true
+}
+
+// adoptOrphan books the room of a run that no job here answers for, and stops it. Its size is not known; the rest of the
+// worker's room is taken to be used until the end is listed.
+func (po *Pool) adoptOrphan(now time.Time, wo *worker, key runKey) {
+	po.Counts["orphanStopped"]++
+	ru := &run{key: key, worker: wo, room: po.free(wo), state: runRunning, ordered: now, began: now}
+	wo.used = wo.used.Plus(ru.room)
+	wo.runs = append(wo.runs, ru)
+	po.stop(now, ru)
+}
+
+// Extended notes that an order that extends leases is being sent to the worker.
+func (po *Pool) Extended(now time.Time, worker string) {
+	if wo := po.workers[worker]; wo != nil {
+		wo.lastOrder = now
+	}
+}
+
+// HasRuns reports whether runs on the worker need their leases extended.
+func (po *Pool) HasRuns(worker string) bool {
+	wo := po.workers[worker]
+	return wo != nil && len(wo.runs) > 0
+}
+
+func (po *Pool) find(worker, taskName string, attempt int) *run {
+	if wo := po.workers[worker]; wo != nil {
+		return wo.find(runKey{taskName, attempt})
+	}
+	return nil
+}
+
+func (wo *worker) find(key runKey) *run {
+	for _, ru := range wo.runs {
+		if ru.key == key {
+			return ru
+		}
+	}
+	return nil
+}
+
+// start books a run and orders it.
+func (po *Pool) start(now time.Time, ta *task, wo *worker) {
+	jo := ta.job
+	st := &jo.Work.Steps[ta.step]
+	ta.attempt++
+	ru := &run{
+		key: runKey{jo.Work.TaskName(ta.step, ta.index), ta.attempt}, task: ta, worker: wo, room: st.Room, state: runOrdered,
+		ordered: now, expected: time.Duration(float64(jo.runTime) * po.factor(wo)),
+	}
+	ta.run, ta.state = ru, taskRunning
+	jo.waiting--
+	jo.running++
+	jo.begun++
+	wo.used = wo.used.Plus(st.Room)
+	wo.runs = append(wo.runs, ru)
+	wo.lastOrder = now
+	if !wo.until.IsZero() {
+		wo.trial = true
+	}
+	po.emit(StartRun{wo.ID, ru.key.task, ru.key.attempt, jo.Work.Spec})
+}
+
+// stop orders a run to end. Its room stays booked until the end is certain.
+func (po *Pool) stop(now time.Time, ru *run) {
+	if ru.state != runStopping {
+		ru.state = runStopping
+		po.Counts["runStopped"]++
+	}
+	ru.stopSent = now
+	po.emit(StopRun{ru.worker.ID, ru.key.task, ru.key.attempt})
+}
+
+// endRun frees the room of a run and decides what becomes of its task.
+func (po *Pool) endRun(now time.Time, ru *run, how How) {
+	wo := ru.worker
+	at := slices.Index(wo.runs, ru)
+	if at < 0 {
+		return
+	}
+	wo.runs = slices.Delete(wo.runs, at, at+1)
+	po.dirty = true
+	wo.used = wo.used.Minus(ru.room)
+	if len(wo.runs) == 0 {
+		wo.used = lovagejob.Room{}
+		if wo.handing {
+			po.emit(Release{wo.ID})
+		}
+		if wo.gone {
+			delete(po.workers, wo.ID)
+		}
+	}
+	ta := ru.task
+	if ta == nil {
+		return
+	}
+	po.Counts["runEnded:"+string(how)]++
+	switch how {
+	case HowDone:
+		began := ru.began
+		if began.IsZero() {
+			began = ru.ordered
+		}
+		po.learn(ru, now.Sub(began))
+		wo.succeeded()
+	case HowFailed:
+		po.noteFailure(now, wo, ta.job.Work.ID)
+	}
+	if ta.run != ru {
+		return
+	}
+	ta.run = nil
+	po.taskEnded(now, ta, how)
+}
+
+// checkRuns acts on runs whose time has passed.
+func (po *Pool) checkRuns(now time.Time, wo *worker) {
+	lapsed := !wo.lastOrder.IsZero() && now.Sub(wo.lastOrder) > po.se.lapse()
+	for _, ru := range slices.Clone(wo.runs) {
+		switch {
+		case lapsed && !wo.reachable:
+			po.endRun(now, ru, HowLapsed)
+		case ru.state == runStopping:
+			if now.Sub(ru.stopSent) > stopRepeat && wo.reachable {
+				po.stop(now, ru)
+			}
+		case ru.state == runOrdered && now.Sub(ru.ordered) > po.se.OrderTimeout:
+			po.StartUnanswered(now, wo.ID, ru.key.task, ru.key.attempt)
+		case ru.state == runRunning && ru.task != nil && !ru.began.IsZero() &&
+			now.Sub(ru.began) > overdueFactor*ru.expected+overdueSlack:
+			po.Counts["runOverdue"]++
+			ru.task.avoid = wo.ID
+			po.noteFailure(now, wo, ru.task.job.Work.ID)
+			po.stop(now, ru)
+		}
+	}
+}
--- /dev/null
+++ b/lovagepool/submit.go
@@ -0,0 +1,323 @@
+package lovagepool
+
+import (
+	"slices"
+	"time"
+)
+
+// Submit takes a job. It ends with a Finish command unless it is cancelled before.
+func (po *Pool) Submit(now time.Time, jo *Job) {
+	if po.jobs[jo.Ref] != nil {
+		return
+	}
+	wo := jo.Work
+	if _, ok := po.withdrawn[jo.Ref]; ok {
+		delete(po.withdrawn, jo.Ref)
+		jo.build()
+		po.emitFinish(jo, NotRun, "cancelled before it arrived", 0)
+		return
+	}
+	jo.class = po.classOf(wo.Queue)
+	jo.build()
+	po.jobs[jo.Ref] = jo
+	po.list = append(po.list, jo)
+	jo.runTime = jo.class.expectedRunTime(wo.Steps[0].RunTime)
+	jo.goal = wo.Arrived.Add(po.goal(jo))
+	if jo.Lent == nil {
+		if older := po.byID[wo.ID]; older != nil {
+			po.Counts["resubmitted"]++
+			po.cancel(now, older)
+			jo.replace(older)
+		}
+		po.byID[wo.ID] = jo
+		if po.leaving {
+			po.finish(jo, Moved, "the instance is handing over its workers", 0)
+			return
+		}
+		if !po.everFits(jo) {
+			po.finish(jo, NotRun, "no worker is large enough or has the label", retryHopeless)
+			return
+		}
+	}
+	if jo.after == nil && jo.waiting > 0 {
+		po.queue = append(po.queue, jo)
+	}
+	po.dirty = true
+}
+
+// retryHopeless is when a caller may ask again with a job that no present worker can run.
+const retryHopeless = 10 * time.Second
+
+// build makes the tasks.
+func (jo *Job) build() {
+	wo := jo.Work
+	jo.byStep = make([][]*task, len(wo.Steps))
+	add := func(step, index, attempt int, state taskState) {
+		ta := &task{job: jo, step: step, index: index, attempt: attempt, state: state}
+		jo.tasks = append(jo.tasks, ta)
+		jo.byStep[step] = append(jo.byStep[step], ta)
+		jo.undone++
+		if state == taskReady {
+			jo.waiting++
+		}
+	}
+	if jo.Lent != nil {
+		for _, lt := range jo.Lent {
+			add(lt.Step, lt.Index, lt.Attempt-1, taskReady)
+		}
+		return
+	}
+	for i, st := range wo.Steps {
+		state := taskReady
+		if len(st.DependsOn) > 0 {
+			state = taskBlocked
+		}
+		for k := range st.Count {
+			add(i, k, 0, state)
+		}
+	}
+}
+
+// replace makes the job go on from an earlier submission of the same ID once its runs have ended.
+func (jo *Job) replace(older *Job) {
+	if len(older.tasks) == len(jo.tasks) {
+		for i, ta := range jo.tasks {
+			ta.attempt = older.tasks[i].attempt
+		}
+	}
+	if older.running > 0 {
+		jo.after = older
+	}
+}
+
+// goal returns how long after its arrival the job is still served in time.
+func (po *Pool) goal(jo *Job) time.Duration {
+	wo := jo.Work
+	chain := make([]time.Duration, len(wo.Steps))
+	var longest time.Duration
+	for i, st := range wo.Steps {
+		for _, de := range st.DependsOn {
+			chain[i] = max(chain[i], chain[de])
+		}
+		chain[i] += jo.class.expectedRunTime(st.RunTime)
+		longest = max(longest, chain[i])
+	}
+	return time.Duration(wo.SlackFactor*float64(longest)) + wo.TargetLatency
+}
+
+// everFits reports whether each step could run on some known worker with nothing else on it. Without any known worker
+// it is taken to fit.
+func (po *Pool) everFits(jo *Job) bool {
+	known := false
+	for i := range jo.Work.Steps {
+		fits := false
+		for _, wo := range po.order {
+			if wo.Service != jo.Work.Service {
+				continue
+			}
+			known = true
+			if jo.Work.Steps[i].Room.Fits(wo.Capacity) && wo.hasLabel(jo.Work.Steps[i].Constraint) {
+				fits = true
+				break
+			}
+		}
+		if known && !fits {
+			return false
+		}
+	}
+	return true
+}
+
+// withdrawnKept is how long a cancellation is kept that has arrived before its job; both travel on one connection.
+const withdrawnKept = 5 * time.Second
+
+// Cancel ends a job whose caller has left. Its runs are stopped. It may arrive before the job.
+func (po *Pool) Cancel(now time.Time, ref string) {
+	jo := po.jobs[ref]
+	if jo == nil {
+		po.withdrawn[ref] = now
+		return
+	}
+	po.Counts["cancelled"]++
+	if jo.Lent == nil {
+		po.cancel(now, jo)
+		return
+	}
+	for _, ta := range jo.tasks { // the ends are reported to the lender as usual
+		if ta.run != nil {
+			po.stop(now, ta.run)
+		}
+	}
+}
+
+// cancel drops what waits and stops what runs. The job is forgotten when nothing of it runs any more.
+func (po *Pool) cancel(now time.Time, jo *Job) {
+	if jo.ended {
+		return
+	}
+	jo.ended = true
+	po.unqueue(jo)
+	for _, ta := range jo.tasks {
+		if ta.run != nil {
+			po.stop(now, ta.run)
+		}
+	}
+	po.recall(jo)
+	po.forget(jo)
+}
+
+// giveUp answers a job whose caller's time is over.
+func (po *Pool) giveUp(now time.Time, jo *Job) {
+	if jo.begun == 0 {
+		po.finish(jo, NotRun, "no room before the caller's deadline", po.retryIn(jo))
+		return
+	}
+	po.emitFinish(jo, Unknown, "not ended before the caller's deadline", 0)
+	po.cancel(now, jo)
+}
+
+// finish answers a job of which nothing runs.
+func (po *Pool) finish(jo *Job, oc Outcome, reason string, retryIn time.Duration) {
+	if jo.ended {
+		return
+	}
+	po.emitFinish(jo, oc, reason, retryIn)
+	jo.ended = true
+	po.unqueue(jo)
+	po.forget(jo)
+}
+
+func (po *Pool) emitFinish(jo *Job, oc Outcome, reason string, retryIn time.Duration) {
+	po.Counts["job:"+string(oc)]++
+	fi := Finish{Ref: jo.Ref, Outcome: oc, Reason: reason, RetryIn: retryIn}
+	for _, ta := range jo.tasks {
+		if jo.Lent == nil {
+			break
+		}
+		how := ta.how
+		if how == "" {
+			how = HowDeclined
+		}
+		fi.Lent = append(fi.Lent, LentEnd{LentTask{ta.step, ta.index, ta.attempt}, how})
+	}
+	po.emit(fi)
+}
+
+// forget drops an ended job when nothing of it runs any more.
+func (po *Pool) forget(jo *Job) {
+	if !jo.ended || jo.running > 0 {
+		return
+	}
+	delete(po.jobs, jo.Ref)
+	if at := slices.Index(po.list, jo); at >= 0 {
+		po.list = slices.Delete(po.list, at, at+1)
+	}
+	if po.byID[jo.Work.ID] == jo {
+		delete(po.byID, jo.Work.ID)
+	}
+	for _, ot := range po.list {
+		if ot.after == jo {
+			ot.after = nil
+			if ot.waiting > 0 && !ot.ended {
+				po.queue = append(po.queue, ot)
+				po.dirty = true
+			}
+		}
+	}
+}
+
+func (po *Pool) unqueue(jo *Job) {
+	if at := slices.Index(po.queue, jo); at >= 0 {
+		po.queue = slices.Delete(po.queue, at, at+1)
+	}
+}
+
+// taskEnded takes the end of a task's run, here or with another owner.
+func (po *Pool) taskEnded(now time.Time, ta *task, how How) {
+	jo := ta.job
+	jo.running--
+	if how == HowRejected || how == HowDeclined {
+		jo.begun--
+	}
+	po.dirty = true
+	if jo.ended {
+		po.forget(jo)
+		return
+	}
+	if jo.Lent != nil {
+		ta.state, ta.how = taskDone, how
+		if jo.undone--; jo.undone == 0 {
+			po.finish(jo, Completed, "", 0)
+		}
+		return
+	}
+	switch how {
+	case HowDone:
+		ta.state = taskDone
+		jo.undone--
+		po.unblock(jo)
+		if jo.undone == 0 {
+			po.finish(jo, Completed, "", 0)
+		}
+	case HowFailed:
+		ta.failed++
+		if ta.failed >= max(jo.Work.MaxAttempts, 1) {
+			po.emitFinish(jo, Failed, "task "+jo.Work.TaskName(ta.step, ta.index)+" failed too often", 0)
+			po.cancel(now, jo)
+			return
+		}
+		po.ready(jo, ta)
+	default:
+		po.ready(jo, ta)
+	}
+}
+
+// ready puts a task back into the queue.
+func (po *Pool) ready(jo *Job, ta *task) {
+	ta.state = taskReady
+	jo.waiting++
+	if !slices.Contains(po.queue, jo) {
+		po.queue = append(po.queue, jo)
+	}
+	po.dirty = true
+}
+
+// unblock makes tasks ready whose steps no longer wait for others.
+func (po *Pool) unblock(jo *Job) {
+	for i, st := range jo.Work.Steps {
+		if len(st.DependsOn) == 0 || jo.byStep[i][0].state != taskBlocked {
+			continue
+		}
+		open := slices.ContainsFunc(st.DependsOn, func(de int) bool {
+			return slices.ContainsFunc(jo.byStep[de], func(ta *task) bool { return ta.state != taskDone })
+		})
+		if open {
+			continue
+		}
+		jo.runTime = jo.class.expectedRunTime(st.RunTime)
+		for _, ta := range jo.byStep[i] {
+			po.ready(jo, ta)
+		}
+	}
+}
+
+// Leave makes the pool refuse new jobs as moved and hand back those that have not begun.
+func (po *Pool) Leave() {
+	po.leaving = true
+	for _, jo := range slices.Clone(po.list) {
+		if jo.begun == 0 && !jo.ended && jo.Lent == nil {
+			po.finish(jo, Moved, "the instance is handing over its workers", 0)
+		}
+	}
+}
+
+// Pending returns how many jobs of a queue have not begun.
+func (po *Pool) Pending(queue string) int {
+	n := 0
+	for _, jo := range po.list {
+		if jo.Lent == nil && !jo.ended && jo.begun == 0 && jo.Work.Queue == queue {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/lovagepool/workers.go
@@ -0,0 +1,193 @@
+package lovagepool
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"lovagestack/lovagejob"
+)
+
+const (
+	// ejectAfter consecutive runs of different jobs that end failed, a worker gets no starts for a while.
+	ejectAfter = 3
+	// firstEjection is the first pause of a failing worker; it doubles up to maxEjection.
+	firstEjection = 500 * time.Millisecond
+	maxEjection   = 4 * time.Second
+)
+
+// Worker is what is known of a worker from its registration.
+type Worker struct {
+	ID       string
+	Born     int64 // start of its process, Unix milliseconds; another value means that it runs nothing of before
+	Address  string
+	Service  string
+	Rack     string
+	Kind     string // workers of the same kind are expected to be equally fast
+	Labels   []string
+	Capacity lovagejob.Room
+	Draining bool
+}
+
+type worker struct {
+	Worker
+	used      lovagejob.Room
+	runs      []*run // in the order of their starts
+	speed     speed
+	reachable bool // has answered since it was added or last found silent
+	failures  int  // in a row
+	failedJob string
+	ejections int
+	until     time.Time // no starts before, but for one trial after it
+	trial     bool      // being tried after an ejection
+	handing   bool      // being handed over: no starts
+	gone      bool      // no longer registered; kept until its runs have ended
+	lastOrder time.Time // when the last order that extends leases was sent
+}
+
+// SetWorkers replaces the set of workers. A worker that is missing gets no new starts; its runs go on.
+func (po *Pool) SetWorkers(now time.Time, list []Worker) {
+	seen := map[string]bool{}
+	for _, de := range list {
+		seen[de.ID] = true
+		wo := po.workers[de.ID]
+		if wo == nil {
+			wo = &worker{Worker: de}
+			po.workers[de.ID] = wo
+			po.order = append(po.order, wo)
+			continue
+		}
+		if wo.Born != de.Born && de.Born != 0 && wo.Born != 0 {
+			po.reborn(now, wo)
+		}
+		wo.gone, wo.Worker = false, de
+	}
+	for _, wo := range po.order {
+		if !seen[wo.ID] {
+			wo.gone = true
+			if len(wo.runs) == 0 {
+				delete(po.workers, wo.ID)
+			}
+		}
+	}
+	kept := po.order[:0]
+	for _, wo := range po.order {
+		if po.workers[wo.ID] == wo {
+			kept = append(kept, wo)
+		}
+	}
+	po.order = kept
+	sort.Slice(po.order, func(i, j int) bool { return po.order[i].ID < po.order[j].ID })
+	po.dirty = true
+}
+
+// reborn drops what the worker's former process ran.
+func (po *Pool) reborn(now time.Time, wo *worker) {
+	for _, ru := range slices.Clone(wo.runs) {
+		po.endRun(now, ru, HowLapsed)
+	}
+	wo.speed, wo.failures, wo.ejections, wo.until = speed{}, 0, 0, time.Time{}
+}
+
+// Reachable notes that a worker has answered; it may get starts.
+func (po *Pool) Reachable(now time.Time, id string) {
+	if wo := po.workers[id]; wo != nil && !wo.reachable {
+		wo.reachable = true
+		po.dirty = true
+	}
+}
+
+// Silent notes that a worker has not answered an order in time. It gets no starts until it answers again. With crashed
+// set its process is known to be gone, and with it all that it ran.
+func (po *Pool) Silent(now time.Time, id string, crashed bool) {
+	wo := po.workers[id]
+	if wo == nil {
+		return
+	}
+	wo.reachable = false
+	if crashed {
+		for _, ru := range slices.Clone(wo.runs) {
+			po.endRun(now, ru, HowLapsed)
+		}
+	}
+	po.dirty = true
+}
+
+// HandOver stops starts on the given workers. Each is released by a command when it has no run any more.
+func (po *Pool) HandOver(ids []string) {
+	for _, id := range ids {
+		if wo := po.workers[id]; wo != nil && !wo.handing {
+			wo.handing = true
+			if len(wo.runs) == 0 {
+				po.emit(Release{id})
+			}
+		}
+	}
+	po.dirty = true
+}
+
+// KeepWorkers takes back a HandOver.
+func (po *Pool) KeepWorkers(ids []string) {
+	for _, id := range ids {
+		if wo := po.workers[id]; wo != nil {
+			wo.handing = false
+		}
+	}
+	po.dirty = true
+}
+
+// usable reports whether the worker may get a start now.
+func (po *Pool) usable(now time.Time, wo *worker) bool {
+	if wo.gone || wo.handing || wo.Draining || !wo.reachable {
+		return false
+	}
+	if wo.until.IsZero() {
+		return true
+	}
+	return !now.Before(wo.until) && !wo.trial
+}
+
+func (po *Pool) free(wo *worker) lovagejob.Room { return wo.Capacity.Minus(wo.used) }
+
+// succeeded ends an ejection.
+func (wo *worker) succeeded() {
+	wo.failures, wo.ejections, wo.until, wo.trial = 0, 0, time.Time{}, false
+}
+
+// noteFailure ejects a worker on which runs of several jobs fail one after the other.
+func (po *Pool) noteFailure(now time.Time, wo *worker, jobID string) {
+	if jobID != wo.failedJob || wo.trial {
+		wo.failures++
+	}
+	wo.failedJob = jobID
+	if wo.failures < ejectAfter {
+		return
+	}
+	wo.trial = false
+	pause := min(firstEjection<<min(wo.ejections, 8), maxEjection)
+	wo.ejections++
+	wo.until = now.Add(pause)
+	po.Counts["workerEjected"]++
+}
+
+// Standing is how full the pool is for a service.
+type Standing struct{ FreeTasks, QueuedTasks int }
+
+// defaultTaskCores is the size assumed for the free places of a service before any task was seen.
+const defaultTaskCores = 14000
+
+// Standing returns the free places for tasks of usual size, and the tasks that wait.
+func (po *Pool) Standing(now time.Time, service string) Standing {
+	var sd Standing
+	for _, wo := range po.order {
+		if wo.Service == service && po.usable(now, wo) {
+			sd.FreeTasks += int(max(po.free(wo).MilliCores, 0) / defaultTaskCores)
+		}
+	}
+	for _, jo := range po.queue {
+		if jo.Work.Service == service {
+			sd.QueuedTasks += jo.waiting
+		}
+	}
+	return sd
+}
--- a/lovagestack/main.go
+++ b/lovagestack/main.go
@@ -46,6 +46,7 @@
 // arguments are the subcommands and the arguments that all of them have.
 type arguments struct {
 	Entry   *entryCommand   `arg:"subcommand:entry" help:"run an entry instance"`
+	Serve   *serveCommand   `arg:"subcommand:serve" help:"run an instance on the platform"`
 	Check   *checkCommand   `arg:"subcommand:check" help:"check settings and resource files"`
 	Apply   *applyCommand   `arg:"subcommand:apply" help:"declare the resources of files"`
 	Get     *getCommand     `arg:"subcommand:get" help:"show resources"`
--- /dev/null
+++ b/lovagestack/serve.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"lovagestack/lovagefleet"
+	"lovagestack/lovagemetric"
+	"lovagestack/platform"
+)
+
+// serveCommand runs an instance on the users' platform.
+type serveCommand struct {
+	MetricsPort int `arg:"--metrics-port" default:"9464" placeholder:"PORT" help:"port of /metrics on the instance's address; 0: none"`
+}
+
+func (*serveCommand) help() string {
+	return `The settings file is the one that the platform writes; its path is in the environment variable
+` + platform.SettingsVariable + `. SIGHUP reads it again for checks only; changed addresses need a restart. SIGTERM makes
+the instance hand over its workers, finish what is in flight and exit.`
+}
+
+const (
+	// memoryShare of the instance's memory is the soft limit of the heap.
+	memoryShare = 0.5
+	// heapGrowth is the percentage by which the heap grows between collections. The live heap is a few MB.
+	heapGrowth = 200
+	// readHeaderTimeout, idleTimeout and maxHeaderBytes bound what callers do before the configuration is known.
+	readHeaderTimeout = 3 * time.Second
+	idleTimeout       = 15 * time.Second
+	maxHeaderBytes    = 16 << 10
+	// balancerLag is how long new connections may still arrive after the instance has become not ready: the platform asks
+	// once a second and acts on the second miss.
+	balancerLag = 2500 * time.Millisecond
+	// exitMargin is kept between the end of a graceful shutdown and the platform's SIGKILL.
+	exitMargin = 500 * time.Millisecond
+)
+
+func (sc *serveCommand) run(ctx context.Context, en *environment) int {
+	log := newStdoutLogger()
+	defer func() { _ = log.Sync() }()
+	path := os.Getenv(platform.SettingsVariable)
+	se, err := platform.ReadSettings(path)
+	if err != nil {
+		return en.fail(exitBadInput, err)
+	}
+	debug.SetGCPercent(heapGrowth)
+	if se.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(se.Limits.MemoryMB<<20)))
+	}
+	if err := sc.serve(ctx, se, path, log); err != nil {
+		log.Error("instance failed", zap.Error(err))
+		return exitFailed
+	}
+	return exitOK
+}
+
+// newStdoutLogger writes JSON lines with times in milliseconds to standard output.
+func newStdoutLogger() *zap.Logger {
+	ec := zap.NewProductionEncoderConfig()
+	ec.EncodeTime = zapcore.EpochMillisTimeEncoder
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(ec), zapcore.Lock(os.Stdout), zapcore.InfoLevel))
+}
+
+func (sc *serveCommand) serve(ctx context.Context, se *platform.Settings, path string, log *zap.Logger) error {
+	log.Info("start", zap.String("instance", se.Node), zap.String("dataCentre", se.Zone))
+	metrics := lovagemetric.New()
+	metrics.RegisterProcess()
+	store := platform.NewStore(se.Platform.Address)
+	no := lovagefleet.New(se.Fleet(), lovagefleet.Dependencies{
+		Store: store, Registry: store, Workers: platform.NewWorkers(), Metrics: metrics, Log: log,
+	})
+	front := platform.NewFrontend(no, func() bool { return ctx.Err() != nil })
+	servers := []*server{
+		newServer(se.Listen.Frontend, front), newServer(se.Listen.Readiness, platform.NewReadiness(no.Ready)),
+	}
+	if sc.MetricsPort > 0 {
+		mux := http.NewServeMux()
+		mux.HandleFunc("GET /metrics", func(rw http.ResponseWriter, _ *http.Request) { _ = metrics.WriteText(rw) })
+		servers = append(servers, newServer(net.JoinHostPort(se.IP, strconv.Itoa(sc.MetricsPort)), mux))
+	}
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	failed := make(chan error, len(servers)+1)
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		failed <- no.Run(runCtx)
+	}()
+	for _, sv := range servers {
+		if err := sv.listen(); err != nil {
+			return err
+		}
+		go func() { failed <- sv.run() }()
+	}
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case err := <-failed:
+			return err
+		case <-hup:
+			_, err := platform.ReadSettings(path)
+			log.Info("reload", zap.Error(err))
+			continue
+		case <-ctx.Done():
+		}
+		break
+	}
+	no.Leave()
+	grace := time.Duration(se.Bounds.GraceSeconds*float64(time.Second)) - exitMargin
+	until := time.Now().Add(grace)
+	time.Sleep(min(balancerLag, grace/2))
+	stopCtx, stop := context.WithDeadline(context.Background(), until)
+	defer stop()
+	for _, sv := range servers {
+		if err := sv.http.Shutdown(stopCtx); err != nil {
+			log.Warn("requests cut by the end of the shutdown", zap.String("address", sv.http.Addr), zap.Error(err))
+		}
+	}
+	no.AwaitIdle(stopCtx)
+	cancel()
+	wg.Wait()
+	log.Info("stop")
+	return nil
+}
+
+// server is an HTTP server with its listener.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+func newServer(address string, handler http.Handler) *server {
+	return &server{http: &http.Server{
+		Addr: address, Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	}}
+}
+
+func (sv *server) listen() error {
+	li, err := net.Listen("tcp", sv.http.Addr)
+	sv.listener = li
+	return errors.Wrapf(err, "listen on %s", sv.http.Addr)
+}
+
+// run serves until the server is shut down.
+func (sv *server) run() error {
+	if err := sv.http.Serve(sv.listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrapf(err, "serve on %s", sv.http.Addr)
+	}
+	return nil
+}
