lovagepool, lovagefleet: use no worker with runs of unknown size; claim only on rows just read

Ruled out: orders of the former owner, which the workers rejected by fence. Change: a worker gets no starts until the ends of all orphans are listed; claims follow only a successful read.

--- a/lovagefleet/own.go
+++ b/lovagefleet/own.go
@@ -40,8 +40,8 @@
 			no.lostStore("read rows", err)
 		} else {
 			no.regainedStore()
+			no.claim(ctx) // only on what has just been read
 		}
-		no.claim(ctx)
 		select {
 		case <-ctx.Done():
 			return
--- a/lovagepool/runs.go
+++ b/lovagepool/runs.go
@@ -155,12 +155,12 @@
 	po.dirty = true
 }
 
-// adoptOrphan books the room of a run that no job here answers for, and stops it. Its size is not known; the rest of the
-// worker's room is taken to be used until the end is listed.
+// adoptOrphan stops a run that no job here answers for. Its size is not known, so the worker gets no starts until the
+// ends of all such runs are listed.
 func (po *Pool) adoptOrphan(now time.Time, wo *worker, key runKey) {
 	po.Counts["orphanStopped"]++
-	ru := &run{key: key, worker: wo, room: po.free(wo), state: runRunning, ordered: now, began: now}
-	wo.used = wo.used.Plus(ru.room)
+	ru := &run{key: key, worker: wo, state: runRunning, ordered: now, began: now}
+	wo.orphans++
 	wo.runs = append(wo.runs, ru)
 	po.stop(now, ru)
 }
@@ -247,6 +247,7 @@
 	}
 	ta := ru.task
 	if ta == nil {
+		wo.orphans--
 		return
 	}
 	po.Counts["runEnded:"+string(how)]++
--- a/lovagepool/workers.go
+++ b/lovagepool/workers.go
@@ -33,6 +33,7 @@
 	Worker
 	used      lovagejob.Room
 	runs      []*run // in the order of their starts
+	orphans   int    // runs among them of which the size is not known
 	speed     speed
 	reachable bool // has answered since it was added or last found silent
 	failures  int  // in a row
@@ -138,7 +139,7 @@
 
 // usable reports whether the worker may get a start now.
 func (po *Pool) usable(now time.Time, wo *worker) bool {
-	if wo.gone || wo.handing || wo.Draining || !wo.reachable {
+	if wo.gone || wo.handing || wo.Draining || !wo.reachable || wo.orphans > 0 {
 		return false
 	}
 	if wo.until.IsZero() {
