lovagefleet: count each look that extends leases when it is sent; withdraw loans whose answer was lost

Replayed with logs: the instance's connections to workers were reset while looks were in flight. The looks had extended the leases, but the pool counted only answered ones, took the runs for lapsed too early and let them be started elsewhere. Ruled out: the loan's session; it was lost at the same moment, but the second start came 1.07 s after the first start, not after the loss. Change: an extension counts from the moment the look is sent; looks at a silent worker extend nothing, so that its runs end; an order's lease is computed when the pool decides. A look whose connection breaks is repeated once before the worker counts as silent. Besides, the borrower has a loan withdrawn when the session is lost, and the lender confirms when nothing runs any more; before, it trusted that the lender had noticed. Test: TestLostAnswersDoNotHideThatLeasesAreExtended failed before (task runs twice) and passes now.

--- a/lovagefleet/fleet_test.go
+++ b/lovagefleet/fleet_test.go
@@ -270,6 +270,38 @@
 	test.Less(t, time.Second, time.Since(began))
 }
 
+func TestLostAnswersDoNotHideThatLeasesAreExtended(t *testing.T) {
+	// Guards against a second run of a task: the answers to looks were lost and the looks still extended the lease.
+	de := deploy(t)
+	var wg sync.WaitGroup
+	id := randomID()
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		de.nodes["east-1"].Submit(context.Background(), testWork(id, 1, 3*time.Second))
+	}()
+	name := testWork(id, 1, 0).TaskName(0, 0)
+	var on *standInWorker
+	de.await("the task runs", time.Second, func() bool {
+		de.si.mu.Lock()
+		defer de.si.mu.Unlock()
+		for _, wo := range de.si.workers {
+			if wo.runs[name] != nil {
+				on = wo
+			}
+		}
+		return on != nil
+	})
+	time.Sleep(50 * time.Millisecond)
+	de.si.mu.Lock()
+	on.mute = true
+	de.si.mu.Unlock()
+	wg.Wait()
+	de.si.mu.Lock()
+	defer de.si.mu.Unlock()
+	test.Greater(t, 1, de.si.starts[name], test.Sprint("the task is started again when its lease is over"))
+}
+
 func TestUnsupportedPartIsRefused(t *testing.T) {
 	de := deploy(t)
 	wo := testWork(randomID(), 2, time.Millisecond)
--- a/lovagefleet/link.go
+++ b/lovagefleet/link.go
@@ -34,7 +34,8 @@
 	readAt  time.Time
 	born    int64
 	lastEnd int64
-	silent  bool
+	silent  bool // does not answer
+	broken  bool // the last look ended without an answer before its time
 }
 
 func (no *Node) newLink(wo lovagepool.Worker, fence int64) *link {
@@ -68,19 +69,30 @@
 	li.mu.Unlock()
 }
 
+// nextLook returns the next look. It extends no leases while the worker does not answer: the pool counts on them to run
+// out, and a look takes effect even if its answer is lost.
+func (li *link) nextLook() Look {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	lo := Look{Worker: li.worker.ID, Address: li.worker.Address, Fence: li.fence, LastSeen: li.lastEnd}
+	if !li.silent {
+		lo.Expires = li.expires()
+	}
+	if lo.Expires != 0 {
+		lo.Wait = lookWait
+	}
+	return lo
+}
+
 // loop looks at the worker until the link ends.
 func (li *link) loop(ctx context.Context) {
+	id := li.worker.ID
 	for ctx.Err() == nil {
-		li.mu.Lock()
-		lo := Look{
-			Worker: li.worker.ID, Address: li.worker.Address, Fence: li.fence, Expires: li.expires(), LastSeen: li.lastEnd,
-			Wait: lookWait,
-		}
-		li.mu.Unlock()
-		if lo.Expires == 0 {
-			lo.Wait = 0
-		}
+		lo := li.nextLook()
 		sent := time.Now()
+		if lo.Expires != 0 {
+			li.no.post(func(time.Time) { li.no.pool.Extended(sent, id) })
+		}
 		callCtx, cancel := context.WithTimeout(ctx, lo.Wait+lookSlack)
 		re, err := li.no.workers.Look(callCtx, lo)
 		cancel()
@@ -94,7 +106,7 @@
 		li.heard(re)
 		switch re.Rejected {
 		case "":
-			li.look(sent, lo, re)
+			li.look(sent, re)
 		case ReasonFence:
 			li.no.fenced(li.worker.ID, lo.Fence)
 			sleep(ctx, silentRetry)
@@ -105,7 +117,7 @@
 }
 
 // look passes a list on to the pool.
-func (li *link) look(sent time.Time, lo Look, re Report) {
+func (li *link) look(sent time.Time, re Report) {
 	li.mu.Lock()
 	crashed := re.Born != 0 && li.born != 0 && re.Born != li.born
 	if re.Born != 0 {
@@ -116,7 +128,7 @@
 	}
 	li.lastEnd = max(li.lastEnd, re.LastEnd)
 	wasSilent := li.silent
-	li.silent = false
+	li.silent, li.broken = false, false
 	li.mu.Unlock()
 	if wasSilent {
 		li.no.log.Info("worker answers again", zap.String("worker", li.worker.ID))
@@ -126,18 +138,20 @@
 		if crashed {
 			li.no.pool.Silent(now, id, true)
 		}
-		if lo.Expires != 0 {
-			li.no.pool.Extended(sent, id)
-		}
 		li.no.pool.Listed(now, sent, id, re.Active, re.Ended)
 	})
 }
 
-// lost notes that the worker does not answer.
+// lost notes that the worker does not answer. A connection that breaks is no sign of that: the look is sent once more.
 func (li *link) lost(ctx context.Context, err error) {
 	var refused ErrRefused
 	crashed := errors.As(err, &refused)
 	li.mu.Lock()
+	if !crashed && !li.broken && !errors.Is(err, context.DeadlineExceeded) {
+		li.broken = true
+		li.mu.Unlock()
+		return
+	}
 	first := !li.silent
 	li.silent = true
 	li.mu.Unlock()
@@ -159,11 +173,10 @@
 	}
 }
 
-// start orders a run.
-func (li *link) start(ctx context.Context, cm lovagepool.StartRun) {
+// start orders a run. The order was made when the pool decided, so that the lease ends as the pool reckons.
+func (li *link) start(ctx context.Context, cm lovagepool.StartRun, or Order) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	or := li.order(cm.Task, cm.Attempt, cm.Spec)
 	re, err := li.no.workers.Start(ctx, or)
 	if err == nil {
 		li.heard(re)
--- a/lovagefleet/node.go
+++ b/lovagefleet/node.go
@@ -71,14 +71,15 @@
 	hurryRegistry chan struct{}
 
 	// Owned by loop.
-	pool     *lovagepool.Pool
-	fences   map[string]int64    // of the domains whose workers this instance orders
-	handing  map[string]*handing // domains being handed over
-	awaiting map[string]awaitedRelease
-	links    map[string]*link
-	waiters  map[string]chan lovagepool.Finish
-	counted  map[string]int64
-	standing sentStanding
+	pool        *lovagepool.Pool
+	fences      map[string]int64    // of the domains whose workers this instance orders
+	handing     map[string]*handing // domains being handed over
+	awaiting    map[string]awaitedRelease
+	links       map[string]*link
+	waiters     map[string]chan lovagepool.Finish
+	counted     map[string]int64
+	goneWaiters map[string][]chan struct{} // for the end of all runs of a cancelled job, by its reference
+	standing    sentStanding
 }
 
 // ownerRef is the owner of a domain, under a fence.
@@ -113,7 +114,7 @@
 	// pingInterval and pingTimeout of peer sessions. A caller sends a job again 1.3 s after it lost its connection; until
 	// then the loss of the instance that held the connection must have been noticed and the job's runs stopped.
 	pingInterval = 250 * time.Millisecond
-	pingTimeout  = 500 * time.Millisecond
+	pingTimeout  = 400 * time.Millisecond
 )
 
 // New returns a node; Run starts it.
@@ -131,7 +132,7 @@
 		hurry: make(chan struct{}, 1), hurryRegistry: make(chan struct{}, 1), takeovers: make(chan takeOverRequest, 16),
 		pool: lovagepool.New(se.Pool), fences: map[string]int64{}, handing: map[string]*handing{},
 		awaiting: map[string]awaitedRelease{}, links: map[string]*link{}, waiters: map[string]chan lovagepool.Finish{},
-		counted: map[string]int64{},
+		counted: map[string]int64{}, goneWaiters: map[string][]chan struct{}{},
 	}
 	no.mesh = lovagepeer.New(lovagepeer.Options{
 		Instance: se.ID, DataCentre: se.DataCentre, Listen: se.PeerListen, Address: se.PeerListen,
@@ -281,7 +282,7 @@
 		switch cm := cmd.(type) {
 		case lovagepool.StartRun:
 			if li := no.links[cm.Worker]; li != nil {
-				go li.start(no.ctx, cm)
+				go li.start(no.ctx, cm, li.order(cm.Task, cm.Attempt, cm.Spec))
 			} else {
 				no.pool.Started(now, cm.Worker, cm.Task, cm.Attempt, true, "noLink")
 			}
@@ -298,6 +299,11 @@
 			go no.lend(cm)
 		case lovagepool.Recall:
 			go no.withdraw(cm.Lender, cm.Ref)
+		case lovagepool.Gone:
+			for _, wa := range no.goneWaiters[cm.Ref] {
+				close(wa)
+			}
+			delete(no.goneWaiters, cm.Ref)
 		case lovagepool.Release:
 			no.released(cm.Worker)
 		}
--- a/lovagefleet/peer.go
+++ b/lovagefleet/peer.go
@@ -44,7 +44,7 @@
 	case *lovagemessage.Request_Place:
 		return no.servePlace(ctx, body.Place)
 	case *lovagemessage.Request_Withdraw:
-		no.post(func(now time.Time) { no.pool.Cancel(now, body.Withdraw.GetRef()) })
+		no.serveWithdraw(ctx, body.Withdraw.GetRef())
 	case *lovagemessage.Request_Standing:
 		no.serveStanding(from, body.Standing)
 	case *lovagemessage.Request_TakeOver:
@@ -70,6 +70,19 @@
 	return &lovagemessage.Response{Body: &lovagemessage.Response_Place{Place: replyOf(fi)}}, nil
 }
 
+// serveWithdraw cancels a job and waits until nothing of it runs any more.
+func (no *Node) serveWithdraw(ctx context.Context, ref string) {
+	gone := make(chan struct{})
+	no.post(func(now time.Time) {
+		no.goneWaiters[ref] = append(no.goneWaiters[ref], gone)
+		no.pool.Cancel(now, ref)
+	})
+	select {
+	case <-gone:
+	case <-ctx.Done():
+	}
+}
+
 func (no *Node) serveStanding(from string, st *lovagemessage.Standing) {
 	now := time.Now()
 	ps := &peerStanding{services: map[string]*lovagemessage.ServiceStanding{}, received: now}
@@ -223,7 +236,35 @@
 	})
 	notSent := errors.Is(err, lovagepeer.ErrNotSent)
 	ends := finishOf(resp.GetPlace()).Lent
-	no.post(func(now time.Time) { no.pool.LentEnded(now, cm.Ref, ends, err == nil, notSent) })
+	if err != nil && !notSent {
+		no.count("loanLost")
+		ends = no.settle(address.(string), cm)
+	}
+	no.post(func(now time.Time) { no.pool.LentEnded(now, cm.Ref, ends, err == nil || ends != nil, notSent) })
+}
+
+// sessionLossBound is how long after this side has lost a session the other side notices at the latest.
+const sessionLossBound = pingInterval + pingInterval/4 + pingTimeout + 100*time.Millisecond
+
+// settle has a loan withdrawn whose answer was lost. It returns the tasks' ends when none of them runs any more, or nil
+// when the other owner cannot be asked and must have noticed the loss itself: then their leases run out.
+func (no *Node) settle(address string, cm lovagepool.Lend) []lovagepool.LentEnd {
+	ctx, cancel := context.WithTimeout(no.ctx, sessionLossBound)
+	defer cancel()
+	for ctx.Err() == nil {
+		_, err := no.mesh.Call(ctx, address, &lovagemessage.Request{
+			Body: &lovagemessage.Request_Withdraw{Withdraw: &lovagemessage.Withdraw{Ref: cm.Ref}},
+		})
+		if err == nil {
+			ends := make([]lovagepool.LentEnd, len(cm.Tasks))
+			for i, lt := range cm.Tasks {
+				ends[i] = lovagepool.LentEnd{LentTask: lt, How: lovagepool.HowLapsed}
+			}
+			return ends
+		}
+		sleep(ctx, ownerPoll)
+	}
+	return nil
 }
 
 func (no *Node) withdraw(lender, ref string) {
--- a/lovagefleet/route.go
+++ b/lovagefleet/route.go
@@ -107,7 +107,7 @@
 		Body: &lovagemessage.Request_Place{Place: placeMessage(ref, wo, nil)},
 	})
 	if err != nil {
-		if ctx.Err() != nil {
+		if !errors.Is(err, lovagepeer.ErrNotSent) {
 			go no.withdrawFrom(ow.Address, ref)
 		}
 		return lovagepool.Finish{}, err
--- a/lovagefleet/standin_test.go
+++ b/lovagefleet/standin_test.go
@@ -36,7 +36,8 @@
 	ends    []standInEnd
 	nextEnd int64
 	changed chan struct{}
-	silent  bool
+	silent  bool // gets no calls
+	mute    bool // does as told, and its answers are lost
 	began   time.Time
 }
 
@@ -240,8 +241,11 @@
 			ru.expires = max(ru.expires, lo.Expires)
 			re.Active = append(re.Active, lovagepool.Active{Task: task, Attempt: ru.attempt})
 		}
-		changed := wo.changed
+		changed, mute := wo.changed, wo.mute
 		si.mu.Unlock()
+		if mute {
+			return Report{}, errSilent
+		}
 		left := time.Until(until)
 		if len(re.Ended) > 0 || left <= 0 || ctx.Err() != nil {
 			return re, ctx.Err()
--- a/lovagepool/pool.go
+++ b/lovagepool/pool.go
@@ -60,17 +60,18 @@
 	Work *lovagejob.Work
 	Lent []LentTask // only these tasks, now or never; nil: the whole job
 
-	tasks   []*task
-	byStep  [][]*task
-	class   *class
-	runTime time.Duration // expected for one task on a worker of speed 1
-	goal    time.Time     // by which a caller is served in time
-	waiting int           // tasks that are ready to start
-	running int           // tasks with a run, here or lent
-	undone  int
-	begun   int // starts ordered or lent that may have been carried out
-	ended   bool
-	after   *Job // an earlier submission of the same ID, whose runs must end first
+	tasks     []*task
+	byStep    [][]*task
+	class     *class
+	runTime   time.Duration // expected for one task on a worker of speed 1
+	goal      time.Time     // by which a caller is served in time
+	waiting   int           // tasks that are ready to start
+	running   int           // tasks with a run, here or lent
+	undone    int
+	begun     int // starts ordered or lent that may have been carried out
+	ended     bool
+	withdrawn bool // Cancel was called
+	after     *Job // an earlier submission of the same ID, whose runs must end first
 }
 
 // LentTask names a task that another owner may start.
@@ -146,6 +147,10 @@
 // Release says that a worker being handed over has no run any more.
 type Release struct{ Worker string }
 
+// Gone says that nothing of a cancelled job runs any more.
+type Gone struct{ Ref string }
+
+func (Gone) command()     {}
 func (StartRun) command() {}
 func (StopRun) command()  {}
 func (Finish) command()   {}
--- a/lovagepool/submit.go
+++ b/lovagepool/submit.go
@@ -136,9 +136,11 @@
 	jo := po.jobs[ref]
 	if jo == nil {
 		po.withdrawn[ref] = now
+		po.emit(Gone{ref})
 		return
 	}
 	po.Counts["cancelled"]++
+	jo.withdrawn = true
 	if jo.Lent == nil {
 		po.cancel(now, jo)
 		return
@@ -209,6 +211,9 @@
 		return
 	}
 	delete(po.jobs, jo.Ref)
+	if jo.withdrawn {
+		po.emit(Gone{jo.Ref})
+	}
 	if at := slices.Index(po.list, jo); at >= 0 {
 		po.list = slices.Delete(po.list, at, at+1)
 	}
