lovagelog, lovagefleet: write a line for each decision about a job within budgets; read them back with explain

Cause: the logs named changes of ownership only; why a job was refused, late or failed could not be found. Change: the pool reports its decisions with what they rest on; lines are budgeted for each kind and second, written by a goroutine of their own, and counted when left out. Subcommand explain prints what all logs say of a job.

--- a/lovagefleet/fleet.go
+++ b/lovagefleet/fleet.go
@@ -22,6 +22,8 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"lovagestack/lovageplatform"
 	"lovagestack/lovagepool"
 )
@@ -141,6 +143,12 @@
 	Look(ctx context.Context, lo Look) (Report, error)
 }
 
+// Log takes lines about decisions. *lovagelog.Logger implements it.
+type Log interface {
+	Log() *zap.Logger
+	Decision(kind string, success bool, fields ...zap.Field)
+}
+
 // Answer is the end of a job for its caller.
 type Answer struct {
 	Outcome lovagepool.Outcome
--- a/lovagefleet/fleet_test.go
+++ b/lovagefleet/fleet_test.go
@@ -75,7 +75,7 @@
 		ID: id, DataCentre: id[:4], DataCentres: []string{"east", "west"}, PeerListen: address,
 		Pool: lovagepool.DefaultSettings(),
 	}, Dependencies{
-		Store: cuttableStore{de.si, id}, Registry: de.si, Workers: de.si, Metrics: lovagemetric.New(), Log: testLog(de.t).Named(id),
+		Store: cuttableStore{de.si, id}, Registry: de.si, Workers: de.si, Metrics: lovagemetric.New(), Log: testLog{zaptest.NewLogger(de.t, zaptest.Level(zap.InfoLevel)).Named(id)},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	tn := &testNode{Node: no, cancel: cancel, done: make(chan struct{})}
@@ -90,8 +90,14 @@
 }
 
 // testLog writes to the test's log, which is shown when it fails.
-func testLog(t *testing.T) *zap.Logger {
-	return zaptest.NewLogger(t, zaptest.Level(zap.InfoLevel))
+type testLog struct{ log *zap.Logger }
+
+func (tl testLog) Log() *zap.Logger { return tl.log }
+
+func (tl testLog) Decision(kind string, success bool, fields ...zap.Field) {
+	if !success {
+		tl.log.Info(kind, fields...)
+	}
 }
 
 // owner returns the instance that the table names as owner of a domain.
@@ -313,7 +319,7 @@
 
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	no := New(Settings{ID: "a", DataCentre: "east", PeerListen: "127.0.0.1:0"}, Dependencies{
-		Metrics: lovagemetric.New(), Log: zap.NewNop(),
+		Metrics: lovagemetric.New(), Log: testLog{zap.NewNop()},
 	})
 	for _, ca := range []struct{ offered, want int64 }{{3, 3}, {2, 3}, {3, 3}, {9, 9}, {4, 9}} {
 		no.apply(&Configuration{Version: ca.offered})
--- a/lovagefleet/node.go
+++ b/lovagefleet/node.go
@@ -30,21 +30,22 @@
 	Registry Registry
 	Workers  WorkerClient
 	Metrics  *lovagemetric.Registry
-	Log      *zap.Logger
+	Log      Log
 }
 
 // Node is one instance. Its methods are safe for concurrent use.
 type Node struct {
-	se       Settings
-	store    Store
-	registry Registry
-	workers  WorkerClient
-	log      *zap.Logger
-	mesh     *lovagepeer.Mesh
-	started  time.Time
-	self     instanceRow
-	counts   lovagemetric.CounterFamily
-	startLag *lovagemetric.Timer // from the arrival of a job to the order of its first start, at the owner
+	se        Settings
+	store     Store
+	registry  Registry
+	workers   WorkerClient
+	log       *zap.Logger
+	decisions Log
+	mesh      *lovagepeer.Mesh
+	started   time.Time
+	self      instanceRow
+	counts    lovagemetric.CounterFamily
+	responses lovagemetric.TimerFamily // from the arrival of a job to its answer, by outcome
 
 	events    chan func(now time.Time)
 	ctx       context.Context
@@ -121,12 +122,12 @@
 func New(se Settings, de Dependencies) *Node {
 	now := time.Now()
 	no := &Node{
-		se: se, store: de.Store, registry: de.Registry, workers: de.Workers, log: de.Log, started: now,
+		se: se, store: de.Store, registry: de.Registry, workers: de.Workers, log: de.Log.Log(), decisions: de.Log, started: now,
 		self: instanceRow{
 			ID: se.ID, DataCentre: se.DataCentre, Address: se.PeerListen, Incarnation: strconv.FormatInt(now.UnixNano(), 36),
 		},
 		counts:      de.Metrics.Counter("fleet_events", "decisions and events of the instance", "event"),
-		startLag:    de.Metrics.Timer("fleet_start_lag", "from the arrival of a job to the order of its first start").With(),
+		responses:   de.Metrics.Timer("fleet_response", "from the arrival of a job to its answer", lovagemetric.LabelOutcome),
 		events:      make(chan func(time.Time), eventQueue),
 		dataCentres: se.DataCentres, members: map[string]*member{}, domains: map[string]*domain{},
 		hurry: make(chan struct{}, 1), hurryRegistry: make(chan struct{}, 1), takeovers: make(chan takeOverRequest, 16),
@@ -134,6 +135,7 @@
 		awaiting: map[string]awaitedRelease{}, links: map[string]*link{}, waiters: map[string]chan lovagepool.Finish{},
 		counted: map[string]int64{}, goneWaiters: map[string][]chan struct{}{},
 	}
+	no.pool.Decided = no.logDecision
 	no.mesh = lovagepeer.New(lovagepeer.Options{
 		Instance: se.ID, DataCentre: se.DataCentre, Listen: se.PeerListen, Address: se.PeerListen,
 		Counters:    lovagemetric.PeerCounters{Registry: de.Metrics},
@@ -428,3 +430,30 @@
 	}
 	return zap.String("error", err.Error())
 }
+
+// logDecision writes a decision of the pool.
+func (no *Node) logDecision(de lovagepool.Decision) {
+	fields := make([]zap.Field, 0, 10)
+	text := func(name, value string) {
+		if value != "" {
+			fields = append(fields, zap.String(name, value))
+		}
+	}
+	duration := func(name string, value time.Duration) {
+		if value != 0 {
+			fields = append(fields, zap.Duration(name, value))
+		}
+	}
+	text("job", de.Job)
+	text("task", de.Task)
+	text("worker", de.Worker)
+	if de.Attempt != 0 {
+		fields = append(fields, zap.Int("attempt", de.Attempt))
+	}
+	text("reason", de.Reason)
+	duration("ageMs", de.Age)
+	duration("waitMs", de.Wait)
+	duration("leftMs", de.Left)
+	duration("expectedMs", de.Expected)
+	no.decisions.Decision(de.Kind, false, fields...)
+}
--- a/lovagefleet/route.go
+++ b/lovagefleet/route.go
@@ -29,10 +29,33 @@
 
 // Submit has a job run and returns how it ended. If ctx ends, the job is cancelled.
 func (no *Node) Submit(ctx context.Context, wo *lovagejob.Work) Answer {
+	an, owner := no.submit(ctx, wo)
+	took := time.Since(wo.Arrived)
+	no.counts.With("answered:" + string(an.Outcome)).Inc(1)
+	no.responses.With(string(an.Outcome)).Observe(took)
+	outcome := string(an.Outcome)
+	if ctx.Err() != nil {
+		outcome = "callerLeft"
+	}
+	no.decisions.Decision("answered", an.Outcome == lovagepool.Completed, zap.String("job", wo.ID), zap.String("outcome", outcome),
+		zap.String("reason", an.Reason), zap.String("queue", wo.Queue), zap.Int("tasks", wo.Tasks()), zap.String("owner", owner),
+		zap.Duration("tookMs", took), zap.Duration("expectedMs", wo.Steps[0].RunTime), zap.Int64("configVersion", no.version()))
+	return an
+}
+
+// version returns the version of the configuration in force, 0 for none.
+func (no *Node) version() int64 {
+	if co := no.config.Load(); co != nil {
+		return co.Version
+	}
+	return 0
+}
+
+// submit returns also the instance that gave the answer.
+func (no *Node) submit(ctx context.Context, wo *lovagejob.Work) (Answer, string) {
 	if part := wo.Unsupported(); part != "" {
 		no.count("refusedUnsupported")
-		no.log.Warn("job refused: part not supported", zap.String("job", wo.ID), zap.String("part", part))
-		return Answer{Outcome: lovagepool.NotRun, Reason: "not supported: " + part, RetryIn: retryUnsupported}
+		return Answer{Outcome: lovagepool.NotRun, Reason: "not supported: " + part, RetryIn: retryUnsupported}, no.self.ID
 	}
 	ctx, cancel := context.WithDeadline(ctx, wo.Deadline.Add(answerSlack))
 	defer cancel()
@@ -48,16 +71,16 @@
 				failed[ow.ID] = true
 			case err != nil:
 				no.count("placeUnknown")
-				return Answer{Outcome: lovagepool.Unknown, Reason: "the owner of the workers has been lost: " + err.Error()}
+				return Answer{Outcome: lovagepool.Unknown, Reason: "the owner of the workers has been lost: " + err.Error()}, ow.ID
 			case fi.Outcome == lovagepool.Moved:
 				no.count("placeMoved")
 			default:
-				return Answer{Outcome: fi.Outcome, Reason: fi.Reason, RetryIn: fi.RetryIn}
+				return Answer{Outcome: fi.Outcome, Reason: fi.Reason, RetryIn: fi.RetryIn}, ow.ID
 			}
 		}
 		if time.Now().After(until) || ctx.Err() != nil {
 			no.count("refusedWithoutOwner")
-			return Answer{Outcome: lovagepool.NotRun, Reason: "no instance owns workers of the service", RetryIn: retryWithoutOwner}
+			return Answer{Outcome: lovagepool.NotRun, Reason: "no instance owns workers of the service", RetryIn: retryWithoutOwner}, ""
 		}
 		sleep(ctx, ownerPoll)
 		clear(failed)
--- /dev/null
+++ b/lovagelog/log.go
@@ -0,0 +1,202 @@
+// Package lovagelog writes the lines that explain what became of a job, and reads them back.
+//
+// A line is a JSON object. Lines about decisions have a kind and a budget: so many a second for each kind, beyond which
+// they are left out and counted, and the count is written once a second. Refusals and failures have larger budgets than
+// successes. Lines are written by a goroutine of their own; a caller never waits for the output. Lines that find its
+// queue full are counted as left out.
+//
+// # Usage
+//
+//	lo := lovagelog.New(os.Stdout)
+//	go lo.Run(ctx)
+//	lo.Log().Info("start", zap.String("instance", id))
+//	lo.Decision("refused", zap.String("job", id), zap.Duration("wait", wait))
+//
+// History reads the lines of several instances and returns those about one job, in order of time.
+package lovagelog
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+const (
+	// successBudget and failureBudget are lines a second for each kind; at 300 bytes a line that is at most 6 and 18 KB/s.
+	successBudget = 20
+	failureBudget = 60
+	// queueLines may wait for the writer, and are lost beyond that.
+	queueLines = 2048
+	// flushInterval collects lines, so that one write carries many.
+	flushInterval = 100 * time.Millisecond
+	// maxLineBytes is the longest line that History reads.
+	maxLineBytes = 1 << 20
+)
+
+// Logger writes lines. Its methods are safe for concurrent use.
+type Logger struct {
+	out     io.Writer
+	log     *zap.Logger
+	queue   chan []byte
+	lost    atomic.Int64 // lines that found the queue full
+	mu      sync.Mutex
+	second  int64
+	written map[string]int
+	left    map[string]int // lines left out in this second, by kind
+}
+
+// New returns a logger; Run writes what it is given.
+func New(out io.Writer) *Logger {
+	lo := &Logger{out: out, queue: make(chan []byte, queueLines), written: map[string]int{}, left: map[string]int{}}
+	ec := zap.NewProductionEncoderConfig()
+	ec.EncodeTime = zapcore.EpochMillisTimeEncoder
+	ec.EncodeDuration = zapcore.MillisDurationEncoder
+	lo.log = zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(ec), lo, zapcore.InfoLevel))
+	return lo
+}
+
+// Log returns the logger for lines without a budget, which are few: start, stop, and changes of what the process knows.
+func (lo *Logger) Log() *zap.Logger { return lo.log }
+
+// Write queues a line. It implements zapcore.WriteSyncer.
+func (lo *Logger) Write(line []byte) (int, error) {
+	select {
+	case lo.queue <- slices.Clone(line):
+	default:
+		lo.lost.Add(1)
+	}
+	return len(line), nil
+}
+
+// Sync does nothing; Run writes all lines before it returns.
+func (lo *Logger) Sync() error { return nil }
+
+// Decision writes a line about a decision unless the budget of its kind for this second is used up.
+func (lo *Logger) Decision(kind string, success bool, fields ...zap.Field) {
+	budget := failureBudget
+	if success {
+		budget = successBudget
+	}
+	if lo.take(kind, budget, time.Now().Unix()) {
+		lo.log.Info(kind, fields...)
+	}
+}
+
+func (lo *Logger) take(kind string, budget int, second int64) bool {
+	lo.mu.Lock()
+	defer lo.mu.Unlock()
+	if second != lo.second {
+		for kind, n := range lo.left {
+			lo.log.Warn("lines left out", zap.String("kind", kind), zap.Int("count", n), zap.Int64("second", lo.second))
+		}
+		clear(lo.left)
+		clear(lo.written)
+		lo.second = second
+	}
+	if lo.written[kind] >= budget {
+		lo.left[kind]++
+		return false
+	}
+	lo.written[kind]++
+	return true
+}
+
+// Run writes lines until the context ends, and then what is queued.
+func (lo *Logger) Run(ctx context.Context) {
+	var buf []byte
+	flush := func() {
+		if n := lo.lost.Swap(0); n > 0 {
+			buf = fmt.Appendf(buf, "{\"level\":\"warn\",\"ts\":%d,\"msg\":\"lines lost\",\"count\":%d}\n", time.Now().UnixMilli(), n)
+		}
+		if len(buf) > 0 {
+			_, _ = lo.out.Write(buf) // nowhere to report it
+			buf = buf[:0]
+		}
+	}
+	for {
+		select {
+		case line := <-lo.queue:
+			buf = append(buf, line...)
+			lo.collect(ctx, &buf)
+			flush()
+		case <-ctx.Done():
+			for {
+				select {
+				case line := <-lo.queue:
+					buf = append(buf, line...)
+					continue
+				default:
+				}
+				flush()
+				return
+			}
+		}
+	}
+}
+
+// collect appends the lines of the next flushInterval.
+func (lo *Logger) collect(ctx context.Context, buf *[]byte) {
+	timer := time.NewTimer(flushInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case line := <-lo.queue:
+			*buf = append(*buf, line...)
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Line is a line about a job.
+type Line struct {
+	Time time.Time
+	Text string // as it was written
+}
+
+// History returns the lines about a job, oldest first. Lines that are no JSON objects are skipped; text before the
+// object, as log collectors add it, is kept.
+func History(job string, sources ...io.Reader) ([]Line, error) {
+	var list []Line
+	for _, so := range sources {
+		sc := bufio.NewScanner(so)
+		sc.Buffer(make([]byte, 0, 64<<10), maxLineBytes)
+		for sc.Scan() {
+			if li, ok := parse(job, sc.Text()); ok {
+				list = append(list, li)
+			}
+		}
+		if err := sc.Err(); err != nil {
+			return nil, fmt.Errorf("read the log: %w", err)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	return list, nil
+}
+
+func parse(job, text string) (Line, bool) {
+	at := strings.IndexByte(text, '{')
+	if at < 0 || !strings.Contains(text, job) {
+		return Line{}, false
+	}
+	var fields struct {
+		Millis float64 `json:"ts"`
+		Job    string  `json:"job"`
+	}
+	if err := json.Unmarshal([]byte(text[at:]), &fields); err != nil || fields.Job != job {
+		return Line{}, false
+	}
+	return Line{Time: time.UnixMicro(int64(fields.Millis * 1000)), Text: text}, true
+}
--- /dev/null
+++ b/lovagelog/log_test.go
@@ -0,0 +1,96 @@
+package lovagelog
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+)
+
+type safeBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (sb *safeBuffer) Write(p []byte) (int, error) {
+	sb.mu.Lock()
+	defer sb.mu.Unlock()
+	return sb.Buffer.Write(p)
+}
+
+// written runs the logger for what the function writes and returns the output.
+func written(use func(lo *Logger)) string {
+	var out safeBuffer
+	lo := New(&out)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		lo.Run(ctx)
+	}()
+	use(lo)
+	cancel()
+	<-done
+	return out.String()
+}
+
+func TestBudgetKeepsFailuresBeforeSuccesses(t *testing.T) {
+	out := written(func(lo *Logger) {
+		for i := range 500 {
+			for kind, budget := range map[string]int{"answered": successBudget, "refused": failureBudget} {
+				if lo.take(kind, budget, 7) {
+					lo.Log().Info(kind, zap.Int("n", i))
+				}
+			}
+		}
+		lo.take("answered", successBudget, 8) // the next second
+	})
+	must.Eq(t, successBudget, strings.Count(out, `"msg":"answered"`))
+	must.Eq(t, failureBudget, strings.Count(out, `"msg":"refused"`))
+	must.StrContains(t, out, fmt.Sprintf(`"kind":"answered","count":%d`, 500-successBudget))
+	must.StrContains(t, out, fmt.Sprintf(`"kind":"refused","count":%d`, 500-failureBudget))
+}
+
+func TestOutputThatBlocksDoesNotBlockCallers(t *testing.T) {
+	// Guards against traffic that waits for the log.
+	release := make(chan struct{})
+	lo := New(blockingWriter{release})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		lo.Run(ctx)
+	}()
+	began := time.Now()
+	for range 3 * queueLines {
+		lo.Log().Info("line")
+	}
+	must.Less(t, 5*time.Second, time.Since(began))
+	must.Positive(t, lo.lost.Load())
+	close(release)
+	cancel()
+	<-done
+}
+
+type blockingWriter struct{ release chan struct{} }
+
+func (bw blockingWriter) Write(p []byte) (int, error) {
+	<-bw.release
+	return len(p), nil
+}
+
+func TestHistory(t *testing.T) {
+	one := "12.5 east-1 " + `{"ts":3000.5,"msg":"refused","job":"a1"}` + "\nno JSON with a1\n" + `{"ts":1,"msg":"x","job":"b"}` + "\n"
+	two := `{"ts":2000,"msg":"placed","job":"a1"}` + "\n" + `{"ts":2500,"msg":"other","reason":"a1"}` + "\n"
+	list, err := History("a1", strings.NewReader(one), strings.NewReader(two))
+	must.NoError(t, err)
+	must.Len(t, 2, list)
+	must.StrContains(t, list[0].Text, "placed")
+	must.StrContains(t, list[1].Text, "12.5 east-1")
+}
--- a/lovagepool/lend.go
+++ b/lovagepool/lend.go
@@ -119,13 +119,18 @@
 			ta.attempt = max(ta.attempt, ends[at].Attempt)
 		}
 		if !known && !notSent {
-			po.Counts["lentUnknown"]++
+			po.decide(Decision{
+				Kind: "lentUnknown", Job: lo.job.Work.ID, Task: lo.job.Work.TaskName(ta.step, ta.index), Worker: lo.lender,
+				Reason: "the other owner cannot be asked; held until its leases have lapsed",
+			})
 			ta.attempt++
 			ta.state, ta.heldUntil = taskHeld, now.Add(po.se.lapse())
 			continue
 		}
 		if how == HowDeclined || notSent {
-			po.Counts["lentDeclined"]++
+			po.decide(Decision{
+				Kind: "lentDeclined", Job: lo.job.Work.ID, Task: lo.job.Work.TaskName(ta.step, ta.index), Worker: lo.lender,
+			})
 			if le := po.lenders[lo.lender]; le != nil {
 				le.free[lo.job.Work.Service] = 0
 			}
@@ -175,7 +180,7 @@
 		wo.used = wo.used.Minus(room)
 	}
 	if len(chosen) < len(jo.tasks) {
-		po.Counts["loanDeclined"]++
+		po.decide(Decision{Kind: "loanDeclined", Job: jo.Work.ID, Reason: "no free room"})
 		po.finish(jo, NotRun, "no free room", 0)
 		return
 	}
--- a/lovagepool/place.go
+++ b/lovagepool/place.go
@@ -239,7 +239,10 @@
 		early := float64(wait) > sureFactor*float64(left) && float64(age) < holdShare*float64(whole)/2
 		due := wait > left && float64(age) >= holdShare*float64(whole)/2 && float64(age) < holdShare*float64(whole)*1.2
 		if left > 0 && (early || due) {
-			po.Counts["refusedHopeless"]++
+			po.decide(Decision{
+				Kind: "refusedHopeless", Job: jo.Work.ID, Reason: "not expected to start in time", Age: age, Wait: wait, Left: left,
+				Expected: run,
+			})
 			po.finish(jo, NotRun, "not expected to start in time", max(wait-left, minRetry))
 			ahead[service] -= own
 		}
@@ -251,7 +254,9 @@
 
 func (po *Pool) refuseWithoutWorkers(now time.Time, jo *Job) {
 	if now.Sub(jo.Work.Arrived) >= withoutWorkersHold {
-		po.Counts["refusedWithoutWorkers"]++
+		po.decide(Decision{
+			Kind: "refusedWithoutWorkers", Job: jo.Work.ID, Reason: "no worker can be used", Age: now.Sub(jo.Work.Arrived),
+		})
 		po.finish(jo, NotRun, "no worker can be used", minRetry)
 	}
 }
--- a/lovagepool/pool.go
+++ b/lovagepool/pool.go
@@ -106,6 +106,28 @@
 	how         How    // end of a lent task
 }
 
+// Decision is something that the pool has decided or found out about a job or a worker, with what it rests on.
+type Decision struct {
+	Kind     string // counted under this name
+	Job      string // the caller's ID; empty if it concerns a worker only
+	Task     string
+	Worker   string // or the other owner
+	Attempt  int
+	Reason   string
+	Age      time.Duration // of the job, or of the run that the decision is about
+	Wait     time.Duration // expected until the start
+	Left     time.Duration // until the latest start that is in time
+	Expected time.Duration // run time
+}
+
+// decide counts a decision and reports it.
+func (po *Pool) decide(de Decision) {
+	po.Counts[de.Kind]++
+	if po.Decided != nil {
+		po.Decided(de)
+	}
+}
+
 // Command is something the pool wants done.
 type Command interface{ command() }
 
@@ -176,7 +198,8 @@
 	leaving   bool
 	out       []Command
 	dirty     bool             // something has changed that placing depends on
-	Counts    map[string]int64 // decisions by reason
+	Counts    map[string]int64 // decisions by kind
+	Decided   func(Decision)   // is told of decisions other than the usual ones; may be nil
 }
 
 // New returns a pool without workers.
--- a/lovagepool/runs.go
+++ b/lovagepool/runs.go
@@ -68,7 +68,7 @@
 		}
 		return
 	}
-	po.Counts["startRejected:"+reason]++
+	po.decideRun(now, ru, "startRejected:"+reason, reason)
 	if ru.task != nil {
 		ru.task.avoid = worker
 	}
@@ -79,7 +79,7 @@
 // StartUnanswered notes that a start may have been carried out, or may be later. The run is stopped by number.
 func (po *Pool) StartUnanswered(now time.Time, worker, taskName string, attempt int) {
 	if ru := po.find(worker, taskName, attempt); ru != nil && ru.state == runOrdered {
-		po.Counts["startUnanswered"]++
+		po.decideRun(now, ru, "startUnanswered", "stopped by number, as it may be carried out later")
 		po.stop(now, ru)
 		ru.task.avoid = worker
 		po.dirty = true
@@ -158,7 +158,9 @@
 // adoptOrphan stops a run that no job here answers for. Its size is not known, so the worker gets no starts until the
 // ends of all such runs are listed.
 func (po *Pool) adoptOrphan(now time.Time, wo *worker, key runKey) {
-	po.Counts["orphanStopped"]++
+	po.decide(Decision{
+		Kind: "orphanStopped", Task: key.task, Worker: wo.ID, Attempt: key.attempt, Reason: "no job here answers for it",
+	})
 	ru := &run{key: key, worker: wo, state: runRunning, ordered: now, began: now}
 	wo.orphans++
 	wo.runs = append(wo.runs, ru)
@@ -250,7 +252,11 @@
 		wo.orphans--
 		return
 	}
-	po.Counts["runEnded:"+string(how)]++
+	if how == HowDone {
+		po.Counts["runEnded:done"]++
+	} else {
+		po.decideRun(now, ru, "runEnded:"+string(how), "")
+	}
 	switch how {
 	case HowDone:
 		began := ru.began
@@ -270,6 +276,18 @@
 	po.taskEnded(now, ta, how)
 }
 
+// decideRun reports a decision about a run.
+func (po *Pool) decideRun(now time.Time, ru *run, kind, reason string) {
+	de := Decision{
+		Kind: kind, Task: ru.key.task, Worker: ru.worker.ID, Attempt: ru.key.attempt, Reason: reason, Age: now.Sub(ru.ordered),
+		Expected: ru.expected,
+	}
+	if ru.task != nil {
+		de.Job = ru.task.job.Work.ID
+	}
+	po.decide(de)
+}
+
 // checkRuns acts on runs whose time has passed.
 func (po *Pool) checkRuns(now time.Time, wo *worker) {
 	lapsed := !wo.lastOrder.IsZero() && now.Sub(wo.lastOrder) > po.se.lapse()
@@ -285,7 +303,7 @@
 			po.StartUnanswered(now, wo.ID, ru.key.task, ru.key.attempt)
 		case ru.state == runRunning && ru.task != nil && !ru.began.IsZero() &&
 			now.Sub(ru.began) > overdueFactor*ru.expected+overdueSlack:
-			po.Counts["runOverdue"]++
+			po.decideRun(now, ru, "runOverdue", "stopped, as it takes far longer than expected")
 			ru.task.avoid = wo.ID
 			po.noteFailure(now, wo, ru.task.job.Work.ID)
 			po.stop(now, ru)
--- a/lovagepool/submit.go
+++ b/lovagepool/submit.go
@@ -25,7 +25,7 @@
 	jo.goal = wo.Arrived.Add(po.goal(jo))
 	if jo.Lent == nil {
 		if older := po.byID[wo.ID]; older != nil {
-			po.Counts["resubmitted"]++
+			po.decide(Decision{Kind: "jobReplaced", Job: wo.ID, Reason: "the caller has sent it again", Age: now.Sub(older.Work.Arrived)})
 			po.cancel(now, older)
 			jo.replace(older)
 		}
@@ -35,6 +35,7 @@
 			return
 		}
 		if !po.everFits(jo) {
+			po.decide(Decision{Kind: "refusedUnfit", Job: wo.ID, Reason: "no worker is large enough or has the label"})
 			po.finish(jo, NotRun, "no worker is large enough or has the label", retryHopeless)
 			return
 		}
@@ -139,7 +140,7 @@
 		po.emit(Gone{ref})
 		return
 	}
-	po.Counts["cancelled"]++
+	po.decide(Decision{Kind: "jobCancelled", Job: jo.Work.ID, Reason: "its caller or borrower has left", Age: now.Sub(jo.Work.Arrived)})
 	jo.withdrawn = true
 	if jo.Lent == nil {
 		po.cancel(now, jo)
@@ -170,6 +171,11 @@
 
 // giveUp answers a job whose caller's time is over.
 func (po *Pool) giveUp(now time.Time, jo *Job) {
+	kind := "deadlineRunning"
+	if jo.begun == 0 {
+		kind = "deadlineWaiting"
+	}
+	po.decide(Decision{Kind: kind, Job: jo.Work.ID, Reason: "the caller's deadline has passed", Age: now.Sub(jo.Work.Arrived)})
 	if jo.begun == 0 {
 		po.finish(jo, NotRun, "no room before the caller's deadline", po.retryIn(jo))
 		return
--- a/lovagepool/workers.go
+++ b/lovagepool/workers.go
@@ -158,7 +158,10 @@
 	pause := min(firstEjection<<min(wo.ejections, 8), maxEjection)
 	wo.ejections++
 	wo.until = now.Add(pause)
-	po.Counts["workerEjected"]++
+	po.decide(Decision{
+		Kind: "workerEjected", Job: jobID, Worker: wo.ID, Attempt: wo.ejections, Wait: pause,
+		Reason: "runs of several jobs in a row failed or stood still",
+	})
 }
 
 // Standing is how full the pool is for a service.
--- a/lovagestack/main.go
+++ b/lovagestack/main.go
@@ -57,6 +57,7 @@
 	Dev        *devCommand        `arg:"subcommand:dev" help:"run a platform, an instance and sample workers in one process"`
 	Bench      *benchCommand      `arg:"subcommand:bench" help:"measure the dispatch policies"`
 	Experiment *experimentCommand `arg:"subcommand:experiment" help:"compare placing decisions in virtual time"`
+	Explain    *explainCommand    `arg:"subcommand:explain" help:"print what logs say of a job"`
 	Version    *versionCommand    `arg:"subcommand:version" help:"print the version"`
 
 	Output string `arg:"-o,--output" default:"table" placeholder:"FORMAT" help:"table or json"`
--- a/lovagestack/serve.go
+++ b/lovagestack/serve.go
@@ -14,9 +14,9 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"lovagestack/lovagefleet"
+	"lovagestack/lovagelog"
 	"lovagestack/lovagemetric"
 	"lovagestack/platform"
 )
@@ -49,8 +49,17 @@
 )
 
 func (sc *serveCommand) run(ctx context.Context, en *environment) int {
-	log := newStdoutLogger()
-	defer func() { _ = log.Sync() }()
+	logger := lovagelog.New(en.stdout)
+	logCtx, endLog := context.WithCancel(context.Background())
+	logged := make(chan struct{})
+	go func() {
+		defer close(logged)
+		logger.Run(logCtx)
+	}()
+	defer func() {
+		endLog()
+		<-logged
+	}()
 	path := os.Getenv(platform.SettingsVariable)
 	se, err := platform.ReadSettings(path)
 	if err != nil {
@@ -60,27 +69,21 @@
 	if se.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(se.Limits.MemoryMB<<20)))
 	}
-	if err := sc.serve(ctx, se, path, log); err != nil {
-		log.Error("instance failed", zap.Error(err))
+	if err := sc.serve(ctx, se, path, logger); err != nil {
+		logger.Log().Error("instance failed", zap.Error(err))
 		return exitFailed
 	}
 	return exitOK
 }
 
-// newStdoutLogger writes JSON lines with times in milliseconds to standard output.
-func newStdoutLogger() *zap.Logger {
-	ec := zap.NewProductionEncoderConfig()
-	ec.EncodeTime = zapcore.EpochMillisTimeEncoder
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(ec), zapcore.Lock(os.Stdout), zapcore.InfoLevel))
-}
-
-func (sc *serveCommand) serve(ctx context.Context, se *platform.Settings, path string, log *zap.Logger) error {
+func (sc *serveCommand) serve(ctx context.Context, se *platform.Settings, path string, logger *lovagelog.Logger) error {
+	log := logger.Log()
 	log.Info("start", zap.String("instance", se.Node), zap.String("dataCentre", se.Zone))
 	metrics := lovagemetric.New()
 	metrics.RegisterProcess()
 	store := platform.NewStore(se.Platform.Address)
 	no := lovagefleet.New(se.Fleet(), lovagefleet.Dependencies{
-		Store: store, Registry: store, Workers: platform.NewWorkers(), Metrics: metrics, Log: log,
+		Store: store, Registry: store, Workers: platform.NewWorkers(), Metrics: metrics, Log: logger,
 	})
 	front := platform.NewFrontend(no, func() bool { return ctx.Err() != nil })
 	servers := []*server{
