--- a/lovagefleet/fleet.go
+++ b/lovagefleet/fleet.go
@@ -51,23 +51,9 @@
 
 // Configuration is what operators have declared. Versions only rise.
 type Configuration struct {
-	Version  int64
-	Routes   []Route
-	Services map[string]Service
-	Limits   Limits
-}
-
-// Service is a group of workers that run the same software.
-type Service struct {
-	MaxConnections int // to one worker, from all instances; 0: no limit
-}
-
-// Limits bound what callers may send. Zero fields mean no limit.
-type Limits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
+	Version      int64
+	Routes       []Route
+	MaxBodyBytes int64 // of a request; 0: no limit
 }
 
 // Route is a queue of jobs, selected by host and the longest prefix of the path.
@@ -109,13 +95,12 @@
 	Active   []lovagepool.Active
 	Ended    []lovagepool.Ended
 	LastEnd  int64 // highest number of an end
-	More     bool  // there may be further ends
 }
 
 // Reason is why a worker has rejected an order; it has done nothing.
 type Reason string
 
-// Reasons that the instance acts on; others only reject the one order.
+// Reasons with a name. ReasonFence makes the instance look who owns the domain; the others concern one order.
 const (
 	ReasonFence    Reason = "fence"    // a higher fence has been seen
 	ReasonLifetime Reason = "lifetime" // another process answers at the address
--- a/lovagefleet/node.go
+++ b/lovagefleet/node.go
@@ -48,19 +48,21 @@
 	counts    lovagemetric.CounterFamily
 	responses lovagemetric.TimerFamily // from the arrival of a job to its answer, by outcome
 
-	events    chan func(now time.Time)
-	ctx       context.Context
-	config    atomic.Pointer[Configuration]
-	owners    sync.Map // domain name to ownerRef
-	peers     sync.Map // instance ID to *peerStanding
-	addresses sync.Map // instance ID to the address of its sessions
-	refusedBy sync.Map // IDs of instances whose machines have refused a connection since the last look
-	reclaim   sync.Map // names of domains that need a higher fence
-	known     atomic.Pointer[[]Registered]
-	leaving   atomic.Bool
-	owning    atomic.Bool // orders workers of at least one domain
-	moved     atomic.Bool // all domains have been handed over
-	nextRef   atomic.Int64
+	events      chan func(now time.Time)
+	ctx         context.Context
+	config      atomic.Pointer[Configuration]
+	owners      sync.Map // domain name to ownerRef
+	peers       sync.Map // instance ID to *peerStanding
+	addresses   sync.Map // instance ID to the address of its sessions
+	refusedBy   sync.Map // IDs of instances whose machines have refused a connection since the last look
+	reclaim     sync.Map // names of domains that need a higher fence
+	known       atomic.Pointer[[]Registered]
+	leaving     atomic.Bool
+	asking      atomic.Bool                                    // a peer is being asked for its configuration
+	ownStanding atomic.Pointer[map[string]lovagepool.Standing] // last report to the peers, nil without workers
+	owning      atomic.Bool                                    // orders workers of at least one domain
+	moved       atomic.Bool                                    // all domains have been handed over
+	nextRef     atomic.Int64
 
 	// Owned by ownLoop.
 	dataCentres []string
--- a/lovagefleet/peer.go
+++ b/lovagefleet/peer.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"lovagestack/lovagejob"
 	"lovagestack/lovagemessage"
@@ -25,6 +27,13 @@
 	received time.Time
 }
 
+func (ps *peerStanding) workers(service string) int32 {
+	if st := ps.services[service]; st != nil {
+		return st.GetWorkers()
+	}
+	return 0
+}
+
 func (ps *peerStanding) free(service string) int32 {
 	if st := ps.services[service]; st != nil {
 		return st.GetFreeTasks()
@@ -52,6 +61,8 @@
 		return &lovagemessage.Response{Body: &lovagemessage.Response_TakeOver{
 			TakeOver: &lovagemessage.TakeOverReply{Accepted: ok},
 		}}, nil
+	case *lovagemessage.Request_AskConfiguration:
+		return no.serveConfiguration()
 	default:
 		return nil, errors.Newf("unexpected request %s", lovagepeer.Kind(req))
 	}
@@ -70,6 +81,43 @@
 	return &lovagemessage.Response{Body: &lovagemessage.Response_Place{Place: replyOf(fi)}}, nil
 }
 
+// askConfiguration takes the configuration of a peer that has a newer one.
+func (no *Node) askConfiguration(address string) {
+	defer no.asking.Store(false)
+	ctx, cancel := context.WithTimeout(no.ctx, storeTimeout)
+	defer cancel()
+	resp, err := no.mesh.Call(ctx, address, &lovagemessage.Request{
+		Body: &lovagemessage.Request_AskConfiguration{AskConfiguration: &lovagemessage.AskConfiguration{}},
+	})
+	if err != nil {
+		no.count("configurationNotCopied")
+		return
+	}
+	cc := resp.GetConfigurationCopy()
+	var co Configuration
+	if err := json.Unmarshal(cc.GetJson(), &co); err != nil || co.Version != cc.GetVersion() {
+		no.count("configurationNotCopied")
+		no.log.Warn("unreadable configuration of a peer", zap.String("address", address), errorField(err))
+		return
+	}
+	no.count("configurationCopied")
+	no.apply(&co)
+}
+
+func (no *Node) serveConfiguration() (*lovagemessage.Response, error) {
+	co := no.config.Load()
+	if co == nil {
+		return nil, errors.New("no configuration is known")
+	}
+	data, err := json.Marshal(co)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode the configuration")
+	}
+	return &lovagemessage.Response{Body: &lovagemessage.Response_ConfigurationCopy{
+		ConfigurationCopy: &lovagemessage.ConfigurationCopy{Version: co.Version, Json: data},
+	}}, nil
+}
+
 // serveWithdraw cancels a job and waits until nothing of it runs any more.
 func (no *Node) serveWithdraw(ctx context.Context, ref string) {
 	gone := make(chan struct{})
@@ -95,10 +143,17 @@
 		}
 	}
 	no.peers.Store(from, ps)
-	if address, ok := no.addresses.Load(from); ok {
-		for _, do := range st.GetDomains() {
-			no.noteOwner(do.GetDomain(), ownerRef{ID: from, Address: address.(string), fence: do.GetFence()})
-		}
+	address := st.GetAddress()
+	if known, ok := no.addresses.Load(from); ok {
+		address = known.(string)
+	} else if address != "" {
+		no.addresses.Store(from, address) // the platform has not told of it yet
+	}
+	for _, do := range st.GetDomains() {
+		no.noteOwner(do.GetDomain(), ownerRef{ID: from, Address: address, fence: do.GetFence()})
+	}
+	if st.GetConfigurationVersion() > no.version() && no.asking.CompareAndSwap(false, true) {
+		go no.askConfiguration(address)
 	}
 	no.post(func(now time.Time) {
 		if len(free) > 0 {
@@ -141,6 +196,7 @@
 // sendStanding sends an owner's report to the other owners when it has changed, and to everyone now and then.
 func (no *Node) sendStanding(now time.Time) {
 	if len(no.fences) == 0 {
+		no.ownStanding.Store(nil)
 		return
 	}
 	services := map[string]lovagepool.Standing{}
@@ -154,13 +210,17 @@
 		return
 	}
 	no.standing.services = services
+	no.ownStanding.Store(&services)
 	if toAll {
 		no.standing.at = now
 	}
-	st := &lovagemessage.Standing{Instance: no.self.ID, DataCentre: no.self.DataCentre, Leaving: no.leaving.Load()}
+	st := &lovagemessage.Standing{
+		Instance: no.self.ID, DataCentre: no.self.DataCentre, Leaving: no.leaving.Load(),
+		Address: no.self.Address, ConfigurationVersion: no.version(),
+	}
 	for name, se := range services {
 		st.Services = append(st.Services, &lovagemessage.ServiceStanding{
-			Service: name, FreeTasks: int32(se.FreeTasks), QueuedTasks: int32(se.QueuedTasks),
+			Service: name, FreeTasks: int32(se.FreeTasks), QueuedTasks: int32(se.QueuedTasks), Workers: int32(se.Workers),
 		})
 	}
 	for name, fence := range no.fences {
--- a/lovagefleet/route.go
+++ b/lovagefleet/route.go
@@ -87,7 +87,8 @@
 	}
 }
 
-// chooseOwner returns the owner of the workers in this data centre, or else the one with the most free room.
+// chooseOwner returns the owner of the workers in this data centre. If it has none that can be used, it returns the owner
+// with the most free room, among those with workers if there are any.
 func (no *Node) chooseOwner(service string, failed map[string]bool) (ownerRef, bool) {
 	usable := func(ow ownerRef) bool {
 		if failed[ow.ID] {
@@ -98,28 +99,45 @@
 		}
 		return ow.Address != "" && no.mesh.Connected(ow.Address)
 	}
-	if ow, ok := no.owners.Load(no.se.DataCentre); ok && usable(ow.(ownerRef)) {
-		return ow.(ownerRef), true
+	home, hasHome := no.owners.Load(no.se.DataCentre)
+	if hasHome && usable(home.(ownerRef)) {
+		if _, workers := no.room(home.(ownerRef), service); workers > 0 {
+			return home.(ownerRef), true
+		}
 	}
 	var best ownerRef
-	bestFree, found := int32(-1), false
+	bestFree, bestWorkers, found := -1, 0, false
 	no.owners.Range(func(_, value any) bool {
 		ow := value.(ownerRef)
 		if !usable(ow) {
 			return true
 		}
-		free := int32(0)
-		if ps, ok := no.peers.Load(ow.ID); ok {
-			free = ps.(*peerStanding).free(service)
-		}
-		if free > bestFree {
-			best, bestFree, found = ow, free, true
+		free, workers := no.room(ow, service)
+		if !found || workers > 0 && bestWorkers == 0 || free > bestFree && (workers > 0 || bestWorkers == 0) {
+			best, bestFree, bestWorkers, found = ow, free, workers, true
 		}
 		return true
 	})
+	if bestWorkers == 0 && hasHome && usable(home.(ownerRef)) {
+		return home.(ownerRef), true // nobody is known to have any; its report may be on the way
+	}
 	return best, found
 }
 
+// room returns the free places and the usable workers of an owner, by its last report.
+func (no *Node) room(ow ownerRef, service string) (free, workers int) {
+	if ow.self {
+		if own := no.ownStanding.Load(); own != nil {
+			return (*own)[service].FreeTasks, (*own)[service].Workers
+		}
+		return 0, 0
+	}
+	if ps, ok := no.peers.Load(ow.ID); ok {
+		return int(ps.(*peerStanding).free(service)), int(ps.(*peerStanding).workers(service))
+	}
+	return 0, 0
+}
+
 // submitTo passes a job to an owner. After ErrNotSent the owner has not got it; after another error it may have.
 func (no *Node) submitTo(ctx context.Context, ow ownerRef, wo *lovagejob.Work) (lovagepool.Finish, error) {
 	ref := no.newRef()
--- a/lovagepeer/counters.go
+++ b/lovagepeer/counters.go
@@ -22,31 +22,32 @@
 
 // Kinds of messages, used as labels of counters.
 const (
-	kindHello       = "hello"
-	kindHeartbeat   = "heartbeat"
-	kindSubmit      = "submit"
-	kindAsk         = "ask"
-	kindCancel      = "cancel"
-	kindMint        = "mint"
-	kindAccept      = "accept"
-	kindResultCopy  = "resultCopy"
-	kindTransfer    = "transfer"
-	kindSlotsAsk    = "slotsAsk"
-	kindSlotsReturn = "slotsReturn"
-	kindEstimates   = "estimates"
-	kindConfigDelta = "configDelta"
-	kindConfigAsk   = "configAsk"
-	kindPlace       = "place"
-	kindWithdraw    = "withdraw"
-	kindStanding    = "standing"
-	kindTakeOver    = "takeOver"
-	kindOther       = "other"
+	kindHello            = "hello"
+	kindHeartbeat        = "heartbeat"
+	kindSubmit           = "submit"
+	kindAsk              = "ask"
+	kindCancel           = "cancel"
+	kindMint             = "mint"
+	kindAccept           = "accept"
+	kindResultCopy       = "resultCopy"
+	kindTransfer         = "transfer"
+	kindSlotsAsk         = "slotsAsk"
+	kindSlotsReturn      = "slotsReturn"
+	kindEstimates        = "estimates"
+	kindConfigDelta      = "configDelta"
+	kindConfigAsk        = "configAsk"
+	kindPlace            = "place"
+	kindWithdraw         = "withdraw"
+	kindStanding         = "standing"
+	kindTakeOver         = "takeOver"
+	kindAskConfiguration = "askConfiguration"
+	kindOther            = "other"
 )
 
 var kinds = []string{
 	kindHello, kindHeartbeat, kindSubmit, kindAsk, kindCancel, kindMint, kindAccept, kindResultCopy, kindTransfer,
 	kindSlotsAsk, kindSlotsReturn, kindEstimates, kindConfigDelta, kindConfigAsk, kindPlace,
-	kindWithdraw, kindStanding, kindTakeOver, kindOther,
+	kindWithdraw, kindStanding, kindTakeOver, kindAskConfiguration, kindOther,
 }
 
 // Kind returns the kind of a request, such as "accept", for labels of counters and names of spans.
@@ -88,6 +89,8 @@
 		return kindStanding
 	case *lovagemessage.Request_TakeOver:
 		return kindTakeOver
+	case *lovagemessage.Request_AskConfiguration:
+		return kindAskConfiguration
 	}
 	return kindOther
 }
--- a/lovagepool/place.go
+++ b/lovagepool/place.go
@@ -274,5 +274,3 @@
 		po.finish(jo, NotRun, "no worker can be used", minRetry)
 	}
 }
-
-func (po *Pool) retryIn(_ *Job) time.Duration { return minRetry }
--- a/lovagepool/runs.go
+++ b/lovagepool/runs.go
@@ -55,8 +55,7 @@
 	stopRepeat = 250 * time.Millisecond
 )
 
-// Started takes the reply to a start. How is empty if the worker has the run, HowRejected if it does not, with the
-// reason given; retry tells that the same worker must not be asked again for this task.
+// Started takes the reply to a start. A rejected run has not begun and never will; the task is tried elsewhere first.
 func (po *Pool) Started(now time.Time, worker, taskName string, attempt int, rejected bool, reason string) {
 	ru := po.find(worker, taskName, attempt)
 	if ru == nil {
--- a/lovagepool/submit.go
+++ b/lovagepool/submit.go
@@ -179,7 +179,7 @@
 	}
 	po.decide(Decision{Kind: kind, Job: jo.Work.ID, Reason: "the caller's deadline has passed", Age: now.Sub(jo.Work.Arrived)})
 	if jo.begun == 0 {
-		po.finish(jo, NotRun, "no room before the caller's deadline", po.retryIn(jo))
+		po.finish(jo, NotRun, "no room before the caller's deadline", minRetry)
 		return
 	}
 	po.emitFinish(jo, Unknown, "not ended before the caller's deadline", 0)
--- a/lovagepool/workers.go
+++ b/lovagepool/workers.go
@@ -164,8 +164,8 @@
 	})
 }
 
-// Standing is how full the pool is for a service.
-type Standing struct{ FreeTasks, QueuedTasks int }
+// Standing is how full the pool is for a service, and how many workers it can use.
+type Standing struct{ FreeTasks, QueuedTasks, Workers int }
 
 // defaultTaskCores is the size assumed for the free places of a service before any task was seen.
 const defaultTaskCores = 14000
@@ -175,6 +175,7 @@
 	var sd Standing
 	for _, wo := range po.order {
 		if wo.Service == service && po.usable(now, wo) {
+			sd.Workers++
 			sd.FreeTasks += int(max(po.free(wo).MilliCores, 0) / defaultTaskCores)
 		}
 	}
