lovagepool: refuse nothing that fits where there is room

Change: before a refusal all tasks are started if they fit, slow workers included. Test: TestNothingIsRefusedWhileThereIsRoom fails before.

--- a/lovagepool/lend.go
+++ b/lovagepool/lend.go
@@ -4,8 +4,6 @@
 	"slices"
 	"strconv"
 	"time"
-
-	"lovagestack/lovagejob"
 )
 
 const (
@@ -168,28 +166,9 @@
 
 // placeLent starts all tasks of another owner's job at once, or declines them.
 func (po *Pool) placeLent(now time.Time, jo *Job) {
-	booked := map[*worker]lovagejob.Room{}
-	chosen := make([]*worker, 0, len(jo.tasks))
-	for _, ta := range jo.tasks {
-		wo := po.choose(now, ta)
-		if wo == nil {
-			break
-		}
-		room := jo.Work.Steps[ta.step].Room
-		wo.used = wo.used.Plus(room) // for the choices that follow
-		booked[wo] = booked[wo].Plus(room)
-		chosen = append(chosen, wo)
-	}
-	for wo, room := range booked {
-		wo.used = wo.used.Minus(room)
-	}
-	if len(chosen) < len(jo.tasks) {
+	if !po.startAll(now, jo, true) {
 		po.decide(Decision{Kind: "loanDeclined", Job: jo.Work.ID, Reason: "no free room"})
 		po.finish(jo, NotRun, "no free room", 0)
-		return
-	}
-	for i, ta := range jo.tasks {
-		po.start(now, ta, chosen[i])
 	}
 }
 
--- a/lovagepool/place.go
+++ b/lovagepool/place.go
@@ -124,7 +124,7 @@
 		if ta.state != taskReady {
 			continue
 		}
-		wo := po.choose(now, ta)
+		wo := po.choose(now, ta, true)
 		if wo == nil {
 			return
 		}
@@ -132,9 +132,37 @@
 	}
 }
 
-// choose returns the worker on which the task is expected to end first. A slow worker is passed over if the job would be
-// late there and could be in time on a faster one that is busy now.
-func (po *Pool) choose(now time.Time, ta *task) *worker {
+// startAll starts all ready tasks of a job, or none if there is no room for all of them. With selective false, slow
+// workers are not passed over.
+func (po *Pool) startAll(now time.Time, jo *Job, selective bool) bool {
+	var tasks []*task
+	var chosen []*worker
+	for _, ta := range jo.tasks {
+		if ta.state != taskReady {
+			continue
+		}
+		wo := po.choose(now, ta, selective)
+		if wo == nil {
+			break
+		}
+		wo.used = wo.used.Plus(jo.Work.Steps[ta.step].Room) // for the choices that follow
+		tasks, chosen = append(tasks, ta), append(chosen, wo)
+	}
+	for i, ta := range tasks {
+		chosen[i].used = chosen[i].used.Minus(jo.Work.Steps[ta.step].Room)
+	}
+	if len(tasks) == 0 || len(tasks) < jo.waiting {
+		return false
+	}
+	for i, ta := range tasks {
+		po.start(now, ta, chosen[i])
+	}
+	return true
+}
+
+// choose returns the worker on which the task is expected to end first. If selective is set, a slow worker is passed over
+// if the job would be late there and could be in time on a faster one that is busy now.
+func (po *Pool) choose(now time.Time, ta *task, selective bool) *worker {
 	jo := ta.job
 	st := &jo.Work.Steps[ta.step]
 	var best *worker
@@ -163,8 +191,8 @@
 			best, bestCost, bestFactor = wo, cost, fa
 		}
 	}
-	if best == nil {
-		return nil
+	if best == nil || !selective {
+		return best
 	}
 	run := time.Duration(float64(jo.runTime) * bestFactor)
 	latest := jo.goal.Add(-time.Duration(float64(jo.runTime) * fast))
@@ -245,7 +273,7 @@
 		whole := jo.goal.Sub(jo.Work.Arrived)
 		early := float64(wait) > sureFactor*float64(left) && float64(age) < holdShare*float64(whole)/2
 		due := wait > left && float64(age) >= holdShare*float64(whole)/2 && float64(age) < holdShare*float64(whole)*1.2
-		if left > 0 && (early || due) {
+		if left > 0 && (early || due) && !po.startAll(now, jo, false) { // never refused while there is room for it
 			po.decide(Decision{
 				Kind: "refusedHopeless", Job: jo.Work.ID, Reason: "not expected to start in time", Age: age, Wait: wait, Left: left,
 				Expected: run,
--- a/lovagepool/pool_test.go
+++ b/lovagepool/pool_test.go
@@ -445,3 +445,28 @@
 		}
 	}
 }
+
+func TestNothingIsRefusedWhileThereIsRoom(t *testing.T) {
+	// Guards against a refusal while a slow worker, on which the job would be late, is free.
+	fast, slow := testWorker("fast", 14000), testWorker("slow", 14000)
+	fast.Kind, slow.Kind = "fast", "slow"
+	be := newBench(t, fast, slow)
+	be.po.kinds["fast"] = &speed{samples: 100}
+	be.po.kinds["slow"] = &speed{log: 1.2, samples: 100} // 3.3 times as long
+	for i := range 4 {
+		be.submit(fmt.Sprintf("j%d", i), 1, 14000)
+	}
+	list := be.commands()
+	be.pass(100 * time.Millisecond)
+	list = append(list, be.commands()...)
+	started := 0
+	for _, cmd := range list {
+		if cmd[:5] == "start" {
+			started++
+		}
+		if cmd[:6] == "finish" {
+			test.Eq(t, 2, started, test.Sprintf("refused with a worker free: %v", list))
+		}
+	}
+	test.Eq(t, 2, started, test.Sprint(list))
+}
