lovagepool: do not take runs on a silent worker for stuck

Change: a run is overdue only on a worker that answers. Test: TestSilentWorkerIsNotTakenForStuck fails before.

--- a/lovagepool/pool_test.go
+++ b/lovagepool/pool_test.go
@@ -406,6 +406,20 @@
 	must.True(t, contains(be.commands(), "start w2 a.0.0.0 2"))
 }
 
+func TestSilentWorkerIsNotTakenForStuck(t *testing.T) {
+	// Guards against ejecting a worker for runs whose ends it could not report.
+	be := newBench(t, testWorker("w1", 14000))
+	wo := be.work("a", 1, 14000)
+	wo.Steps[0].RunTime = 20 * time.Millisecond
+	be.po.Submit(be.now, &Job{Ref: "a", Work: wo})
+	must.Eq(t, []string{"start w1 a.0.0.0 1"}, be.commands())
+	be.started("w1", "a.0.0.0", 1)
+	be.po.Silent(be.now, "w1", false)
+	be.pass(800 * time.Millisecond)
+	must.SliceEmpty(t, be.commands())
+	must.Eq(t, 0, be.po.workers["w1"].failures)
+}
+
 // BenchmarkDecisions measures a start and its end at 350 workers with other tasks waiting; the target is 10,000 starts a
 // second on one core.
 func BenchmarkDecisions(b *testing.B) {
--- a/lovagepool/runs.go
+++ b/lovagepool/runs.go
@@ -300,7 +300,7 @@
 			}
 		case ru.state == runOrdered && now.Sub(ru.ordered) > po.se.OrderTimeout:
 			po.StartUnanswered(now, wo.ID, ru.key.task, ru.key.attempt)
-		case ru.state == runRunning && ru.task != nil && !ru.began.IsZero() &&
+		case wo.reachable && ru.state == runRunning && ru.task != nil && !ru.began.IsZero() &&
 			now.Sub(ru.began) > overdueFactor*ru.expected+overdueSlack:
 			po.decideRun(now, ru, "runOverdue", "stopped, as it takes far longer than expected")
 			ru.task.avoid = wo.ID
