lovagefleet: connect all instances only in small deployments

Logs of two of them: from the beginning of a cut lines were written up to 2 s late and jobs ran into their deadlines; the process had no processor time left. Each instance kept 38 sessions, each with pings 4 times a second and a check 16 times a second, nearly all without use. Ruled out: the store (other instances had the version in time), the size of the configuration (46 routes). Change: above 16 instances only owners are connected with all others. Test: TestWantsSession.

--- a/lovagefleet/claim_test.go
+++ b/lovagefleet/claim_test.go
@@ -119,3 +119,37 @@
 		})
 	}
 }
+
+func TestWantsSession(t *testing.T) {
+	// Guards against sessions between all instances of a large deployment.
+	now := time.Unix(1_700_000_000, 0)
+	cases := []struct {
+		name                   string
+		instances              int
+		selfOwner, owner, gone bool
+		want                   bool
+	}{
+		{"small deployment", fullMeshInstances, false, false, false, true},
+		{"large, neither is an owner", fullMeshInstances + 1, false, false, false, false},
+		{"large, an owner", fullMeshInstances + 1, false, true, false, true},
+		{"large, self is an owner", fullMeshInstances + 1, true, false, false, true},
+		{"gone", fullMeshInstances, false, true, true, false},
+	}
+	for _, ca := range cases {
+		t.Run(ca.name, func(t *testing.T) {
+			no := &Node{members: map[string]*member{}, domains: map[string]*domain{}}
+			no.self.ID = "self"
+			for i := range ca.instances {
+				no.members[string(rune('a'+i))] = &member{}
+			}
+			if ca.selfOwner {
+				no.domains["east"] = &domain{version: 1, row: domainRow{Owner: "self"}}
+			}
+			me := &member{instanceRow: instanceRow{Owner: ca.owner}, renewed: now}
+			if ca.gone {
+				me.renewed = now.Add(-time.Minute)
+			}
+			test.Eq(t, ca.want, no.wantsSession(now, me))
+		})
+	}
+}
--- a/lovagefleet/own.go
+++ b/lovagefleet/own.go
@@ -26,6 +26,9 @@
 	registryInterval = 600 * time.Millisecond
 	// idleRegistryInterval is how often instances read them that own no domain; they read at once when they claim one.
 	idleRegistryInterval = 4 * time.Second
+	// fullMeshInstances is up to how many instances all are connected with each other; each session costs about 20
+	// wake-ups a second.
+	fullMeshInstances = 16
 	// expiredRowAfter is when the row of an instance that is gone is removed.
 	expiredRowAfter = 20 * time.Second
 )
@@ -186,7 +189,7 @@
 		me.refused = true
 	}
 	if in.ID != no.self.ID && in.Address != no.self.Address {
-		if me.live(now) {
+		if no.wantsSession(now, me) {
 			no.mesh.Connect(in.ID, in.Address)
 		} else {
 			no.mesh.Disconnect(in.Address)
@@ -195,6 +198,13 @@
 	}
 }
 
+// wantsSession reports whether a session with the instance is kept up. In a small deployment all instances are connected.
+// In a larger one only owners are connected with all: pings of sessions that no job uses cost small instances a large part
+// of their processor time.
+func (no *Node) wantsSession(now time.Time, me *member) bool {
+	return me.live(now) && (len(no.members) <= fullMeshInstances || me.Owner || no.isOwner())
+}
+
 // removeExpired removes the rows of instances that are gone, one at a time.
 func (no *Node) removeExpired(ctx context.Context, now time.Time) {
 	for id, me := range no.members {
@@ -316,6 +326,7 @@
 		return
 	}
 	no.count("domainsClaimed")
+	no.wakeOwner() // an owner is connected with all instances
 	no.noteDomain(do.name, dr, res.Versions[key])
 }
 
