--- /dev/null
+++ b/lovagefleet/control.go
@@ -0,0 +1,140 @@
+package lovagefleet
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lovagestack/lovagepool"
+)
+
+// post hands an event to the control loop.
+func (no *Node) post(ev func(now time.Time)) {
+	select {
+	case no.events <- ev:
+	case <-no.ctx.Done():
+	}
+}
+
+func (no *Node) count(name string) { no.counts.With(name).Inc(1) }
+
+// loop owns the pool. It takes all events that wait before it places anything.
+func (no *Node) loop(ctx context.Context) {
+	timer := time.NewTimer(idleTickInterval)
+	defer timer.Stop()
+	var nextTick time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ev := <-no.events:
+			now := time.Now()
+			ev(now)
+			for more := true; more; {
+				select {
+				case ev = <-no.events:
+					ev(now)
+				default:
+					more = false
+				}
+			}
+		case <-timer.C:
+		}
+		now := time.Now()
+		if !now.Before(nextTick) {
+			no.pool.Tick(now)
+			interval := tickInterval
+			if no.pool.Idle() {
+				interval = idleTickInterval
+			}
+			nextTick = now.Add(interval)
+			timer.Reset(interval)
+			no.publishCounts()
+		}
+		no.carryOut(now, no.pool.Commands(now))
+	}
+}
+
+// publishCounts copies the pool's counts to the metrics.
+func (no *Node) publishCounts() {
+	for name, n := range no.pool.Counts {
+		if d := n - no.counted[name]; d != 0 {
+			no.counted[name] = n
+			no.counts.With(name).Inc(d)
+		}
+	}
+}
+
+// carryOut sends commands on their way.
+func (no *Node) carryOut(now time.Time, list []lovagepool.Command) {
+	for _, cmd := range list {
+		switch cm := cmd.(type) {
+		case lovagepool.StartRun:
+			if li := no.links[cm.Worker]; li != nil {
+				go li.start(no.ctx, cm, li.order(cm.Task, cm.Attempt, cm.Spec))
+			} else {
+				no.pool.Started(now, cm.Worker, cm.Task, cm.Attempt, true, "noLink")
+			}
+		case lovagepool.StopRun:
+			if li := no.links[cm.Worker]; li != nil {
+				go li.stop(no.ctx, cm)
+			}
+		case lovagepool.Finish:
+			if wa := no.waiters[cm.Ref]; wa != nil {
+				delete(no.waiters, cm.Ref)
+				wa <- cm
+			}
+		case lovagepool.Lend:
+			go no.lend(cm)
+		case lovagepool.Recall:
+			go no.withdraw(cm.Lender, cm.Ref)
+		case lovagepool.LookNow:
+			if li := no.links[cm.Worker]; li != nil {
+				go li.lookNow(no.ctx)
+			}
+		case lovagepool.Gone:
+			for _, wa := range no.goneWaiters[cm.Ref] {
+				close(wa)
+			}
+			delete(no.goneWaiters, cm.Ref)
+		case lovagepool.Release:
+			no.released(cm.Worker)
+		}
+	}
+}
+
+// errorField logs an error without its stack trace.
+func errorField(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
+
+// logDecision writes a decision of the pool.
+func (no *Node) logDecision(de lovagepool.Decision) {
+	fields := make([]zap.Field, 0, 10)
+	text := func(name, value string) {
+		if value != "" {
+			fields = append(fields, zap.String(name, value))
+		}
+	}
+	duration := func(name string, value time.Duration) {
+		if value != 0 {
+			fields = append(fields, zap.Duration(name, value))
+		}
+	}
+	text("job", de.Job)
+	text("task", de.Task)
+	text("worker", de.Worker)
+	if de.Attempt != 0 {
+		fields = append(fields, zap.Int("attempt", de.Attempt))
+	}
+	text("reason", de.Reason)
+	duration("ageMs", de.Age)
+	duration("waitMs", de.Wait)
+	duration("leftMs", de.Left)
+	duration("expectedMs", de.Expected)
+	no.decisions.Decision(de.Kind, false, fields...)
+}
--- /dev/null
+++ b/lovagefleet/follow.go
@@ -0,0 +1,113 @@
+package lovagefleet
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// noteOwner keeps the owner with the highest fence of a domain.
+func (no *Node) noteOwner(name string, ow ownerRef) {
+	for {
+		old, loaded := no.owners.LoadOrStore(name, ow)
+		if !loaded || old.(ownerRef).fence >= ow.fence {
+			return
+		}
+		if no.owners.CompareAndSwap(name, old, ow) {
+			return
+		}
+	}
+}
+
+// registered returns the workers that were last read from the registry.
+func (no *Node) registered() []Registered {
+	if list := no.known.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
+
+// registryLoop follows the registered workers.
+func (no *Node) registryLoop(ctx context.Context) {
+	ticker := time.NewTicker(registryInterval)
+	defer ticker.Stop()
+	var read time.Time
+	for {
+		if !no.owning.Load() && time.Since(read) < idleRegistryInterval {
+			select {
+			case <-ctx.Done():
+				return
+			case <-no.hurryRegistry:
+			case <-ticker.C:
+				continue
+			}
+		}
+		read = time.Now()
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		list, err := no.registry.Workers(callCtx)
+		cancel()
+		if err != nil {
+			no.count("registryErrors")
+		} else {
+			no.known.Store(&list)
+			no.post(no.refreshWorkers)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-no.hurryRegistry:
+		case <-ticker.C:
+		}
+	}
+}
+
+// configLoop follows the configuration. Versions never go back.
+func (no *Node) configLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		after := int64(0)
+		if co := no.config.Load(); co != nil {
+			after = co.Version
+		}
+		callCtx, cancel := context.WithTimeout(ctx, configWait+storeTimeout)
+		co, err := no.registry.Configuration(callCtx, after, configWait)
+		cancel()
+		switch {
+		case err != nil:
+			no.count("configurationErrors")
+			sleep(ctx, configRetry)
+		case co != nil:
+			no.apply(co)
+		}
+	}
+}
+
+const (
+	// configWait is how long the platform may hold a request for a newer configuration, which must be in force 2 s after
+	// it was accepted.
+	configWait = time.Second
+	// configRetry is the pause after a failed request.
+	configRetry = 200 * time.Millisecond
+)
+
+func (no *Node) apply(co *Configuration) {
+	for {
+		old := no.config.Load()
+		if old != nil && old.Version >= co.Version {
+			return
+		}
+		if no.config.CompareAndSwap(old, co) {
+			no.log.Info("configuration in force", zap.Int64("version", co.Version), zap.Int("routes", len(co.Routes)))
+			return
+		}
+	}
+}
+
+func sleep(ctx context.Context, du time.Duration) {
+	timer := time.NewTimer(du)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
