lovagefleet: a new owner reads the registered workers before it uses them

Cause: found by reading: an instance that owns nothing reads the workers every 4 s, and used that list when it became owner; a worker that began to drain up to 4 s before got starts, where 2 s are allowed. Change: a domain's workers are used after a read that began after the claim, or 3 s later if the store cannot be read. Test: TestNewOwnerKnowsWhichWorkersAreDraining: 38 starts on draining workers before, none after.

--- a/lovagefleet/fleet_test.go
+++ b/lovagefleet/fleet_test.go
@@ -380,6 +380,40 @@
 	}
 }
 
+func TestNewOwnerKnowsWhichWorkersAreDraining(t *testing.T) {
+	// Guards against starts on a worker that began to drain seconds ago: an instance that owns nothing reads the registered
+	// workers only now and then.
+	de := deploy(t)
+	owner := de.owner("east")
+	other := map[string]string{"east-1": "east-2", "east-2": "east-1"}[owner]
+	de.si.mu.Lock()
+	for id, wo := range de.si.workers {
+		if id != "east-w0" && id[:4] == "east" {
+			wo.Draining = true
+		}
+	}
+	de.si.readTime = 500 * time.Millisecond
+	de.si.mu.Unlock()
+	de.nodes[owner].stop()
+	delete(de.nodes, owner)
+	de.await("the other instance owns the domain", 2500*time.Millisecond, func() bool { return de.owner("east") == other })
+	for range 20 {
+		de.nodes[other].Submit(t.Context(), testWork(randomID(), 4, 5*time.Millisecond))
+	}
+	de.await("the new owner uses the worker that is not draining", 2*time.Second, func() bool {
+		result := make(chan int, 1)
+		de.nodes[other].post(func(now time.Time) { result <- de.nodes[other].pool.Standing(now, "s").Workers })
+		return <-result == 1
+	})
+	de.si.mu.Lock()
+	defer de.si.mu.Unlock()
+	for id, wo := range de.si.workers {
+		if wo.Draining {
+			test.Eq(t, 0, wo.startsWhileDraining, test.Sprint(id))
+		}
+	}
+}
+
 func TestUnsupportedPartIsRefused(t *testing.T) {
 	de := deploy(t)
 	wo := testWork(randomID(), 2, time.Millisecond)
--- a/lovagefleet/follow.go
+++ b/lovagefleet/follow.go
@@ -51,7 +51,11 @@
 			no.count("registryErrors")
 		} else {
 			no.known.Store(&list)
-			no.post(no.refreshWorkers)
+			began := read
+			no.post(func(now time.Time) {
+				no.readAt = began
+				no.refreshWorkers(now)
+			})
 		}
 		select {
 		case <-ctx.Done():
--- a/lovagefleet/link.go
+++ b/lovagefleet/link.go
@@ -262,7 +262,7 @@
 	used := map[string]bool{}
 	for _, re := range no.registered() {
 		fence, ok := no.fences[re.DataCentre]
-		if !ok {
+		if !ok || !no.isCurrent(now, re.DataCentre) {
 			continue
 		}
 		if ha := no.handing[re.DataCentre]; ha != nil && !ha.pending[re.ID] {
@@ -298,6 +298,15 @@
 	}
 }
 
+// registryPatience is how long a new owner waits for the registered workers to be read after it has claimed a domain. It
+// then uses what it knows, which may be older than a worker's notice that it is draining.
+const registryPatience = 3 * time.Second
+
+// isCurrent reports whether the registered workers were read after this instance has claimed the domain.
+func (no *Node) isCurrent(now time.Time, name string) bool {
+	return no.readAt.After(no.claimed[name]) || now.Sub(no.claimed[name]) > registryPatience
+}
+
 // released tells the new owner of a worker that it has no run of this instance any more.
 func (no *Node) released(worker string) {
 	for _, wo := range no.registered() {
--- a/lovagefleet/node.go
+++ b/lovagefleet/node.go
@@ -79,8 +79,10 @@
 
 	// Owned by loop.
 	pool        *lovagepool.Pool
-	fences      map[string]int64    // of the domains whose workers this instance orders
-	handing     map[string]*handing // domains being handed over
+	fences      map[string]int64     // of the domains whose workers this instance orders
+	claimed     map[string]time.Time // when each of these domains was claimed
+	readAt      time.Time            // when the read of the registry began from which the workers are known
+	handing     map[string]*handing  // domains being handed over
 	awaiting    map[string]awaitedRelease
 	links       map[string]*link
 	waiters     map[string]chan lovagepool.Finish
@@ -137,7 +139,7 @@
 		events:      make(chan func(time.Time), eventQueue),
 		dataCentres: se.DataCentres, members: map[string]*member{}, domains: map[string]*domain{},
 		hurry: make(chan struct{}, 1), hurryRegistry: make(chan struct{}, 1), takeovers: make(chan takeOverRequest, 16),
-		pool: lovagepool.New(se.Pool), fences: map[string]int64{}, handing: map[string]*handing{},
+		pool: lovagepool.New(se.Pool), fences: map[string]int64{}, claimed: map[string]time.Time{}, handing: map[string]*handing{},
 		awaiting: map[string]awaitedRelease{}, links: map[string]*link{}, waiters: map[string]chan lovagepool.Finish{},
 		counted: map[string]int64{}, goneWaiters: map[string][]chan struct{}{},
 	}
--- a/lovagefleet/own.go
+++ b/lovagefleet/own.go
@@ -248,8 +248,12 @@
 	no.log.Info("owner of domain", zap.String("domain", name), zap.String("owner", do.row.Owner),
 		zap.Int64("fence", fence), zap.Bool("self", mine))
 	no.noteOwner(name, ownerRef{ID: do.row.Owner, Address: do.row.Address, self: mine, fence: fence})
+	at := time.Now() // before the read of the registry that is asked for below
 	no.post(func(now time.Time) {
 		if mine {
+			if _, had := no.fences[name]; !had {
+				no.claimed[name] = at
+			}
 			no.fences[name] = fence
 			delete(no.handing, name)
 		} else if no.handing[name] == nil {
--- a/lovagefleet/standin_test.go
+++ b/lovagefleet/standin_test.go
@@ -26,6 +26,7 @@
 	violations []string
 	config     *Configuration
 	cut        map[string]bool // instances that do not reach the store
+	readTime   time.Duration   // of the registered workers
 }
 
 type standInWorker struct {
@@ -40,8 +41,10 @@
 	mute    bool // does as told, and its answers are lost
 	loses   int  // each call whose number this divides is lost, without effect; 0: none
 	calls   int
-	refuses bool // a cut refuses connections to it; what runs goes on
-	began   time.Time
+
+	startsWhileDraining int
+	refuses             bool // a cut refuses connections to it; what runs goes on
+	began               time.Time
 }
 
 type standInEnd struct {
@@ -169,6 +172,9 @@
 		si.violations = append(si.violations, fmt.Sprintf("task %s runs twice", or.Task))
 	}
 	si.starts[or.Task]++
+	if wo.Draining {
+		wo.startsWhileDraining++
+	}
 	ru := &standInRun{attempt: or.Attempt, room: taskRoom, expires: or.Expires}
 	wo.runs[or.Task] = ru
 	took, err := time.ParseDuration(or.Spec)
@@ -306,6 +312,10 @@
 	if err := cs.reach(); err != nil {
 		return nil, err
 	}
+	cs.mu.Lock()
+	took := cs.readTime
+	cs.mu.Unlock()
+	sleep(ctx, took)
 	return cs.standIn.Workers(ctx)
 }
 
