lovagefleet: only the process that took a loan answers for its runs

Run 1 was started by an owner that was killed and came back; run 2 0.74 s later by the borrower, before the lease of run 1 was over. The new process did not know the loan and confirmed that nothing of it ran. Ruled out: an early lapse at the borrower, which holds a task for 1.07 s when nothing is known. Change: a Withdraw of an unknown job is an error, and the borrower then waits until the leases are over. Test: TestRestartedLenderDoesNotAnswerForItsFormerRuns fails before (two tasks run twice).

--- a/lovagefleet/fleet_test.go
+++ b/lovagefleet/fleet_test.go
@@ -71,6 +71,11 @@
 	must.NoError(de.t, err)
 	address := li.Addr().String()
 	must.NoError(de.t, li.Close())
+	de.startAt(id, address)
+}
+
+// startAt starts an instance whose sessions have the given address.
+func (de *deployment) startAt(id, address string) {
 	no := New(Settings{
 		ID: id, DataCentre: id[:4], DataCentres: []string{"east", "west"}, PeerListen: address,
 		Pool: lovagepool.DefaultSettings(),
@@ -168,9 +173,8 @@
 	}
 }
 
-func TestWideJobIsSpreadOverDataCentres(t *testing.T) {
-	// Six places in each data centre: a job of ten tasks needs both to be served in one wave.
-	de := deploy(t)
+// awaitRoom waits until the owners know that all twelve places are free.
+func (de *deployment) awaitRoom() {
 	for _, dc := range []string{"east", "west"} {
 		de.await("the owners know of each other's room", 2*time.Second, func() bool {
 			no := de.nodes[de.owner(dc)]
@@ -179,6 +183,12 @@
 			return <-result == 12
 		})
 	}
+}
+
+func TestWideJobIsSpreadOverDataCentres(t *testing.T) {
+	// Six places in each data centre: a job of ten tasks needs both to be served in one wave.
+	de := deploy(t)
+	de.awaitRoom()
 	began := time.Now()
 	an := de.nodes["east-1"].Submit(t.Context(), testWork(randomID(), 10, 300*time.Millisecond))
 	must.Eq(t, lovagepool.Completed, an.Outcome, must.Sprint(an.Reason))
@@ -414,6 +424,47 @@
 	}
 }
 
+func TestRestartedLenderDoesNotAnswerForItsFormerRuns(t *testing.T) {
+	// Guards against a second run of a lent task: the new process of the other owner knew nothing of the loan and confirmed
+	// that nothing of it ran, while the former process's runs went on until their leases were over.
+	de := deploy(t)
+	de.awaitRoom()
+	no := de.nodes[de.owner("east")]
+	var wg sync.WaitGroup
+	submit := func(tasks int, took time.Duration) {
+		wo := testWork(randomID(), tasks, took)
+		wo.Deadline = time.Now().Add(5 * time.Second)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			no.Submit(context.Background(), wo)
+		}()
+	}
+	submit(6, 300*time.Millisecond) // takes all room at home for a while
+	time.Sleep(30 * time.Millisecond)
+	submit(2, 1500*time.Millisecond)
+	de.await("tasks run in the other data centre", time.Second, func() bool {
+		de.si.mu.Lock()
+		defer de.si.mu.Unlock()
+		n := 0
+		for id, wo := range de.si.workers {
+			if id[:4] == "west" {
+				n += len(wo.runs)
+			}
+		}
+		return n == 2
+	})
+	lender := de.nodes[de.owner("west")]
+	de.si.mu.Lock()
+	for id := range de.nodes {
+		de.si.cut[id] = true // nobody takes the domain over and stops the runs
+	}
+	de.si.mu.Unlock()
+	lender.stop()
+	de.startAt(lender.self.ID, lender.self.Address)
+	wg.Wait()
+}
+
 func TestUnsupportedPartIsRefused(t *testing.T) {
 	de := deploy(t)
 	wo := testWork(randomID(), 2, time.Millisecond)
--- a/lovagefleet/peer.go
+++ b/lovagefleet/peer.go
@@ -53,7 +53,9 @@
 	case *lovagemessage.Request_Place:
 		return no.servePlace(ctx, body.Place)
 	case *lovagemessage.Request_Withdraw:
-		no.serveWithdraw(ctx, body.Withdraw.GetRef())
+		if err := no.serveWithdraw(ctx, body.Withdraw.GetRef()); err != nil {
+			return nil, err
+		}
 	case *lovagemessage.Request_Standing:
 		no.serveStanding(from, body.Standing)
 	case *lovagemessage.Request_TakeOver:
@@ -118,16 +120,33 @@
 	}}, nil
 }
 
+// errUnknownJob answers a Withdraw of a job that this process does not know. Runs of it may go on all the same, if a former
+// process has started them.
+var errUnknownJob = errors.New("the job is not known here")
+
 // serveWithdraw cancels a job and waits until nothing of it runs any more.
-func (no *Node) serveWithdraw(ctx context.Context, ref string) {
-	gone := make(chan struct{})
+func (no *Node) serveWithdraw(ctx context.Context, ref string) error {
+	gone, known := make(chan struct{}), make(chan bool, 1)
 	no.post(func(now time.Time) {
-		no.goneWaiters[ref] = append(no.goneWaiters[ref], gone)
-		no.pool.Cancel(now, ref)
+		ok := no.pool.Cancel(now, ref)
+		if ok {
+			no.goneWaiters[ref] = append(no.goneWaiters[ref], gone)
+		}
+		known <- ok
 	})
 	select {
+	case ok := <-known:
+		if !ok {
+			return errUnknownJob
+		}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
 	case <-gone:
+		return nil
 	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
 
@@ -308,7 +327,8 @@
 const sessionLossBound = pingInterval + pingInterval/4 + pingTimeout + 100*time.Millisecond
 
 // settle has a loan withdrawn whose answer was lost. It returns the tasks' ends when none of them runs any more, or nil
-// when the other owner cannot be asked and must have noticed the loss itself: then their leases run out.
+// when the other owner cannot be asked and must have noticed the loss itself, or is another process now: then the leases
+// run out.
 func (no *Node) settle(address string, cm lovagepool.Lend) []lovagepool.LentEnd {
 	ctx, cancel := context.WithTimeout(no.ctx, sessionLossBound)
 	defer cancel()
@@ -323,6 +343,9 @@
 			}
 			return ends
 		}
+		if errors.Is(err, lovagepeer.ErrRemote) {
+			return nil
+		}
 		sleep(ctx, ownerPoll)
 	}
 	return nil
--- a/lovagepool/submit.go
+++ b/lovagepool/submit.go
@@ -134,25 +134,26 @@
 // withdrawnKept is how long a cancellation is kept that has arrived before its job; both travel on one connection.
 const withdrawnKept = 5 * time.Second
 
-// Cancel ends a job whose caller has left. Its runs are stopped. It may arrive before the job.
-func (po *Pool) Cancel(now time.Time, ref string) {
+// Cancel ends a job whose caller has left. Its runs are stopped. It may arrive before the job. It reports whether the job
+// is known; if not, nothing is said about runs, which a former process may have started.
+func (po *Pool) Cancel(now time.Time, ref string) bool {
 	jo := po.jobs[ref]
 	if jo == nil {
 		po.withdrawn[ref] = now
-		po.emit(Gone{ref})
-		return
+		return false
 	}
 	po.decide(Decision{Kind: "jobCancelled", Job: jo.Work.ID, Reason: "its caller or borrower has left", Age: now.Sub(jo.Work.Arrived)})
 	jo.withdrawn = true
 	if jo.Lent == nil {
 		po.cancel(now, jo)
-		return
+		return true
 	}
-	for _, ta := range jo.tasks { // the ends are reported to the lender as usual
+	for _, ta := range jo.tasks { // the ends are reported to the borrower as usual
 		if ta.run != nil {
 			po.stop(now, ta.run)
 		}
 	}
+	return true
 }
 
 // cancel drops what waits and stops what runs. The job is forgotten when nothing of it runs any more.
