--- a/lovagepool/place.go
+++ b/lovagepool/place.go
@@ -9,9 +9,11 @@
 const (
 	// packing is the share of a worker's cores that tasks of mixed sizes fill.
 	packing = 0.85
-	// holdShare is the part of a job's time after which a job that has not begun, and is not expected to begin in time, is
-	// refused. Until then the expectation may change.
-	holdShare = 0.25
+	// refuseFrom and refuseUntil are the shares of a job's time between which it is refused if it has not begun and is not
+	// expected to begin in time. Before, the expectation may change; after, the caller has waited too long for a refusal to
+	// be of use, and late room is better.
+	refuseFrom  = 0.125
+	refuseUntil = 0.3
 	// sureFactor is by how much the expected wait must exceed the time left for a job to be refused on arrival.
 	sureFactor = 1.5
 	// minRateShare of the workers is taken to be left for a job by more urgent ones at the least.
@@ -270,9 +272,9 @@
 		speed := po.speedFor(now, service, rate, left)
 		wait := time.Duration((before + own*float64(jo.waiting-1)/float64(jo.waiting)) / speed * float64(time.Second))
 		age := now.Sub(jo.Work.Arrived)
-		whole := jo.goal.Sub(jo.Work.Arrived)
-		early := float64(wait) > sureFactor*float64(left) && float64(age) < holdShare*float64(whole)/2
-		due := wait > left && float64(age) >= holdShare*float64(whole)/2 && float64(age) < holdShare*float64(whole)*1.2
+		share := float64(age) / float64(jo.goal.Sub(jo.Work.Arrived))
+		early := float64(wait) > sureFactor*float64(left) && share < refuseFrom
+		due := wait > left && share >= refuseFrom && share < refuseUntil
 		if left > 0 && (early || due) && !po.startAll(now, jo, false) { // never refused while there is room for it
 			po.decide(Decision{
 				Kind: "refusedHopeless", Job: jo.Work.ID, Reason: "not expected to start in time", Age: age, Wait: wait, Left: left,
