lovagelog: bound the lines that one write collects

Cause: the goroutine that writes took lines from the queue for 100 ms without a limit, so that a flood of lines went into its buffer instead of being counted as lost once the queue was full. On a fast machine 6,144 lines were all taken in one interval, and TestOutputThatBlocksDoesNotBlockCallers saw none lost. Ruled out: a logger that blocks its callers; the time bound of the same test held. Change: one write collects at most as many lines as the queue holds. With an output that blocks, at most two queues of lines are held, so the third queue of that test is always lost. Conclusion: the memory of the log is bounded by its constants, and the test no longer depends on the machine's speed.

--- a/lovagelog/log.go
+++ b/lovagelog/log.go
@@ -39,6 +39,8 @@
 	queueLines = 2048
 	// flushInterval collects lines, so that one write carries many.
 	flushInterval = 100 * time.Millisecond
+	// batchLines bounds the memory of one write: lines taken from the queue are no longer counted against queueLines.
+	batchLines = queueLines
 	// maxLineBytes is the longest line that History reads.
 	maxLineBytes = 1 << 20
 )
@@ -144,11 +146,11 @@
 	}
 }
 
-// collect appends the lines of the next flushInterval.
+// collect appends the lines of the next flushInterval, at most batchLines.
 func (lo *Logger) collect(ctx context.Context, buf *[]byte) {
 	timer := time.NewTimer(flushInterval)
 	defer timer.Stop()
-	for {
+	for range batchLines {
 		select {
 		case line := <-lo.queue:
 			*buf = append(*buf, line...)
--- a/lovagelog/log_test.go
+++ b/lovagelog/log_test.go
@@ -78,6 +78,19 @@
 	<-done
 }
 
+func TestBatchIsBounded(t *testing.T) {
+	// Guards against a flood of lines that is taken from the queue into memory without limit: the queue never fills, and
+	// nothing is counted as lost.
+	lo := New(&safeBuffer{})
+	lo.queue = make(chan []byte, 3*queueLines)
+	for range 3 * queueLines {
+		_, _ = lo.Write([]byte("line\n"))
+	}
+	var buf []byte
+	lo.collect(context.Background(), &buf)
+	must.Eq(t, batchLines, bytes.Count(buf, []byte("\n")))
+}
+
 type blockingWriter struct{ release chan struct{} }
 
 func (bw blockingWriter) Write(p []byte) (int, error) {
