lovagetrial: judge the recovery of a cell before every key is asked about

Cause: a cell had 30 s in which it first asked every instance about every key, and then had each complete a new job. The number of keys depends on the machine: on two cores, 878 and 924 keys took 30.4 s, and recover had 0.6 ms left, in which POST /v1/keys ended with "deadline exceeded" at every instance. Besides, the caller of an instance that shuts down began a request every 10 ms however many were open, so that cells on a busy machine ran into an overload of their own: in handOver/crossedReply+leavingByRefusal the shutdown then reached its deadline of 10 s before the ranges were handed over. Ruled out: an instance that does not recover. Where any time was left for it, recovery took 0.1 to 5 s of its 30 s in all cells (12 at a time on two cores). Silent or slow questions: of about 1,000 in a cell at most 12 took over 0.3 s. Change: recovery is judged first, within 30 s of the end of the work; then every key is asked about, with a bound of its own, and a cell that could not ask about all keys is red (before, the rest was skipped in silence). At most 16 late requests are open at once. Cells run at twice the number of processors, which is 12 on six cores as before. Conclusion: the check is stricter in what it requires and no longer depends on the number of keys.

--- a/lovagetrial/cell.go
+++ b/lovagetrial/cell.go
@@ -77,8 +77,9 @@
 // Bounds of a cell. They end cells that hang and do not judge speed.
 const (
 	reachWithin   = 20 * time.Second
-	recoverWithin = 30 * time.Second
-	callWithin    = 3 * time.Second // after which a caller of a cell gives up and asks elsewhere
+	recoverWithin = 30 * time.Second // from the end of the work
+	askWithin     = 90 * time.Second // for all questions about keys, whose number depends on the machine's speed
+	callWithin    = 3 * time.Second  // after which a caller of a cell gives up and asks elsewhere
 	prepareAfter  = 100 * time.Millisecond
 	maxStageGap   = 400 * time.Millisecond // from a step to the wait for the next; below faultTime, so that faults overlap
 )
@@ -120,8 +121,8 @@
 	minter     string // name of the instance that gave it
 }
 
-// Run runs the cell in a deployment of its own: work begins, the step is reached, the faults begin and end, every key
-// is asked about at every instance, and the evidence is checked.
+// Run runs the cell in a deployment of its own: work begins, the step is reached, the faults begin and end, every
+// instance completes a new job, every key is asked about at every instance, and the evidence is checked.
 func (ce Cell) Run(ctx context.Context) CellResult {
 	began := time.Now()
 	cr := &cellRun{Cell: ce, reached: make(chan *Instance, 1)}
@@ -145,10 +146,9 @@
 	cr.awaitLeaving()
 	cr.stop()
 	cr.work.Wait()
-	ctx, cancel := context.WithTimeout(ctx, recoverWithin)
-	defer cancel()
-	cr.askEverywhere(ctx)
+	// Recovery comes first: a bound that it shared with the questions would depend on the number of keys.
 	cr.recover(ctx)
+	cr.askEverywhere(ctx)
 	ev := de.Evidence()
 	res := CellResult{Violations: Check(ev), Problems: cr.problems, Calls: len(ev.Calls), Took: time.Since(began)}
 	if res.Wrong() {
@@ -263,11 +263,18 @@
 
 // askEverywhere asks every running instance about every key.
 func (ce *cellRun) askEverywhere(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, askWithin)
+	defer cancel()
 	ca := ce.de.NewCaller()
 	var asking sync.WaitGroup
+	keys := ce.usedKeys()
 	for _, it := range ce.de.Running() {
 		asking.Go(func() {
-			for _, ck := range ce.usedKeys() {
+			for i, ck := range keys {
+				if ctx.Err() != nil {
+					ce.problem("%s was asked about %d of %d keys within %s", it.ID(), i, len(keys), askWithin)
+					return
+				}
 				cctx, cancel := context.WithTimeout(ctx, callWithin)
 				_, _ = ca.Ask(cctx, it, ck.key, 0) // the record is judged
 				cancel()
@@ -285,6 +292,8 @@
 
 // recover requires that each instance gives a key, that its job completes there, and that a change gets into force.
 func (ce *cellRun) recover(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, recoverWithin)
+	defer cancel()
 	ca := ce.de.NewCaller()
 	for _, it := range ce.de.Running() {
 		var last string
--- a/lovagetrial/matrix_test.go
+++ b/lovagetrial/matrix_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"os"
+	"runtime"
 	"slices"
 	"strconv"
 	"sync"
@@ -14,8 +15,9 @@
 	"time"
 )
 
-// cellsAtOnce bounds the cells that run in parallel. Each has about ten listeners and a few hundred goroutines.
-const cellsAtOnce = 12
+// cellsPerProcessor bounds the cells that run in parallel: 12 on six cores. Each has about ten listeners and a few
+// hundred goroutines.
+const cellsPerProcessor = 2
 
 // matrixSeed seeds the cells and the sample of pairs.
 const matrixSeed = 20261204
@@ -34,7 +36,7 @@
 func runCells(t *testing.T, what string, cells []Cell, notApplicable map[string]int) {
 	var mu sync.Mutex
 	var running sync.WaitGroup
-	places := make(chan struct{}, cellsAtOnce)
+	places := make(chan struct{}, cellsPerProcessor*runtime.GOMAXPROCS(0))
 	// Cells with silent connections wait for timeouts of up to 20 s; begun last they would run alone at the end.
 	slices.SortStableFunc(cells, func(a, b Cell) int {
 		return cmp.Compare(silentFaults(b), silentFaults(a))
--- a/lovagetrial/work.go
+++ b/lovagetrial/work.go
@@ -16,6 +16,7 @@
 	cellRunTime = 20 * time.Millisecond
 	cellPause   = 20 * time.Millisecond // between two jobs of a caller
 	latePause   = 10 * time.Millisecond // between two looks for instances that are shutting down
+	lateCalls   = 16                    // of late work in progress; more would grow without limit when processors are short
 	markerPause = 60 * time.Millisecond // between two changes of the configuration
 )
 
@@ -103,13 +104,20 @@
 	ca := ce.de.NewCaller()
 	var late sync.WaitGroup
 	defer late.Wait()
+	places := make(chan struct{}, lateCalls)
 	for n := 0; pauseFor(ce.ctx, latePause) == nil; n++ {
 		for _, it := range ce.de.Instances() {
 			running := ce.de.Running()
 			if !it.stopping.Load() || it.ended() || len(running) == 0 {
 				continue
 			}
+			select {
+			case places <- struct{}{}:
+			default:
+				continue
+			}
 			late.Go(func() {
+				defer func() { <-places }()
 				repeatable := n%2 == 1
 				key, err := ce.mint(ce.ctx, ca, running[n%len(running)], repeatable)
 				if err == nil {
