lovagefleet: read the registry at once after a domain was claimed

Cause: the loop that reads the registered workers consumed the wake-up of a new owner, and then waited for a second one if the control loop had not noted the ownership yet. The new owner used none of its workers until the next regular read, up to 600 ms later, and refused jobs with "no worker can be used". Ruled out: slow reads; the stand-in answers at once. Awaited releases of a former owner; at a first claim there is none. Change: a wake-up leads to a read whatever else is known. Measured: TestWokenRegistryLoopReadsAtOnce failed before and passes.

--- a/lovagefleet/follow.go
+++ b/lovagefleet/follow.go
@@ -33,39 +33,40 @@
 	ticker := time.NewTicker(registryInterval)
 	defer ticker.Stop()
 	var read time.Time
+	woken := false
 	for {
-		if !no.owning.Load() && time.Since(read) < idleRegistryInterval {
-			select {
-			case <-ctx.Done():
-				return
-			case <-no.hurryRegistry:
-			case <-ticker.C:
-				continue
-			}
-		}
-		read = time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		list, err := no.registry.Workers(callCtx)
-		cancel()
-		if err != nil {
-			no.count("registryErrors")
-		} else {
-			no.known.Store(&list)
-			began := read
-			no.post(func(now time.Time) {
-				no.readAt = began
-				no.refreshWorkers(now)
-			})
+		if woken || no.owning.Load() || time.Since(read) >= idleRegistryInterval {
+			read = time.Now()
+			no.readRegistry(ctx)
 		}
+		woken = false
 		select {
 		case <-ctx.Done():
 			return
 		case <-no.hurryRegistry:
+			woken = true // whoever wakes this loop may not be noted as an owner yet
 		case <-ticker.C:
 		}
 	}
 }
 
+// readRegistry reads the registered workers and uses those of owned domains.
+func (no *Node) readRegistry(ctx context.Context) {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	list, err := no.registry.Workers(ctx)
+	if err != nil {
+		no.count("registryErrors")
+		return
+	}
+	no.known.Store(&list)
+	no.post(func(now time.Time) {
+		no.readAt = began
+		no.refreshWorkers(now)
+	})
+}
+
 // configLoop follows the configuration. Versions never go back.
 func (no *Node) configLoop(ctx context.Context) {
 	for ctx.Err() == nil {
--- /dev/null
+++ b/lovagefleet/follow_test.go
@@ -0,0 +1,53 @@
+package lovagefleet
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap/zaptest"
+
+	"lovagestack/lovagemetric"
+	"lovagestack/lovagepool"
+)
+
+// countingRegistry counts how often the registered workers are read.
+type countingRegistry struct {
+	Registry
+	reads atomic.Int64
+}
+
+func (cr *countingRegistry) Workers(context.Context) ([]Registered, error) {
+	cr.reads.Add(1)
+	return nil, nil
+}
+
+func TestWokenRegistryLoopReadsAtOnce(t *testing.T) {
+	// Guards against a new owner that uses no worker until the next regular read: the control loop may note the ownership
+	// after the loop that reads the registry was woken.
+	cr := &countingRegistry{}
+	no := New(Settings{ID: "east-1", DataCentre: "east", PeerListen: "127.0.0.1:0", Pool: lovagepool.DefaultSettings()},
+		Dependencies{Registry: cr, Metrics: lovagemetric.New(), Log: testLog{zaptest.NewLogger(t)}})
+	ctx, cancel := context.WithCancel(t.Context())
+	no.ctx = ctx
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		no.registryLoop(ctx)
+	}()
+	reads := func(n int64) bool {
+		for end := time.Now().Add(registryInterval / 2); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			if cr.reads.Load() >= n {
+				return true
+			}
+		}
+		return false
+	}
+	must.True(t, reads(1))
+	no.wakeRegistry()
+	must.True(t, reads(2), must.Sprint("no read after the wake-up"))
+	cancel()
+	<-done
+}
