lovagefleet: do not call a worker again with a fence that it has rejected

Cause: a former owner went on looking at its workers every 200 ms with the old fence until the link ended, because a rejected look was repeated. The look could not succeed, and each one was a call of an instance that had been told that it was replaced. Ruled out: that the repetition is needed to claim the domain again; that needs the domain's row, not the worker. Change: after a rejection the link waits for a higher fence, or for its end, and asks every 500 ms only that the domain is claimed again if the row still names this instance.

--- a/lovagefleet/fleet_test.go
+++ b/lovagefleet/fleet_test.go
@@ -277,6 +277,9 @@
 	must.NoError(t, ctx.Err(), must.Sprint("the workers are not all handed over"))
 }
 
+// maxRejectedCalls of a former owner to a worker: a look that was rejected, and a start that was under way.
+const maxRejectedCalls = 2
+
 func TestFormerOwnerGivesItsRunsUp(t *testing.T) {
 	// Guards against jobs that wait until their deadline for a run on a worker that another instance orders now.
 	de := deploy(t)
@@ -299,6 +302,11 @@
 	de.nodes[other].wakeOwner()
 	must.Eq(t, lovagepool.Completed, <-result)
 	must.Less(t, 5*time.Second, time.Since(began))
+	de.si.mu.Lock()
+	defer de.si.mu.Unlock()
+	for _, sw := range de.si.workers {
+		must.LessEq(t, maxRejectedCalls, sw.rejected, must.Sprint("the former owner goes on calling ", sw.ID))
+	}
 }
 
 func TestOwnerIsCutFromTheStore(t *testing.T) {
--- a/lovagefleet/link.go
+++ b/lovagefleet/link.go
@@ -23,6 +23,9 @@
 	orderTimeout = 120 * time.Millisecond
 	// silentRetry is the pause between looks at a worker that does not answer.
 	silentRetry = 200 * time.Millisecond
+	// passedRetry is the pause between two attempts to claim the domain of a worker that rejected the fence; a claim may
+	// fail with the store.
+	passedRetry = 500 * time.Millisecond
 )
 
 // link carries the orders of one worker. Its looks follow each other without a pause.
@@ -73,14 +76,21 @@
 	li.mu.Unlock()
 }
 
-// nextLook returns the next look. It extends no leases while the worker does not answer, as the pool counts on them to run
-// out and a look takes effect even if its answer is lost; nor with a fence that the worker has rejected, which would only
-// make the pool believe so.
+// passedFence returns the link's fence, and whether the worker has rejected it. The worker is not called again with it: an
+// owner that was replaced must not go on calling, and the runs that it has there lapse.
+func (li *link) passedFence() (int64, bool) {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	return li.fence, li.fence <= li.passed
+}
+
+// nextLook returns the next look. It extends no leases while the worker does not answer: the pool counts on them to run
+// out, and a look takes effect even if its answer is lost.
 func (li *link) nextLook() Look {
 	li.mu.Lock()
 	defer li.mu.Unlock()
 	lo := Look{Worker: li.worker.ID, Address: li.worker.Address, Fence: li.fence, LastSeen: li.lastEnd}
-	if !li.silent && li.fence > li.passed {
+	if !li.silent {
 		lo.Expires = li.expires()
 	}
 	if lo.Expires != 0 && li.lost == 0 {
@@ -93,6 +103,11 @@
 func (li *link) loop(ctx context.Context) {
 	id := li.worker.ID
 	for ctx.Err() == nil {
+		if fence, ok := li.passedFence(); ok {
+			li.no.reclaimFor(id, fence)
+			sleep(ctx, passedRetry)
+			continue
+		}
 		lo := li.nextLook()
 		sent := time.Now()
 		if lo.Expires != 0 {
@@ -116,8 +131,7 @@
 			li.mu.Lock()
 			li.passed = max(li.passed, lo.Fence)
 			li.mu.Unlock()
-			li.no.fenced(li.worker.ID, lo.Fence)
-			sleep(ctx, silentRetry)
+			li.no.fenced(id)
 		default:
 			li.lookLost(ctx, errors.New("look rejected: "+string(re.Rejected)))
 		}
@@ -172,6 +186,9 @@
 
 // lookNow fetches the lists beside the loop, without extending leases.
 func (li *link) lookNow(ctx context.Context) {
+	if _, passed := li.passedFence(); passed {
+		return
+	}
 	li.mu.Lock()
 	lo := Look{Worker: li.worker.ID, Address: li.worker.Address, Fence: li.fence, LastSeen: li.lastEnd}
 	li.mu.Unlock()
@@ -216,7 +233,10 @@
 		}
 	})
 	if err == nil && re.Rejected == ReasonFence {
-		li.no.fenced(cm.Worker, or.Fence)
+		li.mu.Lock()
+		li.passed = max(li.passed, or.Fence)
+		li.mu.Unlock()
+		li.no.fenced(cm.Worker)
 	}
 }
 
@@ -232,20 +252,23 @@
 	li.no.post(func(now time.Time) { li.no.pool.Stopped(now, cm.Worker, cm.Task, cm.Attempt) })
 }
 
-// fenced hears that another instance has ordered the worker. The domain's row shows whether it still is this
-// instance's; if so, it is claimed again for a higher fence.
-func (no *Node) fenced(worker string, fence int64) {
+// fenced hears that another instance has ordered the worker.
+func (no *Node) fenced(worker string) {
 	no.count("fenced")
-	no.post(func(now time.Time) {
-		no.pool.Silent(now, worker, false)
+	no.log.Warn("fenced off", zap.String("worker", worker))
+	no.post(func(now time.Time) { no.pool.Silent(now, worker, false) })
+}
+
+// reclaimFor claims the domain of a worker that has rejected a fence again, for a higher one, if the domain's row shows
+// that it still is this instance's.
+func (no *Node) reclaimFor(worker string, fence int64) {
+	no.post(func(time.Time) {
 		for _, wo := range no.registered() {
 			if wo.ID == worker && no.fences[wo.DataCentre] == fence {
-				name := wo.DataCentre
-				no.reclaim.Store(name, true)
-				no.log.Warn("fenced off", zap.String("worker", worker), zap.String("domain", name), zap.Int64("fence", fence))
+				no.reclaim.Store(wo.DataCentre, true)
+				no.wakeOwner()
 			}
 		}
-		no.wakeOwner()
 	})
 }
 
--- a/lovagefleet/standin_test.go
+++ b/lovagefleet/standin_test.go
@@ -45,6 +45,7 @@
 	startsWhileDraining int
 	refuses             bool // a cut refuses connections to it; what runs goes on
 	began               time.Time
+	rejected            int // calls with a fence that was passed
 }
 
 type standInEnd struct {
@@ -125,6 +126,7 @@
 // accept checks the fence. The lock is held.
 func (wo *standInWorker) accept(fence int64) bool {
 	if fence < wo.fence {
+		wo.rejected++
 		return false
 	}
 	wo.fence = fence
