lovagepool: refuse a job that waits when even a late answer would be of no use

Cause: a job that had missed its goal before anything of it began waited for idle room until its caller's deadline. An answer is of use up to three times the goal; a caller with a short goal and a long deadline was held without prospect for the rest. Change: a job that has not begun is refused, with that reason, once it could not end in three times its goal even if it started at once; never while there is room for it. Measured: TestUselessJobIsNotHeldUntilItsDeadline failed before.

--- a/lovagepool/place.go
+++ b/lovagepool/place.go
@@ -10,10 +10,12 @@
 	// packing is the share of a worker's cores that tasks of mixed sizes fill.
 	packing = 0.85
 	// refuseFrom and refuseUntil are the shares of a job's time between which it is refused if it has not begun and is not
-	// expected to begin in time. Before, the expectation may change; after, the caller has waited too long for a refusal to
-	// be of use, and late room is better.
+	// expected to begin in time. Before, the expectation may change; after, the caller has waited so long that a late answer
+	// is better, as long as one is of use.
 	refuseFrom  = 0.125
 	refuseUntil = 0.3
+	// lateFactor is how many times the time to its goal an answer may take to be of use to its caller, as the users say.
+	lateFactor = 3
 	// sureFactor is by how much the expected wait must exceed the time left for a job to be refused on arrival.
 	sureFactor = 1.5
 	// minRateShare of the workers is taken to be left for a job by more urgent ones at the least.
@@ -243,7 +245,8 @@
 }
 
 // refuseHopeless refuses jobs of which nothing has started and that are not expected to start in time: at once when the
-// wait is far too long, else after a part of their time, so that callers can go elsewhere or come back.
+// wait is far too long, else after a part of their time, so that callers can go elsewhere or come back. A job that is kept
+// for a late answer is refused when even that would be of no use any more.
 func (po *Pool) refuseHopeless(now time.Time, order []*Job) {
 	ahead := map[string]float64{}
 	rates := map[string]float64{}
@@ -275,17 +278,28 @@
 		share := float64(age) / float64(jo.goal.Sub(jo.Work.Arrived))
 		early := float64(wait) > sureFactor*float64(left) && share < refuseFrom
 		due := wait > left && share >= refuseFrom && share < refuseUntil
-		if left > 0 && (early || due) && !po.startAll(now, jo, false) { // never refused while there is room for it
+		reason := ""
+		switch {
+		case left > 0 && (early || due):
+			reason = "not expected to start in time"
+		case left <= 0 && !now.Add(run).Before(jo.useUntil()):
+			reason = "an answer would be too late to be of use"
+		}
+		if reason != "" && !po.startAll(now, jo, false) { // never refused while there is room for it
 			po.decide(Decision{
-				Kind: "refusedHopeless", Job: jo.Work.ID, Reason: "not expected to start in time", Age: age, Wait: wait, Left: left,
-				Expected: run,
+				Kind: "refusedHopeless", Job: jo.Work.ID, Reason: reason, Age: age, Wait: wait, Left: left, Expected: run,
 			})
-			po.finish(jo, NotRun, "not expected to start in time", max(wait-left, minRetry))
+			po.finish(jo, NotRun, reason, max(wait-left, minRetry))
 			ahead[service] -= own
 		}
 	}
 }
 
+// useUntil returns until when an answer is of use to the caller.
+func (jo *Job) useUntil() time.Time {
+	return jo.Work.Arrived.Add(lateFactor * jo.goal.Sub(jo.Work.Arrived))
+}
+
 // speedFor returns the work per second that is left for a job by more urgent ones that are still to come.
 func (po *Pool) speedFor(now time.Time, service string, rate float64, left time.Duration) float64 {
 	urgent, all := po.urgentLoad(now, service, left)
--- a/lovagepool/pool_test.go
+++ b/lovagepool/pool_test.go
@@ -348,6 +348,25 @@
 	must.True(t, contains(list, "finish j7 notRun"), must.Sprint(list))
 }
 
+func TestUselessJobIsNotHeldUntilItsDeadline(t *testing.T) {
+	// Guards against callers that wait for their whole time for a job whose answer cannot be of use any more.
+	be := newBench(t, testWorker("w1", 14000))
+	be.submit("a", 1, 14000)
+	be.started("w1", "a.0.0.0", 1)
+	be.submit("b", 1, 14000)
+	must.Eq(t, []string{"start w1 a.0.0.0 1"}, be.commands())
+	goal := be.po.jobs["b"].goal.Sub(be.now)
+	var got []string
+	for end := be.now.Add(lateFactor * goal); be.now.Before(end); be.pass(20 * time.Millisecond) {
+		be.po.Listed(be.now, be.now, "w1", []Active{{"a.0.0.0", 1}}, nil) // runs on, longer than expected
+		if got = be.commands(); contains(got, "finish b notRun") {
+			must.Greater(t, goal, be.now.Sub(be.po.jobs["a"].Work.Arrived), must.Sprint("refused while an answer could be in time"))
+			return
+		}
+	}
+	must.Unreachable(t, must.Sprint("b still waits when no answer can be of use: ", got))
+}
+
 func TestRefusalIsTrue(t *testing.T) {
 	// Guards against "not run" for a job of which a start may have been carried out.
 	be := newBench(t, testWorker("w1", 14000))
