lovagefleet: require that ten failed jobs drawn at random are explained by the logs

TestFailedJobsAreExplainedByTheLogsAlone plays an overload, a killed owner and workers that fall silent against the stand-ins, draws ten of the failed jobs, and requires for each that the merged logs hold the answer, its reason, and the line of the decision where the reason does not name the cause itself.

--- /dev/null
+++ b/lovagefleet/explain_test.go
@@ -0,0 +1,170 @@
+package lovagefleet
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"lovagestack/lovagelog"
+	"lovagestack/lovagepool"
+)
+
+// logFile holds what an instance has logged.
+type logFile struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (lf *logFile) Write(text []byte) (int, error) {
+	lf.mu.Lock()
+	defer lf.mu.Unlock()
+	return lf.buf.Write(text)
+}
+
+// loggedDeployment is a deployment whose instances log as they do in production.
+type loggedDeployment struct {
+	*deployment
+	files   map[string]*logFile
+	cancel  context.CancelFunc
+	writers sync.WaitGroup
+}
+
+func deployLogged(t *testing.T) *loggedDeployment {
+	t.Helper()
+	ld := &loggedDeployment{files: map[string]*logFile{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	ld.cancel = cancel
+	ld.deployment = deployWith(t, func(id string) Log {
+		lf := &logFile{}
+		ld.files[id] = lf
+		lo := lovagelog.New(lf)
+		ld.writers.Go(func() { lo.Run(ctx) })
+		return lo
+	})
+	t.Cleanup(func() {
+		cancel()
+		ld.writers.Wait()
+	})
+	return ld
+}
+
+// history returns the lines about a job, as "lovagestack explain" prints them.
+func (ld *loggedDeployment) history(job string) ([]string, error) {
+	var sources []io.Reader
+	for _, lf := range ld.files {
+		sources = append(sources, bytes.NewReader(lf.buf.Bytes()))
+	}
+	list, err := lovagelog.History(job, sources...)
+	var lines []string
+	for _, li := range list {
+		lines = append(lines, li.Text)
+	}
+	return lines, err
+}
+
+// causes are the reasons that answers give, each with the kind of a line that must stand before the answer and give what
+// decided; empty where the reason itself names the cause.
+var causes = map[string]string{
+	"not expected to start in time":              "refusedHopeless",
+	"an answer would be too late to be of use":   "refusedHopeless",
+	"no worker can be used":                      "refusedWithoutWorkers",
+	"no room before the caller's deadline":       "deadlineWaiting",
+	"not ended before the caller's deadline":     "deadlineRunning",
+	"the owner of the workers has been lost: ":   "",
+	"no instance owns workers of the service":    "",
+	"no worker is large enough or has the label": "refusedUnfit",
+	"task ": "runEnded:failed",
+}
+
+func TestFailedJobsAreExplainedByTheLogsAlone(t *testing.T) {
+	// Guards against failed requests whose cause the logs do not tell.
+	ld := deployLogged(t)
+	ids := []string{"east-1", "east-2", "west-1", "west-2"}
+	var mu sync.Mutex
+	failed := map[string]Answer{}
+	var jobs sync.WaitGroup
+	submit := func(at string, tasks int, took time.Duration) {
+		wo := testWork(randomID(), tasks, took)
+		jobs.Go(func() {
+			if an := ld.nodes[at].Submit(context.Background(), wo); an.Outcome != lovagepool.Completed {
+				mu.Lock()
+				failed[wo.ID] = an
+				mu.Unlock()
+			}
+		})
+	}
+	for i := range 40 { // more than the workers can do in time
+		submit(ids[i%len(ids)], 4, 250*time.Millisecond)
+	}
+	time.Sleep(200 * time.Millisecond)
+	east := ld.owner("east")
+	for _, at := range ids { // lost with their owner
+		if at != east {
+			submit(at, 1, 900*time.Millisecond)
+		}
+	}
+	ld.nodes[east].stop()
+	ids = slices.DeleteFunc(ids, func(id string) bool { return id == east })
+	time.Sleep(300 * time.Millisecond)
+	ld.si.mu.Lock()
+	for _, wo := range ld.si.workers {
+		wo.silent = true
+	}
+	ld.si.mu.Unlock()
+	for i := range 30 { // no worker answers
+		submit(ids[i%len(ids)], 1, 20*time.Millisecond)
+		time.Sleep(60 * time.Millisecond)
+	}
+	jobs.Wait()
+	ld.cancel()
+	ld.writers.Wait() // all lines are written
+	must.Greater(t, 10, len(failed))
+	drawn := make([]string, 0, len(failed))
+	for id := range failed {
+		drawn = append(drawn, id)
+	}
+	slices.Sort(drawn)
+	rand.New(rand.NewPCG(1, 1)).Shuffle(len(drawn), func(i, j int) { drawn[i], drawn[j] = drawn[j], drawn[i] })
+	reasons := map[string]int{}
+	for _, id := range drawn[:10] {
+		lines, err := ld.history(id)
+		must.NoError(t, err)
+		ld.checkExplained(id, failed[id], lines)
+		reasons[failed[id].Reason]++
+	}
+	t.Logf("reasons of the ten: %v", reasons)
+}
+
+// checkExplained requires that the lines tell what the caller got and why.
+func (ld *loggedDeployment) checkExplained(id string, an Answer, lines []string) {
+	ld.t.Helper()
+	text := strings.Join(lines, "\n")
+	answered := slices.IndexFunc(lines, func(line string) bool {
+		return strings.Contains(line, `"msg":"answered"`) && strings.Contains(line, `"outcome":"`+string(an.Outcome)+`"`)
+	})
+	if answered < 0 {
+		ld.t.Errorf("job %s (%s, %s): no line tells the answer:\n%s", id, an.Outcome, an.Reason, text)
+		return
+	}
+	for reason, kind := range causes {
+		if !strings.HasPrefix(an.Reason, reason) {
+			continue
+		}
+		if !strings.Contains(lines[answered], reason) {
+			ld.t.Errorf("job %s: the answer's line lacks the reason %q:\n%s", id, an.Reason, text)
+		}
+		if kind != "" && !strings.Contains(text, `"msg":"`+kind) {
+			ld.t.Errorf("job %s (%s): no line %q gives what decided:\n%s", id, an.Reason, kind, text)
+		}
+		return
+	}
+	ld.t.Errorf("job %s: the reason %q is none that is explained:\n%s", id, an.Reason, text)
+}
--- a/lovagefleet/fleet_test.go
+++ b/lovagefleet/fleet_test.go
@@ -28,6 +28,7 @@
 	t     *testing.T
 	si    *standIn
 	nodes map[string]*testNode
+	logOf func(id string) Log // nil: the test's log
 }
 
 type testNode struct {
@@ -44,7 +45,13 @@
 // deploy starts two instances in each of two data centres with three workers each, and waits until both are owned.
 func deploy(t *testing.T) *deployment {
 	t.Helper()
-	de := &deployment{t: t, si: newStandIn([]string{"east", "west"}, 3), nodes: map[string]*testNode{}}
+	return deployWith(t, nil)
+}
+
+// deployWith is deploy with logs of its own.
+func deployWith(t *testing.T, logOf func(id string) Log) *deployment {
+	t.Helper()
+	de := &deployment{t: t, si: newStandIn([]string{"east", "west"}, 3), nodes: map[string]*testNode{}, logOf: logOf}
 	for _, id := range []string{"east-1", "east-2", "west-1", "west-2"} {
 		de.start(id)
 	}
@@ -78,11 +85,15 @@
 
 // startAt starts an instance whose sessions have the given address.
 func (de *deployment) startAt(id, address string) {
+	var log Log = testLog{zaptest.NewLogger(de.t, zaptest.Level(zap.InfoLevel)).Named(id)}
+	if de.logOf != nil {
+		log = de.logOf(id)
+	}
 	no := New(Settings{
 		ID: id, DataCentre: id[:4], DataCentres: []string{"east", "west"}, PeerListen: address,
 		Pool: lovagepool.DefaultSettings(),
 	}, Dependencies{
-		Store: cuttableStore{de.si, id}, Registry: cuttableStore{de.si, id}, Workers: de.si, Metrics: lovagemetric.New(), Log: testLog{zaptest.NewLogger(de.t, zaptest.Level(zap.InfoLevel)).Named(id)},
+		Store: cuttableStore{de.si, id}, Registry: cuttableStore{de.si, id}, Workers: de.si, Metrics: lovagemetric.New(), Log: log,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	tn := &testNode{Node: no, cancel: cancel, done: make(chan struct{})}
