lovagefleet: one test of who owns a domain; lovagepool: no method for tests alone

The test whether a process owns a domain stood in claim.go and twice in own.go; it is a method of the domain now, which also requires that the row exists. Pool.Reachable was called by tests only; they list the worker instead, as a node does. The report of a declined loan follows the loop that finds it.

--- a/lovagefleet/claim.go
+++ b/lovagefleet/claim.go
@@ -128,14 +128,14 @@
 	claimHandOver claimAction = "handOver"
 )
 
-// owns reports whether the domain's row names this process.
-func (cv *claimView) owns(do *domain) bool {
-	return do.version > 0 && do.row.Owner == cv.self.ID && do.row.Incarnation == cv.self.Incarnation
+// ownedBy reports whether the domain's row, as it was last read, names this process of an instance.
+func (do *domain) ownedBy(in *instanceRow) bool {
+	return do.version > 0 && do.row.Owner == in.ID && do.row.Incarnation == in.Incarnation
 }
 
 // decideClaim says what this instance should do about a domain, and to whom to hand it over.
 func (cv *claimView) decideClaim(do *domain) (claimAction, *member) {
-	mine := cv.owns(do)
+	mine := do.ownedBy(&cv.self.instanceRow)
 	list := cv.candidates(do)
 	if mine {
 		do.orphaned = time.Time{}
--- a/lovagefleet/own.go
+++ b/lovagefleet/own.go
@@ -71,7 +71,7 @@
 // isOwner reports whether this process owns a domain, by the last read.
 func (no *Node) isOwner() bool {
 	for _, do := range no.domains {
-		if do.version > 0 && do.row.Owner == no.self.ID && do.row.Incarnation == no.self.Incarnation {
+		if do.ownedBy(&no.self) {
 			return true
 		}
 	}
@@ -243,7 +243,7 @@
 
 // applyOwnership makes the control loop use, or no longer use, the workers of a domain.
 func (no *Node) applyOwnership(do *domain) {
-	mine := do.row.Owner == no.self.ID && do.row.Incarnation == no.self.Incarnation
+	mine := do.ownedBy(&no.self)
 	name, fence := do.name, do.version
 	no.log.Info("owner of domain", zap.String("domain", name), zap.String("owner", do.row.Owner),
 		zap.Int64("fence", fence), zap.Bool("self", mine))
@@ -285,7 +285,7 @@
 	for _, dc := range no.dataCentres {
 		do := no.domain(dc)
 		action, to := cv.decideClaim(do)
-		if _, again := no.reclaim.LoadAndDelete(dc); again && action == claimNone && cv.owns(do) {
+		if _, again := no.reclaim.LoadAndDelete(dc); again && action == claimNone && do.ownedBy(&no.self) {
 			action = claimNow
 		}
 		switch action {
--- a/lovagepool/lend.go
+++ b/lovagepool/lend.go
@@ -111,11 +111,6 @@
 	}
 	delete(po.lent, ref)
 	declined := false
-	defer func() {
-		if declined {
-			po.decide(Decision{Kind: "lentDeclined", Job: lo.job.Work.ID, Worker: lo.lender})
-		}
-	}()
 	for _, ta := range lo.tasks {
 		how := HowDeclined
 		if at := slices.IndexFunc(ends, func(en LentEnd) bool { return en.Step == ta.step && en.Index == ta.index }); at >= 0 {
@@ -139,6 +134,9 @@
 		}
 		po.taskEnded(now, ta, how)
 	}
+	if declined {
+		po.decide(Decision{Kind: "lentDeclined", Job: lo.job.Work.ID, Worker: lo.lender})
+	}
 }
 
 // releaseHeld makes tasks ready that were lent and of which no run can be left.
--- a/lovagepool/pool_test.go
+++ b/lovagepool/pool_test.go
@@ -114,18 +114,18 @@
 		{"worker silent, lease not over", func(be *bench) {
 			be.po.Silent(be.now, "w1", false)
 			be.pass(500 * time.Millisecond)
-			be.po.Reachable(be.now, "w1")
+			be.po.Listed(be.now, be.now, "w1", nil, nil)
 		}, false},
 		{"start rejected", func(be *bench) { be.po.Started(be.now, "w1", "a.0.0.0", 1, true, "late") }, true},
 		{"end listed", func(be *bench) { be.ended("w1", "a.0.0.0", 1, HowDone) }, true},
 		{"worker crashed", func(be *bench) {
 			be.po.Silent(be.now, "w1", true)
-			be.po.Reachable(be.now, "w1")
+			be.po.Listed(be.now, be.now, "w1", nil, nil)
 		}, true},
 		{"all leases over", func(be *bench) {
 			be.po.Silent(be.now, "w1", false)
 			be.pass(1200 * time.Millisecond)
-			be.po.Reachable(be.now, "w1")
+			be.po.Listed(be.now, be.now, "w1", nil, nil)
 		}, true},
 	}
 	for _, ca := range cases {
--- a/lovagepool/workers.go
+++ b/lovagepool/workers.go
@@ -90,14 +90,6 @@
 	wo.speed, wo.failures, wo.ejections, wo.until = speed{}, 0, 0, time.Time{}
 }
 
-// Reachable notes that a worker has answered; it may get starts.
-func (po *Pool) Reachable(now time.Time, id string) {
-	if wo := po.workers[id]; wo != nil && !wo.reachable {
-		wo.reachable = true
-		po.dirty = true
-	}
-}
-
 // Silent notes that a worker has not answered an order in time. It gets no starts until it answers again. With crashed
 // set its process is known to be gone, and with it all that it ran.
 func (po *Pool) Silent(now time.Time, id string, crashed bool) {
