lovageentry: remove prefetched keys

Cause: on the platform no request has a minted key, and on the product's own interface the prefetched keys saved one of two messages for callers that submit without a key. Callers for whom messages matter mint keys in batches and send jobs to the owner's address. Ruled out: that another part depends on them; the domain book's question for them has no other user.

--- a/lovageentry/caller.go
+++ b/lovageentry/caller.go
@@ -37,6 +37,16 @@
 	return in.mintHere(ctx, req)
 }
 
+// KeyFor returns a key for a submission without one. The error is ErrNoKeys if no range can accept. Callers for whom the
+// message for the key matters mint keys in batches.
+func (in *Instance) KeyFor(ctx context.Context, service string, repeatable bool) (lovagejob.Key, error) {
+	mi, err := in.Mint(ctx, lovagejob.MintRequest{Service: service, Count: 1, Repeatable: repeatable})
+	if err != nil {
+		return lovagejob.Key{}, err
+	}
+	return mi.Keys[0], nil
+}
+
 // mintHere mints from the ranges of this instance if one can accept.
 func (in *Instance) mintHere(ctx context.Context, req lovagejob.MintRequest) (lovagejob.Minted, error) {
 	rp, err := in.do(ctx, &request{kind: kindMint, mint: req})
--- a/lovageentry/counts.go
+++ b/lovageentry/counts.go
@@ -23,10 +23,6 @@
 	forwards          metrics.Counter
 	forwardsFailed    metrics.Counter
 	ownersNamed       metrics.Counter
-	keysPrefetched    metrics.Counter
-	keyRefills        metrics.Counter
-	keyStocksEmpty    metrics.Counter
-	keysDropped       metrics.Counter
 	accepts           metrics.Counter
 	resultCopies      metrics.Counter
 	estimateCopies    metrics.Counter
@@ -60,10 +56,6 @@
 		forwards:       counter("forwards", "Requests sent on to the instance that decides their key."),
 		forwardsFailed: counter("forwards_failed", "Forwards without an answer."),
 		ownersNamed:    counter("owners_named", "Answers to forwarded requests that told the owner's address."),
-		keysPrefetched: counter("prefetched_keys_used", "Submissions without a key that got a prefetched one."),
-		keyRefills:     counter("prefetched_key_refills", "Requests for keys for submissions without one."),
-		keyStocksEmpty: counter("prefetched_keys_waits", "Submissions without a key that had to wait for a refill."),
-		keysDropped:    counter("prefetched_keys_dropped", "Prefetched keys that were not used in time or after a change of the deciding instance."),
 		accepts:        counter("accepts", "Batches of keys sent to replicas."),
 		resultCopies:   counter("result_copies", "Batches of answers sent to replicas."),
 		estimateCopies: counter("estimate_copies", "Copies of learned run times, speeds and ejections sent to peers."),
--- a/lovageentry/domain.go
+++ b/lovageentry/domain.go
@@ -1,7 +1,6 @@
 package lovageentry
 
 import (
-	"maps"
 	"slices"
 
 	"go.uber.org/zap"
@@ -62,11 +61,8 @@
 func (lo *controlLoop) decide() (changed bool) {
 	ds := &lo.domains
 	deciding := ds.layout.Deciding(ds.live, 1+estimateReceivers)
-	moved := lo.logDeciding(deciding)
+	lo.logDeciding(deciding)
 	lo.in.domains.set(ds.layout, deciding)
-	if moved {
-		lo.in.stocks.drop()
-	}
 	if self := (lovagedomain.Member{ID: lo.in.id, DataCentre: lo.in.settings.DataCentre}); !slices.Contains(ds.live, self) {
 		deciding = ds.layout.Deciding(append(slices.Clone(ds.live), self), 1+estimateReceivers)
 	}
@@ -87,8 +83,8 @@
 	return changed
 }
 
-// logDeciding logs the domains whose deciding instance has changed and reports whether there are any.
-func (lo *controlLoop) logDeciding(deciding [][]string) (moved bool) {
+// logDeciding logs the domains whose deciding instance has changed.
+func (lo *controlLoop) logDeciding(deciding [][]string) {
 	now := make(map[string]string, len(deciding))
 	for i, ids := range deciding {
 		if len(ids) == 0 {
@@ -101,9 +97,7 @@
 				zap.String("now", ids[0]))
 		}
 	}
-	moved = !maps.Equal(now, lo.domains.before)
 	lo.domains.before = now
-	return moved
 }
 
 // quota returns this instance's part of a team's quota of running tasks.
--- a/lovageentry/instance.go
+++ b/lovageentry/instance.go
@@ -76,7 +76,6 @@
 	failed        chan error // why the instance cannot go on
 	addresses     addressBook
 	callers       callerBook
-	stocks        *keyStocks
 	domains       *domainBook
 	servers       []Server
 	inFlight      gauge // requests of callers and peers
@@ -142,7 +141,6 @@
 		return nil, err
 	}
 	in.peerAddress = address
-	in.stocks = newKeyStocks(in.counts, in.mintStock)
 	in.backend = newBackend(op.Metrics, op.Dial)
 	in.store = lovageresource.NewStore(keptChanges)
 	in.ledgerWriter = in.writer("")
--- a/lovageentry/mint.go
+++ b/lovageentry/mint.go
@@ -104,20 +104,6 @@
 	return false
 }
 
-// elsewhere reports whether an instance other than the one given decides for workers of the service, and whether one of
-// these has just failed to give keys.
-func (db *domainBook) elsewhere(id, service string, now time.Time) (elsewhere, silent bool) {
-	db.mu.Lock()
-	defer db.mu.Unlock()
-	for _, i := range db.layout.ForService(service) {
-		if ids := db.deciding[i]; len(ids) > 0 && ids[0] != id {
-			elsewhere = true
-			silent = silent || now.Before(db.silent[ids[0]])
-		}
-	}
-	return elsewhere, silent
-}
-
 // isSilent reports whether the instance has just failed to give keys.
 func (db *domainBook) isSilent(id string, now time.Time) bool {
 	db.mu.Lock()
