--- a/lovagefleet/link_test.go
+++ b/lovagefleet/link_test.go
@@ -46,7 +46,9 @@
 		Dependencies{Workers: lw, Metrics: lovagemetric.New(), Log: testLog{zaptest.NewLogger(t)}})
 	ctx, cancel := context.WithCancel(t.Context())
 	no.ctx = ctx
-	link := func(id string) *link { return &link{no: no, worker: lovagepool.Worker{ID: id}, lease: time.Second, fence: 1} }
+	link := func(id string) *link {
+		return &link{no: no, worker: lovagepool.Worker{ID: id}, lease: time.Second, fence: 1}
+	}
 	start := func() time.Duration {
 		link("w1").start(ctx, lovagepool.StartRun{Worker: "w1"}, Order{})
 		return <-lw.bound
