lovagefleet: settle a hand-over whose answer is lost by the domain's row

Cause: with a slow store the answer to a hand-over comes after its limit of 900 ms, while the new owner's claim takes effect. The former owner counted the hand-over as failed; when it read the row it dropped its workers without releasing them, and the new owner, once it had learnt of its own claim, waited 3 s for that. Ruled out: the read of the registry by the new owner; it follows its learning of the claim, and the refusals end there. Change: until it is known whether the domain was taken over, the former owner goes on as before. The answer, or else the row, settles it; then the workers are handed over one by one.

--- a/lovagefleet/fleet_test.go
+++ b/lovagefleet/fleet_test.go
@@ -288,6 +288,28 @@
 	must.NoError(t, ctx.Err(), must.Sprint("the workers are not all handed over"))
 }
 
+func TestHandOverWhoseAnswerIsLost(t *testing.T) {
+	// Guards against a domain that nobody uses because the new owner's claim took effect and neither of the two was told:
+	// the former owner dropped its workers without releasing them, and the new one waited for that.
+	de := deploy(t)
+	owner := de.owner("east")
+	other := map[string]string{"east-1": "east-2", "east-2": "east-1"}[owner]
+	de.awaitWorkers(owner, 3)
+	de.si.mu.Lock()
+	de.si.lateAnswer[other] = storeTimeout + 300*time.Millisecond
+	de.si.mu.Unlock()
+	loads := []*load{de.load(owner), de.load(other)}
+	de.nodes[owner].Leave()
+	de.await("the other instance owns the domain", 4*time.Second, func() bool { return de.owner("east") == other })
+	began := time.Now()
+	de.awaitWorkers(other, 3)
+	test.Less(t, releaseTimeout/2, time.Since(began), test.Sprint("the workers were not released"))
+	for _, lo := range loads {
+		out := lo.stop()
+		test.Eq(t, 0, out[lovagepool.NotRun]+out[lovagepool.Failed]+out[lovagepool.Unknown], test.Sprintf("%v", out))
+	}
+}
+
 // maxRejectedCalls of a former owner to a worker: a look that was rejected, and a start that was under way.
 const maxRejectedCalls = 2
 
--- a/lovagefleet/link.go
+++ b/lovagefleet/link.go
@@ -332,7 +332,7 @@
 		if !ok || !no.isCurrent(now, re.DataCentre) {
 			continue
 		}
-		if ha := no.handing[re.DataCentre]; ha != nil && !ha.pending[re.ID] {
+		if ha := no.settledHanding(re.DataCentre); ha != nil && !ha.pending[re.ID] {
 			continue
 		}
 		if aw, ok := no.awaiting[re.DataCentre]; ok {
@@ -380,7 +380,7 @@
 		if wo.ID != worker {
 			continue
 		}
-		if ha := no.handing[wo.DataCentre]; ha != nil {
+		if ha := no.settledHanding(wo.DataCentre); ha != nil {
 			delete(ha.pending, worker)
 			if len(ha.pending) == 0 {
 				delete(no.handing, wo.DataCentre)
--- a/lovagefleet/node.go
+++ b/lovagefleet/node.go
@@ -101,8 +101,9 @@
 
 // handing is a domain of which the new owner gets the workers one by one.
 type handing struct {
-	to      string          // address
-	pending map[string]bool // workers that still have runs of this instance
+	to        string          // address
+	pending   map[string]bool // workers that still have runs of this instance
+	unsettled bool            // no answer has confirmed it; the domain's row will tell, and until then nothing changes
 }
 
 // awaitedRelease is a domain that a former owner is handing over worker by worker.
@@ -235,7 +236,7 @@
 func (no *Node) AwaitIdle(ctx context.Context) {
 	for ctx.Err() == nil {
 		idle := make(chan bool, 1)
-		no.post(func(time.Time) { idle <- no.pool.Idle() && len(no.handing) == 0 })
+		no.post(func(time.Time) { idle <- no.pool.Idle() && !no.anyHanding() })
 		select {
 		case ok := <-idle:
 			if ok {
--- a/lovagefleet/own.go
+++ b/lovagefleet/own.go
@@ -244,7 +244,7 @@
 // applyOwnership makes the control loop use, or no longer use, the workers of a domain.
 func (no *Node) applyOwnership(do *domain) {
 	mine := do.ownedBy(&no.self)
-	name, fence := do.name, do.version
+	name, fence, to := do.name, do.version, do.row.Address
 	no.log.Info("owner of domain", zap.String("domain", name), zap.String("owner", do.row.Owner),
 		zap.Int64("fence", fence), zap.Bool("self", mine))
 	no.noteOwner(name, ownerRef{ID: do.row.Owner, Address: do.row.Address, self: mine, fence: fence})
@@ -256,7 +256,12 @@
 			}
 			no.fences[name] = fence
 			delete(no.handing, name)
-		} else if no.handing[name] == nil {
+		} else if ha := no.handing[name]; ha != nil && ha.to == to {
+			if ha.unsettled { // it was taken over although no answer said so
+				no.handWorkersOver(name, ha)
+			}
+		} else {
+			delete(no.handing, name)
 			delete(no.fences, name)
 		}
 		no.refreshWorkers(now)
@@ -340,19 +345,14 @@
 	defer cancel()
 	no.log.Info("handing over domain", zap.String("domain", do.name), zap.String("to", to.ID))
 	name := do.name
-	prepared := make(chan []string, 1)
+	ha := &handing{to: to.Address, unsettled: true}
+	prepared := make(chan struct{})
 	no.post(func(time.Time) {
-		ids := no.workersOf(name)
-		ha := &handing{to: to.Address, pending: map[string]bool{}}
-		for _, id := range ids {
-			ha.pending[id] = true
-		}
 		no.handing[name] = ha // keeps the workers when the table names the new owner
-		prepared <- ids
+		close(prepared)
 	})
-	var ids []string
 	select {
-	case ids = <-prepared:
+	case <-prepared:
 	case <-ctx.Done():
 		return
 	}
@@ -360,24 +360,48 @@
 		Body: &lovagemessage.Request_TakeOver{TakeOver: &lovagemessage.TakeOver{Domain: name}},
 	})
 	if err != nil || !resp.GetTakeOver().GetAccepted() {
-		no.log.Warn("domain not taken over", zap.String("domain", name), zap.String("by", to.ID), errorField(err))
-		no.post(func(now time.Time) {
-			delete(no.handing, name)
-			no.refreshWorkers(now)
-		})
+		no.log.Warn("domain not known to be taken over", zap.String("domain", name), zap.String("by", to.ID), errorField(err))
 		return
 	}
+	no.post(func(now time.Time) {
+		if no.handing[name] == ha && ha.unsettled {
+			no.handWorkersOver(name, ha)
+			no.refreshWorkers(now)
+		}
+	})
+}
+
+// handWorkersOver frees the workers of a domain for its new owner.
+func (no *Node) handWorkersOver(name string, ha *handing) {
 	no.count("domainsHandedOver")
-	leaving := no.leaving.Load()
-	if leaving {
+	ids := no.workersOf(name)
+	ha.unsettled, ha.pending = false, map[string]bool{}
+	for _, id := range ids {
+		ha.pending[id] = true
+	}
+	no.pool.HandOver(ids)
+	if no.leaving.Load() {
 		no.moved.Store(true)
+		no.pool.Leave()
 	}
-	no.post(func(time.Time) {
-		no.pool.HandOver(ids)
-		if leaving {
-			no.pool.Leave()
+}
+
+// settledHanding returns the hand-over of a domain that is known to have a new owner, or nil.
+func (no *Node) settledHanding(name string) *handing {
+	if ha := no.handing[name]; ha != nil && !ha.unsettled {
+		return ha
+	}
+	return nil
+}
+
+// anyHanding reports whether workers are still to be released to a new owner.
+func (no *Node) anyHanding() bool {
+	for _, ha := range no.handing {
+		if !ha.unsettled {
+			return true
 		}
-	})
+	}
+	return false
 }
 
 // takeOver serves the request of an owner to take its domain.
--- a/lovagefleet/peer.go
+++ b/lovagefleet/peer.go
@@ -243,7 +243,7 @@
 		})
 	}
 	for name, fence := range no.fences {
-		if no.handing[name] == nil {
+		if no.settledHanding(name) == nil {
 			st.Domains = append(st.Domains, &lovagemessage.OwnedDomain{Domain: name, Fence: fence})
 		}
 	}
--- a/lovagefleet/standin_test.go
+++ b/lovagefleet/standin_test.go
@@ -25,8 +25,9 @@
 	starts     map[string]int // of a task, ever
 	violations []string
 	config     *Configuration
-	cut        map[string]bool // instances that do not reach the store
-	readTime   time.Duration   // of the registered workers
+	cut        map[string]bool          // instances that do not reach the store
+	readTime   time.Duration            // of the registered workers
+	lateAnswer map[string]time.Duration // of the store to an instance's commits, which take effect at once
 }
 
 type standInWorker struct {
@@ -65,7 +66,7 @@
 func newStandIn(dataCentres []string, each int) *standIn {
 	si := &standIn{
 		Memory: lovageplatform.NewMemory(), workers: map[string]*standInWorker{}, running: map[string]int{},
-		starts: map[string]int{}, cut: map[string]bool{},
+		starts: map[string]int{}, cut: map[string]bool{}, lateAnswer: map[string]time.Duration{},
 		config: &Configuration{Version: 1, Routes: []Route{{
 			Name: "checks", Host: "h", PathPrefix: "/c/", Service: "s", MaxAttempts: 2, SlackFactor: 1.6,
 			TargetLatency: 60 * time.Millisecond, Timeout: 2 * time.Second,
@@ -339,7 +340,15 @@
 	if err := cs.reach(); err != nil {
 		return lovageplatform.CommitResult{}, err
 	}
-	return cs.standIn.Commit(ctx, tx)
+	res, err := cs.standIn.Commit(ctx, tx)
+	cs.mu.Lock()
+	late := cs.lateAnswer[cs.id]
+	cs.mu.Unlock()
+	sleep(ctx, late)
+	if ctx.Err() != nil {
+		return lovageplatform.CommitResult{}, ctx.Err()
+	}
+	return res, err
 }
 
 // check reports what must never have happened.
