--- a/lovagefleet/link.go
+++ b/lovagefleet/link.go
@@ -114,12 +114,16 @@
 }
 
 // lossy reports whether calls to workers are being lost.
-func (no *Node) lossy() bool { return time.Since(time.Unix(0, no.lostCall.Load())) < lossyFor }
+func (no *Node) lossy() bool {
+	at := no.lostCall.Load()
+	return at != nil && time.Since(*at) < lossyFor
+}
 
 // noteLostCall notes that a call was lost to a worker that was thought to answer.
 func (no *Node) noteLostCall() {
 	no.count("callsLost")
-	no.lostCall.Store(time.Now().UnixNano())
+	now := time.Now()
+	no.lostCall.Store(&now)
 }
 
 // patience returns how much later than it may wait a worker's answer may come.
--- a/lovagefleet/link_test.go
+++ b/lovagefleet/link_test.go
@@ -69,7 +69,8 @@
 	must.Eq(t, lossyWait, other.nextLook().Wait)
 	must.LessEq(t, lossyTimeout, start())
 	must.False(t, lost.silentNow(), must.Sprint("silent after one lost call"))
-	no.lostCall.Store(time.Now().Add(-lossyFor).UnixNano())
+	past := time.Now().Add(-lossyFor)
+	no.lostCall.Store(&past)
 	must.Eq(t, lookWait, other.nextLook().Wait, must.Sprint("the patience does not come back"))
 	cancel()
 	<-done
--- a/lovagefleet/node.go
+++ b/lovagefleet/node.go
@@ -58,7 +58,7 @@
 	reclaim     sync.Map // names of domains that need a higher fence
 	known       atomic.Pointer[[]Registered]
 	leaving     atomic.Bool
-	lostCall    atomic.Int64                                   // when a call to a worker was last lost, Unix nanoseconds
+	lostCall    atomic.Pointer[time.Time]                      // when a call to a worker was last lost; nil: never
 	asking      atomic.Bool                                    // a peer is being asked for its configuration
 	ownStanding atomic.Pointer[map[string]lovagepool.Standing] // last report to the peers, nil without workers
 	owning      atomic.Bool                                    // orders workers of at least one domain
