lovagepool: a lender reports the end of a run only when it is certain

Cause: at the deadline of a job that it runs for another owner, a lender answered at once and called tasks whose runs were still being stopped declined. If the borrower had not noticed the deadline yet, which it does at its next tick up to 20 ms later, it started them again at once, while a stop takes up to 50 ms. Change: at the deadline a lender orders its runs to end, and answers when their ends are listed. Independently, no task starts for a job whose deadline has passed; it is given up instead. Measured: TestEndOfALentRunIsNotToldBeforeItIsCertain and TestNothingStartsAfterTheDeadline failed before and pass.

--- a/lovagepool/place.go
+++ b/lovagepool/place.go
@@ -41,6 +41,10 @@
 	}
 	order := po.sortQueue(now)
 	for _, jo := range order {
+		if !now.Before(jo.Work.Deadline) {
+			po.giveUp(now, jo)
+			continue
+		}
 		if jo.Lent != nil {
 			po.placeLent(now, jo)
 			continue
--- a/lovagepool/pool_test.go
+++ b/lovagepool/pool_test.go
@@ -377,6 +377,34 @@
 	must.True(t, contains(be.commands(), "finish a unknown"))
 }
 
+func TestEndOfALentRunIsNotToldBeforeItIsCertain(t *testing.T) {
+	// Guards against a task that runs twice: at the deadline the lender called running tasks declined, and the borrower,
+	// whose clock was a moment behind, started them again.
+	be := newBench(t, testWorker("w1", 32000))
+	wo := be.work("a", 2, 14000)
+	wo.Deadline = be.now.Add(300 * time.Millisecond)
+	be.po.Submit(be.now, &Job{Ref: "x", Work: wo, Lent: []LentTask{{0, 0, 1}, {0, 1, 1}}})
+	must.Eq(t, []string{"start w1 a.0.0.0 1", "start w1 a.0.0.1 1"}, be.commands())
+	be.started("w1", "a.0.0.0", 1)
+	be.started("w1", "a.0.0.1", 1)
+	be.pass(340 * time.Millisecond)
+	must.Eq(t, []string{"stop w1 a.0.0.0 1", "stop w1 a.0.0.1 1"}, be.commands())
+	be.ended("w1", "a.0.0.0", 1, HowStopped)
+	must.SliceEmpty(t, be.commands())
+	be.ended("w1", "a.0.0.1", 1, HowDone)
+	must.Eq(t, []string{"finish x completed"}, be.commands())
+}
+
+func TestNothingStartsAfterTheDeadline(t *testing.T) {
+	// Guards against starts for a caller whose time is over, between its deadline and the next tick.
+	be := newBench(t, testWorker("w1", 14000))
+	be.submit("a", 1, 14000)
+	must.Eq(t, []string{"start w1 a.0.0.0 1"}, be.commands())
+	be.now = be.now.Add(2 * time.Second)
+	be.ended("w1", "a.0.0.0", 1, HowLapsed)
+	must.Eq(t, []string{"finish a unknown"}, be.commands())
+}
+
 func TestLending(t *testing.T) {
 	cases := []struct {
 		name  string
--- a/lovagepool/submit.go
+++ b/lovagepool/submit.go
@@ -148,12 +148,17 @@
 		po.cancel(now, jo)
 		return true
 	}
-	for _, ta := range jo.tasks { // the ends are reported to the borrower as usual
-		if ta.run != nil {
+	po.stopRuns(now, jo) // the ends are reported to the borrower as usual
+	return true
+}
+
+// stopRuns orders the runs of a job to end that have not been ordered to.
+func (po *Pool) stopRuns(now time.Time, jo *Job) {
+	for _, ta := range jo.tasks {
+		if ta.run != nil && ta.run.state != runStopping {
 			po.stop(now, ta.run)
 		}
 	}
-	return true
 }
 
 // cancel drops what waits and stops what runs. The job is forgotten when nothing of it runs any more.
@@ -172,8 +177,13 @@
 	po.forget(jo)
 }
 
-// giveUp answers a job whose caller's time is over.
+// giveUp answers a job whose caller's time is over. Runs for another owner are only stopped: it would start them again if
+// it heard of their ends before these are certain.
 func (po *Pool) giveUp(now time.Time, jo *Job) {
+	if jo.Lent != nil && jo.running > 0 {
+		po.stopRuns(now, jo)
+		return
+	}
 	kind := "deadlineRunning"
 	if jo.begun == 0 {
 		kind = "deadlineWaiting"
