lovagefleet: a process waits while another one is asked to take its domain

Cause: since a hand-over counts as unsettled until it is confirmed, a leaving process whose jobs had ended no longer waited for the answer of the instance that it had asked. It could end in between, and the new owner would wait 3 s for releases. Found by reading the change; not seen in a run. Ruled out: that it happens with a fast store; the process waits for its balancer before it looks. Change: an instance that is being asked counts until it answers or the call fails. Measured: TestAnyHanding holds the cases.

--- a/lovagefleet/fleet_test.go
+++ b/lovagefleet/fleet_test.go
@@ -310,6 +310,25 @@
 	}
 }
 
+func TestAnyHanding(t *testing.T) {
+	// Guards against a process that ends while another one takes its domain and then waits for releases.
+	cases := []struct {
+		name string
+		ha   handing
+		want bool
+	}{
+		{"asking", handing{asking: true, unsettled: true}, true},
+		{"not known", handing{unsettled: true}, false},
+		{"workers pending", handing{pending: map[string]bool{"w1": true}}, true},
+	}
+	for _, ca := range cases {
+		t.Run(ca.name, func(t *testing.T) {
+			no := &Node{handing: map[string]*handing{"east": &ca.ha}}
+			must.Eq(t, ca.want, no.anyHanding())
+		})
+	}
+}
+
 // maxRejectedCalls of a former owner to a worker: a look that was rejected, and a start that was under way.
 const maxRejectedCalls = 2
 
--- a/lovagefleet/node.go
+++ b/lovagefleet/node.go
@@ -103,6 +103,7 @@
 type handing struct {
 	to        string          // address
 	pending   map[string]bool // workers that still have runs of this instance
+	asking    bool            // the other instance is being asked
 	unsettled bool            // no answer has confirmed it; the domain's row will tell, and until then nothing changes
 }
 
--- a/lovagefleet/own.go
+++ b/lovagefleet/own.go
@@ -345,7 +345,7 @@
 	defer cancel()
 	no.log.Info("handing over domain", zap.String("domain", do.name), zap.String("to", to.ID))
 	name := do.name
-	ha := &handing{to: to.Address, unsettled: true}
+	ha := &handing{to: to.Address, asking: true, unsettled: true}
 	prepared := make(chan struct{})
 	no.post(func(time.Time) {
 		no.handing[name] = ha // keeps the workers when the table names the new owner
@@ -361,6 +361,7 @@
 	})
 	if err != nil || !resp.GetTakeOver().GetAccepted() {
 		no.log.Warn("domain not known to be taken over", zap.String("domain", name), zap.String("by", to.ID), errorField(err))
+		no.post(func(time.Time) { ha.asking = false })
 		return
 	}
 	no.post(func(now time.Time) {
@@ -375,7 +376,7 @@
 func (no *Node) handWorkersOver(name string, ha *handing) {
 	no.count("domainsHandedOver")
 	ids := no.workersOf(name)
-	ha.unsettled, ha.pending = false, map[string]bool{}
+	ha.asking, ha.unsettled, ha.pending = false, false, map[string]bool{}
 	for _, id := range ids {
 		ha.pending[id] = true
 	}
@@ -394,10 +395,10 @@
 	return nil
 }
 
-// anyHanding reports whether workers are still to be released to a new owner.
+// anyHanding reports whether another instance is being asked to take a domain, or workers are still to be released to it.
 func (no *Node) anyHanding() bool {
 	for _, ha := range no.handing {
-		if !ha.unsettled {
+		if ha.asking || !ha.unsettled {
 			return true
 		}
 	}
