--- a/lovagefleet/claim.go
+++ b/lovagefleet/claim.go
@@ -82,7 +82,7 @@
 	unreached  time.Time // when its workers could last not be reached from here
 }
 
-// claimView is what decideClaims looks at.
+// claimView is what decideClaim looks at.
 type claimView struct {
 	now     time.Time
 	self    *member
--- a/lovagefleet/fleet_test.go
+++ b/lovagefleet/fleet_test.go
@@ -317,9 +317,9 @@
 		ha   handing
 		want bool
 	}{
-		{"asking", handing{asking: true, unsettled: true}, true},
-		{"not known", handing{unsettled: true}, false},
-		{"workers pending", handing{pending: map[string]bool{"w1": true}}, true},
+		{"asking", handing{state: handingAsked}, true},
+		{"not known", handing{state: handingUnknown}, false},
+		{"workers pending", handing{state: handingTaken, pending: map[string]bool{"w1": true}}, true},
 	}
 	for _, ca := range cases {
 		t.Run(ca.name, func(t *testing.T) {
--- a/lovagefleet/link.go
+++ b/lovagefleet/link.go
@@ -163,10 +163,7 @@
 		case "":
 			li.look(sent, re)
 		case ReasonFence:
-			li.mu.Lock()
-			li.passed = max(li.passed, lo.Fence)
-			li.mu.Unlock()
-			li.no.fenced(id)
+			li.fenced(lo.Fence)
 		default:
 			li.lookLost(ctx, sent, errors.New("look rejected: "+string(re.Rejected)))
 		}
@@ -276,10 +273,7 @@
 		}
 	})
 	if err == nil && re.Rejected == ReasonFence {
-		li.mu.Lock()
-		li.passed = max(li.passed, or.Fence)
-		li.mu.Unlock()
-		li.no.fenced(cm.Worker)
+		li.fenced(or.Fence)
 	}
 }
 
@@ -295,11 +289,15 @@
 	li.no.post(func(now time.Time) { li.no.pool.Stopped(now, cm.Worker, cm.Task, cm.Attempt) })
 }
 
-// fenced hears that another instance has ordered the worker.
-func (no *Node) fenced(worker string) {
-	no.count("fenced")
-	no.log.Warn("fenced off", zap.String("worker", worker))
-	no.post(func(now time.Time) { no.pool.Silent(now, worker, false) })
+// fenced notes that the worker has rejected a fence: another instance has ordered it.
+func (li *link) fenced(fence int64) {
+	li.mu.Lock()
+	li.passed = max(li.passed, fence)
+	li.mu.Unlock()
+	id := li.worker.ID
+	li.no.count("fenced")
+	li.no.log.Warn("fenced off", zap.String("worker", id), zap.Int64("fence", fence))
+	li.no.post(func(now time.Time) { li.no.pool.Silent(now, id, false) })
 }
 
 // reclaimFor claims the domain of a worker that has rejected a fence again, for a higher one, if the domain's row shows
@@ -336,7 +334,7 @@
 		if !ok || !no.isCurrent(now, re.DataCentre) {
 			continue
 		}
-		if ha := no.settledHanding(re.DataCentre); ha != nil && !ha.pending[re.ID] {
+		if ha := no.takenHanding(re.DataCentre); ha != nil && !ha.pending[re.ID] {
 			continue
 		}
 		if aw, ok := no.awaiting[re.DataCentre]; ok {
@@ -384,7 +382,7 @@
 		if wo.ID != worker {
 			continue
 		}
-		if ha := no.settledHanding(wo.DataCentre); ha != nil {
+		if ha := no.takenHanding(wo.DataCentre); ha != nil {
 			delete(ha.pending, worker)
 			if len(ha.pending) == 0 {
 				delete(no.handing, wo.DataCentre)
--- a/lovagefleet/node.go
+++ b/lovagefleet/node.go
@@ -52,7 +52,7 @@
 	ctx         context.Context
 	config      atomic.Pointer[Configuration]
 	owners      sync.Map // domain name to ownerRef
-	peers       sync.Map // instance ID to *peerStanding
+	peers       sync.Map // instance ID to peerServices
 	addresses   sync.Map // instance ID to the address of its sessions
 	refusedBy   sync.Map // IDs of instances whose machines have refused a connection since the last look
 	reclaim     sync.Map // names of domains that need a higher fence
@@ -66,15 +66,13 @@
 	nextRef     atomic.Int64
 
 	// Owned by ownLoop.
-	dataCentres []string
-	members     map[string]*member
-	domains     map[string]*domain
-	beat        int64
-	leftRow     bool        // what the own row says about leaving
-	urgent      atomic.Bool // read the rows without waiting for the interval
-	storeLost   bool
-	hurry       chan struct{}
-	takeovers   chan takeOverRequest
+	members   map[string]*member
+	domains   map[string]*domain
+	beat      int64
+	leftRow   bool // what the own row says about leaving
+	storeLost bool
+	hurry     chan struct{}
+	takeovers chan takeOverRequest
 
 	hurryRegistry chan struct{}
 
@@ -101,12 +99,19 @@
 
 // handing is a domain of which the new owner gets the workers one by one.
 type handing struct {
-	to        string          // address
-	pending   map[string]bool // workers that still have runs of this instance
-	asking    bool            // the other instance is being asked
-	unsettled bool            // no answer has confirmed it; the domain's row will tell, and until then nothing changes
+	to      string // address
+	state   handingState
+	pending map[string]bool // once taken: workers that still have runs of this instance
 }
 
+type handingState string
+
+const (
+	handingAsked   handingState = "asked"   // the other instance has not answered yet
+	handingUnknown handingState = "unknown" // no answer has confirmed it; the domain's row will tell, and until then nothing changes
+	handingTaken   handingState = "taken"   // the domain has a new owner
+)
+
 // awaitedRelease is a domain that a former owner is handing over worker by worker.
 type awaitedRelease struct {
 	from  string
@@ -137,10 +142,10 @@
 		self: instanceRow{
 			ID: se.ID, DataCentre: se.DataCentre, Address: se.PeerListen, Incarnation: strconv.FormatInt(now.UnixNano(), 36), Cores: se.Cores,
 		},
-		counts:      de.Metrics.Counter("fleet_events", "decisions and events of the instance", "event"),
-		responses:   de.Metrics.Timer("fleet_response", "from the arrival of a job to its answer", lovagemetric.LabelOutcome),
-		events:      make(chan func(time.Time), eventQueue),
-		dataCentres: se.DataCentres, members: map[string]*member{}, domains: map[string]*domain{},
+		counts:    de.Metrics.Counter("fleet_events", "decisions and events of the instance", lovagemetric.LabelEvent),
+		responses: de.Metrics.Timer("fleet_response", "from the arrival of a job to its answer", lovagemetric.LabelOutcome),
+		events:    make(chan func(time.Time), eventQueue),
+		members:   map[string]*member{}, domains: map[string]*domain{},
 		hurry: make(chan struct{}, 1), hurryRegistry: make(chan struct{}, 1), takeovers: make(chan takeOverRequest, 16),
 		pool: lovagepool.New(se.Pool), fences: map[string]int64{}, claimed: map[string]time.Time{}, handing: map[string]*handing{},
 		awaiting: map[string]awaitedRelease{}, links: map[string]*link{}, waiters: map[string]chan lovagepool.Finish{},
--- a/lovagefleet/own.go
+++ b/lovagefleet/own.go
@@ -38,6 +38,7 @@
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
 	var renewed, read time.Time
+	urgent := false // read the rows without waiting for the interval
 	for {
 		no.serveTakeOvers(ctx)
 		now := time.Now()
@@ -49,7 +50,8 @@
 				renewed = now
 			}
 		}
-		if busy || now.Sub(read) >= idleReadInterval || no.urgent.Swap(false) {
+		if busy || urgent || now.Sub(read) >= idleReadInterval {
+			urgent = false
 			if err := no.readRows(ctx); err != nil {
 				no.lostStore("read rows", err)
 			} else {
@@ -62,7 +64,7 @@
 		case <-ctx.Done():
 			return
 		case <-no.hurry:
-			no.urgent.Store(true)
+			urgent = true
 		case <-ticker.C:
 		}
 	}
@@ -85,7 +87,7 @@
 			return true
 		}
 	}
-	return len(no.domains) < len(no.dataCentres)
+	return len(no.domains) < len(no.se.DataCentres)
 }
 
 func (no *Node) lostStore(op string, err error) {
@@ -257,7 +259,7 @@
 			no.fences[name] = fence
 			delete(no.handing, name)
 		} else if ha := no.handing[name]; ha != nil && ha.to == to {
-			if ha.unsettled { // it was taken over although no answer said so
+			if ha.state != handingTaken { // it was taken over although no answer said so
 				no.handWorkersOver(name, ha)
 			}
 		} else {
@@ -287,7 +289,7 @@
 		}
 	}
 	cv := &claimView{now: now, self: self, started: no.started, members: no.members, leaving: no.leaving.Load()}
-	for _, dc := range no.dataCentres {
+	for _, dc := range no.se.DataCentres {
 		do := no.domain(dc)
 		action, to := cv.decideClaim(do)
 		if _, again := no.reclaim.LoadAndDelete(dc); again && action == claimNone && do.ownedBy(&no.self) {
@@ -345,27 +347,23 @@
 	defer cancel()
 	no.log.Info("handing over domain", zap.String("domain", do.name), zap.String("to", to.ID))
 	name := do.name
-	ha := &handing{to: to.Address, asking: true, unsettled: true}
-	prepared := make(chan struct{})
-	no.post(func(time.Time) {
-		no.handing[name] = ha // keeps the workers when the table names the new owner
-		close(prepared)
-	})
-	select {
-	case <-prepared:
-	case <-ctx.Done():
-		return
-	}
+	ha := &handing{to: to.Address, state: handingAsked}
+	// Keeps the workers when the table names the new owner, which is posted after this.
+	no.post(func(time.Time) { no.handing[name] = ha })
 	resp, err := no.mesh.Call(ctx, to.Address, &lovagemessage.Request{
 		Body: &lovagemessage.Request_TakeOver{TakeOver: &lovagemessage.TakeOver{Domain: name}},
 	})
 	if err != nil || !resp.GetTakeOver().GetAccepted() {
 		no.log.Warn("domain not known to be taken over", zap.String("domain", name), zap.String("by", to.ID), errorField(err))
-		no.post(func(time.Time) { ha.asking = false })
+		no.post(func(time.Time) {
+			if ha.state == handingAsked {
+				ha.state = handingUnknown
+			}
+		})
 		return
 	}
 	no.post(func(now time.Time) {
-		if no.handing[name] == ha && ha.unsettled {
+		if no.handing[name] == ha && ha.state != handingTaken {
 			no.handWorkersOver(name, ha)
 			no.refreshWorkers(now)
 		}
@@ -376,7 +374,7 @@
 func (no *Node) handWorkersOver(name string, ha *handing) {
 	no.count("domainsHandedOver")
 	ids := no.workersOf(name)
-	ha.asking, ha.unsettled, ha.pending = false, false, map[string]bool{}
+	ha.state, ha.pending = handingTaken, map[string]bool{}
 	for _, id := range ids {
 		ha.pending[id] = true
 	}
@@ -387,9 +385,9 @@
 	}
 }
 
-// settledHanding returns the hand-over of a domain that is known to have a new owner, or nil.
-func (no *Node) settledHanding(name string) *handing {
-	if ha := no.handing[name]; ha != nil && !ha.unsettled {
+// takenHanding returns the hand-over of a domain that is known to have a new owner, or nil.
+func (no *Node) takenHanding(name string) *handing {
+	if ha := no.handing[name]; ha != nil && ha.state == handingTaken {
 		return ha
 	}
 	return nil
@@ -398,7 +396,7 @@
 // anyHanding reports whether another instance is being asked to take a domain, or workers are still to be released to it.
 func (no *Node) anyHanding() bool {
 	for _, ha := range no.handing {
-		if ha.asking || !ha.unsettled {
+		if ha.state != handingUnknown {
 			return true
 		}
 	}
--- a/lovagefleet/peer.go
+++ b/lovagefleet/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,25 +22,8 @@
 	memberInterval = 500 * time.Millisecond
 )
 
-// peerStanding is the last report of a peer.
-type peerStanding struct {
-	services map[string]*lovagemessage.ServiceStanding
-	received time.Time
-}
-
-func (ps *peerStanding) workers(service string) int32 {
-	if st := ps.services[service]; st != nil {
-		return st.GetWorkers()
-	}
-	return 0
-}
-
-func (ps *peerStanding) free(service string) int32 {
-	if st := ps.services[service]; st != nil {
-		return st.GetFreeTasks()
-	}
-	return 0
-}
+// peerServices is the last report of a peer, by service.
+type peerServices map[string]*lovagemessage.ServiceStanding
 
 // sentStanding is what was last sent, so that an unchanged report is repeated less often.
 type sentStanding struct {
@@ -151,17 +135,16 @@
 }
 
 func (no *Node) serveStanding(from string, st *lovagemessage.Standing) {
-	now := time.Now()
-	ps := &peerStanding{services: map[string]*lovagemessage.ServiceStanding{}, received: now}
+	services := peerServices{}
 	free := map[string]int{}
 	for _, se := range st.GetServices() {
-		ps.services[se.GetService()] = se
+		services[se.GetService()] = se
 		free[se.GetService()] = int(se.GetFreeTasks())
 		if se.GetQueuedTasks() > 0 || st.GetLeaving() {
 			free[se.GetService()] = 0
 		}
 	}
-	no.peers.Store(from, ps)
+	no.peers.Store(from, services)
 	address := st.GetAddress()
 	if known, ok := no.addresses.Load(from); ok {
 		address = known.(string)
@@ -225,7 +208,7 @@
 		}
 	}
 	toAll := now.Sub(no.standing.at) >= memberInterval
-	if !toAll && equalStandings(services, no.standing.services) {
+	if !toAll && maps.Equal(services, no.standing.services) {
 		return
 	}
 	no.standing.services = services
@@ -243,7 +226,7 @@
 		})
 	}
 	for name, fence := range no.fences {
-		if no.settledHanding(name) == nil {
+		if no.takenHanding(name) == nil {
 			st.Domains = append(st.Domains, &lovagemessage.OwnedDomain{Domain: name, Fence: fence})
 		}
 	}
@@ -252,18 +235,6 @@
 	}
 }
 
-func equalStandings(a, b map[string]lovagepool.Standing) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for name, st := range a {
-		if b[name] != st {
-			return false
-		}
-	}
-	return true
-}
-
 // standingTargets returns the addresses of the other owners, or of all peers.
 func (no *Node) standingTargets(all bool) []string {
 	var list []string
@@ -333,9 +304,7 @@
 	ctx, cancel := context.WithTimeout(no.ctx, sessionLossBound)
 	defer cancel()
 	for ctx.Err() == nil {
-		_, err := no.mesh.Call(ctx, address, &lovagemessage.Request{
-			Body: &lovagemessage.Request_Withdraw{Withdraw: &lovagemessage.Withdraw{Ref: cm.Ref}},
-		})
+		err := no.callWithdraw(ctx, address, cm.Ref)
 		if err == nil {
 			ends := make([]lovagepool.LentEnd, len(cm.Tasks))
 			for i, lt := range cm.Tasks {
--- a/lovagefleet/route.go
+++ b/lovagefleet/route.go
@@ -132,8 +132,9 @@
 		}
 		return 0, 0
 	}
-	if ps, ok := no.peers.Load(ow.ID); ok {
-		return int(ps.(*peerStanding).free(service)), int(ps.(*peerStanding).workers(service))
+	if services, ok := no.peers.Load(ow.ID); ok {
+		st := services.(peerServices)[service] // nil has neither
+		return int(st.GetFreeTasks()), int(st.GetWorkers())
 	}
 	return 0, 0
 }
@@ -185,12 +186,17 @@
 func (no *Node) withdrawFrom(address, ref string) {
 	ctx, cancel := context.WithTimeout(no.ctx, pingTimeout)
 	defer cancel()
+	if err := no.callWithdraw(ctx, address, ref); err != nil {
+		no.count("withdrawFailed") // the owner stops the job at its deadline, or when the session ends
+	}
+}
+
+// callWithdraw returns nil when the job is known at the address and nothing of it runs any more.
+func (no *Node) callWithdraw(ctx context.Context, address, ref string) error {
 	_, err := no.mesh.Call(ctx, address, &lovagemessage.Request{
 		Body: &lovagemessage.Request_Withdraw{Withdraw: &lovagemessage.Withdraw{Ref: ref}},
 	})
-	if err != nil {
-		no.count("withdrawFailed") // the owner stops the job at its deadline, or when the session ends
-	}
+	return err
 }
 
 // Pending returns how many jobs of a queue this instance has that have not begun.
