--- a/lovagemodel/machine.go
+++ b/lovagemodel/machine.go
@@ -1,7 +1,7 @@
 package lovagemodel
 
 import (
-	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -130,12 +130,7 @@
 	}
 	ru.ended = true
 	ma.pl.running[ru.task]--
-	for i, ot := range ma.runs {
-		if ot == ru {
-			ma.runs = append(ma.runs[:i], ma.runs[i+1:]...)
-			break
-		}
-	}
+	ma.runs = slices.DeleteFunc(ma.runs, func(ot *activeRun) bool { return ot == ru })
 	ma.bury(ru.task, ru.attempt)
 	ma.ends = append(ma.ends, lovagepool.Ended{Task: ru.task, Attempt: ru.attempt, How: how})
 	if !ma.in(FaultSilent) {
@@ -232,6 +227,3 @@
 	ma.born++
 	ma.pl.at(ma.until, ma.owner.setWorkers)
 }
-
-// String names the fault for tables.
-func (fa Fault) String() string { return fmt.Sprintf("%s %.0f%%", fa.Kind, 100*fa.Share) }
--- a/lovagepool/estimate.go
+++ b/lovagepool/estimate.go
@@ -29,7 +29,6 @@
 	service string
 	logWork float64 // mean of the logarithm of run time in seconds on a worker of speed 1
 	samples int
-	cores   float64       // mean of MilliCores
 	load    float64       // work that arrives, in thousandths of a core of speed 1; decays with loadTime
 	loadAt  time.Time     // when load was last brought up to date
 	slack   time.Duration // mean time from arrival to the latest start
@@ -152,5 +151,4 @@
 	cl.samples++
 	wei := math.Max(speedWeight, 1/float64(cl.samples))
 	cl.logWork += (math.Log(took.Seconds()) - math.Log(po.factor(wo)) - cl.logWork) * wei
-	cl.cores += (float64(st.Room.MilliCores) - cl.cores) * wei
 }
--- a/lovagepool/pool.go
+++ b/lovagepool/pool.go
@@ -172,12 +172,11 @@
 // LookNow asks for the worker's lists without waiting for an end.
 type LookNow struct{ Worker string }
 
-func (LookNow) command() {}
-
 // Gone says that nothing of a cancelled job runs any more.
 type Gone struct{ Ref string }
 
 func (Gone) command()     {}
+func (LookNow) command()  {}
 func (StartRun) command() {}
 func (StopRun) command()  {}
 func (Finish) command()   {}
--- a/lovagepool/pool_test.go
+++ b/lovagepool/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -137,20 +138,11 @@
 			be.po.Cancel(be.now, "a") // so that it does not take the room again
 			be.commands()
 			be.submit("b", 1, 20000)
-			test.Eq(t, ca.free, contains(be.commands(), "start w1 b.0.0.0 1"))
+			test.Eq(t, ca.free, slices.Contains(be.commands(), "start w1 b.0.0.0 1"))
 		})
 	}
 }
 
-func contains(list []string, item string) bool {
-	for _, it := range list {
-		if it == item {
-			return true
-		}
-	}
-	return false
-}
-
 func TestOrphansKeepTheWorkerUnused(t *testing.T) {
 	// Guards against starts beside the runs of a former owner, whose sizes are not known: after the first of two had
 	// ended, its room was taken to be free while the second still used it.
@@ -209,7 +201,7 @@
 			be.submit("a", 1, 20000)
 			must.Eq(t, []string{"start w1 a.0.0.0 1"}, be.commands())
 			ca.event(be)
-			test.Eq(t, ca.restart, contains(be.commands(), "start w2 a.0.0.0 2"))
+			test.Eq(t, ca.restart, slices.Contains(be.commands(), "start w2 a.0.0.0 2"))
 		})
 	}
 }
@@ -301,9 +293,9 @@
 	for i := range ejectAfter {
 		id := fmt.Sprintf("j%d", i)
 		be.submit(id, 1, 10000)
-		must.True(t, contains(be.commands(), "start w1 "+id+".0.0.0 1"))
+		must.True(t, slices.Contains(be.commands(), "start w1 "+id+".0.0.0 1"))
 		be.ended("w1", id+".0.0.0", 1, HowFailed)
-		must.True(t, contains(be.commands(), "start w2 "+id+".0.0.0 2"))
+		must.True(t, slices.Contains(be.commands(), "start w2 "+id+".0.0.0 2"))
 		be.ended("w2", id+".0.0.0", 2, HowDone)
 		be.commands()
 	}
@@ -312,7 +304,7 @@
 	must.Eq(t, []string{"start w2 b.0.0.0 1"}, be.commands())
 	be.now = be.now.Add(firstEjection)
 	be.po.Tick(be.now)
-	must.True(t, contains(be.commands(), "start w1 c.0.0.0 1"))
+	must.True(t, slices.Contains(be.commands(), "start w1 c.0.0.0 1"))
 }
 
 func TestHandOverReleasesEachWorkerWhenItIsEmpty(t *testing.T) {
@@ -345,7 +337,7 @@
 	}
 	list := be.commands()
 	must.Eq(t, []string{"start w1 j0.0.0.0 1", "start w1 j0.0.0.1 1"}, list[:2])
-	must.True(t, contains(list, "finish j7 notRun"), must.Sprint(list))
+	must.True(t, slices.Contains(list, "finish j7 notRun"), must.Sprint(list))
 }
 
 func TestUselessJobIsNotHeldUntilItsDeadline(t *testing.T) {
@@ -359,7 +351,7 @@
 	var got []string
 	for end := be.now.Add(lateFactor * goal); be.now.Before(end); be.pass(20 * time.Millisecond) {
 		be.po.Listed(be.now, be.now, "w1", []Active{{"a.0.0.0", 1}}, nil) // runs on, longer than expected
-		if got = be.commands(); contains(got, "finish b notRun") {
+		if got = be.commands(); slices.Contains(got, "finish b notRun") {
 			must.Greater(t, goal, be.now.Sub(be.po.jobs["a"].Work.Arrived), must.Sprint("refused while an answer could be in time"))
 			return
 		}
@@ -374,7 +366,7 @@
 	must.Eq(t, []string{"start w1 a.0.0.0 1"}, be.commands())
 	be.po.StartUnanswered(be.now, "w1", "a.0.0.0", 1)
 	be.pass(3 * time.Second)
-	must.True(t, contains(be.commands(), "finish a unknown"))
+	must.True(t, slices.Contains(be.commands(), "finish a unknown"))
 }
 
 func TestEndOfALentRunIsNotToldBeforeItIsCertain(t *testing.T) {
@@ -460,9 +452,9 @@
 	must.Eq(t, []string{"start w1 a.0.0.0 1"}, be.commands())
 	be.started("w1", "a.0.0.0", 1)
 	be.pass(overdueFactor*200*time.Millisecond + overdueSlack + 40*time.Millisecond)
-	must.True(t, contains(be.commands(), "stop w1 a.0.0.0 1"))
+	must.True(t, slices.Contains(be.commands(), "stop w1 a.0.0.0 1"))
 	be.ended("w1", "a.0.0.0", 1, HowStopped)
-	must.True(t, contains(be.commands(), "start w2 a.0.0.0 2"))
+	must.True(t, slices.Contains(be.commands(), "start w2 a.0.0.0 2"))
 }
 
 func TestSilentWorkerIsNotTakenForStuck(t *testing.T) {
--- a/lovagepool/submit.go
+++ b/lovagepool/submit.go
@@ -1,6 +1,7 @@
 package lovagepool
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -211,15 +212,10 @@
 func (po *Pool) emitFinish(jo *Job, oc Outcome, reason string, retryIn time.Duration) {
 	po.Counts["job:"+string(oc)]++
 	fi := Finish{Ref: jo.Ref, Outcome: oc, Reason: reason, RetryIn: retryIn}
-	for _, ta := range jo.tasks {
-		if jo.Lent == nil {
-			break
-		}
-		how := ta.how
-		if how == "" {
-			how = HowDeclined
+	if jo.Lent != nil {
+		for _, ta := range jo.tasks {
+			fi.Lent = append(fi.Lent, LentEnd{LentTask{ta.step, ta.index, ta.attempt}, cmp.Or(ta.how, HowDeclined)})
 		}
-		fi.Lent = append(fi.Lent, LentEnd{LentTask{ta.step, ta.index, ta.attempt}, how})
 	}
 	po.emit(fi)
 }
