lovagepeer: a call survives a session that ends before it sees it

Cause: a call that waits for a session took "the number of failures has changed and there is no session" for a failed dial. A session that follows failed dials sets that number to 0; if it ended before the call ran again, the call got neither a session nor an error and dereferenced nil, which ended the process. Ruled out: a session closed twice or a peer removed while a call waits; the call holds a reference to the peer. Change: failed dials are counted by a number that never falls, and a call without an error goes on waiting. Measured: TestSessionThatEndsBeforeAWaitingCallSeesIt panicked before and passes 5 of 5. Conclusion: calls end with an error that says that nothing was sent, or with the next session.

--- a/lovagepeer/fault_test.go
+++ b/lovagepeer/fault_test.go
@@ -361,3 +361,29 @@
 	cancel()
 	must.ErrorIs(t, <-done, context.Canceled)
 }
+
+// Guards against a crash when the session that a call waits for begins after failed dials and ends before the call sees it.
+func TestSessionThatEndsBeforeAWaitingCallSeesIt(t *testing.T) {
+	mute, err := net.Listen("tcp", "127.0.0.1:0") // accepts and never answers, so that the dial goes on
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = mute.Close() })
+	address := mute.Addr().String()
+	me, _, _ := serve(t, Options{Instance: "a"}, echo)
+	me.mu.Lock()
+	pe := me.peerLocked(address)
+	pe.failures, pe.lastErr, pe.retryAt = 1, errors.New("an earlier dial failed"), time.Now()
+	me.mu.Unlock()
+	ctx, cancel := context.WithCancel(testContext(t))
+	result := make(chan error, 1)
+	go func() { result <- callErr(me, ctx, address, "waiting") }()
+	for waiting := false; !waiting; time.Sleep(time.Millisecond) {
+		me.mu.Lock()
+		if waiting = pe.waiters > 0; waiting { // what installLocked and ended leave behind
+			pe.failures, pe.lastErr, pe.sess = 0, nil, nil
+			pe.signalLocked()
+		}
+		me.mu.Unlock()
+	}
+	time.AfterFunc(50*time.Millisecond, cancel)
+	must.ErrorIs(t, <-result, ErrNotSent)
+}
--- a/lovagepeer/mesh.go
+++ b/lovagepeer/mesh.go
@@ -333,7 +333,7 @@
 			}
 			pe.startLocked()
 		}
-		failures, changed := pe.failures, pe.changed
+		failed, changed := pe.failed, pe.changed
 		me.mu.Unlock()
 		var err error
 		select {
@@ -347,8 +347,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if pe.sess == nil && pe.failures != failures {
-			return nil, pe.lastErr
+		if pe.sess == nil && pe.failed != failed && pe.lastErr != nil {
+			return nil, pe.lastErr // after a session in between there is no error, and the call goes on waiting
 		}
 	}
 }
--- a/lovagepeer/peer.go
+++ b/lovagepeer/peer.go
@@ -27,6 +27,7 @@
 	helloSent  bool          // the dial has reached the Hello exchange
 	changed    chan struct{} // closed and replaced when a session is established or a dial fails
 	failures   int           // dials that failed since the last session
+	failed     uint64        // all dials that failed; never falls, so that a waiting call sees that one has
 	lastErr    error
 	retryAt    time.Time
 }
@@ -122,6 +123,7 @@
 func (pe *peer) failedLocked(err error) {
 	op := &pe.me.op
 	pe.failures++
+	pe.failed++
 	pe.lastErr = err
 	// 2^20 is far beyond MaxBackoff and avoids an overflow of the shift.
 	delay := min(op.MinBackoff<<min(pe.failures-1, 20), op.MaxBackoff)
