lovageentry: a hand-over to the replica is a step too

Cause: the step of a hand-over was reported when records are sent to a receiver. A range whose replica has all records goes to it by its row alone, so cells of the fault matrix that wait for the step waited in vain when each range with keys had its replica before the shutdown began. Ruled out: a lost lease; the first instances had renewed their rows until their shutdown. Change: the write of a row that gives an own range to another instance is reported as the step. Conclusion: the cells begin their faults at each kind of hand-over.

--- a/lovageentry/observe.go
+++ b/lovageentry/observe.go
@@ -22,7 +22,7 @@
 	StepAnswer       Step = "answer"       // a caller gets its answer
 	StepRenew        Step = "renew"        // the lease row is written
 	StepTakeOver     Step = "takeOver"     // the row of another instance's range is written (Rules B and C)
-	StepHandOver     Step = "handOver"     // records go to the receiver of a range (Rule F)
+	StepHandOver     Step = "handOver"     // a range goes to another instance (Rule F): its records, or its row if the replica has these
 	StepApply        Step = "apply"        // a configuration revision reaches the control loop
 	StepShutDown     Step = "shutDown"     // a graceful shutdown begins
 )
@@ -51,8 +51,15 @@
 			lo.in.reached(StepRenew)
 		case strings.HasPrefix(wr.Key, "range/"):
 			var row lovageledger.Row
-			if json.Unmarshal(wr.Value, &row) == nil && row.Owner == lo.in.id && row.Epoch > 1 && !lo.owns(wr.Key) {
+			if json.Unmarshal(wr.Value, &row) != nil {
+				continue
+			}
+			own := lo.owns(wr.Key)
+			switch {
+			case row.Owner == lo.in.id && row.Epoch > 1 && !own:
 				lo.in.reached(StepTakeOver)
+			case row.Owner != lo.in.id && row.Owner != "" && own:
+				lo.in.reached(StepHandOver)
 			}
 		}
 	}
--- a/lovagetrial/deployment_test.go
+++ b/lovagetrial/deployment_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"lovagestack/lovageentry"
 	"lovagestack/lovagejob"
 )
 
@@ -91,3 +93,34 @@
 	must.Eq(t, lovagejob.Complete, an.Outcome, must.Sprintf("%s", an.Reason))
 	must.Len(t, 0, Check(de.Evidence()))
 }
+
+// Guards against cells of the hand-over that wait in vain: a range whose replica has all records is handed over by its
+// row alone, and is a hand-over all the same.
+func TestHandOverToTheReplicaIsAStep(t *testing.T) {
+	var handedOver atomic.Int64
+	de, err := New(Options{
+		DataCentres: []DataCentre{{Name: "kandla", Instances: 2, Speeds: []float64{1}}},
+		Reached: func(it *Instance, st lovageentry.Step) {
+			if st == lovageentry.StepHandOver && it.Name == firstName {
+				handedOver.Add(1)
+			}
+		},
+	})
+	must.NoError(t, err)
+	t.Cleanup(de.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), 12*time.Second)
+	defer cancel()
+	first := de.Instance(firstName)
+	for !de.hasRanges(ctx, first) {
+		must.NoError(t, pauseFor(ctx, pollEvery))
+	}
+	ca := de.NewCaller()
+	keys, err := ca.Mint(ctx, first, 1, false) // of a range with a replica
+	must.NoError(t, err)
+	_, err = ca.SubmitUntilFinal(ctx, NewJob(keys[0], false, 1, time.Millisecond, time.Now().Add(10*time.Second)), first)
+	must.NoError(t, err)
+	_, err = first.ShutDown()
+	must.NoError(t, err)
+	// The range without a replica is one more.
+	must.GreaterEq(t, int64(2), handedOver.Load())
+}
