lovagetrial: judge a leaving worker that gets no work

Cause: cells in which a worker leaves need work to reach it. After the first instance has left, another one decides with speeds that it has learned from a few tasks on a busy machine: in the failed cells 1.2 to 1.4 for the leaving worker and 0.3 to 0.4 for an equally fast one in the other data centre. Ruled out: a leaving mark that outlives its process; the worker is healthy in the status of the deciding instance. Change: if there is no sign for 2 s, the worker that last got a task leaves as well and is judged. Conclusion: the invariant is judged in more cells, by the same limits.

--- a/lovagetrial/cell.go
+++ b/lovagetrial/cell.go
@@ -100,6 +100,7 @@
 	armed   atomic.Pointer[armedStage]
 	work    sync.WaitGroup
 	waves   sync.WaitGroup // operators that race and callers that cancel
+	leaver  atomic.Int64   // index of the worker that leaves
 
 	mu       sync.Mutex
 	keys     []cellKey
--- a/lovagetrial/leaving.go
+++ b/lovagetrial/leaving.go
@@ -18,6 +18,8 @@
 	toldLimit = time.Second
 	// judgedTime is how long work goes on after the limit.
 	judgedTime = 300 * time.Millisecond
+	// signWithin is how long the leaving worker may go without work, and so without a sign, before another one leaves too.
+	signWithin = 2 * time.Second
 )
 
 // hindering are the faults that can keep a sign that a worker is leaving from an instance, or end the process that got
@@ -26,8 +28,28 @@
 	FaultPause, FaultCut, FaultSilent, FaultReplyLost, FaultLateReply, FaultPartition, FaultKill, FaultKillBoth,
 }
 
-// leavingWorker is the worker that leaves, the faster one of the two in the first data centre.
-func (ce *cellRun) leavingWorker() *Worker { return ce.de.workers[0] }
+// leavingWorker is the worker that leaves: at first the faster one of the two in the first data centre.
+func (ce *cellRun) leavingWorker() *Worker { return ce.de.workers[ce.leaver.Load()] }
+
+// leaveInUse makes the worker leave that has last got a task. The one that leaves already may get none: the instance that
+// decides next may have learned that another worker is faster, and would then not be judged.
+func (ce *cellRun) leaveInUse() {
+	var id string
+	ce.de.evidence.change(func(ev *Evidence) {
+		if n := len(ev.Offers); n > 0 {
+			id = ev.Offers[n-1].Worker
+		}
+	})
+	at := slices.IndexFunc(ce.de.workers, func(wo *Worker) bool { return wo.ID == id })
+	if at <= 0 || !ce.leaver.CompareAndSwap(0, int64(at)) {
+		return
+	}
+	for _, sg := range ce.stages() {
+		for _, fa := range sg.Faults {
+			ce.beginLeaving(fa)
+		}
+	}
+}
 
 func (ce *cellRun) beginLeaving(fa Fault) {
 	wo := ce.leavingWorker()
@@ -93,8 +115,12 @@
 	if ce.has(hindering...) || ce.has(FaultStoreDown) && ce.has(FaultLeavingList) {
 		from = time.Now() // links are whole, and ended processes run again
 	}
-	for end := time.Now().Add(reachWithin); time.Now().Before(end); _ = pauseFor(ce.ctx, pollEvery) {
+	began := time.Now()
+	for end := began.Add(reachWithin); time.Now().Before(end); _ = pauseFor(ce.ctx, pollEvery) {
 		le, ok := ce.leavingRecord(from)
+		if !ok && time.Since(began) > signWithin {
+			ce.leaveInUse()
+		}
 		due := le.Since.Add(le.Limit)
 		if !ok || time.Now().Before(due.Add(judgedTime)) {
 			continue
