lovagepool: keep runs that were started on the new process of a worker

Cause: a worker that crashes and starts again under its ID answers at once, while its registration and the next look tell of the new process up to a second later. Starts that were sent in between run on the new process. When the new process became known, all runs of the worker were taken to have ended with the former one, and their tasks were started again beside them. Ruled out: a late order of the worker (none was injected) and the owner that was told to stop 2 s before (another one ordered). Change: a new process ends nothing by itself. Its next list does: a run that was acknowledged before and is missing from it is gone, one that is listed goes on, and others are settled as usual. Stops are ordered again, as the new process knows none.

--- a/lovagefleet/link.go
+++ b/lovagefleet/link.go
@@ -190,7 +190,7 @@
 	id := li.worker.ID
 	li.no.post(func(now time.Time) {
 		if crashed {
-			li.no.pool.Silent(now, id, true)
+			li.no.pool.Reborn(now, id)
 		}
 		li.no.pool.Listed(now, sent, id, re.Active, re.Ended)
 	})
@@ -219,7 +219,7 @@
 		li.no.log.Warn("worker does not answer", zap.String("worker", li.worker.ID), errorField(err))
 	}
 	id := li.worker.ID
-	li.no.post(func(now time.Time) { li.no.pool.Silent(now, id, false) })
+	li.no.post(func(now time.Time) { li.no.pool.Silent(now, id) })
 	sleep(ctx, silentRetry)
 }
 
@@ -264,7 +264,7 @@
 		switch {
 		case errors.As(err, &refused):
 			li.no.pool.Started(now, cm.Worker, cm.Task, cm.Attempt, true, "refused")
-			li.no.pool.Silent(now, cm.Worker, false)
+			li.no.pool.Silent(now, cm.Worker)
 		case err != nil:
 			li.no.noteLostCall()
 			li.no.pool.StartUnanswered(now, cm.Worker, cm.Task, cm.Attempt)
@@ -297,7 +297,7 @@
 	id := li.worker.ID
 	li.no.count("fenced")
 	li.no.log.Warn("fenced off", zap.String("worker", id), zap.Int64("fence", fence))
-	li.no.post(func(now time.Time) { li.no.pool.Silent(now, id, false) })
+	li.no.post(func(now time.Time) { li.no.pool.Silent(now, id) })
 }
 
 // reclaimFor claims the domain of a worker that has rejected a fence again, for a higher one, if the domain's row shows
--- a/lovagemodel/machine.go
+++ b/lovagemodel/machine.go
@@ -170,13 +170,13 @@
 	switch {
 	case ma.in(FaultSilent):
 		pl.after(silentLook, func() {
-			ma.owner.pool.Silent(pl.now, ma.ID, false)
+			ma.owner.pool.Silent(pl.now, ma.ID)
 			ma.owner.carryOut()
 			ma.look()
 		})
 		return
 	case ma.in(FaultCrash):
-		ma.owner.pool.Silent(pl.now, ma.ID, true)
+		ma.owner.pool.Silent(pl.now, ma.ID)
 	default:
 		ma.owner.pool.Extended(pl.now, ma.ID)
 		for _, ru := range ma.runs {
--- a/lovagepool/runs.go
+++ b/lovagepool/runs.go
@@ -54,6 +54,8 @@
 	overdueSlack  = 300 * time.Millisecond
 	// stopRepeat is the pause before an unconfirmed stop is ordered again.
 	stopRepeat = 120 * time.Millisecond
+	// missingGone is how many lists in a row a run that was there must be missing from to be gone.
+	missingGone = 2
 )
 
 // Started takes the reply to a start. A rejected run has not begun and never will; the task is tried elsewhere first.
@@ -149,7 +151,7 @@
 		if confirmed {
 			ru.missing++
 		}
-		if stopped || ru.missing >= 2 {
+		if stopped || ru.missing >= missingGone {
 			po.endRun(now, ru, HowLapsed)
 		}
 	}
--- a/lovagepool/workers.go
+++ b/lovagepool/workers.go
@@ -1,7 +1,6 @@
 package lovagepool
 
 import (
-	"slices"
 	"sort"
 	"time"
 
@@ -82,28 +81,34 @@
 	po.dirty = true
 }
 
-// reborn drops what the worker's former process ran.
+// reborn notes that another process answers for the worker. What the former one ran is gone, but a start that was sent
+// before this was known may have reached the new one, which lists it then. So the next list decides about each run. The new
+// process knows nothing of stops, which are ordered again.
 func (po *Pool) reborn(now time.Time, wo *worker) {
-	for _, ru := range slices.Clone(wo.runs) {
-		po.endRun(now, ru, HowLapsed)
+	for _, ru := range wo.runs {
+		ru.missing = missingGone - 1
+		if ru.state == runStopping {
+			ru.stopAck = time.Time{}
+			po.stop(now, ru)
+		}
 	}
 	wo.speed, wo.failures, wo.ejections, wo.until = speed{}, 0, 0, time.Time{}
 }
 
-// Silent notes that a worker has not answered an order in time. It gets no starts until it answers again. With crashed
-// set its process is known to be gone, and with it all that it ran.
-func (po *Pool) Silent(now time.Time, id string, crashed bool) {
-	wo := po.workers[id]
-	if wo == nil {
-		return
+// Reborn notes that another process of the worker has answered. Its list is to follow.
+func (po *Pool) Reborn(now time.Time, id string) {
+	if wo := po.workers[id]; wo != nil {
+		po.decide(Decision{Kind: "workerReborn", Worker: id, Reason: "another process answers for it"})
+		po.reborn(now, wo)
 	}
-	wo.reachable = false
-	if crashed {
-		for _, ru := range slices.Clone(wo.runs) {
-			po.endRun(now, ru, HowLapsed)
-		}
+}
+
+// Silent notes that a worker has not answered an order in time. It gets no starts until it answers again.
+func (po *Pool) Silent(now time.Time, id string) {
+	if wo := po.workers[id]; wo != nil {
+		wo.reachable = false
+		po.dirty = true
 	}
-	po.dirty = true
 }
 
 // HandOver stops starts on the given workers. Each is released by a command when it has no run any more, at once if the
