--- a/lovagetrial/matrix_test.go
+++ b/lovagetrial/matrix_test.go
@@ -32,7 +32,7 @@
 	threeSample = 24
 )
 
-// runCells runs the cells and fails the test for each that shows a fault.
+// runCells runs each cell as a subtest, which fails if the cell shows a fault.
 func runCells(t *testing.T, what string, cells []Cell, notApplicable map[string]int) {
 	var mu sync.Mutex
 	var running sync.WaitGroup
@@ -41,21 +41,24 @@
 	slices.SortStableFunc(cells, func(a, b Cell) int {
 		return cmp.Compare(silentFaults(b), silentFaults(a))
 	})
-	calls, longest := 0, CellResult{}
+	calls, ran, longest := 0, 0, CellResult{}
 	for _, ce := range cells {
 		places <- struct{}{}
 		running.Go(func() {
 			defer func() { <-places }()
-			res := ce.Run(context.Background())
-			mu.Lock()
-			defer mu.Unlock()
-			calls += res.Calls
-			if res.Took > longest.Took {
-				longest = res
-			}
-			if res.Wrong() {
-				t.Errorf("cell %s: violations %v, problems %q\n%s", ce, res.Violations, res.Problems, res.Report)
-			}
+			t.Run(ce.String(), func(t *testing.T) {
+				res := ce.Run(context.Background())
+				mu.Lock()
+				defer mu.Unlock()
+				ran++
+				calls += res.Calls
+				if res.Took > longest.Took {
+					longest = res
+				}
+				if res.Wrong() {
+					t.Errorf("cell %s: violations %v, problems %q\n%s", ce, res.Violations, res.Problems, res.Report)
+				}
+			})
 		})
 	}
 	running.Wait()
@@ -64,7 +67,7 @@
 		fmt.Printf("not applicable, %d cells: %s\n", notApplicable[reason], reason)
 		none += notApplicable[reason]
 	}
-	fmt.Printf("%s: %d cells run, %d not applicable; %d requests judged, longest cell %s\n", what, len(cells),
+	fmt.Printf("%s: %d cells run, %d not applicable; %d requests judged, longest cell %s\n", what, ran,
 		none, calls, longest.Took.Round(time.Millisecond))
 }
 
