--- a/lovagefake/fake_test.go
+++ b/lovagefake/fake_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -142,8 +143,9 @@
 	http.DefaultClient.CloseIdleConnections()
 }
 
-// Guards against a relay whose silent connections still pass bytes or ends, or whose new connections do not work.
-func TestRelaySilence(t *testing.T) {
+// Guards against a relay whose silent connections still pass bytes or ends, in the one direction that is lost too, or whose
+// new connections do not work.
+func TestRelaySilenceDropAndReset(t *testing.T) {
 	li, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	defer func() { _ = li.Close() }()
@@ -178,4 +180,16 @@
 	must.NoError(t, newTarget.SetReadDeadline(time.Now().Add(30*time.Second)))
 	_, err = newTarget.Read(make([]byte, 1))
 	must.Error(t, err)
+	caller, target = connect()
+	re.SetDrop(true, false)
+	must.False(t, passes(caller, target, 20*time.Millisecond))
+	must.True(t, passes(target, caller, 30*time.Second))
+	re.SetDrop(false, false)
+	must.False(t, passes(caller, target, 20*time.Millisecond), must.Sprint("a connection that has lost bytes stays silent"))
+	caller, target = connect()
+	must.True(t, passes(caller, target, 30*time.Second))
+	re.Reset()
+	must.NoError(t, target.SetReadDeadline(time.Now().Add(30*time.Second)))
+	_, err = target.Read(make([]byte, 1))
+	must.ErrorIs(t, err, syscall.ECONNRESET)
 }
--- a/lovagefake/relay.go
+++ b/lovagefake/relay.go
@@ -15,6 +15,7 @@
 	li      net.Listener
 	delay   atomic.Int64 // nanoseconds
 	refuse  atomic.Bool
+	drop    atomic.Pointer[relayDrop]
 	held    atomic.Pointer[chan struct{}] // closed when the bytes may pass again; nil: they pass
 	stopped chan struct{}
 	running sync.WaitGroup
@@ -23,6 +24,9 @@
 	pairs map[*relayPair]struct{}
 }
 
+// relayDrop says in which directions bytes are lost.
+type relayDrop struct{ toTarget, fromTarget bool }
+
 // relayPair is one forwarded connection.
 type relayPair struct {
 	relay          *Relay
@@ -70,6 +74,24 @@
 	}
 }
 
+// SetDrop loses the bytes of all connections in the given directions. A connection that has lost bytes passes no more in
+// that direction, also after SetDrop was called with false.
+func (re *Relay) SetDrop(toTarget, fromTarget bool) { re.drop.Store(&relayDrop{toTarget, fromTarget}) }
+
+// Reset closes the existing connections on both sides with a reset.
+func (re *Relay) Reset() {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	for pa := range re.pairs {
+		for _, co := range []net.Conn{pa.caller, pa.target} {
+			if tc, ok := co.(*net.TCPConn); ok {
+				_ = tc.SetLinger(0)
+			}
+		}
+		pa.close()
+	}
+}
+
 // SetDelay delays the bytes of each direction by d.
 func (re *Relay) SetDelay(d time.Duration) { re.delay.Store(int64(d)) }
 
@@ -139,8 +161,8 @@
 // run forwards in both directions until one side closes; a silent pair stays until the relay cuts it or both closed.
 func (pa *relayPair) run() {
 	var both sync.WaitGroup
-	both.Go(func() { pa.copy(pa.target, pa.caller) })
-	both.Go(func() { pa.copy(pa.caller, pa.target) })
+	both.Go(func() { pa.copy(pa.target, pa.caller, func(dr *relayDrop) bool { return dr.toTarget }) })
+	both.Go(func() { pa.copy(pa.caller, pa.target, func(dr *relayDrop) bool { return dr.fromTarget }) })
 	both.Wait()
 	pa.close()
 	pa.relay.mu.Lock()
@@ -148,7 +170,8 @@
 	delete(pa.relay.pairs, pa)
 }
 
-func (pa *relayPair) copy(to, from net.Conn) {
+func (pa *relayPair) copy(to, from net.Conn, drops func(*relayDrop) bool) {
+	lost := false // bytes of this direction
 	buf := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(buf)
@@ -161,7 +184,10 @@
 			}
 		}
 		pa.relay.awaitRelease()
-		if n > 0 && !pa.silent.Load() {
+		if dr := pa.relay.drop.Load(); n > 0 && dr != nil && drops(dr) {
+			lost = true
+		}
+		if n > 0 && !lost && !pa.silent.Load() {
 			if _, writeErr := to.Write(buf[:n]); writeErr != nil {
 				err = writeErr
 			}
