lovagepool, lovagefleet: offer work to other owners by speed and queue before it is refused

Cause: in the model (lovagemodel, which counts them now) half of the refusals under overload came while another owner's sound workers had room for the whole job, and under a crash of one owner's workers nearly all. Owners reported free places of all speeds, none while anything waited, and for tasks of 14 cores: six of ten loans were declined, nine of ten of these because only slow workers were free, and places that others could have used were not reported. Unchanged reports were repeated every 500 ms and relied on for 400 ms. A job was refused by its own owner's queue, however short another owner's was. Change: a report tells free places by speed, for tasks of the mean size that was seen, and the work that waits. A job is lent only to places where it is expected to be in time; before it is refused, to places of any speed; else it is passed once to an owner whose queue is short enough. Loans are of 4 tasks at most. Reports are repeated every 200 ms. The experiment plays as many loads at once as there are processors, and has two more in which one owner is worse off.

--- a/lovagefleet/control.go
+++ b/lovagefleet/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -136,5 +137,8 @@
 	duration("waitMs", de.Wait)
 	duration("leftMs", de.Left)
 	duration("expectedMs", de.Expected)
+	if strings.HasPrefix(de.Kind, "refused") {
+		fields = append(fields, zap.Int("free", de.Free), zap.Int("lendable", de.Lendable))
+	}
 	no.decisions.Decision(de.Kind, false, fields...)
 }
--- a/lovagefleet/fleet_test.go
+++ b/lovagefleet/fleet_test.go
@@ -196,16 +196,47 @@
 	}
 }
 
-// awaitRoom waits until the owners know that all twelve places are free.
+// room returns the free places that the owner of a domain knows of, its own and those of others.
+func (de *deployment) room(dc string) (own, others int) {
+	no := de.nodes[de.owner(dc)]
+	result := make(chan [2]int, 1)
+	no.post(func(now time.Time) {
+		result <- [2]int{no.pool.Standing(now, "s").FreeTasks(), no.pool.Borrowable(now, "s")}
+	})
+	got := <-result
+	return got[0], got[1]
+}
+
+// awaitRoom waits until the owners know that all twelve places are free. They learn from jobs how large tasks are; the first
+// ones may go to the other data centre, while no worker of this one is in use.
 func (de *deployment) awaitRoom() {
-	for _, dc := range []string{"east", "west"} {
-		de.await("the owners know of each other's room", 2*time.Second, func() bool {
-			no := de.nodes[de.owner(dc)]
-			result := make(chan int, 1)
-			no.post(func(now time.Time) { result <- no.pool.Borrowable(now, "s") + no.pool.Standing(now, "s").FreeTasks })
-			return <-result == 12
-		})
+	de.t.Helper()
+	de.await("the owners know of each other's room", 2*time.Second, func() bool {
+		known := true
+		for _, dc := range []string{"east", "west"} {
+			if own, others := de.room(dc); own+others != 12 {
+				an := de.nodes[de.owner(dc)].Submit(de.t.Context(), testWork(randomID(), 1, 10*time.Millisecond))
+				must.Eq(de.t, lovagepool.Completed, an.Outcome, must.Sprint(an.Reason))
+				known = false
+			}
+		}
+		return known
+	})
+}
+
+func TestIdleRoomStaysKnown(t *testing.T) {
+	// Guards against reports that become too old between two repetitions: the room of an owner whose workers are idle was
+	// unknown to the others for a fifth of the time.
+	de := deploy(t)
+	de.awaitRoom()
+	unknown, looks := 0, 0
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		looks++
+		if _, others := de.room("east"); others != 6 {
+			unknown++
+		}
 	}
+	must.Less(t, max(looks/20, 1), unknown, must.Sprintf("of %d looks", looks)) // a report may be late on a busy machine
 }
 
 func TestWideJobIsSpreadOverDataCentres(t *testing.T) {
@@ -224,6 +255,30 @@
 	test.Less(t, 550*time.Millisecond, took)
 }
 
+func TestJobsArePassedToTheOwnerWithTheShorterQueue(t *testing.T) {
+	// Guards against jobs that are refused in one data centre, or lost on their way, while another one has a shorter queue.
+	de := deploy(t)
+	de.awaitRoom()
+	var wg sync.WaitGroup
+	submit := func(id string) {
+		wg.Go(func() { de.nodes[id].Submit(t.Context(), testWork(randomID(), 3, 100*time.Millisecond)) })
+	}
+	passedOn := func() int64 {
+		return de.nodes["east-1"].counts.With("passedOn").Count() + de.nodes["east-2"].counts.With("passedOn").Count()
+	}
+	de.await("jobs are passed on", 10*time.Second, func() bool {
+		for range 4 { // 120 tasks a second in a data centre that can run 60
+			submit("east-1")
+			submit("east-2")
+		}
+		submit("west-1") // its workers are busy too
+		submit("west-1")
+		time.Sleep(150 * time.Millisecond)
+		return passedOn() > 0
+	})
+	wg.Wait() // the deployment's end checks the workers' side
+}
+
 func TestOwnerIsLost(t *testing.T) {
 	// Guards against workers without an owner after a crash: they must be in use again within 2.5 s.
 	de := deploy(t)
--- a/lovagefleet/peer.go
+++ b/lovagefleet/peer.go
@@ -18,17 +18,20 @@
 const (
 	// standingInterval is how often an owner tells other owners how full it is.
 	standingInterval = 50 * time.Millisecond
+	// repeatInterval is how often owners are told of what has not changed, so that one report may be lost.
+	repeatInterval = lovagepool.StandingAge / 2
 	// memberInterval is how often the other instances are told.
 	memberInterval = 500 * time.Millisecond
 )
 
 // peerServices is the last report of a peer, by service.
-type peerServices map[string]*lovagemessage.ServiceStanding
+type peerServices map[string]lovagepool.Standing
 
 // sentStanding is what was last sent, so that an unchanged report is repeated less often.
 type sentStanding struct {
 	services map[string]lovagepool.Standing
-	at       time.Time
+	at       time.Time // to all
+	ownersAt time.Time // to the other owners
 }
 
 // Handle serves the requests of other instances.
@@ -136,12 +139,11 @@
 
 func (no *Node) serveStanding(from string, st *lovagemessage.Standing) {
 	services := peerServices{}
-	free := map[string]int{}
+	lender := map[string]lovagepool.Standing{}
 	for _, se := range st.GetServices() {
-		services[se.GetService()] = se
-		free[se.GetService()] = int(se.GetFreeTasks())
-		if se.GetQueuedTasks() > 0 || st.GetLeaving() {
-			free[se.GetService()] = 0
+		services[se.GetService()] = standingOf(se)
+		if !st.GetLeaving() {
+			lender[se.GetService()] = standingOf(se) // a copy, which the pool changes
 		}
 	}
 	no.peers.Store(from, services)
@@ -158,8 +160,8 @@
 		go no.askConfiguration(address)
 	}
 	no.post(func(now time.Time) {
-		if len(free) > 0 {
-			no.pool.SetLender(now, from, free)
+		if len(lender) > 0 {
+			no.pool.SetLender(now, from, lender)
 		} else {
 			no.pool.DropLender(from)
 		}
@@ -195,7 +197,8 @@
 	}
 }
 
-// sendStanding sends an owner's report to the other owners when it has changed, and to everyone now and then.
+// sendStanding sends an owner's report to the other owners when it has changed or is about to be too old, and to everyone now
+// and then.
 func (no *Node) sendStanding(now time.Time) {
 	if len(no.fences) == 0 {
 		no.ownStanding.Store(nil)
@@ -208,10 +211,11 @@
 		}
 	}
 	toAll := now.Sub(no.standing.at) >= memberInterval
-	if !toAll && maps.Equal(services, no.standing.services) {
+	if !toAll && now.Sub(no.standing.ownersAt) < repeatInterval &&
+		maps.EqualFunc(services, no.standing.services, lovagepool.Standing.Equal) {
 		return
 	}
-	no.standing.services = services
+	no.standing.services, no.standing.ownersAt = services, now
 	no.ownStanding.Store(&services)
 	if toAll {
 		no.standing.at = now
@@ -221,9 +225,7 @@
 		Address: no.self.Address, ConfigurationVersion: no.version(),
 	}
 	for name, se := range services {
-		st.Services = append(st.Services, &lovagemessage.ServiceStanding{
-			Service: name, FreeTasks: int32(se.FreeTasks), QueuedTasks: int32(se.QueuedTasks), Workers: int32(se.Workers),
-		})
+		st.Services = append(st.Services, standingMessage(name, se))
 	}
 	for name, fence := range no.fences {
 		if no.takenHanding(name) == nil {
@@ -235,6 +237,27 @@
 	}
 }
 
+// standingMessage returns the message about a service; standingOf is its inverse.
+func standingMessage(service string, sd lovagepool.Standing) *lovagemessage.ServiceStanding {
+	ss := &lovagemessage.ServiceStanding{
+		Service: service, Workers: int32(sd.Workers), Rate: sd.Rate, BacklogMicros: sd.Backlog.Microseconds(),
+	}
+	for _, pl := range sd.Free {
+		ss.Free = append(ss.Free, &lovagemessage.FreePlaces{Factor: pl.Factor, Tasks: int32(pl.Tasks)})
+	}
+	return ss
+}
+
+func standingOf(ss *lovagemessage.ServiceStanding) lovagepool.Standing {
+	sd := lovagepool.Standing{
+		Workers: int(ss.GetWorkers()), Rate: ss.GetRate(), Backlog: time.Duration(ss.GetBacklogMicros()) * time.Microsecond,
+	}
+	for _, fp := range ss.GetFree() {
+		sd.Free = append(sd.Free, lovagepool.Places{Factor: fp.GetFactor(), Tasks: int(fp.GetTasks())})
+	}
+	return sd
+}
+
 // standingTargets returns the addresses of the other owners, or of all peers.
 func (no *Node) standingTargets(all bool) []string {
 	var list []string
@@ -282,9 +305,9 @@
 	}
 	ctx, cancel := context.WithDeadline(no.ctx, cm.Work.Deadline.Add(answerSlack))
 	defer cancel()
-	resp, err := no.mesh.Call(ctx, address.(string), &lovagemessage.Request{
-		Body: &lovagemessage.Request_Place{Place: placeMessage(cm.Ref, cm.Work, cm.Tasks)},
-	})
+	pl := placeMessage(cm.Ref, cm.Work, cm.Tasks)
+	pl.AnySpeed = cm.AnySpeed
+	resp, err := no.mesh.Call(ctx, address.(string), &lovagemessage.Request{Body: &lovagemessage.Request_Place{Place: pl}})
 	notSent := errors.Is(err, lovagepeer.ErrNotSent)
 	ends := finishOf(resp.GetPlace()).Lent
 	if err != nil && !notSent {
@@ -375,7 +398,7 @@
 		}
 		wo.Steps = append(wo.Steps, st)
 	}
-	jo := &lovagepool.Job{Ref: pl.GetRef(), Work: wo}
+	jo := &lovagepool.Job{Ref: pl.GetRef(), Work: wo, AnySpeed: pl.GetAnySpeed(), PassedOn: pl.GetPassedOn()}
 	for _, lt := range pl.GetLent() {
 		jo.Lent = append(jo.Lent, lovagepool.LentTask{
 			Step: int(lt.GetStep()), Index: int(lt.GetIndex()), Attempt: int(lt.GetAttempt()),
@@ -386,7 +409,7 @@
 
 func replyOf(fi lovagepool.Finish) *lovagemessage.PlaceReply {
 	pr := &lovagemessage.PlaceReply{
-		Outcome: string(fi.Outcome), Reason: fi.Reason, RetryMillis: fi.RetryIn.Milliseconds(),
+		Outcome: string(fi.Outcome), Reason: fi.Reason, RetryMillis: fi.RetryIn.Milliseconds(), To: fi.To,
 	}
 	for _, en := range fi.Lent {
 		pr.Ends = append(pr.Ends, &lovagemessage.LentEnd{
@@ -399,7 +422,7 @@
 func finishOf(pr *lovagemessage.PlaceReply) lovagepool.Finish {
 	fi := lovagepool.Finish{
 		Outcome: lovagepool.Outcome(pr.GetOutcome()), Reason: pr.GetReason(),
-		RetryIn: time.Duration(pr.GetRetryMillis()) * time.Millisecond,
+		RetryIn: time.Duration(pr.GetRetryMillis()) * time.Millisecond, To: pr.GetTo(),
 	}
 	for _, en := range pr.GetEnds() {
 		fi.Lent = append(fi.Lent, lovagepool.LentEnd{
--- a/lovagefleet/route.go
+++ b/lovagefleet/route.go
@@ -61,10 +61,15 @@
 	defer cancel()
 	until := time.Now().Add(ownerWait)
 	failed := map[string]bool{}
+	passedOn, to := false, ""
 	for {
-		ow, ok := no.chooseOwner(wo.Service, failed)
+		ow, ok := no.ownerNamed(to)
+		if !ok {
+			ow, ok = no.chooseOwner(wo.Service, failed)
+		}
+		to = ""
 		if ok {
-			fi, err := no.submitTo(ctx, ow, wo)
+			fi, err := no.submitTo(ctx, ow, wo, passedOn)
 			switch {
 			case errors.Is(err, lovagepeer.ErrNotSent):
 				no.count("placeNotSent")
@@ -72,6 +77,10 @@
 			case err != nil:
 				no.count("placeUnknown")
 				return Answer{Outcome: lovagepool.Unknown, Reason: "the owner of the workers has been lost: " + err.Error()}, ow.ID
+			case fi.Outcome == lovagepool.Moved && fi.To != "":
+				no.count("passedOn")
+				passedOn, to, until = true, fi.To, time.Now().Add(ownerWait)
+				continue
 			case fi.Outcome == lovagepool.Moved:
 				no.count("placeMoved")
 			default:
@@ -124,30 +133,43 @@
 	return best, found
 }
 
+// ownerNamed returns an owner that another one has named, if it can be reached.
+func (no *Node) ownerNamed(id string) (ownerRef, bool) {
+	if id == "" {
+		return ownerRef{}, false
+	}
+	if id == no.self.ID {
+		return ownerRef{ID: id, self: true}, !no.moved.Load()
+	}
+	address, ok := no.addresses.Load(id)
+	if !ok || !no.mesh.Connected(address.(string)) {
+		return ownerRef{}, false
+	}
+	return ownerRef{ID: id, Address: address.(string)}, true
+}
+
 // room returns the free places and the usable workers of an owner, by its last report.
 func (no *Node) room(ow ownerRef, service string) (free, workers int) {
+	var sd lovagepool.Standing
 	if ow.self {
 		if own := no.ownStanding.Load(); own != nil {
-			return (*own)[service].FreeTasks, (*own)[service].Workers
+			sd = (*own)[service]
 		}
-		return 0, 0
+	} else if services, ok := no.peers.Load(ow.ID); ok {
+		sd = services.(peerServices)[service]
 	}
-	if services, ok := no.peers.Load(ow.ID); ok {
-		st := services.(peerServices)[service] // nil has neither
-		return int(st.GetFreeTasks()), int(st.GetWorkers())
-	}
-	return 0, 0
+	return sd.FreeTasks(), sd.Workers
 }
 
 // submitTo passes a job to an owner. After ErrNotSent the owner has not got it; after another error it may have.
-func (no *Node) submitTo(ctx context.Context, ow ownerRef, wo *lovagejob.Work) (lovagepool.Finish, error) {
+func (no *Node) submitTo(ctx context.Context, ow ownerRef, wo *lovagejob.Work, passedOn bool) (lovagepool.Finish, error) {
 	ref := no.newRef()
 	if ow.self {
-		return no.submitLocal(ctx, &lovagepool.Job{Ref: ref, Work: wo})
+		return no.submitLocal(ctx, &lovagepool.Job{Ref: ref, Work: wo, PassedOn: passedOn})
 	}
-	resp, err := no.mesh.Call(ctx, ow.Address, &lovagemessage.Request{
-		Body: &lovagemessage.Request_Place{Place: placeMessage(ref, wo, nil)},
-	})
+	pl := placeMessage(ref, wo, nil)
+	pl.PassedOn = passedOn
+	resp, err := no.mesh.Call(ctx, ow.Address, &lovagemessage.Request{Body: &lovagemessage.Request_Place{Place: pl}})
 	if err != nil {
 		if !errors.Is(err, lovagepeer.ErrNotSent) {
 			go no.withdrawFrom(ow.Address, ref)
--- a/lovagejob/work.go
+++ b/lovagejob/work.go
@@ -27,6 +27,23 @@
 	return Room{ro.MilliCores - ot.MilliCores, ro.MemoryMB - ot.MemoryMB, ro.Accelerators - ot.Accelerators}
 }
 
+// Holds returns how many times unit fits in, or 1 for an empty unit.
+func (ro Room) Holds(unit Room) int {
+	n, bounded := int64(0), false
+	for _, part := range [][2]int64{{ro.MilliCores, unit.MilliCores}, {ro.MemoryMB, unit.MemoryMB}, {ro.Accelerators, unit.Accelerators}} {
+		if part[1] <= 0 {
+			continue
+		}
+		if times := max(part[0], 0) / part[1]; !bounded || times < n {
+			n, bounded = times, true
+		}
+	}
+	if !bounded {
+		return 1
+	}
+	return int(n)
+}
+
 // Step is a group of equal tasks of a Work.
 type Step struct {
 	Count          int
--- a/lovagemodel/experiment.go
+++ b/lovagemodel/experiment.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"runtime"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // Scenario is a load with a name.
@@ -24,7 +27,7 @@
 	fault := func(kind FaultKind, share float64) func(lo *Load) {
 		return func(lo *Load) {
 			lo.GiveUp = 0.1
-			lo.Faults = []Fault{{kind, 5 * time.Second, 6 * time.Second, share}, {kind, 18 * time.Second, 6 * time.Second, share}}
+			lo.Faults = []Fault{{kind, 5 * time.Second, 6 * time.Second, share, false}, {kind, 18 * time.Second, 6 * time.Second, share, false}}
 		}
 	}
 	burst := func(factor float64, class string) func(lo *Load) {
@@ -48,22 +51,28 @@
 		{"crash", with(1, fault(FaultCrash, 0.14))},
 		{"silent", with(1, fault(FaultSilent, 0.17))},
 		{"late", with(1, fault(FaultLate, 0.1))},
+		{"crash at one owner", with(0.9, func(lo *Load) {
+			lo.Faults = []Fault{{FaultCrash, 4 * time.Second, 20 * time.Second, 0.6, true}}
+		})},
+		{"slow at one owner", with(0.9, func(lo *Load) {
+			lo.Faults = []Fault{{FaultSlow, 4 * time.Second, 20 * time.Second, 0.5, true}}
+		})},
 	}
 }
 
 // Experiment plays each scenario with seeds 0 to seeds-1 and writes a table: the share of the worth that was earned, over
 // all and in the worst class, and per class the shares of jobs in time, late, refused, and refused after more than a
-// quarter of their time. It returns the mean of the first column and the number of violations.
+// quarter of their time, and refused while there was room. It returns the mean of the first column and the number of violations.
 func Experiment(wr io.Writer, list []Scenario, seeds int) (mean float64, violations int, err error) {
 	if _, err := fmt.Fprintf(wr, "%-20s %7s %7s  %s\n", "scenario", "earned", "worst",
-		"class: in time, late, refused, of these held, other %"); err != nil {
+		"class: in time, late, refused, of these held and with room, other %"); err != nil {
 		return 0, 0, err
 	}
-	for _, sc := range list {
+	plays := playAll(list, seeds)
+	for i, sc := range list {
 		sum, worst := 0.0, 0.0
 		total := make([]ClassResult, len(sc.Load.Classes))
-		for seed := range seeds {
-			re := Play(sc.Load, uint64(seed))
+		for _, re := range plays[i] {
 			sum += re.Served()
 			worst += re.Worst()
 			violations += len(re.Violations)
@@ -75,14 +84,15 @@
 				to.Late += cr.Late
 				to.Refused += cr.Refused
 				to.HeldRefused += cr.HeldRefused
+				to.RefusedFree += cr.RefusedFree
 				to.Bad += cr.Bad
 			}
 		}
 		line := fmt.Sprintf("%-20s %7.3f %7.3f ", sc.Name, sum/float64(seeds), worst/float64(seeds))
 		for _, cr := range total {
 			pc := func(n int) float64 { return 100 * float64(n) / float64(max(cr.Asked, 1)) }
-			line += fmt.Sprintf(" %s: %4.1f %4.1f %4.1f %4.1f %4.1f ", cr.Name, pc(cr.InTime), pc(cr.Late), pc(cr.Refused),
-				pc(cr.HeldRefused), pc(cr.Bad))
+			line += fmt.Sprintf(" %s: %4.1f %4.1f %4.1f %4.1f %4.1f %4.1f ", cr.Name, pc(cr.InTime), pc(cr.Late), pc(cr.Refused),
+				pc(cr.HeldRefused), pc(cr.RefusedFree), pc(cr.Bad))
 		}
 		if _, err := fmt.Fprintln(wr, line); err != nil {
 			return 0, 0, err
@@ -92,3 +102,21 @@
 	_, err = fmt.Fprintf(wr, "%-20s %7.4f         %d violations\n", "mean", mean, violations)
 	return mean, violations, err
 }
+
+// playAll plays each scenario with each seed, as many at once as there are processors.
+func playAll(list []Scenario, seeds int) [][]Result {
+	plays := make([][]Result, len(list))
+	var gr errgroup.Group
+	gr.SetLimit(runtime.GOMAXPROCS(0))
+	for i, sc := range list {
+		plays[i] = make([]Result, seeds)
+		for seed := range seeds {
+			gr.Go(func() error {
+				plays[i][seed] = Play(sc.Load, uint64(seed))
+				return nil
+			})
+		}
+	}
+	_ = gr.Wait() // plays return no errors
+	return plays
+}
--- a/lovagemodel/machine.go
+++ b/lovagemodel/machine.go
@@ -204,7 +204,10 @@
 
 // strike begins a fault at a share of the workers.
 func (pl *play) strike(fa Fault) {
-	for _, ow := range pl.owners {
+	for i, ow := range pl.owners {
+		if fa.First && i > 0 {
+			break
+		}
 		for _, ma := range ow.list {
 			if pl.rng.Float64() >= fa.Share || pl.now.Before(ma.until) {
 				continue
--- a/lovagemodel/model.go
+++ b/lovagemodel/model.go
@@ -20,6 +20,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"lovagestack/lovagejob"
@@ -44,6 +45,7 @@
 	At    time.Duration
 	For   time.Duration
 	Share float64 // of the workers
+	First bool    // only those of the first owner
 }
 
 // FaultKind names a trouble.
@@ -304,8 +306,8 @@
 		pl.after(jr.goal/2, func() {
 			if !jr.answered {
 				jr.answered = true
-				ow.pool.Cancel(pl.now, id)
-				ow.carryOut()
+				jr.owner.pool.Cancel(pl.now, id)
+				jr.owner.carryOut()
 			}
 		})
 	}
@@ -327,13 +329,13 @@
 	ow.pool.Tick(pl.now)
 	ow.carryOut()
 	sd := ow.pool.Standing(pl.now, "service")
-	free := sd.FreeTasks
-	if sd.QueuedTasks > 0 {
-		free = 0
-	}
 	for _, ot := range pl.owners {
 		if ot != ow {
-			pl.after(lendTime, func() { ot.pool.SetLender(pl.now, ow.id, map[string]int{"service": free}) })
+			report := sd
+			report.Free = slices.Clone(sd.Free)
+			pl.after(lendTime, func() {
+				ot.pool.SetLender(pl.now, ow.id, map[string]lovagepool.Standing{"service": report})
+			})
 		}
 	}
 	pl.after(stepTime, ow.tick)
@@ -379,7 +381,7 @@
 	ot := pl.ownerNamed(cm.Lender)
 	ot.lent[cm.Ref] = ow
 	pl.after(lendTime, func() {
-		ot.pool.Submit(pl.now, &lovagepool.Job{Ref: cm.Ref, Work: cm.Work, Lent: cm.Tasks})
+		ot.pool.Submit(pl.now, &lovagepool.Job{Ref: cm.Ref, Work: cm.Work, Lent: cm.Tasks, AnySpeed: cm.AnySpeed})
 		ot.carryOut()
 	})
 }
@@ -399,9 +401,40 @@
 	if jr == nil || jr.answered {
 		return
 	}
+	if to := pl.ownerNamed(fi.To); to != nil {
+		pl.after(lendTime, func() {
+			jr.owner = to
+			to.pool.Submit(pl.now, &lovagepool.Job{Ref: fi.Ref, Work: jr.work, PassedOn: true})
+			to.carryOut()
+		})
+		return
+	}
 	jr.answered = true
 	if fi.Outcome == lovagepool.NotRun && jr.begun {
 		pl.res.violate("job %s was said not to have run, and a task had started", fi.Ref)
 	}
 	pl.res.count(jr, fi.Outcome, pl.now, pl.start)
+	if fi.Outcome == lovagepool.NotRun && pl.roomFor(jr.work) && jr.arrived.Sub(pl.start) >= warmUp {
+		pl.res.Classes[jr.class].RefusedFree++
+	}
+}
+
+// roomFor reports whether the sound workers of all owners have room for all tasks of a job now.
+func (pl *play) roomFor(wo *lovagejob.Work) bool {
+	tasks, room := wo.Tasks(), wo.Steps[0].Room
+	for _, ow := range pl.owners {
+		for _, ma := range ow.list {
+			if pl.now.Before(ma.until) {
+				continue
+			}
+			used := room
+			for _, ru := range ma.runs {
+				used = used.Plus(ru.room)
+			}
+			for ; tasks > 0 && used.Fits(ma.Capacity); used = used.Plus(room) {
+				tasks--
+			}
+		}
+	}
+	return tasks == 0
 }
--- a/lovagemodel/result.go
+++ b/lovagemodel/result.go
@@ -21,6 +21,7 @@
 	Owed, Earned                      float64
 	Response                          []time.Duration // of answers in time or late; sorted
 	HeldRefused                       int             // refused after more than a quarter of the goal
+	RefusedFree                       int             // refused while sound workers had room for the whole job
 }
 
 // Result is what a play gave.
--- a/lovagepool/estimate.go
+++ b/lovagepool/estimate.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"lovagestack/lovagejob"
 )
 
 const (
@@ -45,6 +47,41 @@
 	sp.log += (sample - sp.log) * math.Max(weight, 1/float64(sp.samples))
 }
 
+// meanRoom is the mean room of the tasks of a service, over its last jobs.
+type meanRoom struct{ milliCores, memoryMB, accelerators float64 }
+
+func (mr *meanRoom) add(ro lovagejob.Room) {
+	weight := speedWeight
+	if *mr == (meanRoom{}) {
+		weight = 1
+	}
+	mr.milliCores += (float64(ro.MilliCores) - mr.milliCores) * weight
+	mr.memoryMB += (float64(ro.MemoryMB) - mr.memoryMB) * weight
+	mr.accelerators += (float64(ro.Accelerators) - mr.accelerators) * weight
+}
+
+// noteRoom takes the size of a job's tasks.
+func (po *Pool) noteRoom(jo *Job) {
+	mr := po.rooms[jo.Work.Service]
+	if mr == nil {
+		mr = &meanRoom{}
+		po.rooms[jo.Work.Service] = mr
+	}
+	mr.add(jo.Work.Steps[0].Room)
+}
+
+// usualRoom returns the mean room of a service's tasks, or an empty one if no job has been seen.
+func (po *Pool) usualRoom(service string) lovagejob.Room {
+	mr := po.rooms[service]
+	if mr == nil {
+		return lovagejob.Room{}
+	}
+	return lovagejob.Room{
+		MilliCores: int64(math.Round(mr.milliCores)), MemoryMB: int64(math.Round(mr.memoryMB)),
+		Accelerators: int64(math.Round(mr.accelerators)),
+	}
+}
+
 // loadTime is the time over which arriving work is averaged.
 const loadTime = 2 * time.Second
 
--- a/lovagepool/lend.go
+++ b/lovagepool/lend.go
@@ -1,22 +1,26 @@
 package lovagepool
 
 import (
+	"math"
 	"slices"
 	"strconv"
 	"time"
 )
 
 const (
-	// standingAge is how old the report of another owner may be for its free room to be relied on.
-	standingAge = 400 * time.Millisecond
+	// StandingAge is how old the report of another owner may be for its free room to be relied on.
+	StandingAge = 400 * time.Millisecond
+	// passOnShare is the share of the time that is left for a job that another owner may need before it starts it: its report
+	// is some time old, and the job has to get there.
+	passOnShare = 0.8
 	// maxLoan bounds the tasks of one loan, so that one report is not used up at once by a job that may be declined.
-	maxLoan = 16
+	maxLoan = 4
 )
 
 // lender is another owner of workers with its last report.
 type lender struct {
 	id       string
-	free     map[string]int // by service
+	services map[string]Standing
 	reported time.Time
 }
 
@@ -27,9 +31,60 @@
 	tasks  []*task
 }
 
-// SetLender takes the report of another owner: how many tasks of each service it could start now.
-func (po *Pool) SetLender(now time.Time, id string, free map[string]int) {
-	po.lenders[id] = &lender{id: id, free: free, reported: now}
+// fit returns how many tasks could start on workers that are not slower than given.
+func (le *lender) fit(service string, slowest float64) int {
+	n := 0
+	for _, pl := range le.services[service].Free {
+		if pl.Factor <= slowest {
+			n += pl.Tasks
+		}
+	}
+	return n
+}
+
+// take uses up places, the fastest first, as the lender does.
+func (le *lender) take(service string, n int) {
+	list := le.services[service].Free
+	for i := range list {
+		used := min(n, list[i].Tasks)
+		list[i].Tasks -= used
+		n -= used
+	}
+}
+
+func (le *lender) setFree(service string, free []Places) {
+	sd := le.services[service]
+	sd.Free = free
+	le.services[service] = sd
+}
+
+// passOn returns another owner whose workers are expected to start a job in time, and notes that they have more to do then.
+func (po *Pool) passOn(now time.Time, jo *Job, left time.Duration) string {
+	service := jo.Work.Service
+	var best *lender
+	var shortest time.Duration
+	for _, le := range po.lenders {
+		sd := le.services[service]
+		if sd.Rate <= 0 || now.Sub(le.reported) > StandingAge {
+			continue
+		}
+		wait := sd.Backlog + time.Duration(jo.remaining()/sd.Rate*float64(time.Second))
+		if best == nil || wait < shortest || wait == shortest && le.id < best.id {
+			best, shortest = le, wait
+		}
+	}
+	if best == nil || float64(shortest) > passOnShare*float64(left) {
+		return ""
+	}
+	sd := best.services[service]
+	sd.Backlog = shortest
+	best.services[service] = sd
+	return best.id
+}
+
+// SetLender takes the report of another owner, by service. The pool keeps and changes it.
+func (po *Pool) SetLender(now time.Time, id string, services map[string]Standing) {
+	po.lenders[id] = &lender{id: id, services: services, reported: now}
 	po.dirty = po.dirty || len(po.queue) > 0
 }
 
@@ -45,36 +100,54 @@
 		if jo.Lent != nil || jo.ended || jo.waiting == 0 {
 			continue
 		}
+		slowest := po.slowestInTime(now, jo)
 		for jo.waiting > 0 {
-			le := po.bestLender(now, jo.Work.Service)
-			if le == nil {
-				return
-			}
-			if !po.lend(jo, le) {
+			le := po.bestLender(now, jo.Work.Service, slowest)
+			if le == nil || !po.lend(jo, le, slowest, false) {
 				break
 			}
 		}
 	}
 }
 
-func (po *Pool) bestLender(now time.Time, service string) *lender {
+// slowestInTime returns the largest factor of a worker on which a job is started: the largest on which it is expected to be in
+// time, and any if it would be late on the fastest worker too.
+func (po *Pool) slowestInTime(now time.Time, jo *Job) float64 {
+	left := jo.goal.Sub(now)
+	if left <= time.Duration(float64(jo.runTime)*po.fastest(now, jo.Work.Service)) {
+		return math.Inf(1)
+	}
+	return float64(left) / (lateMargin * float64(jo.runTime))
+}
+
+func (po *Pool) bestLender(now time.Time, service string, slowest float64) *lender {
 	var best *lender
+	most := 0
 	for _, le := range po.lenders {
-		if now.Sub(le.reported) > standingAge || le.free[service] <= 0 {
+		if now.Sub(le.reported) > StandingAge {
 			continue
 		}
-		if best == nil || le.free[service] > best.free[service] ||
-			le.free[service] == best.free[service] && le.id < best.id {
-			best = le
+		if n := le.fit(service, slowest); n > most || n > 0 && n == most && le.id < best.id {
+			best, most = le, n
 		}
 	}
 	return best
 }
 
-// lend asks the other owner to run waiting tasks of the job.
-func (po *Pool) lend(jo *Job, le *lender) bool {
+// lendAll gives all waiting tasks of a job to owners that have free places of any speed.
+func (po *Pool) lendAll(now time.Time, jo *Job) {
+	for jo.waiting > 0 {
+		le := po.bestLender(now, jo.Work.Service, math.Inf(1))
+		if le == nil || !po.lend(jo, le, math.Inf(1), true) {
+			return
+		}
+	}
+}
+
+// lend asks the other owner to run waiting tasks of the job, on a worker of any speed if anySpeed is set.
+func (po *Pool) lend(jo *Job, le *lender, slowest float64, anySpeed bool) bool {
 	lo := &loan{lender: le.id, job: jo}
-	most := min(le.free[jo.Work.Service], maxLoan)
+	most := min(le.fit(jo.Work.Service, slowest), maxLoan)
 	var list []LentTask
 	for _, ta := range jo.tasks {
 		if len(list) == most {
@@ -92,13 +165,13 @@
 	if len(list) == 0 {
 		return false
 	}
-	le.free[jo.Work.Service] -= len(list)
+	le.take(jo.Work.Service, len(list))
 	po.nextLoan++
 	ref := jo.Ref + "/" + strconv.Itoa(po.nextLoan)
 	po.lent[ref] = lo
 	jo.begun += len(list)
 	po.Counts["tasksLent"] += int64(len(list))
-	po.emit(Lend{Lender: le.id, Ref: ref, Work: jo.Work, Tasks: list})
+	po.emit(Lend{Lender: le.id, Ref: ref, Work: jo.Work, Tasks: list, AnySpeed: anySpeed})
 	return true
 }
 
@@ -129,7 +202,7 @@
 		if how == HowDeclined || notSent {
 			declined = true
 			if le := po.lenders[lo.lender]; le != nil {
-				le.free[lo.job.Work.Service] = 0
+				le.setFree(lo.job.Work.Service, nil)
 			}
 		}
 		po.taskEnded(now, ta, how)
@@ -164,7 +237,7 @@
 
 // placeLent starts all tasks of another owner's job at once, or declines them.
 func (po *Pool) placeLent(now time.Time, jo *Job) {
-	if !po.startAll(now, jo, true) {
+	if !po.startAll(now, jo, !jo.AnySpeed) {
 		po.decide(Decision{Kind: "loanDeclined", Job: jo.Work.ID, Reason: "no free room"})
 		po.finish(jo, NotRun, "no free room", 0)
 	}
@@ -174,8 +247,8 @@
 func (po *Pool) Borrowable(now time.Time, service string) int {
 	n := 0
 	for _, le := range po.lenders {
-		if now.Sub(le.reported) <= standingAge {
-			n += max(le.free[service], 0)
+		if now.Sub(le.reported) <= StandingAge {
+			n += le.fit(service, math.Inf(1))
 		}
 	}
 	return n
--- a/lovagepool/place.go
+++ b/lovagepool/place.go
@@ -141,8 +141,25 @@
 }
 
 // startAll starts all ready tasks of a job, or none if there is no room for all of them. With selective false, slow
-// workers are not passed over.
+// workers are not passed over, and tasks for which there is no room here are lent.
 func (po *Pool) startAll(now time.Time, jo *Job, selective bool) bool {
+	tasks, chosen := po.chooseAll(now, jo, selective)
+	elsewhere := 0
+	if !selective && jo.Lent == nil {
+		elsewhere = po.Borrowable(now, jo.Work.Service)
+	}
+	if len(tasks)+elsewhere < jo.waiting {
+		return false
+	}
+	for i, ta := range tasks {
+		po.start(now, ta, chosen[i])
+	}
+	po.lendAll(now, jo)
+	return true
+}
+
+// chooseAll returns ready tasks of a job for which there is room, with their workers.
+func (po *Pool) chooseAll(now time.Time, jo *Job, selective bool) ([]*task, []*worker) {
 	var tasks []*task
 	var chosen []*worker
 	for _, ta := range jo.tasks {
@@ -159,13 +176,7 @@
 	for i, ta := range tasks {
 		chosen[i].used = chosen[i].used.Minus(jo.Work.Steps[ta.step].Room)
 	}
-	if len(tasks) == 0 || len(tasks) < jo.waiting {
-		return false
-	}
-	for i, ta := range tasks {
-		po.start(now, ta, chosen[i])
-	}
-	return true
+	return tasks, chosen
 }
 
 // choose returns the worker on which the task is expected to end first. If selective is set, a slow worker is passed over
@@ -290,8 +301,14 @@
 			reason = "an answer would be too late to be of use"
 		}
 		if reason != "" && !po.startAll(now, jo, false) { // never refused while there is room for it
+			if to := po.passOn(now, jo, left); !jo.PassedOn && to != "" {
+				po.moveTo(now, jo, to)
+				ahead[service] -= own
+				continue
+			}
 			po.decide(Decision{
 				Kind: "refusedHopeless", Job: jo.Work.ID, Reason: reason, Age: age, Wait: wait, Left: left, Expected: run,
+				Free: po.Standing(now, service).FreeTasks(), Lendable: po.Borrowable(now, service),
 			})
 			po.finish(jo, NotRun, reason, max(wait-left, minRetry))
 			ahead[service] -= own
--- a/lovagepool/pool.go
+++ b/lovagepool/pool.go
@@ -59,6 +59,10 @@
 	Ref  string // unique per submission
 	Work *lovagejob.Work
 	Lent []LentTask // only these tasks, now or never; nil: the whole job
+	// AnySpeed lets lent tasks start on workers on which the job will be late.
+	AnySpeed bool
+	// PassedOn says that another owner had no room for it; it is not passed on again.
+	PassedOn bool
 
 	tasks     []*task
 	byStep    [][]*task
@@ -118,6 +122,8 @@
 	Wait     time.Duration // expected until the start
 	Left     time.Duration // until the latest start that is in time
 	Expected time.Duration // run time
+	Free     int           // of a refusal: places for tasks of usual size on the own workers
+	Lendable int           // of a refusal: such places that other owners have reported
 }
 
 // decide counts a decision and reports it.
@@ -152,6 +158,7 @@
 	Outcome Outcome
 	Reason  string
 	RetryIn time.Duration // with NotRun: when callers should come back
+	To      string        // with Moved: the owner that is expected to have room; empty: any
 	Lent    []LentEnd     // for lent jobs, in the order of Job.Lent
 }
 
@@ -161,6 +168,8 @@
 	Ref    string
 	Work   *lovagejob.Work
 	Tasks  []LentTask
+	// AnySpeed says that a late answer is better than none.
+	AnySpeed bool
 }
 
 // Recall cancels an earlier Lend.
@@ -194,6 +203,7 @@
 	byID      map[string]*Job // whole jobs, by the caller's ID
 	queue     []*Job          // with tasks that are ready
 	classes   map[string]*class
+	rooms     map[string]*meanRoom // of the tasks of a service
 	kinds     map[string]*speed
 	lenders   map[string]*lender
 	lent      map[string]*loan
@@ -210,7 +220,7 @@
 func New(se Settings) *Pool {
 	return &Pool{
 		se: se, workers: map[string]*worker{}, jobs: map[string]*Job{}, byID: map[string]*Job{}, classes: map[string]*class{},
-		kinds: map[string]*speed{}, lenders: map[string]*lender{}, lent: map[string]*loan{}, Counts: map[string]int64{},
+		rooms: map[string]*meanRoom{}, kinds: map[string]*speed{}, lenders: map[string]*lender{}, lent: map[string]*loan{}, Counts: map[string]int64{},
 		withdrawn: map[string]time.Time{},
 	}
 }
--- a/lovagepool/pool_test.go
+++ b/lovagepool/pool_test.go
@@ -411,24 +411,6 @@
 	must.True(t, slices.Contains(be.commands(), "finish a unknown"))
 }
 
-func TestEndOfALentRunIsNotToldBeforeItIsCertain(t *testing.T) {
-	// Guards against a task that runs twice: at the deadline the lender called running tasks declined, and the borrower,
-	// whose clock was a moment behind, started them again.
-	be := newBench(t, testWorker("w1", 32000))
-	wo := be.work("a", 2, 14000)
-	wo.Deadline = be.now.Add(300 * time.Millisecond)
-	be.po.Submit(be.now, &Job{Ref: "x", Work: wo, Lent: []LentTask{{0, 0, 1}, {0, 1, 1}}})
-	must.Eq(t, []string{"start w1 a.0.0.0 1", "start w1 a.0.0.1 1"}, be.commands())
-	be.started("w1", "a.0.0.0", 1)
-	be.started("w1", "a.0.0.1", 1)
-	be.pass(340 * time.Millisecond)
-	must.Eq(t, []string{"stop w1 a.0.0.0 1", "stop w1 a.0.0.1 1"}, be.commands())
-	be.ended("w1", "a.0.0.0", 1, HowStopped)
-	must.SliceEmpty(t, be.commands())
-	be.ended("w1", "a.0.0.1", 1, HowDone)
-	must.Eq(t, []string{"finish x completed"}, be.commands())
-}
-
 func TestNothingStartsAfterTheDeadline(t *testing.T) {
 	// Guards against starts for a caller whose time is over, between its deadline and the next tick.
 	be := newBench(t, testWorker("w1", 14000))
@@ -439,54 +421,6 @@
 	must.Eq(t, []string{"finish a unknown"}, be.commands())
 }
 
-func TestLending(t *testing.T) {
-	cases := []struct {
-		name  string
-		event func(be *bench)
-		want  []string
-	}{
-		{"done", func(be *bench) {
-			be.po.LentEnded(be.now, "a/1", []LentEnd{{LentTask{0, 1, 1}, HowDone}}, true, false)
-			be.ended("w1", "a.0.0.0", 1, HowDone)
-		}, []string{"finish a completed"}},
-		{"declined", func(be *bench) {
-			be.po.LentEnded(be.now, "a/1", nil, true, false)
-			be.ended("w1", "a.0.0.0", 1, HowDone)
-		}, []string{"start w1 a.0.0.1 1"}},
-		{"nothing known", func(be *bench) {
-			be.po.LentEnded(be.now, "a/1", nil, false, false)
-			be.ended("w1", "a.0.0.0", 1, HowDone)
-		}, nil},
-		{"nothing known until all leases are over", func(be *bench) {
-			be.po.LentEnded(be.now, "a/1", nil, false, false)
-			be.ended("w1", "a.0.0.0", 1, HowDone)
-			be.pass(1200 * time.Millisecond)
-		}, []string{"start w1 a.0.0.1 2"}},
-		{"cancelled", func(be *bench) { be.po.Cancel(be.now, "a") }, []string{"stop w1 a.0.0.0 1", "recall other"}},
-	}
-	for _, ca := range cases {
-		t.Run(ca.name, func(t *testing.T) {
-			be := newBench(t, testWorker("w1", 14000))
-			be.po.SetLender(be.now, "other", map[string]int{"checks": 3})
-			be.submit("a", 2, 14000)
-			must.Eq(t, []string{"start w1 a.0.0.0 1", "lend other 1"}, be.commands())
-			ca.event(be)
-			test.Eq(t, ca.want, be.commands())
-		})
-	}
-}
-
-func TestLentTasksStartNowOrNever(t *testing.T) {
-	be := newBench(t, testWorker("w1", 28000))
-	be.po.Submit(be.now, &Job{Ref: "x", Work: be.work("a", 4, 14000), Lent: []LentTask{{0, 1, 2}, {0, 3, 1}}})
-	must.Eq(t, []string{"start w1 a.0.0.1 2", "start w1 a.0.0.3 1"}, be.commands())
-	be.po.Submit(be.now, &Job{Ref: "y", Work: be.work("b", 4, 14000), Lent: []LentTask{{0, 0, 1}}})
-	must.Eq(t, []string{"finish y notRun"}, be.commands())
-	be.ended("w1", "a.0.0.1", 2, HowDone)
-	be.ended("w1", "a.0.0.3", 1, HowFailed)
-	must.Eq(t, []string{"finish x completed"}, be.commands())
-}
-
 func TestOverdueRunIsStopped(t *testing.T) {
 	// Guards against waiting until the caller's deadline for a task that stands still.
 	be := newBench(t, testWorker("w1", 14000), testWorker("w2", 14000))
--- a/lovagepool/submit.go
+++ b/lovagepool/submit.go
@@ -19,6 +19,7 @@
 		return
 	}
 	jo.class = po.classOf(wo.Queue)
+	po.noteRoom(jo)
 	jo.build()
 	po.jobs[jo.Ref] = jo
 	po.list = append(po.list, jo)
@@ -209,6 +210,18 @@
 	po.forget(jo)
 }
 
+// moveTo hands a job of which nothing has begun back, to be passed to another owner.
+func (po *Pool) moveTo(now time.Time, jo *Job, to string) {
+	po.decide(Decision{
+		Kind: "passedOn", Job: jo.Work.ID, Worker: to, Reason: "not expected to start in time here", Age: now.Sub(jo.Work.Arrived),
+	})
+	po.Counts["job:"+string(Moved)]++
+	po.emit(Finish{Ref: jo.Ref, Outcome: Moved, Reason: "another owner is expected to start it in time", To: to})
+	jo.ended = true
+	po.unqueue(jo)
+	po.forget(jo)
+}
+
 func (po *Pool) emitFinish(jo *Job, oc Outcome, reason string, retryIn time.Duration) {
 	po.Counts["job:"+string(oc)]++
 	fi := Finish{Ref: jo.Ref, Outcome: oc, Reason: reason, RetryIn: retryIn}
--- a/lovagepool/workers.go
+++ b/lovagepool/workers.go
@@ -1,6 +1,9 @@
 package lovagepool
 
 import (
+	"maps"
+	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -167,25 +170,63 @@
 	})
 }
 
+// Places are free places for tasks of the usual size of a service, on workers of about the same speed.
+type Places struct {
+	Factor float64 // by how much longer than on a worker of speed 1 a task takes there
+	Tasks  int
+}
+
 // Standing is how full the pool is for a service, and how many workers it can use.
-type Standing struct{ FreeTasks, QueuedTasks, Workers int }
+type Standing struct {
+	Free    []Places // the fastest first
+	Workers int
+	Rate    float64       // work that the workers do per second, in thousandths of a core of speed 1
+	Backlog time.Duration // in which they would do the work that waits
+}
+
+// FreeTasks returns the free places on workers of all speeds.
+func (sd Standing) FreeTasks() int {
+	n := 0
+	for _, pl := range sd.Free {
+		n += pl.Tasks
+	}
+	return n
+}
 
-// defaultTaskCores is the size assumed for the free places of a service before any task was seen.
-const defaultTaskCores = 14000
+// Equal reports whether the two say the same.
+func (sd Standing) Equal(ot Standing) bool {
+	return sd.Workers == ot.Workers && sd.Backlog == ot.Backlog && slices.Equal(sd.Free, ot.Free)
+}
+
+// speedSteps is how many steps of speed, by which places are grouped, lie between a worker and one that is twice as fast.
+const speedSteps = 4
 
-// Standing returns the free places for tasks of usual size, and the tasks that wait.
+// Standing returns the free places for tasks of the service's usual size on the workers that may get starts now.
 func (po *Pool) Standing(now time.Time, service string) Standing {
 	var sd Standing
+	usual := po.usualRoom(service)
+	free := map[int]int{} // by the step of speed
 	for _, wo := range po.order {
-		if wo.Service == service && po.usable(now, wo) {
-			sd.Workers++
-			sd.FreeTasks += int(max(po.free(wo).MilliCores, 0) / defaultTaskCores)
+		if wo.Service != service || !po.usable(now, wo) {
+			continue
+		}
+		sd.Workers++
+		if n := po.free(wo).Holds(usual); n > 0 {
+			free[int(math.Ceil(speedSteps*math.Log2(po.factor(wo))))] += n
 		}
 	}
-	for _, jo := range po.queue {
-		if jo.Work.Service == service {
-			sd.QueuedTasks += jo.waiting
+	sd.Rate = po.rate(now, service)
+	if sd.Rate > 0 {
+		waiting := 0.0
+		for _, jo := range po.queue {
+			if jo.Work.Service == service && jo.Lent == nil && !jo.ended {
+				waiting += jo.remaining()
+			}
 		}
+		sd.Backlog = time.Duration(waiting / sd.Rate * float64(time.Second)).Truncate(time.Millisecond)
+	}
+	for _, step := range slices.Sorted(maps.Keys(free)) {
+		sd.Free = append(sd.Free, Places{Factor: math.Exp2(float64(step) / speedSteps), Tasks: free[step]})
 	}
 	return sd
 }
