--- a/lovagefleet/control.go
+++ b/lovagefleet/control.go
@@ -5,9 +5,11 @@
 	"strings"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
 	"lovagestack/lovagepool"
+	"lovagestack/lovagetrace"
 )
 
 // post hands an event to the control loop.
@@ -73,7 +75,7 @@
 		switch cm := cmd.(type) {
 		case lovagepool.StartRun:
 			if li := no.links[cm.Worker]; li != nil {
-				go li.start(no.ctx, cm, li.order(cm.Task, cm.Attempt, cm.Spec))
+				go li.start(no.traceStart(now, cm.Ref), cm, li.order(cm.Task, cm.Attempt, cm.Spec))
 			} else {
 				no.pool.Started(now, cm.Worker, cm.Task, cm.Attempt, true, "noLink")
 			}
@@ -84,7 +86,7 @@
 		case lovagepool.Finish:
 			if wa := no.waiters[cm.Ref]; wa != nil {
 				delete(no.waiters, cm.Ref)
-				wa <- cm
+				wa.end <- cm
 			}
 		case lovagepool.Lend:
 			go no.lend(cm)
@@ -105,6 +107,20 @@
 	}
 }
 
+// traceStart records how long the job of an order has waited, with its first order, and returns the context for the call.
+func (no *Node) traceStart(now time.Time, ref string) context.Context {
+	wa := no.waiters[ref]
+	if wa == nil {
+		return no.ctx // the caller has left
+	}
+	ctx := trace.ContextWithSpanContext(no.ctx, trace.SpanContextFromContext(wa.trace))
+	if !wa.started {
+		wa.started = true
+		no.tracer.Record(ctx, lovagetrace.QueueWait, wa.since, now)
+	}
+	return ctx
+}
+
 // errorField logs an error without its stack trace.
 func errorField(err error) zap.Field {
 	if err == nil {
--- a/lovagefleet/explain_test.go
+++ b/lovagefleet/explain_test.go
@@ -42,13 +42,13 @@
 	ld := &loggedDeployment{files: map[string]*logFile{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	ld.cancel = cancel
-	ld.deployment = deployWith(t, func(id string) Log {
+	ld.deployment = deployWith(t, &deployment{logOf: func(id string) Log {
 		lf := &logFile{}
 		ld.files[id] = lf
 		lo := lovagelog.New(lf)
 		ld.writers.Go(func() { lo.Run(ctx) })
 		return lo
-	})
+	}})
 	t.Cleanup(func() {
 		cancel()
 		ld.writers.Wait()
--- a/lovagefleet/fleet_test.go
+++ b/lovagefleet/fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -19,6 +20,7 @@
 	"lovagestack/lovagemetric"
 	"lovagestack/lovageplatform"
 	"lovagestack/lovagepool"
+	"lovagestack/lovagetrace"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -29,6 +31,7 @@
 	si    *standIn
 	nodes map[string]*testNode
 	logOf func(id string) Log // nil: the test's log
+	spans string              // folder for a file of spans for each instance; empty: none
 }
 
 type testNode struct {
@@ -45,13 +48,13 @@
 // deploy starts two instances in each of two data centres with three workers each, and waits until both are owned.
 func deploy(t *testing.T) *deployment {
 	t.Helper()
-	return deployWith(t, nil)
+	return deployWith(t, &deployment{})
 }
 
-// deployWith is deploy with logs of its own.
-func deployWith(t *testing.T, logOf func(id string) Log) *deployment {
+// deployWith is deploy with logs or spans of its own.
+func deployWith(t *testing.T, de *deployment) *deployment {
 	t.Helper()
-	de := &deployment{t: t, si: newStandIn([]string{"east", "west"}, 3), nodes: map[string]*testNode{}, logOf: logOf}
+	de.t, de.si, de.nodes = t, newStandIn([]string{"east", "west"}, 3), map[string]*testNode{}
 	for _, id := range []string{"east-1", "east-2", "west-1", "west-2"} {
 		de.start(id)
 	}
@@ -89,17 +92,27 @@
 	if de.logOf != nil {
 		log = de.logOf(id)
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ts := lovagetrace.Settings{Instance: id, DataCentre: id[:4], FlushInterval: 20 * time.Millisecond}
+	if de.spans != "" {
+		ts.File, ts.SampleRatio = filepath.Join(de.spans, id), 1
+	}
+	tracer, err := lovagetrace.New(ctx, ts)
+	must.NoError(de.t, err)
 	no := New(Settings{
 		ID: id, DataCentre: id[:4], DataCentres: []string{"east", "west"}, PeerListen: address,
 		Pool: lovagepool.DefaultSettings(),
 	}, Dependencies{
 		Store: cuttableStore{de.si, id}, Registry: cuttableStore{de.si, id}, Workers: de.si, Metrics: lovagemetric.New(), Log: log,
+		Tracer: tracer,
 	})
-	ctx, cancel := context.WithCancel(context.Background())
 	tn := &testNode{Node: no, cancel: cancel, done: make(chan struct{})}
 	no.ctx = ctx // before Submit may be called
 	go func() {
 		defer close(tn.done)
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		wg.Go(func() { _ = tracer.Serve(ctx) })
 		if err := no.Run(ctx); err != nil {
 			de.t.Errorf("instance %s: %v", id, err)
 		}
--- a/lovagefleet/link.go
+++ b/lovagefleet/link.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"lovagestack/lovagepool"
+	"lovagestack/lovagetrace"
 )
 
 const (
@@ -255,7 +256,11 @@
 func (li *link) start(ctx context.Context, cm lovagepool.StartRun, or Order) {
 	ctx, cancel := context.WithTimeout(ctx, li.no.patience(orderTimeout))
 	defer cancel()
+	ctx, span := li.no.tracer.Start(ctx, lovagetrace.WorkerCall)
+	span.SetString("task", cm.Task)
+	span.SetString("worker", cm.Worker)
 	re, err := li.no.workers.Start(ctx, or)
+	span.End(err)
 	if err == nil {
 		li.heard(re)
 	}
--- a/lovagefleet/node.go
+++ b/lovagefleet/node.go
@@ -7,12 +7,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"lovagestack/lovagemetric"
 	"lovagestack/lovagepeer"
 	"lovagestack/lovagepool"
+	"lovagestack/lovagetrace"
 )
 
 // Settings of a Node. All are required.
@@ -25,13 +25,14 @@
 	Pool        lovagepool.Settings
 }
 
-// Dependencies of a Node. All are required.
+// Dependencies of a Node. All but Tracer are required.
 type Dependencies struct {
 	Store    Store
 	Registry Registry
 	Workers  WorkerClient
 	Metrics  *lovagemetric.Registry
 	Log      Log
+	Tracer   *lovagetrace.Tracer // nil records no spans
 }
 
 // Node is one instance. Its methods are safe for concurrent use.
@@ -42,6 +43,7 @@
 	workers   WorkerClient
 	log       *zap.Logger
 	decisions Log
+	tracer    *lovagetrace.Tracer
 	mesh      *lovagepeer.Mesh
 	started   time.Time
 	self      instanceRow
@@ -84,7 +86,7 @@
 	handing     map[string]*handing  // domains being handed over
 	awaiting    map[string]awaitedRelease
 	links       map[string]*link
-	waiters     map[string]chan lovagepool.Finish
+	waiters     map[string]*waiter
 	counted     map[string]int64
 	goneWaiters map[string][]chan struct{} // for the end of all runs of a cancelled job, by its reference
 	standing    sentStanding
@@ -97,6 +99,14 @@
 	fence       int64
 }
 
+// waiter awaits the end of a job of this instance's pool, or of a loan.
+type waiter struct {
+	end     chan lovagepool.Finish
+	trace   context.Context // carries the span of the request
+	since   time.Time
+	started bool // a task has been ordered
+}
+
 // handing is a domain of which the new owner gets the workers one by one.
 type handing struct {
 	to      string // address
@@ -138,7 +148,8 @@
 func New(se Settings, de Dependencies) *Node {
 	now := time.Now()
 	no := &Node{
-		se: se, store: de.Store, registry: de.Registry, workers: de.Workers, log: de.Log.Log(), decisions: de.Log, started: now,
+		se: se, store: de.Store, registry: de.Registry, workers: de.Workers, log: de.Log.Log(), decisions: de.Log,
+		tracer: de.Tracer, started: now,
 		self: instanceRow{
 			ID: se.ID, DataCentre: se.DataCentre, Address: se.PeerListen, Incarnation: strconv.FormatInt(now.UnixNano(), 36), Cores: se.Cores,
 		},
@@ -148,7 +159,7 @@
 		members:   map[string]*member{}, domains: map[string]*domain{},
 		hurry: make(chan struct{}, 1), hurryRegistry: make(chan struct{}, 1), takeovers: make(chan takeOverRequest, 16),
 		pool: lovagepool.New(se.Pool), fences: map[string]int64{}, claimed: map[string]time.Time{}, handing: map[string]*handing{},
-		awaiting: map[string]awaitedRelease{}, links: map[string]*link{}, waiters: map[string]chan lovagepool.Finish{},
+		awaiting: map[string]awaitedRelease{}, links: map[string]*link{}, waiters: map[string]*waiter{},
 		counted: map[string]int64{}, goneWaiters: map[string][]chan struct{}{},
 	}
 	no.pool.Decided = no.logDecision
@@ -162,44 +173,6 @@
 	return no
 }
 
-// Run works until the context ends.
-func (no *Node) Run(ctx context.Context) error {
-	no.ctx = ctx
-	// Others take a refused connection for the end of this process, so it listens before it writes its row.
-	if _, err := no.mesh.Listen(); err != nil {
-		return errors.Wrap(err, "listen for other instances")
-	}
-	var wg sync.WaitGroup
-	meshErr := make(chan error, 1)
-	run := func(loop func(context.Context)) {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			loop(ctx)
-		}()
-	}
-	wg.Add(1)
-	go func() {
-		defer wg.Done()
-		meshErr <- no.mesh.Serve(ctx)
-	}()
-	run(no.loop)
-	run(no.configLoop)
-	run(no.registryLoop)
-	run(no.ownLoop)
-	run(no.standingLoop)
-	var err error
-	select {
-	case <-ctx.Done():
-	case err = <-meshErr:
-		if ctx.Err() == nil {
-			return errors.Wrap(err, "sessions with other instances")
-		}
-	}
-	wg.Wait()
-	return nil
-}
-
 // Ready reports whether callers may be sent here.
 func (no *Node) Ready() bool { return no.config.Load() != nil && !no.leaving.Load() }
 
--- a/lovagefleet/peer.go
+++ b/lovagefleet/peer.go
@@ -38,7 +38,7 @@
 func (no *Node) Handle(ctx context.Context, from string, req *lovagemessage.Request) (*lovagemessage.Response, error) {
 	switch body := req.GetBody().(type) {
 	case *lovagemessage.Request_Place:
-		return no.servePlace(ctx, body.Place)
+		return no.servePlace(no.tracer.ExtractRequest(ctx, req), body.Place)
 	case *lovagemessage.Request_Withdraw:
 		if err := no.serveWithdraw(ctx, body.Withdraw.GetRef()); err != nil {
 			return nil, err
@@ -307,7 +307,7 @@
 	defer cancel()
 	pl := placeMessage(cm.Ref, cm.Work, cm.Tasks)
 	pl.AnySpeed = cm.AnySpeed
-	resp, err := no.mesh.Call(ctx, address.(string), &lovagemessage.Request{Body: &lovagemessage.Request_Place{Place: pl}})
+	resp, err := no.tracedCall(ctx, address.(string), &lovagemessage.Request{Body: &lovagemessage.Request_Place{Place: pl}})
 	notSent := errors.Is(err, lovagepeer.ErrNotSent)
 	ends := finishOf(resp.GetPlace()).Lent
 	if err != nil && !notSent {
--- a/lovagefleet/route.go
+++ b/lovagefleet/route.go
@@ -12,6 +12,7 @@
 	"lovagestack/lovagemessage"
 	"lovagestack/lovagepeer"
 	"lovagestack/lovagepool"
+	"lovagestack/lovagetrace"
 )
 
 const (
@@ -29,7 +30,11 @@
 
 // Submit has a job run and returns how it ended. If ctx ends, the job is cancelled.
 func (no *Node) Submit(ctx context.Context, wo *lovagejob.Work) Answer {
+	ctx, span := no.tracer.Start(ctx, lovagetrace.CallerRequest)
+	span.SetString("job", wo.ID)
 	an, owner := no.submit(ctx, wo)
+	span.SetString("outcome", string(an.Outcome))
+	span.End(nil)
 	took := time.Since(wo.Arrived)
 	no.counts.With("answered:" + string(an.Outcome)).Inc(1)
 	no.responses.With(string(an.Outcome)).Observe(took)
@@ -169,7 +174,7 @@
 	}
 	pl := placeMessage(ref, wo, nil)
 	pl.PassedOn = passedOn
-	resp, err := no.mesh.Call(ctx, ow.Address, &lovagemessage.Request{Body: &lovagemessage.Request_Place{Place: pl}})
+	resp, err := no.tracedCall(ctx, ow.Address, &lovagemessage.Request{Body: &lovagemessage.Request_Place{Place: pl}})
 	if err != nil {
 		if !errors.Is(err, lovagepeer.ErrNotSent) {
 			go no.withdrawFrom(ow.Address, ref)
@@ -179,19 +184,29 @@
 	return finishOf(resp.GetPlace()), nil
 }
 
+// tracedCall makes a call to a peer within a span of its own.
+func (no *Node) tracedCall(ctx context.Context, address string, req *lovagemessage.Request) (*lovagemessage.Response, error) {
+	ctx, span := no.tracer.Start(ctx, lovagetrace.PeerHop)
+	span.SetString("kind", lovagepeer.Kind(req))
+	no.tracer.InjectRequest(ctx, req)
+	resp, err := no.mesh.Call(ctx, address, req)
+	span.End(err)
+	return resp, err
+}
+
 func (no *Node) newRef() string {
 	return no.self.ID + "/" + no.self.Incarnation + "/" + strconv.FormatInt(no.nextRef.Add(1), 36)
 }
 
 // submitLocal gives a job to this instance's pool and waits for its end.
 func (no *Node) submitLocal(ctx context.Context, jo *lovagepool.Job) (lovagepool.Finish, error) {
-	wait := make(chan lovagepool.Finish, 1)
+	wa := &waiter{end: make(chan lovagepool.Finish, 1), trace: ctx, since: time.Now()}
 	no.post(func(now time.Time) {
-		no.waiters[jo.Ref] = wait
+		no.waiters[jo.Ref] = wa
 		no.pool.Submit(now, jo)
 	})
 	select {
-	case fi := <-wait:
+	case fi := <-wa.end:
 		return fi, nil
 	case <-ctx.Done():
 		no.post(func(now time.Time) {
--- a/lovagepool/pool.go
+++ b/lovagepool/pool.go
@@ -139,6 +139,7 @@
 
 // StartRun orders a worker to start a task.
 type StartRun struct {
+	Ref     string // of the job
 	Worker  string
 	Task    string
 	Attempt int
--- a/lovagepool/runs.go
+++ b/lovagepool/runs.go
@@ -218,7 +218,7 @@
 	if !wo.until.IsZero() {
 		wo.trial = true
 	}
-	po.emit(StartRun{wo.ID, ru.key.task, ru.key.attempt, jo.Work.Spec})
+	po.emit(StartRun{jo.Ref, wo.ID, ru.key.task, ru.key.attempt, jo.Work.Spec})
 }
 
 // stop orders a run to end. Its room stays booked until the end is certain.
--- a/lovagestack/serve.go
+++ b/lovagestack/serve.go
@@ -18,12 +18,16 @@
 	"lovagestack/lovagefleet"
 	"lovagestack/lovagelog"
 	"lovagestack/lovagemetric"
+	"lovagestack/lovagetrace"
 	"lovagestack/platform"
 )
 
 // serveCommand runs an instance on the users' platform.
 type serveCommand struct {
-	MetricsPort int `arg:"--metrics-port" default:"9464" placeholder:"PORT" help:"port of /metrics on the instance's address; 0: none"`
+	MetricsPort int     `arg:"--metrics-port" default:"9464" placeholder:"PORT" help:"port of /metrics on the instance's address; 0: none"`
+	TraceOTLP   string  `arg:"--trace-otlp" placeholder:"ADDRESS" help:"host:port of an OTLP/HTTP receiver of spans"`
+	TraceFile   string  `arg:"--trace-file" placeholder:"FILE" help:"file to append spans to, one JSON object a line"`
+	TraceRatio  float64 `arg:"--trace-ratio" default:"0.01" placeholder:"SHARE" help:"share of the requests of which spans are recorded, 0 to 1"`
 }
 
 func (*serveCommand) help() string {
@@ -81,11 +85,21 @@
 	log.Info("start", zap.String("instance", se.Node), zap.String("dataCentre", se.Zone))
 	metrics := lovagemetric.New()
 	metrics.RegisterProcess()
+	tracer, err := lovagetrace.New(ctx, sc.traceSettings(se))
+	if err != nil {
+		return errors.Wrap(err, "set up traces")
+	}
 	store := platform.NewStore(se.Platform.Address)
 	no := lovagefleet.New(se.Fleet(), lovagefleet.Dependencies{
-		Store: store, Registry: store, Workers: platform.NewWorkers(), Metrics: metrics, Log: logger,
+		Store: store, Registry: store, Workers: platform.NewWorkers(), Metrics: metrics, Log: logger, Tracer: tracer,
 	})
-	front := platform.NewFrontend(no, func() bool { return ctx.Err() != nil })
+	var front http.Handler = platform.NewFrontend(no, func() bool { return ctx.Err() != nil })
+	if tracer != nil {
+		untraced := front
+		front = http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
+			untraced.ServeHTTP(rw, req.WithContext(tracer.ExtractHTTP(req.Context(), req.Header)))
+		})
+	}
 	servers := []*server{
 		newServer(se.Listen.Frontend, front), newServer(se.Listen.Readiness, platform.NewReadiness(no.Ready)),
 	}
@@ -98,11 +112,12 @@
 	defer cancel()
 	failed := make(chan error, len(servers)+1)
 	var wg sync.WaitGroup
-	wg.Add(1)
-	go func() {
-		defer wg.Done()
-		failed <- no.Run(runCtx)
-	}()
+	wg.Go(func() { failed <- no.Run(runCtx) })
+	wg.Go(func() {
+		if err := tracer.Serve(runCtx); err != nil && runCtx.Err() == nil {
+			log.Error("spans are no longer written", zap.Error(err))
+		}
+	})
 	for _, sv := range servers {
 		if err := sv.listen(); err != nil {
 			return err
@@ -142,6 +157,15 @@
 	return nil
 }
 
+// traceSettings returns where spans go: nowhere, unless a receiver or a file is given.
+func (sc *serveCommand) traceSettings(se *platform.Settings) lovagetrace.Settings {
+	ts := lovagetrace.Settings{Instance: se.Node, DataCentre: se.Zone, File: sc.TraceFile, SampleRatio: sc.TraceRatio}
+	if sc.TraceOTLP != "" {
+		ts.Endpoint = "http://" + sc.TraceOTLP + "/v1/traces"
+	}
+	return ts
+}
+
 // server is an HTTP server with its listener.
 type server struct {
 	http     *http.Server
