lovagedispatch, lovageentry: remove shares and loans of slots, and weights of services

The configuration's lending values and the weight of a service were accepted and had no effect, and each heartbeat carried a load that only loans used. Ruled out: a use by the product's own interface: lovageentry always runs the policy central.

--- a/lovageapi/workers.go
+++ b/lovageapi/workers.go
@@ -32,7 +32,7 @@
 }
 
 func workerReply(ws *lovagedispatch.WorkerStatus) WorkerReply {
-	out := WorkerReply{Worker: ws.Worker, State: ws.State, Factor: ws.Factor, Slots: ws.Share, Running: ws.Running}
+	out := WorkerReply{Worker: ws.Worker, State: ws.State, Factor: ws.Factor, Slots: ws.Slots, Running: ws.Running}
 	if !ws.Until.IsZero() {
 		at := ws.Until.UTC()
 		out.ProbeAt = &at
--- a/lovagebench/deployment.go
+++ b/lovagebench/deployment.go
@@ -230,7 +230,7 @@
 	teams := map[string]bool{}
 	for _, se := range de.op.Services {
 		sp := lovageresource.DefaultService()
-		sp.RunTime, sp.Weight = lovageresource.Duration(200*time.Millisecond), de.va.Weight
+		sp.RunTime = lovageresource.Duration(200 * time.Millisecond)
 		sp.MaxRunTime = lovageresource.Duration(2 * time.Minute)
 		// With the default of 0.1, a seventh of the jobs of the policies without shares failed, the large ones first, which
 		// made their response times look good.
--- a/lovagedispatch/admit.go
+++ b/lovagedispatch/admit.go
@@ -142,7 +142,7 @@
 	return fallback
 }
 
-// capacityOf returns the slots of the groups that may serve the service: own, borrowed, and free at peers.
+// capacityOf returns the slots of the groups that may serve the service.
 func (co *Core) capacityOf(sv *service, groups []*group) int {
 	n := 0
 	for _, gr := range groups {
@@ -150,9 +150,6 @@
 			n += gr.capacity
 		}
 	}
-	if co.se.Policy == Lending {
-		n += sv.peerIdle
-	}
 	return n
 }
 
@@ -220,7 +217,7 @@
 func (co *Core) freeFor(cl *class) int {
 	n := 0
 	for _, gr := range cl.groups {
-		n += gr.freeOwn
+		n += gr.free
 	}
 	return n
 }
--- a/lovagedispatch/choose.go
+++ b/lovagedispatch/choose.go
@@ -49,14 +49,8 @@
 	if wo == nil || co.ranker.waits() && co.betterToWait(cl, jo, wo, cost, runTime) {
 		return false
 	}
-	var loan *loanSlots
-	if wo.freeOwn() <= 0 {
-		if loan = co.borrowedSlot(wo, runTime); loan == nil {
-			return true // borrowed slots were given back, which changed the choice
-		}
-	}
 	co.ranker.chosen(rank)
-	co.start(jo, wo, loan, runTime)
+	co.start(jo, wo, runTime)
 	return true
 }
 
@@ -95,7 +89,7 @@
 	var rates [speedBuckets]int64
 	any := false
 	for _, gr := range cl.groups {
-		if gr.freeOwn == 0 && gr.capacity == 0 {
+		if gr.free == 0 && gr.capacity == 0 {
 			continue
 		}
 		for bu := range faster {
--- a/lovagedispatch/command.go
+++ b/lovagedispatch/command.go
@@ -14,7 +14,6 @@
 	Job    uint64
 	Task   int
 	Worker string
-	Loan   uint64 // loan whose slot is used; 0 for a slot of this instance's own share
 }
 
 // StopTask says that the result of a running task is of no use any more. The integrator may stop it; [TaskEnded] is
@@ -35,54 +34,24 @@
 	Started int               // tasks that started or may have started
 }
 
-// AskSlots asks a peer to lend slots. The answer is due as [SlotsLent] with the same Ask.
-type AskSlots struct {
-	To      string
-	Ask     uint64
-	Service string
-	Slots   int
-	Until   time.Time // wanted end of the loan
-}
-
-// LendSlots answers [SlotsAsked].
-type LendSlots struct {
-	To    string
-	Ask   uint64
-	Loan  uint64 // 0 if Slots is empty
-	Slots []LentSlots
-	Until time.Time // time until which the borrower may start tasks on the slots
-}
-
-// ReturnSlots gives borrowed slots back to their lender. Slots holds, for each worker named, the number of the loan's
-// slots given back so far, so a repeated or overtaken message does no harm. Neither does losing it: the lender takes the
-// slots back when the loan has ended.
-type ReturnSlots struct {
-	To    string
-	Loan  uint64
-	Slots []LentSlots
-}
-
 // WakeAt asks for a [Tick] at a time. The earliest of the times asked for is what counts.
 type WakeAt struct{ At time.Time }
 
-func (StartTask) isCommand()   {}
-func (StopTask) isCommand()    {}
-func (FinishJob) isCommand()   {}
-func (AskSlots) isCommand()    {}
-func (LendSlots) isCommand()   {}
-func (ReturnSlots) isCommand() {}
-func (WakeAt) isCommand()      {}
+func (StartTask) isCommand() {}
+func (StopTask) isCommand()  {}
+func (FinishJob) isCommand() {}
+func (WakeAt) isCommand()    {}
 
 // ServiceLoad is the part of [Load] that concerns one service.
 type ServiceLoad struct {
 	Service     string
-	FreeSlots   int // free slots of the instance's own share that can run the service
+	FreeSlots   int // free slots that can run the service
 	QueuedTasks int
 }
 
 // Load summarises an instance for its heartbeats.
 type Load struct {
-	FreeSlots    int // free slots of the instance's own share
+	FreeSlots    int
 	QueuedTasks  int
 	RunningTasks int
 	Services     []ServiceLoad // in the order of their names
--- a/lovagedispatch/core.go
+++ b/lovagedispatch/core.go
@@ -7,11 +7,10 @@
 
 // Core is the decision core of one instance. It is not safe for concurrent use.
 type Core struct {
-	se      Settings
-	mayLend bool // the policy at the start was Lending
-	rng     *rand.Rand
-	ranker  ranker
-	out     []Command // commands of the step that is running
+	se     Settings
+	rng    *rand.Rand
+	ranker ranker
+	out    []Command // commands of the step that is running
 
 	base     time.Time // time of the first step
 	nowTime  time.Time
@@ -45,28 +44,16 @@
 	leavingEarly map[string]bool    // leaving workers that are not in the set
 	groups       []*group           // sorted by key
 	domains      map[string]*domain // of the workers in the set
-	members      map[string]bool    // live instances of all data centres
-	localMembers []string           // those of the own data centre, sorted
 
 	heardServices map[string]ServiceEstimate // of services that are not in the set
 	heardWorkers  map[string]WorkerEstimate  // of workers that are not in the set
-
-	peers    map[string]*peer
-	peerList []*peer // sorted by ID
-	askSeq   uint64
-	loans    map[loanKey]*loan // borrowed
-	lent     map[uint64]*lentLoan
-	lentAsks map[askKey]*lentLoan
-	held     []*heldAsk
-	loanSeq  uint64
 }
 
-// New returns a core without workers, members and services. The source of randomness is seeded by the caller and used
-// for ties, jitter and the start of the loan numbers only.
+// New returns a core without workers and services. The source of randomness is seeded by the caller and used for ties and
+// jitter only.
 func New(se Settings, rng *rand.Rand) *Core {
 	co := &Core{
 		se:        se,
-		mayLend:   se.Policy == Lending,
 		rng:       rng,
 		ranker:    newRanker(se.Policy, rng),
 		jobs:      map[uint64]*job{},
@@ -74,19 +61,10 @@
 		classKeys: map[classKey]*class{},
 		teams:     map[string]*team{},
 		workers:   map[string]*worker{},
-		members:   map[string]bool{},
 
 		leavingEarly:  map[string]bool{},
 		heardServices: map[string]ServiceEstimate{},
 		heardWorkers:  map[string]WorkerEstimate{},
-
-		peers:    map[string]*peer{},
-		loans:    map[loanKey]*loan{},
-		lent:     map[uint64]*lentLoan{},
-		lentAsks: map[askKey]*lentLoan{},
-		// A restarted lender must not give out the numbers of its earlier loans. 62 bits fit the wire format.
-		loanSeq: rng.Uint64() >> 2,
-		askSeq:  rng.Uint64() >> 2,
 	}
 	co.deadlines.pos = func(jo *job) *int32 { return &jo.deadlinePos }
 	var ignored int32
@@ -111,8 +89,6 @@
 		co.watchDeadline(co.fresh)
 		co.fresh = nil
 	}
-	co.serveHeld()
-	co.borrow()
 	co.wake()
 	out, co.out = co.out, nil
 	return out
@@ -130,16 +106,6 @@
 		co.workersChanged(ev)
 	case WorkerLeaving:
 		co.workerLeaving(ev.Worker)
-	case MembersChanged:
-		co.membersChanged(ev)
-	case PeerLoad:
-		co.peerLoad(ev)
-	case SlotsAsked:
-		co.slotsAsked(ev)
-	case SlotsLent:
-		co.slotsLent(ev)
-	case SlotsReturned:
-		co.slotsReturned(ev)
 	case ServicesChanged:
 		co.servicesChanged(ev)
 	case TeamsChanged:
@@ -158,7 +124,7 @@
 func (co *Core) Load() Load {
 	lo := Load{QueuedTasks: co.queued, RunningTasks: co.running, Services: co.serviceLoads()}
 	for _, gr := range co.groups {
-		lo.FreeSlots += gr.freeOwn
+		lo.FreeSlots += gr.free
 	}
 	return lo
 }
@@ -166,7 +132,7 @@
 // DomainSlots returns the slots of usable workers of a decision domain, and those that are free.
 func (co *Core) DomainSlots(name string) (slots, free int) {
 	if do := co.domains[name]; do != nil {
-		return do.capacity, do.freeOwn
+		return do.capacity, do.free
 	}
 	return 0, 0
 }
--- a/lovagedispatch/doc.go
+++ b/lovagedispatch/doc.go
@@ -27,18 +27,10 @@
 // they are unlikely for a worker as good as the others; at most a fifth of a pool is ejected. A failure is no evidence
 // against a worker if a third of the jobs of its service or team fail, or if a third of the other workers do.
 //
-// # Lending
-//
-// An instance whose tasks have to wait asks up to two peers for slots. A lender gives up to half of its free slots, or
-// holds the ask until it has some. The borrower starts tasks until the end of the loan, gives back slots that stay idle,
-// and stops at once if the lender is no member any more. The lender takes back by itself what was not returned. Every
-// message may be lost, late or repeated: at worst, a worker is oversubscribed for a moment and refuses.
-//
 // # Usage
 //
 //	core := lovagedispatch.New(lovagedispatch.DefaultSettings("entry-1", "kandla"), rand.New(rand.NewPCG(1, 2)))
-//	out := core.Step(now, lovagedispatch.MembersChanged{Members: members}, nil)
-//	out = core.Step(now, lovagedispatch.WorkersChanged{Workers: workers}, out[:0])
+//	out := core.Step(now, lovagedispatch.WorkersChanged{Workers: workers}, nil)
 //	out = core.Step(now, lovagedispatch.ServicesChanged{Services: services}, out[:0])
 //	out = core.Step(now, lovagedispatch.Submit{Job: 1, Service: "ticket", Team: "gate", Deadline: dl, Tasks: 3}, out[:0])
 //	for _, co := range out {
--- a/lovagedispatch/event.go
+++ b/lovagedispatch/event.go
@@ -68,71 +68,10 @@
 // WorkerLeaving says that a worker is leaving, by whatever source. It gets no new task from this step on.
 type WorkerLeaving struct{ Worker string }
 
-// Member is a live entry instance.
-type Member struct {
-	ID         string
-	DataCentre string
-}
-
-// MembersChanged gives the complete set of live instances in all data centres, this instance included. An instance
-// that is not in the set has no share of its own and can only borrow.
-type MembersChanged struct{ Members []Member }
-
-// PeerLoad is the load summary in a peer's heartbeat.
-type PeerLoad struct {
-	Instance string
-	Load     Load
-}
-
-// LentSlots is a number of slots on one worker.
-type LentSlots struct {
-	Worker string
-	Slots  int
-}
-
-// SlotsAsked is a peer's request to borrow slots. The answer is one [LendSlots], with no slots if none is lent. If no
-// slot is free, the answer comes when one is, at the latest after [Settings.AskHold].
-type SlotsAsked struct {
-	From    string
-	Ask     uint64 // echoed in the answer
-	Service string
-	Slots   int       // slots wanted
-	Until   time.Time // wanted end of the loan, on this instance's clock
-}
-
-// SlotsLent is the answer to [AskSlots]. The integrator gives it with no slots if the peer cannot be reached. If it
-// never comes, the core gives the ask up after [Settings.AskTimeout]; a later answer is returned to the lender.
-type SlotsLent struct {
-	From  string
-	Ask   uint64
-	Loan  uint64 // identifies the loan together with From
-	Slots []LentSlots
-	Until time.Time // end of the loan, on this instance's clock
-}
-
-// SlotsReturned gives back slots of a loan made by this instance, counted as in [ReturnSlots].
-type SlotsReturned struct {
-	From  string
-	Loan  uint64
-	Slots []LentSlots
-}
-
-// Weight chooses between response time and fewer messages.
-type Weight string
-
-// Weights of a service.
-const (
-	// ResponseTime: borrow as soon as a task has to wait noticeably. The default.
-	ResponseTime Weight = "responseTime"
-	// FewerMessages: borrow only if the wait is long, and in larger batches.
-	FewerMessages Weight = "fewerMessages"
-)
-
 // Service describes a service that jobs may name.
 type Service struct {
 	Name           string
 	Pools          []string // pools whose workers run the service; empty means every pool
-	Weight         Weight   // empty means ResponseTime
 	MaxQueuedTasks int      // bound on queued tasks of the service at this instance; 0 means Settings.MaxQueuedTasks
 	RetryRatio     float64  // see Settings.RetryRatio, which 0 stands for
 }
@@ -163,11 +102,6 @@
 func (TaskEnded) isEvent()       {}
 func (WorkersChanged) isEvent()  {}
 func (WorkerLeaving) isEvent()   {}
-func (MembersChanged) isEvent()  {}
-func (PeerLoad) isEvent()        {}
-func (SlotsAsked) isEvent()      {}
-func (SlotsLent) isEvent()       {}
-func (SlotsReturned) isEvent()   {}
 func (ServicesChanged) isEvent() {}
 func (TeamsChanged) isEvent()    {}
 func (Tick) isEvent()            {}
--- a/lovagedispatch/job.go
+++ b/lovagedispatch/job.go
@@ -44,7 +44,6 @@
 	task  int32
 	probe bool
 	wo    *worker
-	loan  *loanSlots // nil for an own slot
 	start instant
 	rate  int64 // see rateOf
 }
@@ -127,11 +126,11 @@
 	}
 }
 
-// start gives a task of the job to the worker, on an own slot if loan is nil.
-func (co *Core) start(jo *job, wo *worker, loan *loanSlots, runTime float64) {
+// start gives a task of the job to the worker.
+func (co *Core) start(jo *job, wo *worker, runTime float64) {
 	task := jo.takeTask()
 	ru := running{
-		task: task, wo: wo, loan: loan, start: co.now, rate: rateOf(runTime * wo.factor),
+		task: task, wo: wo, start: co.now, rate: rateOf(runTime * wo.factor),
 		probe: wo.health.state == probing,
 	}
 	jo.run = append(jo.run, ru)
@@ -142,24 +141,14 @@
 		co.counters.Probes++
 	}
 	wo.addRate(ru.rate)
-	loanID := uint64(0)
-	if loan == nil {
-		wo.used++
-	} else {
-		loanID = loan.loan.id
-		co.counters.BorrowedStarts++
-		loan.used++
-		loan.lastUse = co.now
-		loan.loan.used++
-		wo.loanUsed++
-	}
+	wo.used++
 	wo.lastTurn = co.nextTurn()
 	co.running++
 	jo.sv.running++
 	jo.sv.addRetries(co.retryRatio(jo.sv), co.se.RetryBurst)
 	co.charge(jo, runTime*wo.factor)
 	co.tookFromQueue(jo)
-	co.emit(StartTask{Job: jo.id, Task: int(task), Worker: wo.spec.ID, Loan: loanID})
+	co.emit(StartTask{Job: jo.id, Task: int(task), Worker: wo.spec.ID})
 	co.update(wo)
 }
 
@@ -262,12 +251,7 @@
 
 func (co *Core) freeSlot(jo *job, ru running) {
 	ru.wo.addRate(-ru.rate)
-	if ru.loan == nil {
-		ru.wo.used--
-	} else {
-		ru.wo.loanUsed--
-		co.loanTaskEnded(ru.loan)
-	}
+	ru.wo.used--
 	co.running--
 	jo.sv.running--
 	co.teamTaskEnded(jo.tm)
--- a/lovagedispatch/learn.go
+++ b/lovagedispatch/learn.go
@@ -79,7 +79,7 @@
 func (ti housekeeping) fire(co *Core) {
 	for _, wo := range co.list {
 		changed := false
-		if wo.factor > 1 && co.now >= wo.lastSample.after(speedTime) && wo.inFlight() == 0 {
+		if wo.factor > 1 && co.now >= wo.lastSample.after(speedTime) && wo.used == 0 {
 			wo.setFactor(1 + 0.8*(wo.factor-1))
 			wo.recent = math.Log(wo.factor)
 			wo.lastSample = co.now
--- a/lovagedispatch/rank.go
+++ b/lovagedispatch/rank.go
@@ -79,7 +79,7 @@
 		return roundRobinRank{}
 	case LeastInFlight:
 		return leastInFlightRank{rng: rng}
-	case Central, Lending, Shares, Alone:
+	case Central, Alone:
 	}
 	return completionRank{rng: rng}
 }
@@ -90,7 +90,7 @@
 // rank is the speed factor. A worker of equal speed with more tasks in flight comes later by up to 1%, and ties are
 // broken at random within 0.1%, so that instances with equal knowledge do not choose the same worker.
 func (ra completionRank) rank(wo *worker) float64 {
-	busy := float64(wo.inFlight()) / float64(max(1, wo.spec.Slots))
+	busy := float64(wo.used) / float64(max(1, wo.spec.Slots))
 	return wo.factor * wo.penalty() * (1 + 0.01*busy) * (1 + 0.001*ra.rng.Float64())
 }
 
@@ -130,5 +130,5 @@
 const inFlightStep = 1 << 40
 
 func (ra leastInFlightRank) rank(wo *worker) float64 {
-	return inFlightStep*float64(wo.inFlight()) + wo.lastTurn + 4*ra.rng.Float64()
+	return inFlightStep*float64(wo.used) + wo.lastTurn + 4*ra.rng.Float64()
 }
--- a/lovagedispatch/service.go
+++ b/lovagedispatch/service.go
@@ -18,10 +18,6 @@
 	lastSample instant
 	failures   failureRate
 	retries    float64 // retries left
-
-	asks     []ask   // asks that were not answered yet, to different peers
-	askAfter instant // earliest time of the next ask
-	peerIdle int     // free slots of all peers by their last summaries
 }
 
 func (sv *service) runsIn(pool string) bool {
@@ -75,7 +71,6 @@
 	slices.SortFunc(co.serviceList, func(a, b *service) int { return strings.Compare(a.spec.Name, b.spec.Name) })
 	co.reclass(false)
 	co.adoptEstimates()
-	co.sumPeerIdle()
 }
 
 // forgetService drops the record of a removed service that has no job left.
@@ -92,9 +87,6 @@
 	}
 }
 
-// fewerMessages reports whether the service prefers fewer messages over response time.
-func (sv *service) fewerMessages() bool { return sv.spec.Weight == FewerMessages }
-
 func (co *Core) serviceLoads() []ServiceLoad {
 	loads := make([]ServiceLoad, 0, len(co.serviceList))
 	for _, sv := range co.serviceList {
@@ -104,7 +96,7 @@
 		lo := ServiceLoad{Service: sv.spec.Name, QueuedTasks: sv.queued}
 		for _, gr := range co.groups {
 			if sv.runsIn(gr.key.pool) {
-				lo.FreeSlots += gr.freeOwn
+				lo.FreeSlots += gr.free
 			}
 		}
 		loads = append(loads, lo)
--- a/lovagedispatch/settings.go
+++ b/lovagedispatch/settings.go
@@ -17,10 +17,6 @@
 	// slots; keys are minted there. Other instances decide only jobs of their own keys, as while the deciding instance
 	// cannot be reached.
 	Central Policy = "central"
-	// Lending: least expected completion time on the exclusive share and on borrowed slots.
-	Lending Policy = "lending"
-	// Shares: as Lending, without borrowing.
-	Shares Policy = "shares"
 	// Alone: least expected completion time on all slots of all workers, ignoring other instances.
 	Alone Policy = "alone"
 	// Random: a random worker with a slot not used by this instance, ignoring other instances.
@@ -48,12 +44,6 @@
 	MaxRefusalBackOff  time.Duration
 	EjectionBackOff    time.Duration // time from ejection to the first probe; doubles with each failed probe
 	MaxEjectionBackOff time.Duration
-	LoanTerm           time.Duration // time for which slots are borrowed
-	LoanGrace          time.Duration // extra time for which the lender keeps lent slots unused, for tasks in flight
-	MaxLoanGrace       time.Duration // the same if the borrower is heard of and has not returned all slots
-	AskTimeout         time.Duration // time after which an unanswered ask is given up
-	AskHold            time.Duration // time for which an ask is held if no slot is free; less than AskTimeout
-	MaxLoanSlots       int           // bound on slots per loan
 }
 
 // DefaultSettings returns the settings of an instance without settings of its own.
@@ -61,7 +51,7 @@
 	return Settings{
 		Instance:   instance,
 		DataCentre: dataCentre,
-		Policy:     Lending,
+		Policy:     Central,
 
 		// The middle of the users' stated range of 50 ms to 1 s, on a logarithmic scale.
 		DefaultRunTime: 200 * time.Millisecond,
@@ -76,12 +66,6 @@
 		MaxRefusalBackOff:  time.Second,
 		EjectionBackOff:    time.Second,
 		MaxEjectionBackOff: time.Minute,
-		LoanTerm:           2 * time.Second,
-		LoanGrace:          time.Second,
-		MaxLoanGrace:       30 * time.Second,
-		AskTimeout:         time.Second,
-		AskHold:            800 * time.Millisecond,
-		MaxLoanSlots:       64,
 	}
 }
 
@@ -97,7 +81,7 @@
 	if !lovagejob.ValidName(se.DataCentre) {
 		add("dataCentre", "%q is not a name", se.DataCentre)
 	}
-	policies := []Policy{Central, Lending, Shares, Alone, Random, RoundRobin, LeastInFlight}
+	policies := []Policy{Central, Alone, Random, RoundRobin, LeastInFlight}
 	if !slices.Contains(policies, se.Policy) {
 		add("policy", "%q is none of %q", se.Policy, policies)
 	}
@@ -111,10 +95,6 @@
 		{"retryBurst", float64(se.RetryBurst)},
 		{"refusalBackOff", float64(se.RefusalBackOff)},
 		{"ejectionBackOff", float64(se.EjectionBackOff)},
-		{"loanTerm", float64(se.LoanTerm)},
-		{"loanGrace", float64(se.LoanGrace)},
-		{"askHold", float64(se.AskHold)},
-		{"maxLoanSlots", float64(se.MaxLoanSlots)},
 	} {
 		if it.value <= 0 {
 			add(it.field, "is not positive")
@@ -129,8 +109,6 @@
 	}{
 		{"maxRefusalBackOff", "refusalBackOff", se.MaxRefusalBackOff, se.RefusalBackOff},
 		{"maxEjectionBackOff", "ejectionBackOff", se.MaxEjectionBackOff, se.EjectionBackOff},
-		{"maxLoanGrace", "loanGrace", se.MaxLoanGrace, se.LoanGrace},
-		{"askTimeout", "askHold", se.AskTimeout, se.AskHold},
 	} {
 		if it.value < it.least {
 			add(it.field, "%s is shorter than %s, which is %s", it.value, it.other, it.least)
--- a/lovagedispatch/status.go
+++ b/lovagedispatch/status.go
@@ -4,19 +4,14 @@
 
 // Counters are sums since the core was made. They only grow.
 type Counters struct {
-	JobsAdmitted   uint64
-	JobsRefused    uint64 // by admission
-	JobsExpired    uint64 // deadline passed in the queue
-	Starts         uint64
-	NotStarted     uint64 // starts that ended with NotStarted
-	Retries        uint64 // of those, tasks that were queued again
-	Ejections      uint64 // failed probes included
-	Probes         uint64 // tasks started on workers on probe
-	Asks           uint64 // for slots
-	AsksInVain     uint64 // answered without slots or given up
-	SlotsBorrowed  uint64
-	BorrowedStarts uint64 // starts on borrowed slots
-	SlotsLent      uint64
+	JobsAdmitted uint64
+	JobsRefused  uint64 // by admission
+	JobsExpired  uint64 // deadline passed in the queue
+	Starts       uint64
+	NotStarted   uint64 // starts that ended with NotStarted
+	Retries      uint64 // of those, tasks that were queued again
+	Ejections    uint64 // failed probes included
+	Probes       uint64 // tasks started on workers on probe
 }
 
 // Counters returns the counters for metrics.
@@ -28,14 +23,12 @@
 
 // WorkerStatus is what the core knows about a worker, for the status of a pool.
 type WorkerStatus struct {
-	Worker   string
-	State    string // "healthy", "ejected", "probing" or "leaving"
-	Until    time.Time
-	Factor   float64 // learned run time relative to a worker of average speed
-	Share    int     // slots of this instance's share
-	Running  int     // tasks of this instance, those on borrowed slots included
-	Lent     int
-	Borrowed int
+	Worker  string
+	State   string // "healthy", "ejected", "probing" or "leaving"
+	Until   time.Time
+	Factor  float64 // learned run time relative to a worker of average speed
+	Slots   int
+	Running int // tasks of this instance
 }
 
 // Workers returns the status of the workers in the set, in the order of their IDs. Until is the end of the back-off of
@@ -44,14 +37,11 @@
 	out := make([]WorkerStatus, 0, len(co.list))
 	for _, wo := range co.list {
 		st := WorkerStatus{
-			Worker: wo.spec.ID, State: wo.stateName(), Factor: wo.factor, Share: wo.own, Running: wo.inFlight(), Lent: wo.lent,
+			Worker: wo.spec.ID, State: wo.stateName(), Factor: wo.factor, Slots: wo.spec.Slots, Running: wo.used,
 		}
 		if wo.health.state == ejected && !wo.leaving {
 			st.Until = co.timeOf(wo.health.until)
 		}
-		for _, ls := range wo.loans {
-			st.Borrowed += ls.slots
-		}
 		out = append(out, st)
 	}
 	return out
--- a/lovagedispatch/worker.go
+++ b/lovagedispatch/worker.go
@@ -15,12 +15,8 @@
 	leaf    int // index in the group
 	leaving bool
 
-	own      int // slots of this instance's share
-	used     int // tasks in flight on own slots
-	lent     int // own slots lent to peers
-	loans    []*loanSlots
-	loanUsed int // tasks in flight on borrowed slots
-	ownFree  int // contribution to the group's free slots
+	used     int // tasks in flight
+	free     int // contribution to the group's free slots
 	capacity int // contribution to the group's capacity
 
 	factor     float64 // run time relative to a worker of average speed
@@ -34,19 +30,6 @@
 	health health
 }
 
-func (wo *worker) inFlight() int { return wo.used + wo.loanUsed }
-
-// freeOwn is negative if a membership change took away slots that are in use.
-func (wo *worker) freeOwn() int { return wo.own - wo.used - wo.lent }
-
-func (wo *worker) freeBorrowed() int {
-	n := 0
-	for _, ls := range wo.loans {
-		n += ls.free()
-	}
-	return n
-}
-
 // groupKey names what makes workers equal for the question which of them may run a job.
 type groupKey struct {
 	pool, dataCentre           string
@@ -68,14 +51,14 @@
 	workers  []*worker
 	tree     *rankTree
 	latency  float64 // seconds for a round trip on top of that in the own data centre
-	freeOwn  int     // own slots that are free on usable workers
-	capacity int     // own and borrowed slots of usable workers
+	free     int     // free slots of usable workers
+	capacity int     // slots of usable workers
 	rates    [speedBuckets]int64
 }
 
 // domain sums the slots of the workers of one decision domain.
 type domain struct {
-	freeOwn  int
+	free     int
 	capacity int
 }
 
@@ -141,30 +124,25 @@
 	if gr == nil {
 		return
 	}
-	free, capacity, ownFree := 0, 0, 0
+	free, capacity := 0, 0
 	if wo.usable() {
-		ownFree = max(0, wo.freeOwn())
-		free = ownFree + wo.freeBorrowed()
-		capacity = wo.own - wo.lent
-		for _, ls := range wo.loans {
-			capacity += ls.used + ls.free()
-		}
-		capacity = max(0, capacity)
+		capacity = wo.spec.Slots
+		free = max(0, capacity-wo.used)
 		if wo.health.state == probing {
-			free, capacity, ownFree = min(free, 1), min(capacity, 1), min(ownFree, 1)
+			free, capacity = min(free, 1), min(capacity, 1)
 			if wo.health.probeOut {
-				free, ownFree = 0, 0
+				free = 0
 			}
 		}
 		if wo.health.blockedUntil > co.now {
-			free, ownFree = 0, 0
+			free = 0
 		}
 	}
-	gr.freeOwn += ownFree - wo.ownFree
+	gr.free += free - wo.free
 	gr.capacity += capacity - wo.capacity
-	wo.dom.freeOwn += ownFree - wo.ownFree
+	wo.dom.free += free - wo.free
 	wo.dom.capacity += capacity - wo.capacity
-	wo.ownFree, wo.capacity = ownFree, capacity
+	wo.free, wo.capacity = free, capacity
 	if free == 0 {
 		gr.tree.set(wo.leaf, unavailable)
 		return
@@ -172,20 +150,6 @@
 	gr.tree.set(wo.leaf, co.ranker.rank(wo))
 }
 
-// ignoresOthers reports whether the policy uses all slots of all workers.
-func (co *Core) ignoresOthers() bool { return co.se.Policy != Lending && co.se.Policy != Shares }
-
-func (co *Core) setShare(wo *worker) {
-	switch {
-	case co.ignoresOthers():
-		wo.own = wo.spec.Slots
-	case wo.spec.DataCentre == co.se.DataCentre:
-		wo.own = shareOf(wo.spec.ID, wo.spec.Slots, co.localMembers, co.se.Instance)
-	default:
-		wo.own = 0
-	}
-}
-
 // workersChanged replaces the set of workers. Workers that are gone are kept while they have tasks in flight.
 func (co *Core) workersChanged(ev WorkersChanged) {
 	specs := slices.Clone(ev.Workers)
@@ -215,19 +179,19 @@
 	co.adoptEstimates()
 }
 
-// dropWorker takes a worker out of the set. Its borrowed slots are of no use any more; the lender takes them back.
+// dropWorker takes a worker out of the set.
 func (co *Core) dropWorker(wo *worker) {
 	co.keepEstimate(wo)
-	wo.grp, wo.dom, wo.ownFree, wo.capacity = nil, nil, 0, 0
+	wo.grp, wo.dom, wo.free, wo.capacity = nil, nil, 0, 0
 	wo.health, wo.leaving = health{}, false
-	if wo.inFlight() == 0 && wo.lent == 0 && len(wo.loans) == 0 {
+	if wo.used == 0 {
 		delete(co.workers, wo.spec.ID)
 	}
 }
 
 // forgetGone drops the record of a worker that is not in the set and has nothing in flight any more.
 func (co *Core) forgetGone(wo *worker) {
-	if wo.grp == nil && wo.inFlight() == 0 && wo.lent == 0 && len(wo.loans) == 0 && co.workers[wo.spec.ID] == wo {
+	if wo.grp == nil && wo.used == 0 && co.workers[wo.spec.ID] == wo {
 		delete(co.workers, wo.spec.ID)
 	}
 }
@@ -260,7 +224,7 @@
 		}
 		wo.dom = co.domains[sp.Domain]
 		wo.grp, wo.leaf = gr, len(gr.workers)
-		wo.ownFree, wo.capacity = 0, 0
+		wo.free, wo.capacity = 0, 0
 		gr.workers = append(gr.workers, wo)
 		gr.rates[wo.bucket] += wo.rate
 	}
@@ -268,7 +232,6 @@
 	for _, gr := range co.groups {
 		gr.tree = newRankTree(len(gr.workers))
 		for _, wo := range gr.workers {
-			co.setShare(wo)
 			gr.pool.count(wo)
 		}
 	}
@@ -296,25 +259,3 @@
 	co.keepEjectionCap()
 	co.update(wo)
 }
-
-// membersChanged recomputes the shares. Tasks in flight stay counted even if their slots now belong to another
-// instance, so no slot of the new share is used twice by this instance.
-func (co *Core) membersChanged(ev MembersChanged) {
-	co.localMembers = co.localMembers[:0]
-	clear(co.members)
-	for _, me := range ev.Members {
-		if co.members[me.ID] {
-			continue
-		}
-		co.members[me.ID] = true
-		if me.DataCentre == co.se.DataCentre {
-			co.localMembers = append(co.localMembers, me.ID)
-		}
-	}
-	slices.Sort(co.localMembers)
-	co.setPeers(ev.Members)
-	for _, wo := range co.list {
-		co.setShare(wo)
-		co.update(wo)
-	}
-}
--- a/lovageentry/counts.go
+++ b/lovageentry/counts.go
@@ -26,8 +26,6 @@
 	accepts           metrics.Counter
 	resultCopies      metrics.Counter
 	estimateCopies    metrics.Counter
-	slotsAsks         metrics.Counter
-	slotsReturns      metrics.Counter
 	heartbeats        metrics.Counter
 	heartbeatsFailed  metrics.Counter
 	summaries         metrics.Counter
@@ -64,8 +62,6 @@
 		rowsDeleted:      counter("rows_deleted", "Table rows of ended instances that this instance deleted."),
 		rangesFreed:      counter("ranges_freed", "Key ranges freed whose owner and replica had ended."),
 		mintsRefused:     counter("mints_refused", "Requests for keys refused because of limits.records."),
-		slotsAsks:        counter("slots_asks", "Requests for slots sent to peers."),
-		slotsReturns:     counter("slots_returns", "Borrowed slots given back, in messages."),
 		heartbeats:       counter("heartbeats", "Heartbeats sent."),
 		heartbeatsFailed: counter("heartbeats_failed", "Heartbeats without a reply."),
 		summaries:        counter("summaries_sent", "Summaries of a data centre sent in heartbeats and replies to them."),
--- a/lovageentry/heartbeat.go
+++ b/lovageentry/heartbeat.go
@@ -9,7 +9,6 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
 
-	"lovagestack/lovagedispatch"
 	"lovagestack/lovagemember"
 	"lovagestack/lovagemessage"
 )
@@ -189,7 +188,7 @@
 	load := lo.core.Load()
 	return &lovagemessage.Heartbeat{
 		Instance: lo.in.id, DataCentre: lo.in.settings.DataCentre, Address: lo.in.peerAddress, Leaving: lo.draining,
-		Ready: lo.in.isReady(), AppliedRevision: lo.in.store.Revision(), Load: fromLoad(load),
+		Ready: lo.in.isReady(), AppliedRevision: lo.in.store.Revision(),
 		LeavingWorkers: lo.member.LeavingWorkers(), Relays: lo.in.relays.Load(), CallerAddress: lo.in.callerAddress,
 		Domains: lo.domainLoads(&load),
 	}
@@ -273,7 +272,6 @@
 	}
 	lo.stepMember(seen)
 	lo.in.domains.heard(msg.GetDomains(), lo.now)
-	lo.stepCore(lovagedispatch.PeerLoad{Instance: hr.from, Load: toLoad(msg.GetLoad())})
 	lo.rangesHeard(msg.GetDataCentre(), hr.from, msg.GetRanges())
 	(&summariesReceived{msg.GetSummaries()}).apply(lo)
 	rp := &lovagemessage.HeartbeatReply{
@@ -300,27 +298,3 @@
 		return nil, ctx.Err()
 	}
 }
-
-func fromLoad(ld lovagedispatch.Load) *lovagemessage.Load {
-	out := &lovagemessage.Load{
-		FreeSlots: int32(ld.FreeSlots), QueuedTasks: int32(ld.QueuedTasks), RunningTasks: int32(ld.RunningTasks),
-	}
-	for _, sl := range ld.Services {
-		out.Services = append(out.Services, &lovagemessage.ServiceLoad{
-			Service: sl.Service, FreeSlots: int32(sl.FreeSlots), QueuedTasks: int32(sl.QueuedTasks),
-		})
-	}
-	return out
-}
-
-func toLoad(msg *lovagemessage.Load) lovagedispatch.Load {
-	out := lovagedispatch.Load{
-		FreeSlots: int(msg.GetFreeSlots()), QueuedTasks: int(msg.GetQueuedTasks()), RunningTasks: int(msg.GetRunningTasks()),
-	}
-	for _, sl := range msg.GetServices() {
-		out.Services = append(out.Services, lovagedispatch.ServiceLoad{
-			Service: sl.GetService(), FreeSlots: int(sl.GetFreeSlots()), QueuedTasks: int(sl.GetQueuedTasks()),
-		})
-	}
-	return out
-}
--- a/lovageentry/instance.go
+++ b/lovageentry/instance.go
@@ -355,10 +355,6 @@
 		return in.handleResultCopy(ctx, from, body.ResultCopy)
 	case *lovagemessage.Request_Transfer:
 		return in.handleTransfer(ctx, from, body.Transfer)
-	case *lovagemessage.Request_SlotsAsk:
-		return in.handleSlotsAsk(ctx, from, body.SlotsAsk)
-	case *lovagemessage.Request_SlotsReturn:
-		return in.handleSlotsReturn(ctx, from, body.SlotsReturn)
 	case *lovagemessage.Request_Estimates:
 		return in.handleEstimates(ctx, body.Estimates)
 	case *lovagemessage.Request_ConfigDelta, *lovagemessage.Request_ConfigAsk:
--- a/lovageentry/loop.go
+++ b/lovageentry/loop.go
@@ -150,12 +150,6 @@
 		lo.stopTask(cm)
 	case lovagedispatch.FinishJob:
 		lo.finishJob(cm)
-	case lovagedispatch.AskSlots:
-		lo.askSlots(cm)
-	case lovagedispatch.LendSlots:
-		lo.lendSlots(cm)
-	case lovagedispatch.ReturnSlots:
-		lo.returnSlots(cm)
 	case lovagedispatch.WakeAt:
 		lo.wakeNoLaterThan(cm.At)
 	}
@@ -205,3 +199,14 @@
 	lo.wakeAt = at
 	lo.wake.Reset(max(0, at.Sub(lo.now)))
 }
+
+// coreEvent is an event of the dispatch core that comes from another goroutine than the control loop's.
+type coreEvent struct {
+	in *Instance
+	ev lovagedispatch.Event
+}
+
+// run hands the event to the control loop, which must not wait for its own queue.
+func (ce *coreEvent) run() { ce.in.control.post(ce.in.running(), ce) }
+
+func (ce *coreEvent) apply(lo *controlLoop) { lo.stepCore(ce.ev) }
--- a/lovageentry/member.go
+++ b/lovageentry/member.go
@@ -136,12 +136,11 @@
 	}
 }
 
-// membersChanged tells both cores and the traffic goroutines about the new view.
+// membersChanged tells the ledger and the traffic goroutines about the new view.
 func (lo *controlLoop) membersChanged(cm lovagemember.MembersChanged) {
 	members := make(map[string]lovagemember.Member)
 	addresses, callers := make(map[string]string), make(map[string]string)
 	dataCentres := make(map[string]string)
-	var forCore []lovagedispatch.Member
 	var live []lovagedomain.Member
 	var forLedger []lovageledger.Member
 	for _, dc := range cm.DataCentres {
@@ -154,12 +153,6 @@
 			if me.Shares() {
 				live = append(live, lovagedomain.Member{ID: me.Instance, DataCentre: dc.Name})
 			}
-			// A leaving instance keeps its share for its own core, because jobs that it accepts until the balancer
-			// knows would otherwise have no slots of its own. Peers share among the others already; a worker that is
-			// thereby oversubscribed answers "not started".
-			if me.Shares() || me.Instance == lo.in.id {
-				forCore = append(forCore, lovagedispatch.Member{ID: me.Instance, DataCentre: dc.Name})
-			}
 			if me.Instance == lo.in.id {
 				continue
 			}
@@ -177,7 +170,6 @@
 	lo.in.callers.set(callers)
 	lo.setAddresses()
 	lo.liveChanged(live)
-	lo.stepCore(lovagedispatch.MembersChanged{Members: forCore})
 	lo.stepLedger(&lovageledger.MembersChanged{Members: forLedger})
 }
 
--- a/lovageentry/news.go
+++ b/lovageentry/news.go
@@ -84,7 +84,7 @@
 // noteMember returns the number of the last change of a report's contents.
 func (nb *newsBook) noteMember(full *lovagemessage.MemberSummary) uint64 {
 	contents := &lovagemessage.MemberSummary{
-		Address: full.GetAddress(), CallerAddress: full.GetCallerAddress(), Load: full.GetLoad(), Domains: full.GetDomains(),
+		Address: full.GetAddress(), CallerAddress: full.GetCallerAddress(), Domains: full.GetDomains(),
 	}
 	if old := nb.members[full.GetInstance()]; old != nil && proto.Equal(old.contents, contents) {
 		return old.change
@@ -107,7 +107,7 @@
 		if heard := nb.heard[me.GetInstance()]; heard != nil {
 			full := brief(me)
 			full.Address, full.CallerAddress = heard.GetAddress(), heard.GetCallerAddress()
-			full.Load, full.Domains = heard.GetLoad(), heard.GetDomains()
+			full.Domains = heard.GetDomains()
 			out.Members = append(out.Members, full)
 		}
 	}
--- a/lovageentry/resources.go
+++ b/lovageentry/resources.go
@@ -66,7 +66,7 @@
 			continue // a service without a pool cannot run anywhere
 		}
 		rl.services = append(rl.services, lovagedispatch.Service{
-			Name: services[i].Name, Pools: byService[services[i].Name], Weight: weightOf(sp.Weight),
+			Name: services[i].Name, Pools: byService[services[i].Name],
 			MaxQueuedTasks: sp.QueuedTasks, RetryRatio: retryRatio(sp.RetryBudget),
 		})
 		rl.maxRunTimes = append(rl.maxRunTimes, serviceInfo{name: services[i].Name, maxRunTime: time.Duration(sp.MaxRunTime)})
@@ -87,13 +87,6 @@
 
 func retryRatio(budget float64) float64 { return max(budget, minRetryRatio) }
 
-func weightOf(we lovageresource.Weight) lovagedispatch.Weight {
-	if we == lovageresource.WeightMessages {
-		return lovagedispatch.FewerMessages
-	}
-	return lovagedispatch.ResponseTime
-}
-
 // serviceInfo is what the control loop needs of a service beyond the dispatch core.
 type serviceInfo struct {
 	name       string
@@ -193,7 +186,6 @@
 	lo.stepCore(lovagedispatch.TunablesChanged{
 		MaxQueuedTasks:  sp.Admission.QueuedTasks,
 		EjectionBackOff: time.Duration(sp.Ejection.BackOff), MaxEjectionBackOff: time.Duration(sp.Ejection.MaxBackOff),
-		Lend: sp.Lending.Enabled, LoanTerm: time.Duration(sp.Lending.Term), MaxLoanSlots: sp.Lending.Slots,
 	})
 }
 
--- a/lovageentry/summary.go
+++ b/lovageentry/summary.go
@@ -5,7 +5,6 @@
 
 	"go.uber.org/zap"
 
-	"lovagestack/lovagedispatch"
 	"lovagestack/lovageledger"
 	"lovagestack/lovagemember"
 	"lovagestack/lovagemessage"
@@ -15,7 +14,7 @@
 func memberSummary(msg *lovagemessage.Heartbeat) *lovagemessage.MemberSummary {
 	return &lovagemessage.MemberSummary{
 		Instance: msg.GetInstance(), CallerAddress: msg.GetCallerAddress(), AppliedRevision: msg.GetAppliedRevision(),
-		Load: msg.GetLoad(), Domains: msg.GetDomains(),
+		Domains: msg.GetDomains(),
 	}
 }
 
@@ -33,7 +32,7 @@
 		out.Members = append(out.Members, &lovagemessage.MemberSummary{
 			Instance: re.Instance, Address: re.Address, State: fromState(re.State), AgeMillis: re.Age.Milliseconds(),
 			LeavingWorkers: re.LeavingWorkers, CallerAddress: details.GetCallerAddress(),
-			AppliedRevision: details.GetAppliedRevision(), Load: details.GetLoad(), Domains: details.GetDomains(),
+			AppliedRevision: details.GetAppliedRevision(), Domains: details.GetDomains(),
 		})
 	}
 	return out
@@ -104,7 +103,6 @@
 	}
 	lo.in.domains.heard(details.GetDomains(), lo.now.Add(-cm.Age))
 	lo.in.keeper.ReportedAt(cm.Instance, details.GetAppliedRevision(), lo.now.Add(-cm.Age))
-	lo.stepCore(lovagedispatch.PeerLoad{Instance: cm.Instance, Load: toLoad(details.GetLoad())})
 }
 
 func (lo *controlLoop) roleChanged(cm lovagemember.RoleChanged) {
--- a/lovagepeer/counters.go
+++ b/lovagepeer/counters.go
@@ -31,8 +31,6 @@
 	kindAccept           = "accept"
 	kindResultCopy       = "resultCopy"
 	kindTransfer         = "transfer"
-	kindSlotsAsk         = "slotsAsk"
-	kindSlotsReturn      = "slotsReturn"
 	kindEstimates        = "estimates"
 	kindConfigDelta      = "configDelta"
 	kindConfigAsk        = "configAsk"
@@ -46,7 +44,7 @@
 
 var kinds = []string{
 	kindHello, kindHeartbeat, kindSubmit, kindAsk, kindCancel, kindMint, kindAccept, kindResultCopy, kindTransfer,
-	kindSlotsAsk, kindSlotsReturn, kindEstimates, kindConfigDelta, kindConfigAsk, kindPlace,
+	kindEstimates, kindConfigDelta, kindConfigAsk, kindPlace,
 	kindWithdraw, kindStanding, kindTakeOver, kindAskConfiguration, kindOther,
 }
 
@@ -71,10 +69,6 @@
 		return kindResultCopy
 	case *lovagemessage.Request_Transfer:
 		return kindTransfer
-	case *lovagemessage.Request_SlotsAsk:
-		return kindSlotsAsk
-	case *lovagemessage.Request_SlotsReturn:
-		return kindSlotsReturn
 	case *lovagemessage.Request_Estimates:
 		return kindEstimates
 	case *lovagemessage.Request_ConfigDelta:
--- a/lovageresource/configuration.go
+++ b/lovageresource/configuration.go
@@ -12,7 +12,6 @@
 	AnswerRetention Duration  `json:"answerRetention"` // full answers are kept this long after the end; default 60s
 	Admission       Admission `json:"admission"`
 	Ejection        Ejection  `json:"ejection"`
-	Lending         Lending   `json:"lending"`
 	// DomainSlots is the number of slots above which pools with common services are split into several decision domains;
 	// default 4096.
 	DomainSlots int `json:"domainSlots"`
@@ -29,15 +28,8 @@
 	MaxBackOff Duration `json:"maxBackOff"` // default 1m
 }
 
-// Lending tunes how instances borrow slots from each other.
-type Lending struct {
-	Enabled bool     `json:"enabled"` // default true; otherwise each instance uses its own share only
-	Slots   int      `json:"slots"`   // most slots in one loan; default 64
-	Term    Duration `json:"term"`    // a loan ends after this time; default 2s
-}
-
-// DefaultConfiguration returns the values in force without a declared configuration. The figures of admission, ejection
-// and lending are those of lovagedispatch.DefaultSettings, domainSlots is lovagedomain.DefaultDomainSlots, the others are
+// DefaultConfiguration returns the values in force without a declared configuration. The figures of admission and
+// ejection are those of lovagedispatch.DefaultSettings, domainSlots is lovagedomain.DefaultDomainSlots, the others are
 // those of the design page, section 5.
 func DefaultConfiguration() Configuration {
 	return Configuration{
@@ -45,7 +37,6 @@
 		AnswerRetention: Duration(time.Minute),
 		Admission:       Admission{QueuedTasks: 100_000},
 		Ejection:        Ejection{BackOff: Duration(time.Second), MaxBackOff: Duration(time.Minute)},
-		Lending:         Lending{Enabled: true, Slots: 64, Term: Duration(2 * time.Second)},
 		DomainSlots:     lovagedomain.DefaultDomainSlots,
 	}
 }
@@ -66,6 +57,4 @@
 		add("ejection.backOff", "%s is longer than maxBackOff, which is %s", sp.Ejection.BackOff, sp.Ejection.MaxBackOff)
 	}
 	checkRange(add, "domainSlots", int64(sp.DomainSlots), 1, maxCount)
-	checkRange(add, "lending.slots", int64(sp.Lending.Slots), 1, 10_000)
-	checkDuration(add, "lending.term", sp.Lending.Term, 10*time.Millisecond, time.Minute)
 }
--- a/lovageresource/specs.go
+++ b/lovageresource/specs.go
@@ -14,19 +14,9 @@
 // Duration is a time.Duration whose JSON and TOML form is a string such as "250ms".
 type Duration = lovageconfig.Duration
 
-// Weight says what a service's users give more weight.
-type Weight string
-
-// Values of Weight.
-const (
-	WeightResponseTime Weight = "responseTime" // a late answer is worse than a wasted message
-	WeightMessages     Weight = "messages"     // a wasted message is worse than a late answer
-)
-
 // Service is a kind of task that workers run.
 type Service struct {
 	RunTime     Duration `json:"runTime"`     // estimate of one task's run time until it is learned; required
-	Weight      Weight   `json:"weight"`      // default "responseTime"
 	QueuedTasks int      `json:"queuedTasks"` // bound of queued tasks per instance; default 50000
 	RetryBudget float64  `json:"retryBudget"` // retries per start, 0 to 1; default 0.1
 	MaxRunTime  Duration `json:"maxRunTime"`  // a task running longer is stopped; default 30s
@@ -35,7 +25,7 @@
 // DefaultService returns the values that hold for fields a declaration does not set.
 func DefaultService() Service {
 	return Service{
-		Weight: WeightResponseTime, QueuedTasks: 50_000, RetryBudget: 0.1, MaxRunTime: Duration(30 * time.Second),
+		QueuedTasks: 50_000, RetryBudget: 0.1, MaxRunTime: Duration(30 * time.Second),
 	}
 }
 
@@ -48,9 +38,6 @@
 	if sp.RunTime > sp.MaxRunTime {
 		add("runTime", "%s is longer than maxRunTime, which is %s", sp.RunTime, sp.MaxRunTime)
 	}
-	if sp.Weight != WeightResponseTime && sp.Weight != WeightMessages {
-		add("weight", "%q is neither %q nor %q", sp.Weight, WeightResponseTime, WeightMessages)
-	}
 	checkRange(add, "queuedTasks", int64(sp.QueuedTasks), 1, maxCount)
 	checkShare(add, "retryBudget", sp.RetryBudget)
 }
--- a/lovagestack/get.go
+++ b/lovagestack/get.go
@@ -66,7 +66,7 @@
 func summary(re *lovageresource.Resource) string {
 	switch sp := re.Spec.(type) {
 	case lovageresource.Service:
-		return fmt.Sprintf("run time %s, weight %s", sp.RunTime, sp.Weight)
+		return fmt.Sprintf("run time %s, at most %s", sp.RunTime, sp.MaxRunTime)
 	case lovageresource.Pool:
 		slots := 0
 		for _, wo := range sp.Workers {
