lovagepool: each pass looks at the workers once

Cause: with 200 jobs waiting at 70 workers one end cost 3.0 ms: for each waiting job every worker's speed factor was computed anew, with an exponential and a map access, twice, and every worker was looked at even when none had room. Ruled out: sorting the queue (1% of the profile). Change: a pass of schedule finds out once which workers of a service may get starts, the fastest factor, their rate and the largest free room; a task that fits nowhere is passed over at once. Factors are kept until something is learned.

--- a/lovagejob/work.go
+++ b/lovagejob/work.go
@@ -27,6 +27,11 @@
 	return Room{ro.MilliCores - ot.MilliCores, ro.MemoryMB - ot.MemoryMB, ro.Accelerators - ot.Accelerators}
 }
 
+// Most returns the larger of both rooms in each resource.
+func (ro Room) Most(ot Room) Room {
+	return Room{max(ro.MilliCores, ot.MilliCores), max(ro.MemoryMB, ot.MemoryMB), max(ro.Accelerators, ot.Accelerators)}
+}
+
 // Holds returns how many times unit fits in, or 1 for an empty unit.
 func (ro Room) Holds(unit Room) int {
 	n, bounded := int64(0), false
--- a/lovagepool/estimate.go
+++ b/lovagepool/estimate.go
@@ -39,11 +39,21 @@
 // speed is a learned factor on run times, on a log scale: 0 is as estimated, above 0 slower.
 type speed struct {
 	log     float64
+	exp     float64 // of log, 0 if it has not been computed
 	samples int
 }
 
+// factor is the speed on a linear scale.
+func (sp *speed) factor() float64 {
+	if sp.exp == 0 {
+		sp.exp = math.Exp(sp.log)
+	}
+	return sp.exp
+}
+
 func (sp *speed) add(sample, weight float64) {
 	sp.samples++
+	sp.exp = 0
 	sp.log += (sample - sp.log) * math.Max(weight, 1/float64(sp.samples))
 }
 
@@ -142,14 +152,17 @@
 
 // factor returns by how much longer than on a worker of speed 1 a task takes on the worker.
 func (po *Pool) factor(wo *worker) float64 {
-	lo := 0.0
+	if wo.factorAt == po.learned {
+		return wo.factor
+	}
+	wo.factor, wo.factorAt = 1, po.learned
 	if ki := po.kinds[wo.Kind]; ki != nil && ki.samples >= minSamples {
-		lo = ki.log
+		wo.factor = ki.factor()
 	}
 	if wo.speed.samples > 0 {
-		lo += wo.speed.log
+		wo.factor *= wo.speed.factor()
 	}
-	return math.Exp(lo)
+	return wo.factor
 }
 
 // learn takes the run time of a task that is done. The kinds' factors are relative to the callers' estimates, so the
@@ -180,6 +193,7 @@
 	if math.Abs(off) < math.Ln2 {
 		off = 0
 	}
+	po.learned++
 	wo.speed.add(off, workerWeight)
 	if off == 0 {
 		ki.add(sample, speedWeight)
--- a/lovagepool/lend.go
+++ b/lovagepool/lend.go
@@ -114,7 +114,7 @@
 // time, and any if it would be late on the fastest worker too.
 func (po *Pool) slowestInTime(now time.Time, jo *Job) float64 {
 	left := jo.goal.Sub(now)
-	if left <= time.Duration(float64(jo.runTime)*po.fastest(now, jo.Work.Service)) {
+	if left <= time.Duration(float64(jo.runTime)*po.rosterOf(now, jo.Work.Service).fastest) {
 		return math.Inf(1)
 	}
 	return float64(left) / (lateMargin * float64(jo.runTime))
--- a/lovagepool/place.go
+++ b/lovagepool/place.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"lovagestack/lovagejob"
 )
 
 const (
@@ -39,6 +41,7 @@
 	if len(po.queue) == 0 {
 		return
 	}
+	po.pass++
 	order := po.sortQueue(now)
 	for _, jo := range order {
 		if !now.Before(jo.Work.Deadline) {
@@ -63,21 +66,44 @@
 	po.queue = kept
 }
 
-// fastest returns the smallest factor among the workers of a service that may get starts.
-func (po *Pool) fastest(now time.Time, service string) float64 {
-	best := 0.0
+// roster is what a pass of schedule needs to know of the workers of a service, so that it is found out once.
+type roster struct {
+	pass    int            // of schedule, for which it holds
+	workers []*worker      // that may get starts when the pass begins
+	fastest float64        // smallest factor among them; 1 if there are none
+	rate    float64        // work that they do per second, in thousandths of a core of speed 1
+	most    lovagejob.Room // at least the most that is free on one of them, by resource
+}
+
+// rosterOf returns the roster of a service for this pass.
+func (po *Pool) rosterOf(now time.Time, service string) *roster {
+	ro := po.rosters[service]
+	if ro == nil {
+		ro = &roster{}
+		po.rosters[service] = ro
+	}
+	if ro.pass != po.pass {
+		ro.pass = po.pass
+		po.fill(now, ro, service)
+	}
+	return ro
+}
+
+// fill finds out what a roster holds.
+func (po *Pool) fill(now time.Time, ro *roster, service string) {
+	ro.workers, ro.fastest, ro.rate, ro.most = ro.workers[:0], 1, 0, lovagejob.Room{}
 	for _, wo := range po.order {
 		if wo.Service != service || !po.usable(now, wo) {
 			continue
 		}
-		if fa := po.factor(wo); best == 0 || fa < best {
-			best = fa
+		fa := po.factor(wo)
+		if len(ro.workers) == 0 || fa < ro.fastest {
+			ro.fastest = fa
 		}
+		ro.workers = append(ro.workers, wo)
+		ro.rate += packing * float64(wo.Capacity.MilliCores) / fa
+		ro.most = ro.most.Most(po.free(wo))
 	}
-	if best == 0 {
-		return 1
-	}
-	return best
 }
 
 // sortQueue orders jobs: first those that can still be in time, by the latest moment at which they must start; then the
@@ -88,18 +114,12 @@
 		tier  int
 		value int64
 	}
-	fast := map[string]float64{}
 	list := make([]entry, 0, len(po.queue))
 	for _, jo := range po.queue {
 		if jo.ended || jo.waiting == 0 || jo.after != nil {
 			continue
 		}
-		fa, ok := fast[jo.Work.Service]
-		if !ok {
-			fa = po.fastest(now, jo.Work.Service)
-			fast[jo.Work.Service] = fa
-		}
-		run := time.Duration(float64(jo.runTime) * fa)
+		run := time.Duration(float64(jo.runTime) * po.rosterOf(now, jo.Work.Service).fastest)
 		latest := jo.goal.Add(-run)
 		en := entry{jo: jo, value: latest.UnixNano()}
 		switch {
@@ -184,11 +204,21 @@
 func (po *Pool) choose(now time.Time, ta *task, selective bool) *worker {
 	jo := ta.job
 	st := &jo.Work.Steps[ta.step]
+	ro := po.rosterOf(now, jo.Work.Service)
+	if !st.Room.Fits(ro.most) {
+		return nil
+	}
 	var best *worker
 	var bestCost, bestFactor float64
+	var most lovagejob.Room
 	fast := 0.0
-	for _, wo := range po.order {
-		if wo.Service != jo.Work.Service || !st.Room.Fits(wo.Capacity) || !wo.hasLabel(st.Constraint) || !po.usable(now, wo) {
+	for _, wo := range ro.workers {
+		if !po.usable(now, wo) {
+			continue // it is on trial since this pass began
+		}
+		free := po.free(wo)
+		most = most.Most(free)
+		if !st.Room.Fits(wo.Capacity) || !wo.hasLabel(st.Constraint) {
 			continue
 		}
 		fa := po.factor(wo)
@@ -198,7 +228,6 @@
 		if fast == 0 || fa < fast {
 			fast = fa
 		}
-		free := po.free(wo)
 		if !st.Room.Fits(free) || (st.AntiAffinity > 0 && wo.count(jo, ta.step) >= st.AntiAffinity) {
 			continue
 		}
@@ -210,7 +239,11 @@
 			best, bestCost, bestFactor = wo, cost, fa
 		}
 	}
-	if best == nil || !selective {
+	if best == nil {
+		ro.most = most
+		return nil
+	}
+	if !selective {
 		return best
 	}
 	run := time.Duration(float64(jo.runTime) * bestFactor)
@@ -237,17 +270,6 @@
 	return n
 }
 
-// rate returns the work that the usable workers of a service do per second, in thousandths of a core of speed 1.
-func (po *Pool) rate(now time.Time, service string) float64 {
-	sum := 0.0
-	for _, wo := range po.order {
-		if wo.Service == service && po.usable(now, wo) {
-			sum += packing * float64(wo.Capacity.MilliCores) / po.factor(wo)
-		}
-	}
-	return sum
-}
-
 // remaining is the work of the job's waiting tasks, in thousandths of a core times seconds.
 func (jo *Job) remaining() float64 {
 	sum := 0.0
@@ -264,30 +286,25 @@
 // for a late answer is refused when even that would be of no use any more.
 func (po *Pool) refuseHopeless(now time.Time, order []*Job) {
 	ahead := map[string]float64{}
-	rates := map[string]float64{}
 	for _, jo := range order {
 		if jo.ended || jo.waiting == 0 || jo.Lent != nil {
 			continue
 		}
 		service := jo.Work.Service
-		rate, ok := rates[service]
-		if !ok {
-			rate = po.rate(now, service)
-			rates[service] = rate
-		}
+		ro := po.rosterOf(now, service)
 		own := jo.remaining()
 		before := ahead[service]
 		ahead[service] += own
 		if jo.begun > 0 {
 			continue
 		}
-		if rate == 0 {
+		if ro.rate == 0 {
 			po.refuseWithoutWorkers(now, jo)
 			continue
 		}
-		run := time.Duration(float64(jo.runTime) * po.fastest(now, service))
+		run := time.Duration(float64(jo.runTime) * ro.fastest)
 		left := jo.goal.Sub(now) - run
-		speed := po.speedFor(now, service, rate, left)
+		speed := po.speedFor(now, service, ro.rate, left)
 		wait := time.Duration((before + own*float64(jo.waiting-1)/float64(jo.waiting)) / speed * float64(time.Second))
 		age := now.Sub(jo.Work.Arrived)
 		share := float64(age) / float64(jo.goal.Sub(jo.Work.Arrived))
--- a/lovagepool/pool.go
+++ b/lovagepool/pool.go
@@ -205,7 +205,10 @@
 	queue     []*Job          // with tasks that are ready
 	classes   map[string]*class
 	rooms     map[string]*meanRoom // of the tasks of a service
+	rosters   map[string]*roster   // by service
+	pass      int                  // of schedule
 	kinds     map[string]*speed
+	learned   int // how often speeds have changed
 	lenders   map[string]*lender
 	lent      map[string]*loan
 	nextLoan  int
@@ -221,7 +224,7 @@
 func New(se Settings) *Pool {
 	return &Pool{
 		se: se, workers: map[string]*worker{}, jobs: map[string]*Job{}, byID: map[string]*Job{}, classes: map[string]*class{},
-		rooms: map[string]*meanRoom{}, kinds: map[string]*speed{}, lenders: map[string]*lender{}, lent: map[string]*loan{}, Counts: map[string]int64{},
+		rooms: map[string]*meanRoom{}, rosters: map[string]*roster{}, learned: 1, kinds: map[string]*speed{}, lenders: map[string]*lender{}, lent: map[string]*loan{}, Counts: map[string]int64{},
 		withdrawn: map[string]time.Time{},
 	}
 }
--- a/lovagepool/workers.go
+++ b/lovagepool/workers.go
@@ -46,6 +46,8 @@
 	handing   bool      // being handed over: no starts
 	gone      bool      // no longer registered; kept until its runs have ended
 	lastOrder time.Time // when the last order that extends leases was sent
+	factor    float64   // by how much longer a task takes here; see Pool.factor
+	factorAt  int       // Pool.learned when factor was computed
 }
 
 // SetWorkers replaces the set of workers. A worker that is missing gets no new starts; its runs go on.
@@ -63,7 +65,7 @@
 		if wo.Born != de.Born && de.Born != 0 && wo.Born != 0 {
 			po.reborn(now, wo)
 		}
-		wo.gone, wo.Worker = false, de
+		wo.gone, wo.Worker, wo.factorAt = false, de, 0 // it may be of another kind
 	}
 	for _, wo := range po.order {
 		if !seen[wo.ID] {
@@ -95,7 +97,7 @@
 			po.stop(now, ru)
 		}
 	}
-	wo.speed, wo.failures, wo.ejections, wo.until = speed{}, 0, 0, time.Time{}
+	wo.speed, wo.factorAt, wo.failures, wo.ejections, wo.until = speed{}, 0, 0, 0, time.Time{}
 }
 
 // Reborn notes that another process of the worker has answered. Its list is to follow.
@@ -206,16 +208,14 @@
 	var sd Standing
 	usual := po.usualRoom(service)
 	free := map[int]int{} // by the step of speed
-	for _, wo := range po.order {
-		if wo.Service != service || !po.usable(now, wo) {
-			continue
-		}
-		sd.Workers++
+	ro := &roster{}
+	po.fill(now, ro, service)
+	sd.Workers, sd.Rate = len(ro.workers), ro.rate
+	for _, wo := range ro.workers {
 		if n := po.free(wo).Holds(usual); n > 0 {
 			free[int(math.Ceil(speedSteps*math.Log2(po.factor(wo))))] += n
 		}
 	}
-	sd.Rate = po.rate(now, service)
 	if sd.Rate > 0 {
 		waiting := 0.0
 		for _, jo := range po.queue {
