lovagepool: one way to end a job; look for another owner only once

Cause: passing a job on repeated the steps of finish, and a job that had been passed on still booked its work at another owner. Change: finish and passOn share end; ownerInTime returns nothing for a job that was passed on before.

--- a/lovagepool/lend.go
+++ b/lovagepool/lend.go
@@ -58,8 +58,12 @@
 	le.services[service] = sd
 }
 
-// passOn returns another owner whose workers are expected to start a job in time, and notes that they have more to do then.
-func (po *Pool) passOn(now time.Time, jo *Job, left time.Duration) string {
+// ownerInTime returns another owner whose workers are expected to start a job within the time left, and books the job's work
+// there until the next report. It returns an empty string if there is none, or if the job was passed on before.
+func (po *Pool) ownerInTime(now time.Time, jo *Job, left time.Duration) string {
+	if jo.PassedOn {
+		return ""
+	}
 	service := jo.Work.Service
 	var best *lender
 	var shortest time.Duration
--- a/lovagepool/place.go
+++ b/lovagepool/place.go
@@ -318,8 +318,8 @@
 			reason = "an answer would be too late to be of use"
 		}
 		if reason != "" && !po.startAll(now, jo, false) { // never refused while there is room for it
-			if to := po.passOn(now, jo, left); !jo.PassedOn && to != "" {
-				po.moveTo(now, jo, to)
+			if to := po.ownerInTime(now, jo, left); to != "" {
+				po.passOn(now, jo, to)
 				ahead[service] -= own
 				continue
 			}
--- a/lovagepool/submit.go
+++ b/lovagepool/submit.go
@@ -15,7 +15,7 @@
 	if _, ok := po.withdrawn[jo.Ref]; ok {
 		delete(po.withdrawn, jo.Ref)
 		jo.build()
-		po.emitFinish(jo, NotRun, "cancelled before it arrived", 0)
+		po.answer(jo, Finish{Outcome: NotRun, Reason: "cancelled before it arrived"})
 		return
 	}
 	jo.class = po.classOf(wo.Queue)
@@ -195,36 +195,37 @@
 		po.finish(jo, NotRun, "no room before the caller's deadline", minRetry)
 		return
 	}
-	po.emitFinish(jo, Unknown, "not ended before the caller's deadline", 0)
+	po.answer(jo, Finish{Outcome: Unknown, Reason: "not ended before the caller's deadline"})
 	po.cancel(now, jo)
 }
 
 // finish answers a job of which nothing runs.
 func (po *Pool) finish(jo *Job, oc Outcome, reason string, retryIn time.Duration) {
+	po.end(jo, Finish{Outcome: oc, Reason: reason, RetryIn: retryIn})
+}
+
+func (po *Pool) end(jo *Job, fi Finish) {
 	if jo.ended {
 		return
 	}
-	po.emitFinish(jo, oc, reason, retryIn)
+	po.answer(jo, fi)
 	jo.ended = true
 	po.unqueue(jo)
 	po.forget(jo)
 }
 
-// moveTo hands a job of which nothing has begun back, to be passed to another owner.
-func (po *Pool) moveTo(now time.Time, jo *Job, to string) {
+// passOn hands a job of which nothing has begun back, to be passed to another owner.
+func (po *Pool) passOn(now time.Time, jo *Job, to string) {
 	po.decide(Decision{
 		Kind: "passedOn", Job: jo.Work.ID, Worker: to, Reason: "not expected to start in time here", Age: now.Sub(jo.Work.Arrived),
 	})
-	po.Counts["job:"+string(Moved)]++
-	po.emit(Finish{Ref: jo.Ref, Outcome: Moved, Reason: "another owner is expected to start it in time", To: to})
-	jo.ended = true
-	po.unqueue(jo)
-	po.forget(jo)
+	po.end(jo, Finish{Outcome: Moved, Reason: "another owner is expected to start it in time", To: to})
 }
 
-func (po *Pool) emitFinish(jo *Job, oc Outcome, reason string, retryIn time.Duration) {
-	po.Counts["job:"+string(oc)]++
-	fi := Finish{Ref: jo.Ref, Outcome: oc, Reason: reason, RetryIn: retryIn}
+// answer counts and emits the end of a job.
+func (po *Pool) answer(jo *Job, fi Finish) {
+	po.Counts["job:"+string(fi.Outcome)]++
+	fi.Ref = jo.Ref
 	if jo.Lent != nil {
 		for _, ta := range jo.tasks {
 			fi.Lent = append(fi.Lent, LentEnd{LentTask{ta.step, ta.index, ta.attempt}, cmp.Or(ta.how, HowDeclined)})
@@ -295,7 +296,7 @@
 	case HowFailed:
 		ta.failed++
 		if ta.failed >= max(jo.Work.MaxAttempts, 1) {
-			po.emitFinish(jo, Failed, "task "+jo.Work.TaskName(ta.step, ta.index)+" failed too often", 0)
+			po.answer(jo, Finish{Outcome: Failed, Reason: "task " + jo.Work.TaskName(ta.step, ta.index) + " failed too often"})
 			po.cancel(now, jo)
 			return
 		}
