--- /dev/null
+++ b/lovagelog/bench_test.go
@@ -0,0 +1,37 @@
+package lovagelog
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// BenchmarkDecision measures a line about an answered job: one that is written, and one whose budget is used up.
+func BenchmarkDecision(b *testing.B) {
+	kinds := make([]string, 1000)
+	for i := range kinds {
+		kinds[i] = fmt.Sprint("kind", i)
+	}
+	for _, written := range []bool{true, false} {
+		b.Run(fmt.Sprintf("written=%t", written), func(b *testing.B) {
+			lo := New(io.Discard)
+			go lo.Run(b.Context())
+			n := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				kind := "answered"
+				if written { // another kind has a budget of its own
+					kind = kinds[n/failureBudget%len(kinds)]
+					n++
+				}
+				lo.Decision(kind, false, zap.String("job", "5c0e7a21d94b36f8"), zap.String("outcome", "notRun"),
+					zap.String("reason", "not expected to start in time"), zap.String("queue", "r-u3mibjr"), zap.Int("tasks", 7),
+					zap.String("owner", "edge-kandla-yard-1"), zap.Duration("tookMs", 93*time.Millisecond),
+					zap.Duration("expectedMs", 60*time.Millisecond), zap.Int64("configVersion", 21))
+			}
+		})
+	}
+}
