--- a/lovagepool/pool.go
+++ b/lovagepool/pool.go
@@ -50,7 +50,7 @@
 	Completed Outcome = "completed"
 	Failed    Outcome = "failed"  // a task failed too often
 	NotRun    Outcome = "notRun"  // no task has been started and none will be
-	Moved     Outcome = "moved"   // not run here; another instance owns the workers
+	Moved     Outcome = "moved"   // not run here; to be given to another owner
 	Unknown   Outcome = "unknown" // tasks may have run; nothing is known of the end
 )
 
--- a/lovagestack/outage_test.go
+++ b/lovagestack/outage_test.go
@@ -41,8 +41,10 @@
 	unusedBody := jobBody(unused, false, 4, 10*time.Millisecond)
 	var last answer
 	de.eventually("the replica runs the key that was never submitted", func() bool {
+		sent := time.Now()
 		var err error
 		last, err = de.submit(k2, unusedBody)
+		t.Logf("answer to the unused key after %s: %+v %v", time.Since(sent).Round(time.Millisecond), last, err) // shown if the test fails
 		return err == nil && last.Outcome.Final()
 	})
 	must.Eq(t, lovagejob.Complete, last.Outcome, must.Sprintf("%s", last.Reason))
