lovagepool: a job that does not fit hides no room from the next one

Until the next pass, jobs that fit were passed over, or refused. Ruled out: an effect on what is started: the noted room only keeps tasks from being tried. Change: chooseAll restores it. Measured: TestJobThatDoesNotFitHidesNoRoomFromTheNext failed before. Conclusion: the noted room is an upper bound again.

--- a/lovagepool/place.go
+++ b/lovagepool/place.go
@@ -180,6 +180,8 @@
 
 // chooseAll returns ready tasks of a job for which there is room, with their workers.
 func (po *Pool) chooseAll(now time.Time, jo *Job, selective bool) ([]*task, []*worker) {
+	ro := po.rosterOf(now, jo.Work.Service)
+	most := ro.most
 	var tasks []*task
 	var chosen []*worker
 	for _, ta := range jo.tasks {
@@ -196,6 +198,7 @@
 	for i, ta := range tasks {
 		chosen[i].used = chosen[i].used.Minus(jo.Work.Steps[ta.step].Room)
 	}
+	ro.most = most // the choices may not be carried out
 	return tasks, chosen
 }
 
--- a/lovagepool/pool_test.go
+++ b/lovagepool/pool_test.go
@@ -473,3 +473,14 @@
 	}
 	test.Eq(t, 2, started, test.Sprint(list))
 }
+
+func TestJobThatDoesNotFitHidesNoRoomFromTheNext(t *testing.T) {
+	// Guards against a refusal in the same pass in which a larger job was tried on the places that are free.
+	be := newBench(t, testWorker("w1", 14000), testWorker("w2", 14000), testWorker("w3", 14000))
+	large, small := &Job{Ref: "large", Work: be.work("large", 4, 14000)}, &Job{Ref: "small", Work: be.work("small", 1, 14000)}
+	be.po.Submit(be.now, large)
+	be.po.Submit(be.now, small)
+	be.po.pass++ // as schedule does
+	must.False(t, be.po.startAll(be.now, large, false))
+	must.True(t, be.po.startAll(be.now, small, false))
+}
