lovagepool: one loop that lends a job's waiting tasks, one check of a report's age

Cause: lendQueue and lendAll had the same loop, three places the same comparison; a line of New was overlong, and a comment spoke of members that the dispatch core no longer knows. Change: lendWaiting and lender.current. Conclusion: behaviour as before.

--- a/lovagedispatch/settings.go
+++ b/lovagedispatch/settings.go
@@ -29,7 +29,7 @@
 
 // Settings are fixed for the life of a [Core].
 type Settings struct {
-	Instance   string // ID of this instance among the members
+	Instance   string // ID of this instance
 	DataCentre string // data centre of this instance
 	Policy     Policy
 
--- a/lovagepool/lend.go
+++ b/lovagepool/lend.go
@@ -31,6 +31,9 @@
 	tasks  []*task
 }
 
+// current reports whether the report can still be relied on.
+func (le *lender) current(now time.Time) bool { return now.Sub(le.reported) <= StandingAge }
+
 // fit returns how many tasks could start on workers that are not slower than given.
 func (le *lender) fit(service string, slowest float64) int {
 	n := 0
@@ -69,7 +72,7 @@
 	var shortest time.Duration
 	for _, le := range po.lenders {
 		sd := le.services[service]
-		if sd.Rate <= 0 || now.Sub(le.reported) > StandingAge {
+		if sd.Rate <= 0 || !le.current(now) {
 			continue
 		}
 		wait := sd.Backlog + time.Duration(jo.remaining()/sd.Rate*float64(time.Second))
@@ -104,13 +107,7 @@
 		if jo.Lent != nil || jo.ended || jo.waiting == 0 {
 			continue
 		}
-		slowest := po.slowestInTime(now, jo)
-		for jo.waiting > 0 {
-			le := po.bestLender(now, jo.Work.Service, slowest)
-			if le == nil || !po.lend(jo, le, slowest, false) {
-				break
-			}
-		}
+		po.lendWaiting(now, jo, po.slowestInTime(now, jo), false)
 	}
 }
 
@@ -128,7 +125,7 @@
 	var best *lender
 	most := 0
 	for _, le := range po.lenders {
-		if now.Sub(le.reported) > StandingAge {
+		if !le.current(now) {
 			continue
 		}
 		if n := le.fit(service, slowest); n > most || n > 0 && n == most && le.id < best.id {
@@ -138,11 +135,12 @@
 	return best
 }
 
-// lendAll gives all waiting tasks of a job to owners that have free places of any speed.
-func (po *Pool) lendAll(now time.Time, jo *Job) {
+// lendWaiting gives waiting tasks of a job to owners that have free places on workers that are not slower than given. With
+// anySpeed set they may start them on slower ones too.
+func (po *Pool) lendWaiting(now time.Time, jo *Job, slowest float64, anySpeed bool) {
 	for jo.waiting > 0 {
-		le := po.bestLender(now, jo.Work.Service, math.Inf(1))
-		if le == nil || !po.lend(jo, le, math.Inf(1), true) {
+		le := po.bestLender(now, jo.Work.Service, slowest)
+		if le == nil || !po.lend(jo, le, slowest, anySpeed) {
 			return
 		}
 	}
@@ -251,7 +249,7 @@
 func (po *Pool) Borrowable(now time.Time, service string) int {
 	n := 0
 	for _, le := range po.lenders {
-		if now.Sub(le.reported) <= StandingAge {
+		if le.current(now) {
 			n += le.fit(service, math.Inf(1))
 		}
 	}
--- a/lovagepool/place.go
+++ b/lovagepool/place.go
@@ -1,6 +1,7 @@
 package lovagepool
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -174,7 +175,7 @@
 	for i, ta := range tasks {
 		po.start(now, ta, chosen[i])
 	}
-	po.lendAll(now, jo)
+	po.lendWaiting(now, jo, math.Inf(1), true)
 	return true
 }
 
--- a/lovagepool/pool.go
+++ b/lovagepool/pool.go
@@ -224,7 +224,8 @@
 func New(se Settings) *Pool {
 	return &Pool{
 		se: se, workers: map[string]*worker{}, jobs: map[string]*Job{}, byID: map[string]*Job{}, classes: map[string]*class{},
-		rooms: map[string]*meanRoom{}, rosters: map[string]*roster{}, learned: 1, kinds: map[string]*speed{}, lenders: map[string]*lender{}, lent: map[string]*loan{}, Counts: map[string]int64{},
+		rooms: map[string]*meanRoom{}, rosters: map[string]*roster{}, learned: 1,
+		kinds: map[string]*speed{}, lenders: map[string]*lender{}, lent: map[string]*loan{}, Counts: map[string]int64{},
 		withdrawn: map[string]time.Time{},
 	}
 }
