lovagefleet: log free places only with the refusal that has looked at them

Cause: the lines refusedUnfit and refusedWithoutWorkers carried free 0 and lendable 0, which had not been counted for them. Ruled out: other lines with these fields. Change: only refusedHopeless has them; its kind is a constant of lovagepool, as two packages name it. Measured: go test -race of lovagepool, lovagefleet and lovagemodel ok; linter clean.

--- a/lovagefleet/control.go
+++ b/lovagefleet/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
@@ -153,7 +152,7 @@
 	duration("waitMs", de.Wait)
 	duration("leftMs", de.Left)
 	duration("expectedMs", de.Expected)
-	if strings.HasPrefix(de.Kind, "refused") {
+	if de.Kind == lovagepool.RefusedHopeless {
 		fields = append(fields, zap.Int("free", de.Free), zap.Int("lendable", de.Lendable))
 	}
 	no.decisions.Decision(de.Kind, false, fields...)
--- a/lovagepool/place.go
+++ b/lovagepool/place.go
@@ -328,7 +328,7 @@
 				continue
 			}
 			po.decide(Decision{
-				Kind: "refusedHopeless", Job: jo.Work.ID, Reason: reason, Age: age, Wait: wait, Left: left, Expected: run,
+				Kind: RefusedHopeless, Job: jo.Work.ID, Reason: reason, Age: age, Wait: wait, Left: left, Expected: run,
 				Free: po.Standing(now, service).FreeTasks(), Lendable: po.Borrowable(now, service),
 			})
 			po.finish(jo, NotRun, reason, max(wait-left, minRetry))
--- a/lovagepool/pool.go
+++ b/lovagepool/pool.go
@@ -122,10 +122,13 @@
 	Wait     time.Duration // expected until the start
 	Left     time.Duration // until the latest start that is in time
 	Expected time.Duration // run time
-	Free     int           // of a refusal: places for tasks of usual size on the own workers
-	Lendable int           // of a refusal: such places that other owners have reported
+	Free     int           // with RefusedHopeless: places for tasks of usual size on the own workers
+	Lendable int           // with RefusedHopeless: such places that other owners have reported
 }
 
+// RefusedHopeless is the kind of a decision to refuse a job that is not expected to be served in time.
+const RefusedHopeless = "refusedHopeless"
+
 // decide counts a decision and reports it.
 func (po *Pool) decide(de Decision) {
 	po.Counts[de.Kind]++
