lovageledger, lovageentry, lovageapi: a drain waits for receivers, submissions for accepted resources, one lost call costs half a second

An instance that drains while all others look suspect or gone gave up its ranges with 7 s left; a submission right after an accepted write of its service was answered 'does not exist', because the control loop had not got the resources yet; a client avoided an address for 10 s after a single failed call. Change: Drain carries a time until which it waits for suspect or gone peers; Instance.Submit waits until the control loop has the store's revision (at most 1 s); the avoidance starts at 500 ms and doubles up to 10 s. In TestBadOwnerAddress the client's clock stands still, so that no avoidance ends within the test; it checks the same counts. Measured: TestDrainWaitsForReceivers, TestSubmitWaitsForAcceptedResources and TestAvoidedAddressIsTriedAgain fail without the changes.

--- a/lovageapi/route.go
+++ b/lovageapi/route.go
@@ -21,9 +21,11 @@
 	maxRoutes = 2048
 	// maxAvoided is the maximum number of addresses remembered as failed.
 	maxAvoided = 256
-	// avoidPeriod is how long an address is not used after a call to it failed. A caller that can reach only the
-	// balancer makes one failing call per address and period.
-	avoidPeriod = 10 * time.Second
+	// minAvoidPeriod is how long an address is not used after a call to it failed; it doubles with each failure in a row, up
+	// to maxAvoidPeriod. One lost call costs little, and a caller that can reach only the balancer soon makes one failing
+	// call per address and maxAvoidPeriod.
+	minAvoidPeriod = 500 * time.Millisecond
+	maxAvoidPeriod = 10 * time.Second
 	// directDialTimeout limits the time to connect to an owner. A network round trip takes a few milliseconds, and
 	// the client can fall back to the base address.
 	directDialTimeout = 500 * time.Millisecond
@@ -63,18 +65,24 @@
 
 	mu      sync.Mutex
 	owners  map[keyRange]string
-	avoided map[string]time.Time // end of the avoidPeriod by address
+	avoided map[string]avoidance // by address
 
 	direct, fellBack, probes atomic.Int64
 }
 
+// avoidance says how long an address is not used after its calls failed.
+type avoidance struct {
+	until    time.Time
+	failures int // number of failed calls in a row
+}
+
 func newRoutes(base string) *routes {
 	// TCP keep-alive probes detect that the owner's machine is gone while a caller waits for its answer.
 	di := &net.Dialer{Timeout: directDialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3,
 	}}
 	return &routes{
-		baseAddress: base, now: time.Now, probeAfter: probeAfter, probeTimeout: probeTimeout, owners: map[keyRange]string{}, avoided: map[string]time.Time{},
+		baseAddress: base, now: time.Now, probeAfter: probeAfter, probeTimeout: probeTimeout, owners: map[keyRange]string{}, avoided: map[string]avoidance{},
 		directHTTP: &http.Client{Transport: &http.Transport{
 			DialContext: di.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute,
 		}},
@@ -93,15 +101,19 @@
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
 	address := ro.owners[keyRange{ke.DataCentre, ke.Range}]
-	if until, ok := ro.avoided[address]; ok {
-		if ro.now().Before(until) {
-			return ""
-		}
-		delete(ro.avoided, address)
+	if ro.now().Before(ro.avoided[address].until) {
+		return ""
 	}
 	return address
 }
 
+// noteAnswer records that a call to the address was answered.
+func (ro *routes) noteAnswer(address string) {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	delete(ro.avoided, address)
+}
+
 // learnOwner records address as the owner of the keys' ranges. If address is the base address, it removes the recorded
 // owner instead. It ignores invalid addresses.
 func (ro *routes) learnOwner(address string, keys ...lovagejob.Key) {
@@ -137,8 +149,8 @@
 	}
 }
 
-// forgetOwner drops address as the owner of the key's range. If avoid is set, the address is not used for any range for
-// avoidPeriod.
+// forgetOwner drops address as the owner of the key's range. If avoid is set, the address is not used for any range for a
+// while.
 func (ro *routes) forgetOwner(key, address string, avoid bool) {
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
@@ -151,13 +163,18 @@
 		return
 	}
 	now := ro.now()
-	for other, until := range ro.avoided {
-		if !now.Before(until) {
+	for other, av := range ro.avoided { // failures long ago say nothing of the next call
+		if now.Sub(av.until) > maxAvoidPeriod {
 			delete(ro.avoided, other)
 		}
 	}
-	evictIfFull(ro.avoided, maxAvoided)
-	ro.avoided[address] = now.Add(avoidPeriod)
+	av, known := ro.avoided[address]
+	if !known {
+		evictIfFull(ro.avoided, maxAvoided)
+	}
+	av.until = now.Add(min(minAvoidPeriod<<min(av.failures, 8), maxAvoidPeriod))
+	av.failures++
+	ro.avoided[address] = av
 }
 
 // keyCall is a call about one key.
@@ -182,6 +199,7 @@
 	timer.Stop()
 	cancel()
 	if err == nil {
+		cl.routes.noteAnswer(owner)
 		if out.Outcome == lovagejob.Unknown {
 			cl.routes.forgetOwner(kc.key, owner, false) // the caller's next call goes to the base address
 		}
--- a/lovageapi/route_test.go
+++ b/lovageapi/route_test.go
@@ -121,6 +121,8 @@
 			sc.startsByKey = map[string]int{}
 			cl := NewClient(strings.TrimPrefix(ta.callerURL, "http://"))
 			defer cl.Close()
+			now := time.Now()
+			cl.routes.now = func() time.Time { return now } // no avoidance ends during the test
 			key, within := testKey("k1"), 20*time.Second
 			if name == "is silent until the deadline" {
 				// After the deadline, the client sends an Ask to the base address instead of a submission.
@@ -141,7 +143,7 @@
 				must.Eq(t, map[string]int{key.String(): 1}, sc.startsByKey)
 			}
 			// The client calls no owner until it learns the address again. Then it calls only the overloaded owner,
-			// because it avoids the other addresses for avoidPeriod.
+			// because it avoids the other addresses.
 			_, err = cl.Submit(ctx, newJobRequest(key.String(), 10*time.Second))
 			must.NoError(t, err)
 			cl.routes.learnOwner(address, key)
@@ -157,6 +159,32 @@
 	}
 }
 
+// An address whose call failed once must be used again after minAvoidPeriod, and one that keeps failing after
+// maxAvoidPeriod. An answered call must end the doubling.
+func TestAvoidedAddressIsTriedAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ro := newRoutes("127.0.0.1:1")
+	ro.now = func() time.Time { return now }
+	key, address := testKey("k1"), "10.1.0.1:7001"
+	avoidedFor := func() time.Duration {
+		ro.forgetOwner(key.String(), address, true)
+		ro.learnOwner(address, key)
+		failedAt := now
+		for ro.owner(key.String()) == "" && now.Sub(failedAt) < time.Minute {
+			now = now.Add(100 * time.Millisecond)
+		}
+		return now.Sub(failedAt)
+	}
+	for _, want := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second,
+		10 * time.Second, 10 * time.Second} {
+		must.Eq(t, want, avoidedFor())
+	}
+	ro.noteAnswer(address)
+	must.Eq(t, minAvoidPeriod, avoidedFor())
+	now = now.Add(time.Minute)
+	must.Eq(t, minAvoidPeriod, avoidedFor())
+}
+
 // If the owner may have processed a request, the error must not match ErrNotSent, even if the base address then refuses
 // connections.
 func TestErrorAfterBadOwner(t *testing.T) {
--- a/lovageentry/caller.go
+++ b/lovageentry/caller.go
@@ -112,6 +112,7 @@
 		}
 		sub.Key = key
 	}
+	in.applied.await(ctx, in.store.Revision()) // a resource whose write was accepted is known to this submission
 	return in.requestAnswer(ctx, &request{
 		kind: kindSubmit, sub: &sub, key: sub.Key, fingerprint: fingerprint(&sub),
 		waitUntil: sub.Deadline.Add(answerGrace),
--- a/lovageentry/entry_test.go
+++ b/lovageentry/entry_test.go
@@ -1,6 +1,7 @@
 package lovageentry
 
 import (
+	"context"
 	"net/netip"
 	"strings"
 	"testing"
@@ -11,6 +12,7 @@
 	"lovagestack/lovageconfig"
 	"lovagestack/lovagejob"
 	"lovagestack/lovageplatform"
+	"lovagestack/lovageresource"
 )
 
 // The limit must be at least the number of slots if the worker accepts that many connections, and at most the number
@@ -54,3 +56,29 @@
 	_, err := New(Options{Settings: settings, Platform: lovageplatform.NewMemory()})
 	must.ErrorContains(t, err, "too long for the suffix")
 }
+
+// A submission must reach the control loop only after the resources whose writes were accepted before it. Otherwise a new
+// user's first job is told that its service does not exist.
+func TestSubmitWaitsForAcceptedResources(t *testing.T) {
+	lo := newTestLoop(t)
+	_, err := lo.in.store.RestoreResources([]lovageresource.Resource{newPool("yard", "kandla", "", 0, "ticket")}, 1)
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	key, err := lovagejob.ParseKey("kandla.12.7.1796381234567.5f0c9a1be2d34c77")
+	must.NoError(t, err)
+	go func() {
+		_, _ = lo.in.Submit(ctx, lovagejob.Submission{Key: key, Service: "ticket", Deadline: time.Now().Add(time.Minute)})
+	}()
+	select {
+	case ev := <-lo.events:
+		t.Fatalf("%T reached the control loop before the resources", ev)
+	case <-time.After(100 * time.Millisecond):
+	}
+	(&resourceWatcher{in: lo.in}).load().apply(lo)
+	select {
+	case <-lo.events:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the submission did not reach the control loop")
+	}
+}
--- a/lovageentry/instance.go
+++ b/lovageentry/instance.go
@@ -70,6 +70,7 @@
 	mesh                *lovagepeer.Mesh
 	backend             *lovagebackend.Client
 	store               *lovageresource.Store
+	applied             *appliedRevision
 	syncer              *lovagesync.Syncer
 	table               *tableAccess
 	ledgerWriter        failStopWriter
@@ -120,6 +121,7 @@
 	in := &Instance{
 		settings: se, id: se.ID + "-" + randomSuffix(rng), platform: op.Platform, tracer: op.Tracer,
 		policy: op.Policy, counts: newCounts(op.Metrics), observer: op.Observer, fatal: make(chan error, 1),
+		applied:       newAppliedRevision(),
 		callerAddress: se.CallerAddress(),
 		domainRouter:  newDomainRouter(se.DataCentre, loadTTLFactor*se.Heartbeat.Gone, rng.Uint64()),
 	}
--- a/lovageentry/resources.go
+++ b/lovageentry/resources.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -50,6 +51,47 @@
 	}
 }
 
+// appliedRevision is the revision of the resources that the control loop uses. It is safe for concurrent use.
+type appliedRevision struct {
+	mu       sync.Mutex
+	revision int64
+	advanced chan struct{} // closed at the next advance
+}
+
+func newAppliedRevision() *appliedRevision {
+	return &appliedRevision{revision: -1, advanced: make(chan struct{})}
+}
+
+func (ar *appliedRevision) advance(revision int64) {
+	ar.mu.Lock()
+	defer ar.mu.Unlock()
+	ar.revision = revision
+	close(ar.advanced)
+	ar.advanced = make(chan struct{})
+}
+
+// maxApplyWait bounds how long a submission waits for the control loop to apply a change. Applying takes some 20 ms for the
+// largest planned fleet.
+const maxApplyWait = time.Second
+
+// await waits until the control loop uses the given revision or a later one, at most for maxApplyWait.
+func (ar *appliedRevision) await(ctx context.Context, revision int64) {
+	ctx, cancel := context.WithTimeout(ctx, maxApplyWait)
+	defer cancel()
+	for ctx.Err() == nil {
+		ar.mu.Lock()
+		reached, advanced := ar.revision >= revision, ar.advanced
+		ar.mu.Unlock()
+		if reached {
+			return
+		}
+		select {
+		case <-advanced:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // load reads all resources. A change between two reads is harmless, because another load follows.
 func (rw *resourceWatcher) load() *resourcesLoaded {
 	rl := &resourcesLoaded{
@@ -160,6 +202,7 @@
 
 func (rl *resourcesLoaded) apply(lo *controlLoop) {
 	lo.in.reportStep(StepApply)
+	defer lo.in.applied.advance(rl.revision)
 	lo.log.Info("configuration applied", zap.Int64("revision", rl.revision), zap.Int("workers", len(rl.workers)),
 		zap.Int("services", len(rl.services)), zap.Int("teams", len(rl.teams)))
 	lo.workers = rl.workers
--- a/lovageentry/shutdown.go
+++ b/lovageentry/shutdown.go
@@ -15,6 +15,9 @@
 // drainPollInterval is the interval at which a shutdown checks for work in flight and unreplicated results.
 const drainPollInterval = 20 * time.Millisecond
 
+// replicationReserve is the part of a shutdown kept for the last replication when no instance takes the key ranges.
+const replicationReserve = time.Second
+
 // gauge counts operations in progress.
 type gauge struct{ n atomic.Int64 }
 
@@ -63,7 +66,7 @@
 		}
 	}
 	in.awaitIdle(ctx)
-	in.control.post(ctx, &handOverEvent{})
+	in.control.post(ctx, &handOverEvent{giveUpAt: deadline.Add(-replicationReserve)})
 	select {
 	case <-in.control.drained:
 	case <-ctx.Done():
@@ -125,11 +128,11 @@
 	lo.sendDueHeartbeats()
 }
 
-type handOverEvent struct{}
+type handOverEvent struct{ giveUpAt time.Time }
 
-func (*handOverEvent) apply(lo *controlLoop) {
+func (ev *handOverEvent) apply(lo *controlLoop) {
 	lo.stepCore(lovagedispatch.Drain{})
-	lo.stepLedger(&lovageledger.Drain{})
+	lo.stepLedger(&lovageledger.Drain{GiveUpAt: ev.giveUpAt})
 }
 
 func (lo *controlLoop) rangesHandedOver(cm lovageledger.Drained) {
--- a/lovageledger/behaviour_test.go
+++ b/lovageledger/behaviour_test.go
@@ -162,3 +162,34 @@
 		Reply{Request: 1, Answer: lovagejob.Answer{Key: lp.minted[0], Outcome: lovagejob.Pending}},
 	}, out)
 }
+
+// Checks that a draining instance to which every other instance looks gone for 4 s keeps its ranges until another can take
+// them, instead of giving them up 7 s before its deadline.
+func TestDrainWaitsForReceivers(t *testing.T) {
+	sim := newSettledSimulation(t)
+	in := sim.instances[sim.ids[0]]
+	for _, id := range sim.ids[1:] {
+		in.misjudgedUntil[id] = sim.now + 4*time.Second
+	}
+	sim.advance(1500 * time.Millisecond) // until the instance has updated its view
+	must.SliceNotEmpty(t, in.ledger.ownedRanges)
+	sim.step(in, &Drain{GiveUpAt: in.ledger.now.Add(7 * time.Second)})
+	sim.advance(time.Second)
+	must.False(t, in.drained)
+	must.SliceNotEmpty(t, in.ledger.ownedRanges)
+	sim.advance(5 * time.Second)
+	must.True(t, in.drained)
+	must.SliceEmpty(t, in.ledger.ownedRanges)
+	must.Eq(t, "", sim.violation)
+
+	alone := sim.instances[sim.ids[1]]
+	for _, id := range sim.ids {
+		alone.misjudgedUntil[id] = sim.now + time.Hour
+	}
+	sim.advance(1500 * time.Millisecond)
+	sim.step(alone, &Drain{GiveUpAt: alone.ledger.now.Add(7 * time.Second)})
+	sim.advance(6 * time.Second)
+	must.False(t, alone.drained)
+	sim.advance(1500 * time.Millisecond)
+	must.True(t, alone.drained) // the wait is bounded
+}
--- a/lovageledger/event.go
+++ b/lovageledger/event.go
@@ -176,8 +176,9 @@
 // cheaper than a Tick.
 type Wake struct{}
 
-// Drain starts to hand over every owned range; answered by Drained.
-type Drain struct{}
+// Drain starts to hand over every owned range; answered by Drained. While ranges are left and only suspect or gone peers
+// could take them, the answer waits until GiveUpAt: such a peer may be heard from again. Zero: it does not wait.
+type Drain struct{ GiveUpAt time.Time }
 
 func (*Mint) event()             {}
 func (*Submit) event()           {}
--- a/lovageledger/ledger.go
+++ b/lovageledger/ledger.go
@@ -36,6 +36,7 @@
 	lastID         uint64    // last ID given to a batch, read, transaction or transfer
 	nextClaimAt    time.Time // no claim before this time
 	draining       bool
+	drainGiveUpAt  time.Time // see Drain.GiveUpAt
 	drainedEmitted bool
 }
 
@@ -143,7 +144,7 @@
 			le.settings.AnswerRetention = ev.AnswerRetention
 		}
 	case *Drain:
-		le.draining = true
+		le.draining, le.drainGiveUpAt = true, ev.GiveUpAt
 		le.maintain()
 	}
 	out, le.out = le.out, nil
--- a/lovageledger/transfer.go
+++ b/lovageledger/transfer.go
@@ -143,12 +143,20 @@
 			busy = true
 		}
 	}
+	if left > 0 && le.now.Before(le.drainGiveUpAt) && le.receiverMayReturn() {
+		return
+	}
 	if !busy && !le.drainedEmitted {
 		le.drainedEmitted = true
 		le.emit(Drained{Left: left})
 	}
 }
 
+// receiverMayReturn reports whether a peer that is not leaving is suspect or gone. Late heartbeats make a live peer look so.
+func (le *Ledger) receiverMayReturn() bool {
+	return slices.ContainsFunc(le.peers, func(me Member) bool { return !me.Leaving && me.State != MemberLive })
+}
+
 // handOver takes the next step of a hand-over. It reports false if there is no receiver for the range.
 func (le *Ledger) handOver(rg *keyRange) bool {
 	own := rg.owner
