--- a/lovagestack/serve.go
+++ b/lovagestack/serve.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return errors.Wrap(err, "set up tracing")
 	}
-	store := platform.NewStore(se.Platform.Address)
+	store := platform.NewStore(se.Platform.Address, log)
 	no := lovagefleet.New(se.FleetSettings(), lovagefleet.Dependencies{
 		Store: store, Registry: store, Workers: platform.NewWorkerClient(), Metrics: metrics, Logger: logger, Tracer: tracer,
 	})
