lovagefleet: instances without a domain leave the store alone; odd rows create no domains

Rows of another writer with unknown data centres or impossible addresses were taken as they were, and undecodable ones logged at every read. An owner that leaves before it has read its workers would not have named them to the next owner, and an owner of several domains counted as handed over after one. Change: idle instances read the rows every 5 s, and at once when they lose the session with an owner; they read the registrations before a claim only. A hand-over waits for a recent list of workers. Rows are validated, logged once a version. TestRegistryWakeTriggersRead wakes the loop twice, because the read at the start is gone.

--- a/lovagefleet/claim.go
+++ b/lovagefleet/claim.go
@@ -2,17 +2,24 @@
 
 import (
 	"cmp"
+	"encoding/json"
+	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"lovagestack/lovageplatform"
 )
 
 const (
 	// renewInterval is how often an owner renews its row and reads all rows. There may be many instances without a domain;
-	// these read every idleReadInterval and renew every idleRenewInterval while all domains have owners.
+	// these renew every idleRenewInterval, and read only every idleReadInterval while they have sessions with the owners of
+	// all domains: what they read grows with the square of the number of instances.
 	renewInterval     = 500 * time.Millisecond
-	idleReadInterval  = time.Second
+	idleReadInterval  = 5 * time.Second
 	idleRenewInterval = 2 * time.Second
 	// ownerStaleAfter is the time from an owner's last renewal until the owner counts as dead if this instance has no
 	// session with it: a little over three renewal intervals. idleStaleAfter applies to instances that own no domain.
@@ -51,6 +58,45 @@
 	Address     string `json:"address"`
 }
 
+// decodeInstanceRow returns an instance's row, or an error if the row cannot be of an instance in one of the data centres.
+func decodeInstanceRow(row lovageplatform.Row, dataCentres []string) (instanceRow, error) {
+	var in instanceRow
+	if err := json.Unmarshal(row.Value, &in); err != nil {
+		return in, errors.Wrap(err, "decode the row of an instance")
+	}
+	switch {
+	case in.ID == "" || instancePrefix+in.ID != row.Key:
+		return in, errors.Newf("the row names the instance %q", in.ID)
+	case !slices.Contains(dataCentres, in.DataCentre):
+		return in, errors.Newf("unknown data centre %q", in.DataCentre)
+	case !isPeerAddress(in.Address):
+		return in, errors.Newf("%q is not an address of an instance", in.Address)
+	case in.Incarnation == "" || in.Cores < 0:
+		return in, errors.New("no incarnation, or a negative number of cores")
+	}
+	return in, nil
+}
+
+// decodeDomainRow returns a domain's row, or an error if no instance can have written it.
+func decodeDomainRow(row lovageplatform.Row, dataCentres []string) (domainRow, error) {
+	var dr domainRow
+	if err := json.Unmarshal(row.Value, &dr); err != nil {
+		return dr, errors.Wrap(err, "decode the row of a domain")
+	}
+	if !slices.Contains(dataCentres, strings.TrimPrefix(row.Key, domainPrefix)) {
+		return dr, errors.New("unknown domain")
+	}
+	if dr.Owner == "" || dr.Incarnation == "" || !isPeerAddress(dr.Address) {
+		return dr, errors.Newf("the row does not name an owner: %+v", dr)
+	}
+	return dr, nil
+}
+
+func isPeerAddress(s string) bool {
+	ad, err := netip.ParseAddrPort(s)
+	return err == nil && ad.Port() != 0 && !ad.Addr().IsUnspecified()
+}
+
 // member is what this instance knows about an instance, itself included.
 type member struct {
 	instanceRow
--- a/lovagefleet/claim_test.go
+++ b/lovagefleet/claim_test.go
@@ -1,10 +1,14 @@
 package lovagefleet
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"lovagestack/lovageplatform"
 )
 
 func TestDecideClaim(t *testing.T) {
@@ -161,3 +165,43 @@
 		})
 	}
 }
+
+func TestDecodeRows(t *testing.T) {
+	const goodInstance = `{"id":"i","dataCentre":"east","address":"10.0.0.1:7720","incarnation":"a","cores":0.4,"beat":1}`
+	const goodDomain = `{"owner":"i","incarnation":"a","address":"10.0.0.1:7720"}`
+	dataCentres := []string{"east", "west"}
+	row := func(key, value string) lovageplatform.Row { return lovageplatform.Row{Key: key, Value: []byte(value)} }
+	_, err := decodeInstanceRow(row("instance/i", goodInstance), dataCentres)
+	must.NoError(t, err)
+	_, err = decodeDomainRow(row("domain/east", goodDomain), dataCentres)
+	must.NoError(t, err)
+	for _, change := range [][2]string{
+		{`"i"`, `"j"`}, {`"i"`, `7`}, {"east", "mars"}, {"7720", "99999"}, {"7720", "0"}, {"10.0.0.1", ""}, {"10.0.0.1", "0.0.0.0"},
+		{"10.0.0.1:7720", "host:7720"}, {`"a"`, `""`}, {"0.4", "-1"}, {"0.4", "1e999"}, {`"beat":1`, `"beat":1e30`}, {"{", "["},
+	} {
+		_, err := decodeInstanceRow(row("instance/i", strings.Replace(goodInstance, change[0], change[1], 1)), dataCentres)
+		must.Error(t, err, must.Sprint(change))
+	}
+	for _, change := range [][2]string{
+		{`"i"`, `""`}, {`"i"`, `[]`}, {"7720", "70000"}, {"10.0.0.1", ""}, {`"a"`, `""`}, {"{", strings.Repeat(`{"owner":`, 20_000)},
+	} {
+		_, err := decodeDomainRow(row("domain/east", strings.Replace(goodDomain, change[0], change[1], 1)), dataCentres)
+		must.Error(t, err, must.Sprint(change))
+	}
+	_, err = decodeDomainRow(row("domain/mars", goodDomain), dataCentres)
+	must.Error(t, err)
+}
+
+func FuzzDecodeRows(f *testing.F) {
+	f.Add("instance/i", []byte(`{"id":"i","dataCentre":"east","address":"10.0.0.1:7720","incarnation":"a","cores":0.4,"beat":1}`))
+	f.Add("domain/east", []byte(`{"owner":"i","incarnation":"a","address":"10.0.0.1:7720"}`))
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		row := lovageplatform.Row{Key: key, Value: value}
+		if in, err := decodeInstanceRow(row, []string{"east"}); err == nil && (instancePrefix+in.ID != key || !isPeerAddress(in.Address)) {
+			t.Errorf("%q is the row %+v", value, in)
+		}
+		if dr, err := decodeDomainRow(row, []string{"east"}); err == nil && (key != domainPrefix+"east" || dr.Owner == "") {
+			t.Errorf("%q of %q is the row %+v", value, key, dr)
+		}
+	})
+}
--- a/lovagefleet/fake_test.go
+++ b/lovagefleet/fake_test.go
@@ -25,6 +25,7 @@
 	acceptedStarts   map[string]int // number of accepted starts, by task
 	violations       []string
 	config           *Configuration
+	reads            map[string]int           // number of reads, by instance and what was read
 	partitioned      map[string]bool          // IDs of instances that cannot reach the store
 	readDelay        time.Duration            // delay of reads of the registered workers
 	commitReplyDelay map[string]time.Duration // delay of commit replies, by instance; commits are not delayed
@@ -66,7 +67,7 @@
 func newFakeCluster(dataCentres []string, each int) *fakeCluster {
 	fc := &fakeCluster{
 		Memory: lovageplatform.NewMemory(), workers: map[string]*fakeWorker{}, activeRuns: map[string]int{},
-		acceptedStarts: map[string]int{}, partitioned: map[string]bool{}, commitReplyDelay: map[string]time.Duration{},
+		acceptedStarts: map[string]int{}, reads: map[string]int{}, partitioned: map[string]bool{}, commitReplyDelay: map[string]time.Duration{},
 		config: &Configuration{Version: 1, Routes: []Route{{
 			Name: "checks", Host: "h", PathPrefix: "/c/", Service: "s", MaxAttempts: 2, SlackFactor: 1.6,
 			TargetLatency: 60 * time.Millisecond, Timeout: 2 * time.Second,
@@ -317,6 +318,7 @@
 		return nil, err
 	}
 	ps.mu.Lock()
+	ps.reads[ps.instanceID+" workers"]++
 	took := ps.readDelay
 	ps.mu.Unlock()
 	sleep(ctx, took)
@@ -334,6 +336,9 @@
 	if err := ps.checkReachable(); err != nil {
 		return nil, err
 	}
+	ps.mu.Lock()
+	ps.reads[ps.instanceID+" rows"]++
+	ps.mu.Unlock()
 	return ps.fakeCluster.Scan(ctx, prefix)
 }
 
--- a/lovagefleet/fleet_test.go
+++ b/lovagefleet/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -552,6 +553,41 @@
 	})
 }
 
+// Checks that an instance that owns no domain leaves the store alone while it has sessions with the owners, and that odd rows
+// of another writer neither stop it from following the others nor create domains.
+func TestIdleInstanceReadsLittle(t *testing.T) {
+	de := deploy(t)
+	idle := "east-1"
+	if de.owner("east") == idle {
+		idle = "east-2"
+	}
+	for key, value := range map[string]string{
+		instancePrefix + "odd-1": "no JSON", instancePrefix + "odd-2": strings.Repeat("[", 20_000),
+		domainPrefix + "mars": `{"owner":"odd-1","incarnation":"a","address":"127.0.0.1:99999"}`, domainPrefix + "moon": "7",
+	} {
+		_, err := de.cluster.Commit(t.Context(), lovageplatform.Transaction{Writes: []lovageplatform.Write{{Key: key, Value: []byte(value)}}})
+		must.NoError(t, err)
+	}
+	time.Sleep(2 * renewInterval)
+	de.cluster.mu.Lock()
+	clear(de.cluster.reads)
+	de.cluster.mu.Unlock()
+	time.Sleep(3 * time.Second)
+	de.cluster.mu.Lock()
+	scans, lists := de.cluster.reads[idle+" rows"], de.cluster.reads[idle+" workers"]
+	de.cluster.mu.Unlock()
+	test.LessEq(t, 1, scans)
+	test.Eq(t, 0, lists)
+	for _, domain := range []string{"mars", "moon"} {
+		_, known := de.nodes[idle].ownerByDomain.Load(domain)
+		test.False(t, known, test.Sprint(domain))
+	}
+	former := de.owner("east")
+	de.nodes[former].stop()
+	delete(de.nodes, former)
+	de.await("the idle instance owns the domain", 5*time.Second, func() bool { return de.owner("east") == idle })
+}
+
 func TestJobsRunInDataCentreWithWorkers(t *testing.T) {
 	// Guards against refusing jobs in a data centre that has lost all its workers while another one has some.
 	de := deploy(t)
@@ -562,7 +598,7 @@
 		}
 	}
 	de.cluster.mu.Unlock()
-	time.Sleep(idleRegistryInterval + peerReportInterval)
+	time.Sleep(registryInterval + peerReportInterval)
 	for range 5 {
 		an := de.nodes["east-1"].Submit(t.Context(), testWork(randomID(), 8, 10*time.Millisecond))
 		test.Eq(t, lovagepool.Completed, an.Outcome, test.Sprint(an.Reason))
--- a/lovagefleet/node.go
+++ b/lovagefleet/node.go
@@ -59,6 +59,7 @@
 	refusedInstances sync.Map // IDs of instances whose machines refused a connection since the last read of the rows
 	reclaimDomains   sync.Map // names of domains to claim again for a higher fence
 	workerList       atomic.Pointer[[]RegisteredWorker]
+	workerListReadAt atomic.Pointer[time.Time] // start of the read of workerList; nil: not read yet
 	leaving          atomic.Bool
 	lastLostCallAt   atomic.Pointer[time.Time] // time of the last unanswered call to a worker; nil: never
 	fetchingConfig   atomic.Bool
@@ -70,6 +71,7 @@
 	// Used only by ownershipLoop, except for the channels.
 	members          map[string]*member
 	domains          map[string]*domain
+	unusableRows     map[string]int64 // versions of the rows that were last found unusable, by key
 	heartbeatCount   int64
 	rowSaysLeaving   bool // the last written row says that this instance is leaving
 	storeUnavailable bool
@@ -209,10 +211,22 @@
 	no.post(func(time.Time) { no.pool.RemovePeer(instance) })
 	if refused {
 		no.refusedInstances.Store(instance, true)
+	}
+	if refused || no.ownsDomain(instance) {
 		no.wakeOwnershipLoop()
 	}
 }
 
+// ownsDomain reports whether the instance is the known owner of a domain.
+func (no *Node) ownsDomain(instance string) bool {
+	owns := false
+	no.ownerByDomain.Range(func(_, value any) bool {
+		owns = value.(ownerRef).ID == instance
+		return !owns
+	})
+	return owns
+}
+
 // AwaitIdle waits until the pool has no jobs and no hand-over awaits a reply or the release of workers, or ctx is done.
 func (no *Node) AwaitIdle(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/lovagefleet/ownership.go
+++ b/lovagefleet/ownership.go
@@ -24,8 +24,9 @@
 	// registryInterval is how often an owner reads the registered workers. The owner must stop starts on a worker
 	// within 2 s after the worker began to drain.
 	registryInterval = 600 * time.Millisecond
-	// idleRegistryInterval is how often other instances read the registered workers, besides when they claim a domain.
-	idleRegistryInterval = 4 * time.Second
+	// maxWorkerListAge is the age above which an instance that owns no workers reads the registered workers again before it
+	// relies on them. It does not read them otherwise.
+	maxWorkerListAge = 2 * time.Second
 	// maxFullMeshInstances is the largest deployment in which all instances have sessions with each other; a session costs
 	// about 20 wake-ups a second.
 	maxFullMeshInstances = 16
@@ -42,7 +43,7 @@
 	for {
 		no.processTakeOvers(ctx)
 		now := time.Now()
-		frequent := no.isOwner() || no.storeUnavailable || no.anyOwnerless()
+		frequent := no.isOwner() || no.storeUnavailable || no.anyOwnerless() || no.anyOwnerUnconnected()
 		if frequent || now.Sub(lastRenewed) >= idleRenewInterval || no.leaving.Load() != no.rowSaysLeaving {
 			if err := no.renewRow(ctx); err != nil {
 				no.noteStoreError("renew", err)
@@ -90,6 +91,16 @@
 	return len(no.domains) < len(no.settings.DataCentres)
 }
 
+// anyOwnerUnconnected reports whether this instance has no session with the owner of a domain.
+func (no *Node) anyOwnerUnconnected() bool {
+	for _, do := range no.domains {
+		if do.version > 0 && do.row.Address != no.self.Address && !no.mesh.Connected(do.row.Address) {
+			return true
+		}
+	}
+	return false
+}
+
 func (no *Node) noteStoreError(op string, err error) {
 	no.countEvent("storeErrors")
 	if !no.storeUnavailable {
@@ -137,25 +148,31 @@
 	}
 	now := time.Now()
 	seen := map[string]bool{}
+	unusable := map[string]int64{}
 	for _, row := range rows {
+		var err error
 		switch {
 		case strings.HasPrefix(row.Key, instancePrefix):
 			var in instanceRow
-			if err := json.Unmarshal(row.Value, &in); err != nil || instancePrefix+in.ID != row.Key {
-				no.log.Warn("cannot decode the row of an instance", zap.String("key", row.Key), errorField(err))
-				continue
+			if in, err = decodeInstanceRow(row, no.settings.DataCentres); err == nil {
+				seen[in.ID] = true
+				no.updateMember(now, in, row.Version)
 			}
-			seen[in.ID] = true
-			no.updateMember(now, in, row.Version)
 		case strings.HasPrefix(row.Key, domainPrefix):
 			var dr domainRow
-			if err := json.Unmarshal(row.Value, &dr); err != nil {
-				no.log.Warn("cannot decode the row of a domain", zap.String("key", row.Key), errorField(err))
-				continue
+			if dr, err = decodeDomainRow(row, no.settings.DataCentres); err == nil {
+				no.updateDomain(strings.TrimPrefix(row.Key, domainPrefix), dr, row.Version)
+			}
+		}
+		if err != nil {
+			unusable[row.Key] = row.Version
+			if no.unusableRows[row.Key] != row.Version {
+				no.countEvent("rowsUnusable")
+				no.log.Warn("unusable row", zap.String("key", row.Key), errorField(err))
 			}
-			no.updateDomain(strings.TrimPrefix(row.Key, domainPrefix), dr, row.Version)
 		}
 	}
+	no.unusableRows = unusable
 	for id, me := range no.members {
 		if !seen[id] && id != no.self.ID {
 			no.mesh.Disconnect(me.Address)
@@ -365,6 +382,7 @@
 		})
 		return
 	}
+	no.awaitWorkerList(no.ctx) // the new owner waits for the release of each worker, also of those never used here
 	no.post(func(now time.Time) {
 		if no.handOvers[name] == ho && ho.state != handOverAccepted {
 			no.beginWorkerRelease(name, ho)
@@ -382,12 +400,26 @@
 		ho.unreleased[id] = true
 	}
 	no.pool.HandOver(ids)
-	if no.leaving.Load() {
+	if len(ids) == 0 {
+		delete(no.handOvers, name)
+		delete(no.fenceByDomain, name)
+	}
+	if no.leaving.Load() && no.allAccepted() {
 		no.allHandedOver.Store(true)
 		no.pool.Leave()
 	}
 }
 
+// allAccepted reports whether every domain that this instance owned has a new owner.
+func (no *Node) allAccepted() bool {
+	for name := range no.fenceByDomain {
+		if no.acceptedHandOver(name) == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // acceptedHandOver returns a domain's hand-over if the new owner is known to have taken the domain, else nil.
 func (no *Node) acceptedHandOver(name string) *handOver {
 	if ho := no.handOvers[name]; ho != nil && ho.state == handOverAccepted {
@@ -452,8 +484,26 @@
 	}
 }
 
+// awaitWorkerList waits until the registered workers have been read within maxWorkerListAge, at most for storeTimeout.
+func (no *Node) awaitWorkerList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	woken := false
+	for ctx.Err() == nil {
+		if at := no.workerListReadAt.Load(); at != nil && time.Since(*at) <= maxWorkerListAge {
+			return
+		}
+		if !woken {
+			woken = true
+			no.wakeRegistryLoop()
+		}
+		sleep(ctx, ownerRetryInterval)
+	}
+}
+
 // canReachWorkers reports whether one of up to three workers of a data centre accepts a connection.
 func (no *Node) canReachWorkers(ctx context.Context, dataCentre string) bool {
+	no.awaitWorkerList(ctx)
 	attempts := 0
 	for _, wo := range no.registeredWorkers() {
 		if wo.DataCentre != dataCentre {
--- a/lovagefleet/registry.go
+++ b/lovagefleet/registry.go
@@ -28,15 +28,13 @@
 	return nil
 }
 
-// registryLoop reads the registered workers at intervals, more often if this instance owns workers.
+// registryLoop reads the registered workers at intervals while this instance owns workers, and when it is woken.
 func (no *Node) registryLoop(ctx context.Context) {
 	ticker := time.NewTicker(registryInterval)
 	defer ticker.Stop()
-	var lastRead time.Time
 	woken := false
 	for {
-		if woken || no.ownsWorkers.Load() || time.Since(lastRead) >= idleRegistryInterval {
-			lastRead = time.Now()
+		if woken || no.ownsWorkers.Load() {
 			no.readRegistry(ctx)
 		}
 		woken = false
@@ -61,6 +59,7 @@
 		return
 	}
 	no.workerList.Store(&list)
+	no.workerListReadAt.Store(&began)
 	no.post(func(now time.Time) {
 		no.registryReadAt = began
 		no.refreshWorkers(now)
--- a/lovagefleet/registry_test.go
+++ b/lovagefleet/registry_test.go
@@ -45,9 +45,10 @@
 		}
 		return false
 	}
-	must.True(t, awaitReads(1))
-	no.wakeRegistryLoop()
-	must.True(t, awaitReads(2), must.Sprint("no read after the wake-up"))
+	for n := range int64(2) {
+		no.wakeRegistryLoop()
+		must.True(t, awaitReads(n+1), must.Sprint("no read after the wake-up"))
+	}
 	cancel()
 	<-done
 }
