lovagefleet, lovagepool, lovagepeer: permissions to start end with time, pauses and cancellations; a cancelled offload starts nothing

Pool.Cancel of tasks that a peer had offloaded stopped their runs but left waiting tasks in the queue: an owner that handled the offload and its cancellation in one pass, as one without processor time does, started them while the peer started them again. An owner that woke from a pause started what other instances had sent before it noticed the loss of their sessions. Messages carried ages and remaining times, so the time under way did not count. The steady clock stands still while a machine is suspended, so deadlines did not pass. Change: package lovageclock (boot clock, pause detector). Hello compares the instances' boot clocks; a job that another instance sent is accepted only within 600 ms, offloaded tasks within 400 ms, and only while the session lives, checked when the pool gets them. After 800 ms without a pass of the loop all sessions are closed and the jobs of other instances cancelled before anything starts; deadlines move by the length of a suspension. Leases in starts count from the decision. After a pause an instance waits 25 ms before it submits a job, to learn that the caller has left. The silence of a peer is measured by the steady clock instead of the time of day, which may be set. Measured: go test -race ./lovagefleet ./lovagepeer ./lovagepool ./platform ./lovageclock pass. TestCancelledOffloadStartsNothing, TestForeignJobsAreCancelledTogether, TestPausedOwnerStartsNothingForOthers failed without the changes; TestStaleMessageStartsNothing, TestLeaseCountsFromTheDecision and TestSuspensionCountsTowardsDeadlines came with them.

--- a/lovagefleet/control.go
+++ b/lovagefleet/control.go
@@ -7,6 +7,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
+	"lovagestack/lovageclock"
 	"lovagestack/lovagepool"
 	"lovagestack/lovagetrace"
 )
@@ -26,6 +27,7 @@
 	timer := time.NewTimer(idleTickInterval)
 	defer timer.Stop()
 	var nextTick time.Time
+	pauses, checkedAt := no.pauses.Check(), time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -43,7 +45,12 @@
 			}
 		case <-timer.C:
 		}
-		now := time.Now()
+		now := time.Now() // before the check, so that leases of starts that a pause after the check delays have expired
+		if n := no.pauses.Check(); n != pauses {
+			pauses = n
+			no.handlePause(now, now.Sub(checkedAt))
+		}
+		checkedAt = now
 		if !now.Before(nextTick) {
 			no.pool.Tick(now)
 			interval := tickInterval
@@ -74,7 +81,7 @@
 		switch cm := cmd.(type) {
 		case lovagepool.StartRun:
 			if li := no.links[cm.Worker]; li != nil {
-				go li.start(no.startContext(now, cm.Ref), cm, li.newRunRequest(cm.Task, cm.Attempt, cm.Spec))
+				go li.start(no.startContext(now, cm.Ref), cm, li.newRunRequest(now, cm.Task, cm.Attempt, cm.Spec))
 			} else {
 				no.pool.HandleStartReply(now, cm.Worker, cm.Task, cm.Attempt, true, "noLink")
 			}
@@ -88,7 +95,7 @@
 				wa.result <- cm
 			}
 		case lovagepool.Offload:
-			go no.offload(cm)
+			go no.offload(cm, lovageclock.Boot())
 		case lovagepool.CancelOffload:
 			go no.cancelOffload(cm.Peer, cm.Ref)
 		case lovagepool.PollWorker:
--- a/lovagefleet/link.go
+++ b/lovagefleet/link.go
@@ -71,12 +71,13 @@
 	li.mu.Unlock()
 }
 
-// leaseExpiry returns the end, on the worker's clock, of a lease granted now; 0 if that clock is unknown.
-func (li *link) leaseExpiry() int64 {
+// leaseExpiry returns the end, on the worker's clock, of a lease granted at the time now; 0 if that clock is unknown. now is the
+// time of the decision: if the process is paused after it, the lease has expired when the worker gets the request.
+func (li *link) leaseExpiry(now time.Time) int64 {
 	if li.clockReadAt.IsZero() {
 		return 0
 	}
-	return li.workerClock + time.Since(li.clockReadAt).Milliseconds() + li.lease.Milliseconds()
+	return li.workerClock + now.Sub(li.clockReadAt).Milliseconds() + li.lease.Milliseconds()
 }
 
 // updateClock stores the clock reading of a worker's reply.
@@ -99,12 +100,12 @@
 
 // nextPoll returns the next poll. While the worker is unreachable, the poll extends no leases: the pool waits for the leases to
 // expire, and a poll may extend them even if its reply is lost.
-func (li *link) nextPoll() PollRequest {
+func (li *link) nextPoll(now time.Time) PollRequest {
 	li.mu.Lock()
 	defer li.mu.Unlock()
 	pr := PollRequest{Worker: li.worker.ID, Address: li.worker.Address, Fence: li.fence, AckedEnd: li.lastEndNumber}
 	if !li.unreachable {
-		pr.Expires = li.leaseExpiry()
+		pr.Expires = li.leaseExpiry(now)
 	}
 	if pr.Expires != 0 && li.lostPolls == 0 {
 		pr.Wait = pollWait
@@ -146,8 +147,8 @@
 			sleep(ctx, fencedRetryInterval)
 			continue
 		}
-		pr := li.nextPoll()
 		sent := time.Now()
+		pr := li.nextPoll(sent)
 		if pr.Expires != 0 {
 			li.node.post(func(time.Time) { li.node.pool.HandleLeaseExtension(sent, id) })
 		}
@@ -245,12 +246,12 @@
 	li.handlePoll(sent, re)
 }
 
-func (li *link) newRunRequest(task string, attempt int, spec string) RunRequest {
+func (li *link) newRunRequest(now time.Time, task string, attempt int, spec string) RunRequest {
 	li.mu.Lock()
 	defer li.mu.Unlock()
 	return RunRequest{
 		Worker: li.worker.ID, Address: li.worker.Address, Fence: li.fence, Task: task, Attempt: attempt, Spec: spec,
-		Expires: li.leaseExpiry(),
+		Expires: li.leaseExpiry(now),
 	}
 }
 
@@ -289,7 +290,7 @@
 func (li *link) stop(ctx context.Context, cm lovagepool.StopRun) {
 	ctx, cancel := context.WithTimeout(ctx, li.node.replyTimeout(requestTimeout))
 	defer cancel()
-	re, err := li.node.workerClient.Stop(ctx, li.newRunRequest(cm.Task, cm.Attempt, ""))
+	re, err := li.node.workerClient.Stop(ctx, li.newRunRequest(time.Now(), cm.Task, cm.Attempt, ""))
 	if err != nil || re.Rejected != "" {
 		return // the pool repeats the stop until the run has certainly ended
 	}
--- a/lovagefleet/link_test.go
+++ b/lovagefleet/link_test.go
@@ -56,7 +56,7 @@
 	}
 	other := link("w1")
 	other.updateClock(Reply{Clock: 1})
-	must.Eq(t, pollWait, other.nextPoll().Wait)
+	must.Eq(t, pollWait, other.nextPoll(time.Now()).Wait)
 	must.Greater(t, lossyTimeout, start())
 
 	lost, done := link("w0"), make(chan struct{})
@@ -67,12 +67,12 @@
 	for end := time.Now().Add(5 * time.Second); !no.lostCallRecently() && time.Now().Before(end); {
 		time.Sleep(5 * time.Millisecond)
 	}
-	must.Eq(t, lossyPollWait, other.nextPoll().Wait)
+	must.Eq(t, lossyPollWait, other.nextPoll(time.Now()).Wait)
 	must.LessEq(t, lossyTimeout, start())
 	must.False(t, lost.isUnreachable(), must.Sprint("unreachable after one lost call"))
 	past := time.Now().Add(-lossyPeriod)
 	no.lastLostCallAt.Store(&past)
-	must.Eq(t, pollWait, other.nextPoll().Wait, must.Sprint("the usual timeouts are not restored"))
+	must.Eq(t, pollWait, other.nextPoll(time.Now()).Wait, must.Sprint("the usual timeouts are not restored"))
 	cancel()
 	<-done
 }
@@ -83,3 +83,14 @@
 	defer li.mu.Unlock()
 	return li.unreachable
 }
+
+// Checks that a start that a pause of the process delays past its lease has expired for the worker when it arrives.
+func TestLeaseCountsFromTheDecision(t *testing.T) {
+	li := &link{worker: lovagepool.Worker{ID: "w1"}, lease: time.Second, fence: 1}
+	li.updateClock(Reply{Clock: 5000})
+	decidedAt := time.Now()
+	time.Sleep(50 * time.Millisecond)
+	rr := li.newRunRequest(decidedAt, "a.0.0.0", 1, "")
+	must.LessEq(t, 6000+1, rr.Expires)
+	must.Greater(t, 6000-10, rr.Expires)
+}
--- a/lovagefleet/node.go
+++ b/lovagefleet/node.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"lovagestack/lovageclock"
 	"lovagestack/lovagemetric"
 	"lovagestack/lovagepeer"
 	"lovagestack/lovagepool"
@@ -46,6 +47,7 @@
 	tracer         *lovagetrace.Tracer
 	mesh           *lovagepeer.Mesh
 	startedAt      time.Time
+	pauses         *lovageclock.PauseDetector // loop checks it at least every idleTickInterval
 	self           instanceRow
 	counts         lovagemetric.CounterFamily
 	responseTimes  lovagemetric.TimerFamily // from the arrival of a job to its answer, by outcome
@@ -153,6 +155,7 @@
 	no := &Node{
 		settings: se, store: de.Store, registry: de.Registry, workerClient: de.Workers,
 		log: de.Logger.Zap(), decisionLogger: de.Logger, tracer: de.Tracer, startedAt: now,
+		pauses: lovageclock.NewPauseDetector(lovageclock.Boot, maxPause),
 		self: instanceRow{
 			ID: se.ID, DataCentre: se.DataCentre, Address: se.PeerListen,
 			Incarnation: strconv.FormatInt(now.UnixNano(), 36), Cores: se.Cores,
--- a/lovagefleet/peer.go
+++ b/lovagefleet/peer.go
@@ -64,7 +64,7 @@
 	if err := jo.Work.Validate(); err != nil {
 		return nil, err
 	}
-	fi, err := no.submitLocal(ctx, jo)
+	fi, err := no.submitLocal(ctx, jo, func() string { return checkAcceptable(ctx, pl) })
 	if err != nil {
 		return nil, err
 	}
@@ -298,8 +298,8 @@
 	no.sendReport(address, &lovagemessage.Standing{Instance: no.self.ID, DataCentre: no.self.DataCentre, Released: ids})
 }
 
-// offload asks another owner to run tasks, and passes their outcomes to the pool.
-func (no *Node) offload(cm lovagepool.Offload) {
+// offload asks another owner to run tasks, and passes their outcomes to the pool. decidedAt is a reading of the boot clock.
+func (no *Node) offload(cm lovagepool.Offload, decidedAt time.Duration) {
 	address, ok := no.peerAddresses.Load(cm.Peer)
 	if !ok {
 		no.post(func(now time.Time) { no.pool.HandleOffloadReply(now, cm.Ref, nil, false, true) })
@@ -308,7 +308,7 @@
 	ctx, cancel := context.WithDeadline(no.ctx, cm.Work.Deadline.Add(answerGrace))
 	defer cancel()
 	pl := jobToMessage(cm.Ref, cm.Work, cm.Tasks)
-	pl.AnySpeed = cm.AnySpeed
+	pl.AnySpeed, pl.SentMicros = cm.AnySpeed, decidedAt.Microseconds()
 	resp, err := no.tracedCall(ctx, address.(string), &lovagemessage.Request{Body: &lovagemessage.Request_Place{Place: pl}})
 	notSent := errors.Is(err, lovagepeer.ErrNotSent)
 	results := finishFromReply(resp.GetPlace()).Results
--- a/lovagefleet/route.go
+++ b/lovagefleet/route.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"lovagestack/lovageclock"
 	"lovagestack/lovagejob"
 	"lovagestack/lovagemessage"
 	"lovagestack/lovagepeer"
@@ -65,6 +66,10 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, wo.Deadline.Add(answerGrace))
 	defer cancel()
+	no.awaitCallerCheck(ctx)
+	if ctx.Err() != nil {
+		return Answer{Outcome: lovagepool.NotRun, Reason: "the caller left before the job was submitted", RetryIn: retryWithoutOwner}, ""
+	}
 	giveUpAt := time.Now().Add(findOwnerTimeout)
 	failed := map[string]bool{}
 	forwarded, target := false, ""
@@ -173,10 +178,10 @@
 ) {
 	ref := no.newRef()
 	if ow.isSelf {
-		return no.submitLocal(ctx, &lovagepool.Job{Ref: ref, Work: wo, Forwarded: forwarded})
+		return no.submitLocal(ctx, &lovagepool.Job{Ref: ref, Work: wo, Forwarded: forwarded}, func() string { return "" })
 	}
 	pl := jobToMessage(ref, wo, nil)
-	pl.PassedOn = forwarded
+	pl.PassedOn, pl.SentMicros = forwarded, lovageclock.Boot().Microseconds()
 	resp, err := no.tracedCall(ctx, ow.Address, &lovagemessage.Request{Body: &lovagemessage.Request_Place{Place: pl}})
 	if err != nil {
 		if !errors.Is(err, lovagepeer.ErrNotSent) {
@@ -201,11 +206,16 @@
 	return no.self.ID + "/" + no.self.Incarnation + "/" + strconv.FormatInt(no.refCounter.Add(1), 36)
 }
 
-// submitLocal submits a job to this instance's pool and waits for its end.
-func (no *Node) submitLocal(ctx context.Context, jo *lovagepool.Job) (lovagepool.FinishJob, error) {
+// submitLocal submits a job to this instance's pool and waits for its end. loop calls check right before the pool gets the job;
+// the job is rejected if check returns a reason.
+func (no *Node) submitLocal(ctx context.Context, jo *lovagepool.Job, check func() string) (lovagepool.FinishJob, error) {
 	wa := &waiter{result: make(chan lovagepool.FinishJob, 1), traceContext: ctx, submitted: time.Now()}
 	no.post(func(now time.Time) {
 		no.jobWaiters[jo.Ref] = wa
+		if reason := check(); reason != "" {
+			no.pool.Reject(now, jo, reason)
+			return
+		}
 		no.pool.Submit(now, jo)
 	})
 	select {
--- /dev/null
+++ b/lovagefleet/validity.go
@@ -0,0 +1,82 @@
+package lovagefleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"lovagestack/lovageclock"
+	"lovagestack/lovagemessage"
+	"lovagestack/lovagepeer"
+	"lovagestack/lovagepool"
+)
+
+// A caller that gets no answer sends its job again 1.3 s later, to any instance. By then no copy of the first sending may be
+// able to start a task. Each hop bounds how long its permission to start lasts, by clocks that count suspensions:
+//
+//   - from the instance that got the job to an owner: maxForwardAge, checked when the owner's pool gets the job;
+//   - from one owner to another that runs tasks for it: maxOffloadAge, checked likewise;
+//   - at an owner: while the session with the sender lives, whose loss both sides notice within sessionLossTimeout, and until the
+//     process pauses for maxPause;
+//   - from an owner to a worker: the lease in the start, which the worker checks by its own clock.
+const (
+	// maxForwardAge leaves, with the error of the clocks' comparison (pingTimeout), 300 ms of the callers' 1.3 s.
+	maxForwardAge = 600 * time.Millisecond
+	// maxOffloadAge is the age at which the load report behind an offload expires. The sender starts the tasks elsewhere no
+	// earlier than a lease's length after it has lost the answer.
+	maxOffloadAge = lovagepool.MaxReportAge
+	// maxPause is the longest time that loop may stand still without giving up what other instances have sent. The sender
+	// notices the loss of its session, and its caller sends the job again, no earlier than 1.3 s after the pause began.
+	maxPause = 800 * time.Millisecond
+	// callerCheckTime is how long after a pause an instance waits, before it submits a job, to learn that the caller has
+	// disconnected meanwhile. The request may have waited in the socket for the whole pause.
+	callerCheckTime = 25 * time.Millisecond
+)
+
+// errPaused ends the sessions of an instance that did not run for maxPause.
+var errPaused = errors.New("this instance was paused")
+
+// handlePause gives up what other instances have sent before a pause of this process that has just been noticed: they may have
+// started it elsewhere. steady is how far the steady clock has advanced meanwhile; the callers' deadlines have come nearer by the
+// rest. Only loop calls it, before the pool decides on further starts.
+func (no *Node) handlePause(now time.Time, steady time.Duration) {
+	length := no.pauses.LastPause()
+	no.countEvent("paused")
+	no.log.Warn("this instance was paused; the jobs of other instances are given up",
+		zap.Duration("lengthMs", length), zap.Duration("suspendedMs", max(length-steady, 0)))
+	no.mesh.CloseSessions(errPaused) // so that nothing that arrived on them is accepted any more
+	no.pool.CancelForeign(now, no.self.ID+"/")
+	if suspended := length - steady; suspended > 0 {
+		no.pool.AdvanceDeadlines(suspended)
+	}
+}
+
+// expiry returns the reading of the boot clock after which a job that a peer has sent must not be accepted any more, and
+// false if the peer's clock is not known.
+func expiry(ctx context.Context, pl *lovagemessage.Place) (time.Duration, bool) {
+	sent, ok := lovagepeer.LocalTime(ctx, pl.GetSentMicros())
+	if len(pl.GetLent()) > 0 {
+		return sent + maxOffloadAge, ok
+	}
+	return sent + maxForwardAge, ok
+}
+
+// checkAcceptable returns why a job that a peer has sent must not be accepted now, or "".
+func checkAcceptable(ctx context.Context, pl *lovagemessage.Place) string {
+	if ctx.Err() != nil {
+		return "the session with the sender is lost"
+	}
+	if end, ok := expiry(ctx, pl); ok && lovageclock.Boot() > end {
+		return "the message was under way for too long"
+	}
+	return ""
+}
+
+// awaitCallerCheck waits for callerCheckTime if this process was paused shortly before.
+func (no *Node) awaitCallerCheck(ctx context.Context) {
+	if no.pauses.PausedWithin(maxPause) {
+		sleep(ctx, callerCheckTime)
+	}
+}
--- /dev/null
+++ b/lovagefleet/validity_test.go
@@ -0,0 +1,96 @@
+package lovagefleet
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"lovagestack/lovageclock"
+	"lovagestack/lovagemessage"
+	"lovagestack/lovagepool"
+)
+
+// Checks that an owner whose loop stood still for longer than maxPause starts nothing that another instance sent before: the
+// caller may have sent the job again elsewhere.
+func TestPausedOwnerStartsNothingForOthers(t *testing.T) {
+	de := deploy(t)
+	owner := de.owner("east")
+	other := "east-1"
+	if owner == other {
+		other = "east-2"
+	}
+	var done []chan lovagepool.Outcome
+	submit := func(id, job string, tasks int, took time.Duration) {
+		outcome := make(chan lovagepool.Outcome, 1)
+		done = append(done, outcome)
+		wo := testWork(job, tasks, took)
+		go func() { outcome <- de.nodes[id].Submit(context.Background(), wo).Outcome }()
+	}
+	for _, id := range []string{"west-1", owner} { // occupy the workers of both data centres
+		submit(id, randomID(), 6, 400*time.Millisecond)
+	}
+	time.Sleep(100 * time.Millisecond)
+	job := randomID()
+	submit(other, job, 2, 300*time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+	de.nodes[owner].post(func(time.Time) { time.Sleep(maxPause + 100*time.Millisecond) })
+	time.Sleep(maxPause + 400*time.Millisecond)
+	for i, outcome := range done {
+		oc := <-outcome
+		if i < 2 {
+			test.Eq(t, lovagepool.Completed, oc)
+		} else {
+			test.NotEq(t, lovagepool.Completed, oc)
+		}
+	}
+	de.cluster.mu.Lock()
+	defer de.cluster.mu.Unlock()
+	for task, n := range de.cluster.acceptedStarts {
+		test.False(t, task[:len(job)] == job && n > 0, test.Sprint(task))
+	}
+}
+
+// Checks that a job that was under way for longer than its sender waits before it acts is not started.
+func TestStaleMessageStartsNothing(t *testing.T) {
+	de := deploy(t)
+	from, owner := de.nodes["west-1"], de.owner("east")
+	if de.owner("west") != "west-1" {
+		from = de.nodes["west-2"] // an owner has sessions with all
+	}
+	place := func(age time.Duration, lent bool) *lovagemessage.PlaceReply {
+		wo := testWork(randomID(), 1, 10*time.Millisecond)
+		var tasks []lovagepool.OffloadedTask
+		if lent {
+			tasks = []lovagepool.OffloadedTask{{Step: 0, Index: 0, Attempt: 1}}
+		}
+		pl := jobToMessage(from.newRef(), wo, tasks)
+		pl.SentMicros = (lovageclock.Boot() - age).Microseconds()
+		resp, err := from.mesh.Call(t.Context(), de.nodes[owner].self.Address, &lovagemessage.Request{
+			Body: &lovagemessage.Request_Place{Place: pl},
+		})
+		must.NoError(t, err)
+		return resp.GetPlace()
+	}
+	for _, tc := range []struct {
+		age   time.Duration
+		lent  bool
+		stale bool
+	}{
+		{0, false, false}, {0, true, false},
+		{maxForwardAge + 50*time.Millisecond, false, true}, {maxOffloadAge + 50*time.Millisecond, true, true},
+		{5 * time.Second, false, true}, {5 * time.Second, true, true},
+	} {
+		pr := place(tc.age, tc.lent)
+		want := lovagepool.Completed
+		if tc.stale {
+			want = lovagepool.Moved
+		}
+		test.Eq(t, string(want), pr.GetOutcome(), test.Sprintf("%+v", tc))
+		if tc.lent && tc.stale {
+			test.Eq(t, string(lovagepool.RunDeclined), pr.GetEnds()[0].GetHow())
+		}
+	}
+}
--- a/lovagepeer/conn.go
+++ b/lovagepeer/conn.go
@@ -19,21 +19,20 @@
 	counts        *counters
 	header        [yamuxHeaderBytes]byte // header withheld until Write gets the body; used only by yamux's sending goroutine
 	headerPending bool
-	parts         [2][]byte    // backing array of bufs: header and body
-	bufs          net.Buffers  // reused by Write
-	lastRead      atomic.Int64 // Unix time of the last Read of data, in nanoseconds
+	parts         [2][]byte   // backing array of bufs: header and body
+	bufs          net.Buffers // reused by Write
+	opened        time.Time
+	lastRead      atomic.Int64 // time from opened to the last Read of data, in nanoseconds; unlike the time of day it is never set
 }
 
 func newCountedConn(co net.Conn, counts *counters) *countedConn {
-	cc := &countedConn{Conn: co, counts: counts}
-	cc.lastRead.Store(time.Now().UnixNano())
-	return cc
+	return &countedConn{Conn: co, counts: counts, opened: time.Now()}
 }
 
 func (cc *countedConn) Read(p []byte) (int, error) {
 	n, err := cc.Conn.Read(p)
 	if n > 0 {
-		cc.lastRead.Store(time.Now().UnixNano())
+		cc.lastRead.Store(int64(time.Since(cc.opened)))
 		cc.counts.bytesReceived.Inc(int64(n))
 	}
 	return n, err
@@ -58,5 +57,5 @@
 
 // sinceLastRead returns the time since the last Read of data.
 func (cc *countedConn) sinceLastRead() time.Duration {
-	return time.Duration(time.Now().UnixNano() - cc.lastRead.Load())
+	return time.Since(cc.opened) - time.Duration(cc.lastRead.Load())
 }
--- a/lovagepeer/handshake.go
+++ b/lovagepeer/handshake.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/yamux"
 
+	"lovagestack/lovageclock"
 	"lovagestack/lovagemessage"
 )
 
@@ -102,7 +103,7 @@
 		Incarnation: me.incarnation, Session: se.id, Previous: pe.previousSession,
 	}
 	me.mu.Unlock()
-	hello.AppliedRevision = me.appliedRevision()
+	hello.AppliedRevision, hello.ClockMicros = me.appliedRevision(), lovageclock.Boot().Microseconds()
 	err := se.writeFrame(&lovagemessage.Frame{Body: &lovagemessage.Frame_Request{Request: &lovagemessage.Request{
 		Body: &lovagemessage.Request_Hello{Hello: hello},
 	}}})
@@ -124,6 +125,7 @@
 		return nil, errors.New("the reply to Hello names no instance")
 	}
 	se.instance, se.incarnation = reply.GetInstance(), reply.GetIncarnation()
+	se.setClockOffset(reply.GetClockMicros())
 	return se, nil
 }
 
@@ -182,6 +184,7 @@
 		return nil, errors.New("the first frame is not a Hello with instance and address")
 	}
 	se.instance, se.incarnation, se.id = hello.GetInstance(), hello.GetIncarnation(), hello.GetSession()
+	se.setClockOffset(hello.GetClockMicros())
 	return hello, nil
 }
 
@@ -203,7 +206,7 @@
 	of, err := encodeFrame(&lovagemessage.Frame{Body: &lovagemessage.Frame_Response{Response: &lovagemessage.Response{
 		Body: &lovagemessage.Response_Hello{Hello: &lovagemessage.HelloReply{
 			Instance: me.options.Instance, DataCentre: me.options.DataCentre, AppliedRevision: revision,
-			Incarnation: me.incarnation,
+			Incarnation: me.incarnation, ClockMicros: lovageclock.Boot().Microseconds(),
 		}},
 	}}}, maxHelloBytes)
 	if err == nil {
--- a/lovagepeer/mesh.go
+++ b/lovagepeer/mesh.go
@@ -200,6 +200,14 @@
 	}
 }
 
+// CloseSessions ends all sessions at once. When it returns, the contexts of all handlers of the ended sessions are cancelled.
+// New sessions follow as after any loss.
+func (me *Mesh) CloseSessions(cause error) {
+	for _, se := range me.sessions() {
+		se.close(cause)
+	}
+}
+
 // Instance returns the last known ID of the instance at the address, or "" if none is known.
 func (me *Mesh) Instance(address string) string {
 	me.mu.Lock()
--- a/lovagepeer/session.go
+++ b/lovagepeer/session.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
+	"lovagestack/lovageclock"
 	"lovagestack/lovagemessage"
 )
 
@@ -31,10 +32,11 @@
 	pe          *peer
 	ya          *yamux.Session
 	conn        *countedConn
-	dialled     bool   // this side dialled
-	id          uint64 // random, chosen by the dialling side
-	instance    string // ID of the peer
-	incarnation uint64 // identifies the peer's process
+	dialled     bool           // this side dialled
+	id          uint64         // random, chosen by the dialling side
+	instance    string         // ID of the peer
+	incarnation uint64         // identifies the peer's process
+	clockOffset *time.Duration // this machine's boot clock minus the peer's, at most HandshakeTimeout too large; nil: not known
 
 	streams        [2]*yamux.Stream
 	readers        [2]*bufio.Reader
@@ -76,7 +78,7 @@
 // startLocked starts the goroutines of an installed session. The caller holds Mesh.mu.
 func (se *session) startLocked() {
 	se.pending = make(map[uint64]chan *lovagemessage.Response)
-	se.ctx, se.cancel = context.WithCancel(se.me.ctx)
+	se.ctx, se.cancel = context.WithCancel(context.WithValue(se.me.ctx, sessionKey{}, se))
 	run := func(loop func() error) {
 		se.me.wg.Add(1)
 		go func() {
@@ -107,6 +109,28 @@
 	})
 }
 
+// sessionKey is the key of the session in the context of a handler.
+type sessionKey struct{}
+
+// setClockOffset compares a reading of the peer's boot clock, which the peer has just sent, with this machine's.
+func (se *session) setClockOffset(micros int64) {
+	if micros == 0 {
+		return // the peer runs a version that does not send it
+	}
+	offset := lovageclock.Boot() - time.Duration(micros)*time.Microsecond
+	se.clockOffset = &offset
+}
+
+// LocalTime converts a reading of the boot clock of the peer whose request a handler serves to this machine's boot clock. The
+// result is at most HandshakeTimeout too late. It returns false if the peer's clock is not known.
+func LocalTime(ctx context.Context, micros int64) (time.Duration, bool) {
+	se, ok := ctx.Value(sessionKey{}).(*session)
+	if !ok || se.clockOffset == nil || micros == 0 {
+		return 0, false
+	}
+	return time.Duration(micros)*time.Microsecond + *se.clockOffset, true
+}
+
 // fail closes the yamux session. The session ends after all received data has been read, so that no response is lost if
 // the peer closes the session right after sending it.
 func (se *session) fail(err error) {
--- a/lovagepool/offload_test.go
+++ b/lovagepool/offload_test.go
@@ -29,6 +29,45 @@
 	must.Eq(t, []string{"finish x completed"}, ha.commands())
 }
 
+func TestCancelledOffloadStartsNothing(t *testing.T) {
+	// Guards against a second run of a task. An owner that had no processor time for a second handled an offload and its
+	// cancellation, after the loss of the session, in one pass. It started the tasks all the same, while the peer, which held
+	// them until a lease's length after the loss, started them too.
+	ha := newHarness(t, testWorker("w1", 32000))
+	ha.po.Submit(ha.now, &Job{Ref: "x", Work: ha.newWork("a", 2, 14000), Offloaded: []OffloadedTask{{0, 0, 1}, {0, 1, 1}}})
+	must.True(t, ha.po.Cancel(ha.now, "x"))
+	must.Eq(t, []string{"finish x notRun"}, ha.commands())
+	must.True(t, ha.po.Idle())
+}
+
+func TestForeignJobsAreCancelledTogether(t *testing.T) {
+	// Checks that after a pause no job of another instance starts or goes on, and that own jobs do.
+	ha := newHarness(t, testWorker("w1", 28000))
+	ha.submit("own/1", 1, 14000)
+	ha.po.Submit(ha.now, &Job{Ref: "other/1", Work: ha.newWork("b", 1, 14000)})
+	must.Eq(t, []string{"start w1 own/1.0.0.0 1", "start w1 b.0.0.0 1"}, ha.commands())
+	ha.po.Submit(ha.now, &Job{Ref: "other/2", Work: ha.newWork("c", 1, 14000)})
+	ha.po.Submit(ha.now, &Job{Ref: "other/3", Work: ha.newWork("d", 1, 14000), Offloaded: []OffloadedTask{{0, 0, 1}}})
+	ha.submit("own/2", 1, 14000)
+	ha.po.CancelForeign(ha.now, "own/")
+	must.Eq(t, []string{"stop w1 b.0.0.0 1", "finish other/3 notRun"}, ha.commands())
+	ha.reportEnded("w1", "b.0.0.0", 1, RunStopped)
+	must.Eq(t, []string{"start w1 own/2.0.0.0 1"}, ha.commands())
+}
+
+func TestSuspensionCountsTowardsDeadlines(t *testing.T) {
+	// Checks that a job whose caller stopped waiting while the machine was suspended is not started after it.
+	ha := newHarness(t, testWorker("w1", 14000))
+	ha.submit("a", 1, 14000)
+	must.Eq(t, []string{"start w1 a.0.0.0 1"}, ha.commands())
+	ha.submit("b", 1, 14000)
+	must.SliceEmpty(t, ha.commands())
+	ha.po.AdvanceDeadlines(1900 * time.Millisecond)
+	ha.advance(120 * time.Millisecond)
+	ha.reportEnded("w1", "a.0.0.0", 1, RunDone)
+	must.Eq(t, []string{"finish a unknown", "stop w1 a.0.0.0 1", "finish b notRun"}, ha.commands())
+}
+
 func TestOffloadReply(t *testing.T) {
 	cases := []struct {
 		name  string
--- a/lovagepool/submit.go
+++ b/lovagepool/submit.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -53,6 +54,34 @@
 	po.needsSchedule = true
 }
 
+// Reject answers a job that must not start any more, because it was under way for too long, with Moved.
+func (po *Pool) Reject(now time.Time, jo *Job, reason string) {
+	po.recordDecision(Decision{Kind: "jobRejected", Job: jo.Work.ID, Reason: reason, Age: now.Sub(jo.Work.Arrived)})
+	jo.buildTasks()
+	po.emitAnswer(jo, FinishJob{Outcome: Moved, Reason: reason})
+}
+
+// CancelForeign cancels the jobs whose Ref does not begin with the prefix. It is called after a pause of the process: the
+// instances that sent them may have given up, and their callers may have sent the jobs again.
+func (po *Pool) CancelForeign(now time.Time, ownPrefix string) {
+	for _, jo := range slices.Clone(po.jobList) {
+		if !strings.HasPrefix(jo.Ref, ownPrefix) {
+			po.Cancel(now, jo.Ref)
+		}
+	}
+}
+
+// AdvanceDeadlines moves the times of all jobs back by the length of a suspension of the machine, which the clock of now leaves
+// out.
+func (po *Pool) AdvanceDeadlines(by time.Duration) {
+	for _, jo := range po.jobList {
+		wo := *jo.Work // the submitter reads the original
+		wo.Arrived, wo.Deadline = wo.Arrived.Add(-by), wo.Deadline.Add(-by)
+		jo.Work, jo.goal = &wo, jo.goal.Add(-by)
+	}
+	po.needsSchedule = true
+}
+
 // unfitRetryDelay is the retry delay for a job that fits no present worker.
 const unfitRetryDelay = 10 * time.Second
 
@@ -158,9 +187,24 @@
 		return true
 	}
 	po.stopRuns(now, jo) // the peer gets the runs' outcomes as usual
+	po.declineWaiting(jo)
 	return true
 }
 
+// declineWaiting declines those tasks of a peer's job that have not started, and ends the job if it has no others.
+func (po *Pool) declineWaiting(jo *Job) {
+	for _, ta := range jo.tasks {
+		if ta.state == taskReady {
+			ta.state = taskDone
+			jo.readyTasks--
+			jo.unfinishedTasks--
+		}
+	}
+	if jo.unfinishedTasks == 0 {
+		po.finish(jo, NotRun, "cancelled before it started", 0)
+	}
+}
+
 // stopRuns stops the runs of a job that are not being stopped yet.
 func (po *Pool) stopRuns(now time.Time, jo *Job) {
 	for _, ta := range jo.tasks {
