lovagefleet, lovagepool: workers that are not registered during a hand-over are released; jobs without workers are forwarded

An owner without a usable worker refused jobs that others could still have run. A process could end before the new owner had heard of the last release. Change: a hand-over releases the domain as a whole at its end, which covers workers that are not registered, and counts as in progress until the new owner has been told; the wait for a previous owner ends when its machine refuses connections.

--- a/lovagefleet/fake_test.go
+++ b/lovagefleet/fake_test.go
@@ -45,6 +45,7 @@
 	callCount        int
 
 	startsWhileDraining int
+	unregistered        bool // its entry has lapsed, as it does while the worker cannot reach the store
 	refusesConnections  bool // as a partition may; the worker's runs go on
 	startedAt           time.Time
 	rejectedCalls       int // calls with a fence lower than the highest seen
@@ -96,7 +97,9 @@
 	defer fc.mu.Unlock()
 	var list []RegisteredWorker
 	for _, wo := range fc.workers {
-		list = append(list, wo.RegisteredWorker)
+		if !wo.unregistered {
+			list = append(list, wo.RegisteredWorker)
+		}
 	}
 	return list, nil
 }
--- a/lovagefleet/fleet_test.go
+++ b/lovagefleet/fleet_test.go
@@ -383,6 +383,34 @@
 	}
 }
 
+func TestHandOverOfLapsedWorkers(t *testing.T) {
+	// Guards against workers that nobody uses for releaseTimeout: their entries had lapsed while their data centre was cut off
+	// from the store, so the previous owner, which left right after the cut, did not name them to the new one.
+	de := deploy(t)
+	owner := de.owner("east")
+	other := map[string]string{"east-1": "east-2", "east-2": "east-1"}[owner]
+	de.awaitWorkers(owner, 3)
+	unregister := func(lapsed bool) {
+		de.cluster.mu.Lock()
+		defer de.cluster.mu.Unlock()
+		for id, wo := range de.cluster.workers {
+			wo.unregistered = lapsed && id[:4] == "east"
+		}
+	}
+	unregister(true)
+	de.awaitWorkers(owner, 0)
+	de.nodes[owner].Leave()
+	de.await("the other instance owns the domain", time.Second, func() bool { return de.owner("east") == other })
+	unregister(false)
+	began := time.Now()
+	de.awaitWorkers(other, 3)
+	test.Less(t, registryInterval+400*time.Millisecond, time.Since(began), test.Sprint("the workers were not released"))
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	de.nodes[owner].AwaitIdle(ctx)
+	must.NoError(t, ctx.Err())
+}
+
 func TestHandOverInProgress(t *testing.T) {
 	// Checks which hand-overs count as in progress. If the old owner's process exited during one, the new owner would wait
 	// for the release of the workers.
--- a/lovagefleet/link.go
+++ b/lovagefleet/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,6 +45,7 @@
 type link struct {
 	node          *Node
 	worker        lovagepool.Worker
+	domain        string
 	lease         time.Duration
 	cancel        context.CancelFunc
 	mu            sync.Mutex
@@ -58,9 +60,10 @@
 	rejectedFence int64     // highest fence that the worker has rejected
 }
 
-func (no *Node) newLink(wo lovagepool.Worker, fence int64) *link {
+func (no *Node) newLink(rw RegisteredWorker, fence int64) *link {
 	ctx, cancel := context.WithCancel(no.ctx)
-	li := &link{node: no, worker: wo, lease: no.settings.Pool.Lease, cancel: cancel, fence: fence, processStart: wo.ProcessStart}
+	wo := rw.Worker
+	li := &link{node: no, worker: wo, domain: rw.DataCentre, lease: no.settings.Pool.Lease, cancel: cancel, fence: fence, processStart: wo.ProcessStart}
 	go li.loop(ctx)
 	return li
 }
@@ -322,14 +325,22 @@
 	})
 }
 
-// workersOfDomain returns the IDs of a domain's registered workers.
+// workersOfDomain returns the IDs of a domain's workers: those that are registered, and others on which this instance has runs.
 func (no *Node) workersOfDomain(name string) []string {
 	var ids []string
+	registered := map[string]bool{}
 	for _, wo := range no.registeredWorkers() {
 		if wo.DataCentre == name {
 			ids = append(ids, wo.ID)
+			registered[wo.ID] = true
 		}
 	}
+	for id, li := range no.links {
+		if li.domain == name && !registered[id] {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
 	return ids
 }
 
@@ -362,7 +373,7 @@
 			li = nil
 		}
 		if li == nil {
-			no.links[rw.ID] = no.newLink(rw.Worker, fence)
+			no.links[rw.ID] = no.newLink(rw, fence)
 		} else {
 			li.setFence(fence)
 		}
@@ -389,17 +400,15 @@
 
 // releaseWorker tells a worker's new owner that this instance has no run left on the worker, and ends the link.
 func (no *Node) releaseWorker(worker string) {
-	for _, wo := range no.registeredWorkers() {
-		if wo.ID != worker {
+	for name, ho := range no.handOvers {
+		if ho.state != handOverAccepted || !ho.unreleased[worker] {
 			continue
 		}
-		if ho := no.acceptedHandOver(wo.DataCentre); ho != nil {
-			delete(ho.unreleased, worker)
-			if len(ho.unreleased) == 0 {
-				delete(no.handOvers, wo.DataCentre)
-				delete(no.fenceByDomain, wo.DataCentre)
-			}
-			go no.sendReleased(ho.newOwnerAddress, []string{worker})
+		delete(ho.unreleased, worker)
+		no.unsentReleases++
+		go no.sendReleased(ho.newOwnerAddress, []string{worker}, nil)
+		if len(ho.unreleased) == 0 {
+			no.endHandOver(name, ho)
 		}
 	}
 	if li := no.links[worker]; li != nil {
@@ -407,3 +416,11 @@
 		delete(no.links, worker)
 	}
 }
+
+// endHandOver gives up a domain on whose workers this instance has no runs left.
+func (no *Node) endHandOver(name string, ho *handOver) {
+	delete(no.handOvers, name)
+	delete(no.fenceByDomain, name)
+	no.unsentReleases++
+	go no.sendReleased(ho.newOwnerAddress, nil, []string{name})
+}
--- a/lovagefleet/node.go
+++ b/lovagefleet/node.go
@@ -88,6 +88,7 @@
 	claimedAt       map[string]time.Time // when this instance claimed the domain
 	registryReadAt  time.Time            // start of the last successful read of the registered workers
 	handOvers       map[string]*handOver // hand-overs to other instances, by domain name
+	unsentReleases  int                  // messages to new owners about released workers that are on their way
 	awaitedReleases map[string]awaitedRelease
 	links           map[string]*link           // by worker ID
 	jobWaiters      map[string]*waiter         // by job reference
@@ -214,6 +215,7 @@
 	no.post(func(time.Time) { no.pool.RemovePeer(instance) })
 	if refused {
 		no.refusedInstances.Store(instance, true)
+		no.post(func(now time.Time) { no.endAwaitedReleases(now, instance) })
 	}
 	if refused || no.ownsDomain(instance) {
 		no.wakeOwnershipLoop()
--- a/lovagefleet/ownership.go
+++ b/lovagefleet/ownership.go
@@ -400,14 +400,13 @@
 		ho.unreleased[id] = true
 	}
 	no.pool.HandOver(ids)
-	if len(ids) == 0 {
-		delete(no.handOvers, name)
-		delete(no.fenceByDomain, name)
-	}
 	if no.leaving.Load() && no.allAccepted() {
 		no.allHandedOver.Store(true)
 		no.pool.Leave()
 	}
+	if len(ids) == 0 {
+		no.endHandOver(name, ho)
+	}
 }
 
 // allAccepted reports whether every domain that this instance owned has a new owner.
@@ -428,8 +427,11 @@
 	return nil
 }
 
-// handOverInProgress reports whether a hand-over awaits its reply or has workers to release.
+// handOverInProgress reports whether a hand-over awaits its reply, has workers to release or has not told so to the new owner.
 func (no *Node) handOverInProgress() bool {
+	if no.unsentReleases > 0 {
+		return true
+	}
 	for _, ho := range no.handOvers {
 		if ho.state != handOverUnconfirmed {
 			return true
--- a/lovagefleet/peer.go
+++ b/lovagefleet/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -166,19 +167,35 @@
 		} else {
 			no.pool.RemovePeer(from)
 		}
-		if len(st.GetReleased()) > 0 {
-			no.noteReleased(now, from, st.GetReleased())
+		if len(st.GetReleased())+len(st.GetReleasedDomains()) > 0 {
+			no.noteReleased(now, from, st.GetReleased(), st.GetReleasedDomains())
 		}
 	})
 }
 
-// noteReleased records that a domain's previous owner has released workers to this instance, which then uses them.
-func (no *Node) noteReleased(now time.Time, from string, ids []string) {
-	for _, ar := range no.awaitedReleases {
-		if ar.previousOwner == from {
-			for _, id := range ids {
-				ar.released[id] = true
-			}
+// noteReleased records that a domain's previous owner has released workers, or all workers of domains, to this instance, which
+// then uses them.
+func (no *Node) noteReleased(now time.Time, from string, workers, domains []string) {
+	for name, ar := range no.awaitedReleases {
+		if ar.previousOwner != from {
+			continue
+		}
+		if slices.Contains(domains, name) {
+			delete(no.awaitedReleases, name)
+			continue
+		}
+		for _, id := range workers {
+			ar.released[id] = true
+		}
+	}
+	no.refreshWorkers(now)
+}
+
+// endAwaitedReleases stops waiting for the releases of an instance whose process has ended.
+func (no *Node) endAwaitedReleases(now time.Time, instance string) {
+	for name, ar := range no.awaitedReleases {
+		if ar.previousOwner == instance {
+			delete(no.awaitedReleases, name)
 		}
 	}
 	no.refreshWorkers(now)
@@ -292,10 +309,13 @@
 	}
 }
 
-// sendReleased tells a domain's new owner which workers this instance has released. If the message is lost, the new
-// owner uses the workers after releaseTimeout.
-func (no *Node) sendReleased(address string, ids []string) {
-	no.sendReport(address, &lovagemessage.Standing{Instance: no.self.ID, DataCentre: no.self.DataCentre, Released: ids})
+// sendReleased tells a domain's new owner which workers this instance has released, or that it has released all workers of a
+// domain, also those that are not registered now. If the message is lost, the new owner uses the workers after releaseTimeout.
+func (no *Node) sendReleased(address string, workers, domains []string) {
+	no.sendReport(address, &lovagemessage.Standing{
+		Instance: no.self.ID, DataCentre: no.self.DataCentre, Released: workers, ReleasedDomains: domains,
+	})
+	no.post(func(time.Time) { no.unsentReleases-- })
 }
 
 // offload asks another owner to run tasks, and passes their outcomes to the pool. decidedAt is a reading of the boot clock.
--- a/lovagepool/offload_test.go
+++ b/lovagepool/offload_test.go
@@ -55,6 +55,25 @@
 	must.Eq(t, []string{"start w1 own/2.0.0.0 1"}, ha.commands())
 }
 
+func TestJobWithoutWorkersIsForwarded(t *testing.T) {
+	// Checks that an owner whose workers all cannot be used, as after a cut of its data centre, forwards jobs to an owner that
+	// can give a useful answer, and refuses them only if there is none.
+	ha := newHarness(t, testWorker("w1", 14000))
+	ha.po.MarkUnreachable(ha.now, "w1")
+	ha.submit("a", 1, 14000)
+	must.SliceEmpty(t, ha.commands())
+	report := func() {
+		ha.po.SetPeer(ha.now, "other", map[string]LoadReport{"checks": {Workers: 1, Rate: 28000, Backlog: 20 * time.Millisecond}})
+	}
+	ha.advance(noWorkersGrace)
+	report()
+	must.Eq(t, []string{"finish a moved"}, ha.commands())
+	ha.po.RemovePeer("other")
+	ha.submit("b", 1, 14000)
+	ha.advance(noWorkersGrace)
+	must.Eq(t, []string{"finish b notRun"}, ha.commands())
+}
+
 func TestSuspensionCountsTowardsDeadlines(t *testing.T) {
 	// Checks that a job whose caller stopped waiting while the machine was suspended is not started after it.
 	ha := newHarness(t, testWorker("w1", 14000))
--- a/lovagepool/place.go
+++ b/lovagepool/place.go
@@ -357,8 +357,14 @@
 // be usable yet.
 const noWorkersGrace = 100 * time.Millisecond
 
+// refuseWithoutWorkers forwards a job to a peer that is expected to give a useful answer, or refuses it, once noWorkersGrace is
+// over.
 func (po *Pool) refuseWithoutWorkers(now time.Time, jo *Job) {
 	if now.Sub(jo.Work.Arrived) >= noWorkersGrace {
+		if peerID := po.chooseForwardTarget(now, jo, jo.usefulUntil().Sub(now)-jo.runTime); peerID != "" {
+			po.forwardJob(now, jo, peerID)
+			return
+		}
 		po.recordDecision(Decision{
 			Kind: "refusedWithoutWorkers", Job: jo.Work.ID, Reason: "no worker can be used", Age: now.Sub(jo.Work.Arrived),
 		})
