lovagefleet: what idle instances read grows linearly with their number

Change: the interval grows by 100 ms for each instance known; losing the session with an owner still causes a read at once.

--- a/lovagefleet/claim.go
+++ b/lovagefleet/claim.go
@@ -16,10 +16,12 @@
 
 const (
 	// renewInterval is how often an owner renews its row and reads all rows. There may be many instances without a domain;
-	// these renew every idleRenewInterval, and read only every idleReadInterval while they have sessions with the owners of
-	// all domains: what they read grows with the square of the number of instances.
+	// these renew every idleRenewInterval. While they have sessions with the owners of all domains, they read only every
+	// idleReadInterval and idleReadPerMember for each instance, so that what they read in a second does not grow with the square
+	// of the number of instances.
 	renewInterval     = 500 * time.Millisecond
 	idleReadInterval  = 5 * time.Second
+	idleReadPerMember = 100 * time.Millisecond
 	idleRenewInterval = 2 * time.Second
 	// ownerStaleAfter is the time from an owner's last renewal until the owner counts as dead if this instance has no
 	// session with it: a little over three renewal intervals. idleStaleAfter applies to instances that own no domain.
--- a/lovagefleet/ownership.go
+++ b/lovagefleet/ownership.go
@@ -51,7 +51,7 @@
 				lastRenewed = now
 			}
 		}
-		if frequent || urgent || now.Sub(lastRead) >= idleReadInterval {
+		if frequent || urgent || now.Sub(lastRead) >= idleReadInterval+time.Duration(len(no.members))*idleReadPerMember {
 			urgent = false
 			if err := no.readRows(ctx); err != nil {
 				no.noteStoreError("read rows", err)
