lovagefleet, lovagepeer: a call whose deadline this process notices late gets the time once more; a handler's panic fails one request

A panic in the handler of a peer's request ended the process. Change: withPatience ends a call when its time is over, but waits once more if the timer itself was late. TestLostCallShortensTimeouts reads the decision and how long a start really waits, because the context of a call has no deadline any more.

--- a/lovagefleet/link.go
+++ b/lovagefleet/link.go
@@ -118,14 +118,15 @@
 			li.node.post(func(time.Time) { li.node.pool.HandleLeaseExtension(sent, id) })
 		}
 		giveUpAt := sent.Add(pr.Wait + li.node.patience().timeout(pollGrace))
-		callCtx, cancel := context.WithDeadline(ctx, giveUpAt)
+		callCtx, cancel, expired := li.node.withPatience(ctx, giveUpAt, pollGrace)
 		re, err := li.node.workerClient.Poll(callCtx, pr)
+		timedOut := err != nil && (expired() || errors.Is(err, context.DeadlineExceeded))
 		cancel()
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
-			li.handleLostPoll(ctx, sent, giveUpAt, err)
+			li.handleLostPoll(ctx, sent, timedOut, err)
 			continue
 		}
 		li.updateClock(re)
@@ -135,7 +136,7 @@
 		case RejectFence:
 			li.handleFenceRejected(pr.Fence)
 		default:
-			li.handleLostPoll(ctx, sent, giveUpAt, errors.New("poll rejected: "+string(re.Rejected)))
+			li.handleLostPoll(ctx, sent, false, errors.New("poll rejected: "+string(re.Rejected)))
 		}
 	}
 }
@@ -169,10 +170,9 @@
 // handleLostPoll records a poll that got no reply or was rejected. A refused connection does not prove that the worker's
 // process has ended: a partition may refuse connections while tasks go on running. A poll without a reply does not count while
 // this process itself is late.
-func (li *link) handleLostPoll(ctx context.Context, sent, giveUpAt time.Time, err error) {
-	timedOut := errors.Is(err, context.DeadlineExceeded)
+func (li *link) handleLostPoll(ctx context.Context, sent time.Time, timedOut bool, err error) {
 	li.mu.Lock()
-	if timedOut && !li.unreachable && !li.node.noteLostCall(time.Since(giveUpAt)) {
+	if timedOut && !li.unreachable && !li.node.noteLostCall() {
 		if li.excusedSince.IsZero() {
 			li.excusedSince = sent
 		}
@@ -232,7 +232,7 @@
 // lease does not end later than the pool expects.
 func (li *link) start(ctx context.Context, cm lovagepool.StartRun, rr RunRequest) {
 	giveUpAt := time.Now().Add(li.node.patience().timeout(requestTimeout))
-	ctx, cancel := context.WithDeadline(ctx, giveUpAt)
+	ctx, cancel, _ := li.node.withPatience(ctx, giveUpAt, requestTimeout)
 	defer cancel()
 	ctx, span := li.node.tracer.Start(ctx, lovagetrace.WorkerCall)
 	span.SetString("task", cm.Task)
@@ -249,7 +249,7 @@
 			li.node.pool.HandleStartReply(now, cm.Worker, cm.Task, cm.Attempt, true, "refused")
 			li.node.pool.MarkUnreachable(now, cm.Worker)
 		case err != nil:
-			li.node.noteLostCall(time.Since(giveUpAt))
+			li.node.noteLostCall()
 			li.node.pool.HandleStartTimeout(now, cm.Worker, cm.Task, cm.Attempt)
 		default:
 			li.node.pool.HandleStartReply(now, cm.Worker, cm.Task, cm.Attempt, re.Rejected != "", string(re.Rejected))
--- a/lovagefleet/link_test.go
+++ b/lovagefleet/link_test.go
@@ -13,7 +13,7 @@
 )
 
 // lossyWorkers is a WorkerClient that answers polls at once, except that polls of lostWorker get no reply. It records the
-// timeout of each start.
+// time until each start is given up.
 type lossyWorkers struct {
 	WorkerClient
 	lostWorker    string
@@ -34,8 +34,9 @@
 }
 
 func (lw *lossyWorkers) Start(ctx context.Context, _ RunRequest) (Reply, error) {
-	until, _ := ctx.Deadline()
-	lw.startTimeouts <- time.Until(until)
+	began := time.Now()
+	<-ctx.Done()
+	lw.startTimeouts <- time.Since(began)
 	return Reply{}, nil
 }
 
@@ -57,7 +58,8 @@
 	other := link("w1")
 	other.updateClock(Reply{Clock: 1})
 	must.Eq(t, pollWait, other.nextPoll(time.Now()).Wait)
-	must.Greater(t, lossyTimeout, start())
+	must.Eq(t, requestTimeout, no.patience().timeout(requestTimeout))
+	must.GreaterEq(t, requestTimeout, start())
 
 	lost, done := link("w0"), make(chan struct{})
 	go func() {
@@ -68,7 +70,8 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	must.Eq(t, lossyPollWait, other.nextPoll(time.Now()).Wait)
-	must.LessEq(t, lossyTimeout, start())
+	must.Eq(t, lossyTimeout, no.patience().timeout(requestTimeout))
+	must.GreaterEq(t, lossyTimeout, start())
 	must.False(t, lost.isUnreachable(), must.Sprint("unreachable after one lost call"))
 	past := time.Now().Add(-lossyPeriod)
 	no.lastLostCallAt.Store(&past)
--- a/lovagefleet/node.go
+++ b/lovagefleet/node.go
@@ -178,6 +178,9 @@
 		Instance: se.ID, DataCentre: se.DataCentre, Listen: se.PeerListen, AdvertiseAddress: se.PeerListen,
 		Counters:    lovagemetric.PeerCounters{Registry: de.Metrics},
 		SessionDown: no.sessionDown, SessionUp: func(string) { no.wakeOwnershipLoop() },
+		HandlerPanicked: func(kind string, value any, stack []byte) {
+			no.log.Error("handler of a peer's request panicked", zap.String("kind", kind), zap.Any("value", value), zap.ByteString("stack", stack))
+		},
 		PingInterval: pingInterval, PingTimeout: pingTimeout, WriteTimeout: pingTimeout,
 		DialTimeout: pingTimeout, HandshakeTimeout: pingTimeout, MaxBackoff: pingTimeout,
 	}, no)
--- a/lovagefleet/patience.go
+++ b/lovagefleet/patience.go
@@ -1,6 +1,8 @@
 package lovagefleet
 
 import (
+	"context"
+	"errors"
 	"sync"
 	"time"
 )
@@ -69,6 +71,38 @@
 	return usual
 }
 
+// withPatience returns a context for a call whose reply is missing at giveUpAt. If this process notices that time late, it waits
+// for extra once more: the reply may be waiting in the socket, and a call that is given up costs a new connection. expired reports
+// whether the context ended for want of a reply.
+func (no *Node) withPatience(ctx context.Context, giveUpAt time.Time, extra time.Duration) (
+	callCtx context.Context, cancel func(), expired func() bool,
+) {
+	callCtx, end := context.WithCancelCause(ctx)
+	due, extended := giveUpAt, false // accessed only by the timer's function, which does not run twice at a time
+	var timer *time.Timer
+	created := make(chan struct{})
+	timer = time.AfterFunc(time.Until(giveUpAt), func() {
+		<-created
+		now := time.Now()
+		late := now.Sub(due)
+		if late >= minLag {
+			no.lags.note(now, late)
+			if !extended {
+				due, extended = now.Add(extra), true
+				timer.Reset(extra)
+				return
+			}
+		}
+		end(context.DeadlineExceeded)
+	})
+	close(created)
+	cancel = func() {
+		timer.Stop()
+		end(nil)
+	}
+	return callCtx, cancel, func() bool { return errors.Is(context.Cause(callCtx), context.DeadlineExceeded) }
+}
+
 // lagMeter holds the greatest lateness of this process within lagPeriod. It is safe for concurrent use.
 type lagMeter struct {
 	mu       sync.Mutex
@@ -116,11 +150,10 @@
 	return at != nil && time.Since(*at) < lossyPeriod
 }
 
-// noteLostCall records that a call to a reachable worker got no reply within a time that ended late ago. It returns false if this
-// process itself was late, so that the reply may be waiting in the socket.
-func (no *Node) noteLostCall(late time.Duration) bool {
+// noteLostCall records that a call to a reachable worker got no reply in time. It returns false if this process itself is late, so
+// that the worker may not be to blame.
+func (no *Node) noteLostCall() bool {
 	now := time.Now()
-	no.lags.note(now, late)
 	if no.patience().overloaded() {
 		no.countEvent("callsTimedOutLate")
 		return false
--- a/lovagefleet/patience_test.go
+++ b/lovagefleet/patience_test.go
@@ -1,6 +1,7 @@
 package lovagefleet
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -40,6 +41,29 @@
 	must.Eq(t, 0, lm.lag(now.Add(3*lagPeriod)))
 }
 
+// Checks that a call is given up on time, and a little later if this process noticed that time late.
+func TestWithPatience(t *testing.T) {
+	no := &Node{}
+	wait := func(ctx context.Context) time.Duration {
+		began := time.Now()
+		<-ctx.Done()
+		return time.Since(began)
+	}
+	ctx, cancel, expired := no.withPatience(t.Context(), time.Now().Add(50*time.Millisecond), time.Second)
+	test.Less(t, 500*time.Millisecond, wait(ctx))
+	test.True(t, expired())
+	cancel()
+	ctx, cancel, expired = no.withPatience(t.Context(), time.Now().Add(-2*minLag), 200*time.Millisecond)
+	test.GreaterEq(t, 200*time.Millisecond, wait(ctx))
+	test.True(t, expired())
+	cancel()
+	test.GreaterEq(t, minLag, no.lags.lag(time.Now()))
+	ctx, cancel, expired = no.withPatience(t.Context(), time.Now().Add(time.Minute), time.Second)
+	cancel()
+	wait(ctx)
+	test.False(t, expired())
+}
+
 // pollModel plays an owner that polls its workers in virtual time. Its CPU handles one thing after another: callers' jobs take
 // part of it, and each poll, each reply and each new connection after a lost poll costs some. Workers reply at once after their
 // wait.
--- a/lovagefleet/validity_test.go
+++ b/lovagefleet/validity_test.go
@@ -29,13 +29,25 @@
 		wo := testWork(job, tasks, took)
 		go func() { outcome <- de.nodes[id].Submit(context.Background(), wo).Outcome }()
 	}
+	de.awaitWorkers(owner, 3)
+	de.awaitWorkers(de.owner("west"), 3)
 	for _, id := range []string{"west-1", owner} { // occupy the workers of both data centres
-		submit(id, randomID(), 6, 400*time.Millisecond)
+		submit(id, randomID(), 6, 600*time.Millisecond)
 	}
-	time.Sleep(100 * time.Millisecond)
+	de.await("all workers are full", 5*time.Second, func() bool {
+		de.cluster.mu.Lock()
+		defer de.cluster.mu.Unlock()
+		active := 0
+		for _, n := range de.cluster.activeRuns {
+			active += n
+		}
+		return active == 12
+	})
 	job := randomID()
 	submit(other, job, 2, 300*time.Millisecond)
-	time.Sleep(50 * time.Millisecond)
+	de.await("the owner has the job", 500*time.Millisecond, func() bool {
+		return de.nodes[owner].PendingJobs(t.Context(), "checks") == 1
+	})
 	de.nodes[owner].post(func(time.Time) { time.Sleep(maxPause + 100*time.Millisecond) })
 	time.Sleep(maxPause + 400*time.Millisecond)
 	<-done[0] // any outcome: the paused owner may have had some of its tasks
--- a/lovagepeer/counters.go
+++ b/lovagepeer/counters.go
@@ -18,6 +18,7 @@
 	CounterAcceptsFailed   = "peer_accepts_failed"   // errors of the listener's Accept, such as EMFILE
 	CounterRequestsRefused = "peer_requests_refused" // requests of peers refused because too many were in flight
 	CounterLateResponses   = "peer_late_responses"   // responses to calls that had already ended
+	CounterHandlerPanics   = "peer_handler_panics"   // requests of peers whose handler panicked
 )
 
 // Kinds of messages, used as counter labels. "place" asks an owner of workers to run tasks of a job, and "withdraw"
@@ -106,6 +107,7 @@
 	bytesSent, bytesReceived                                     Counter
 	sessionsOpened, sessionsClosed, sessionsIdle, sessionsSilent Counter
 	dialsFailed, acceptsFailed, requestsRefused, lateResponses   Counter
+	handlerPanics                                                Counter
 }
 
 type nopCounter struct{}
@@ -132,8 +134,8 @@
 		sessionsSilent:  get(CounterSessionsSilent, ""),
 		dialsFailed:     get(CounterDialsFailed, ""),
 		acceptsFailed:   get(CounterAcceptsFailed, ""),
-		requestsRefused: get(CounterRequestsRefused, ""),
-		lateResponses:   get(CounterLateResponses, ""),
+		requestsRefused: get(CounterRequestsRefused, ""), handlerPanics: get(CounterHandlerPanics, ""),
+		lateResponses: get(CounterLateResponses, ""),
 	}
 	for _, kind := range kinds {
 		co.requestsSent[kind] = get(CounterRequestsSent, kind)
--- a/lovagepeer/mesh_test.go
+++ b/lovagepeer/mesh_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 	"go.uber.org/goleak"
 
+	"lovagestack/lovageclock"
 	"lovagestack/lovagemessage"
 )
 
@@ -124,6 +125,68 @@
 	wg.Wait()
 }
 
+// A handler that panics must cost its own request only.
+func TestHandlerPanicFailsOneRequest(t *testing.T) {
+	panicked := make(chan string, 1)
+	_, ab, _ := startMesh(t, Options{Instance: "b", HandlerPanicked: func(kind string, value any, stack []byte) {
+		panicked <- fmt.Sprint(kind, " ", value, " ", len(stack) > 0)
+	}}, handlerFunc(func(ctx context.Context, from string, req *lovagemessage.Request) (*lovagemessage.Response, error) {
+		if req.GetAsk().GetKey() == "odd" {
+			panic("test panic")
+		}
+		return echo(ctx, from, req)
+	}))
+	ma, _, _ := startMesh(t, Options{Instance: "a"}, echo)
+	ctx := testContext(t)
+	_, err := ma.Call(ctx, ab, askRequest("odd"))
+	must.True(t, errors.Is(err, ErrRemote), must.Sprint(err))
+	resp, err := ma.Call(ctx, ab, askRequest("even"))
+	must.NoError(t, err)
+	must.Eq(t, "even", resp.GetAnswer().GetKey())
+	must.Eq(t, "ask test panic true", <-panicked)
+}
+
+// CloseSessions must end the contexts of all handlers before it returns, and the next call must use a new session. Handlers
+// must be able to convert the caller's boot clock.
+func TestCloseSessions(t *testing.T) {
+	handling, contexts := make(chan struct{}), make(chan context.Context, 2)
+	mb, ab, _ := startMesh(t, Options{Instance: "b"}, handlerFunc(
+		func(ctx context.Context, from string, req *lovagemessage.Request) (*lovagemessage.Response, error) {
+			contexts <- ctx
+			if req.GetAsk().GetKey() == "wait" {
+				close(handling)
+				<-ctx.Done()
+			}
+			return echo(ctx, from, req)
+		}))
+	ma, _, _ := startMesh(t, Options{Instance: "a"}, echo)
+	ctx := testContext(t)
+	failed := make(chan error, 1)
+	go func() {
+		_, err := ma.Call(ctx, ab, askRequest("wait"))
+		failed <- err
+	}()
+	<-handling
+	mb.CloseSessions(errors.New("test"))
+	must.Error(t, (<-contexts).Err())
+	must.Error(t, <-failed)
+	before := lovageclock.Boot()
+	for resp, err := ma.Call(ctx, ab, askRequest("next")); ; resp, err = ma.Call(ctx, ab, askRequest("next")) {
+		if err == nil {
+			must.Eq(t, "next", resp.GetAnswer().GetKey())
+			break
+		}
+		must.NoError(t, ctx.Err())
+		time.Sleep(10 * time.Millisecond)
+	}
+	local, ok := LocalTime(<-contexts, before.Microseconds())
+	must.True(t, ok)
+	must.GreaterEq(t, before-time.Millisecond, local)
+	must.Less(t, before+time.Second, local)
+	_, ok = LocalTime(ctx, before.Microseconds())
+	must.False(t, ok)
+}
+
 // A cancelled call must not wait for the peer any longer, and its late response must not reach another call.
 func TestCancelledCallReturnsAndLateResponseIsDropped(t *testing.T) {
 	release := make(chan struct{})
--- a/lovagepeer/options.go
+++ b/lovagepeer/options.go
@@ -41,6 +41,10 @@
 	SessionUp   func(instance string)
 	SessionDown func(instance string, refused bool)
 
+	// HandlerPanicked is called when the handler of a request panics, with the kind of request, the value and the stack. The
+	// peer gets an error. May be nil.
+	HandlerPanicked func(kind string, value any, stack []byte)
+
 	// Dial opens a TCP connection to a peer; nil uses a net.Dialer with DialTimeout.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
--- a/lovagepeer/session.go
+++ b/lovagepeer/session.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/binary"
 	"io"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -291,7 +292,7 @@
 			se.markUsed()
 			se.activeHandlers.Add(-1)
 		}()
-		resp, err := se.me.handler.Handle(se.ctx, se.instance, req)
+		resp, err := se.handle(req)
 		if err != nil {
 			resp = &lovagemessage.Response{Error: err.Error()}
 		} else if resp == nil {
@@ -301,6 +302,20 @@
 	}()
 }
 
+// handle calls the handler. A panic of the handler fails this request only.
+func (se *session) handle(req *lovagemessage.Request) (resp *lovagemessage.Response, err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			se.me.counts.handlerPanics.Inc(1)
+			if se.me.options.HandlerPanicked != nil {
+				se.me.options.HandlerPanicked(Kind(req), v, debug.Stack())
+			}
+			err = errors.Newf("the handler of %s panicked", Kind(req))
+		}
+	}()
+	return se.me.handler.Handle(se.ctx, se.instance, req)
+}
+
 func (se *session) respond(id uint64, kind string, resp *lovagemessage.Response) {
 	fr := &lovagemessage.Frame{Id: id, Body: &lovagemessage.Frame_Response{Response: resp}}
 	of, err := encodeFrame(fr, se.me.options.MaxFrameBytes)
