--- a/lovagepool/pool_test.go
+++ b/lovagepool/pool_test.go
@@ -350,6 +350,29 @@
 	must.True(t, slices.Contains(ha.commands(), "start w1 c.0.0.0 1"))
 }
 
+func TestStoppedProbeIsRepeated(t *testing.T) {
+	// Guards against an ejected worker that is never used again, because its probe run was stopped, lapsed or was rejected.
+	for _, outcome := range []RunOutcome{RunStopped, RunLapsed} {
+		ha := newHarness(t, testWorker("w1", 10000))
+		for i := range ejectAfterFailures {
+			id := fmt.Sprintf("j%d", i)
+			ha.submit(id, 1, 10000)
+			must.Eq(t, []string{"start w1 " + id + ".0.0.0 1"}, ha.commands())
+			ha.po.Cancel(ha.now, id)
+			ha.reportEnded("w1", id+".0.0.0", 1, RunFailed)
+			ha.commands()
+		}
+		ha.now = ha.now.Add(minEjection)
+		ha.submit("a", 1, 10000)
+		must.Eq(t, []string{"start w1 a.0.0.0 1"}, ha.commands())
+		ha.po.Cancel(ha.now, "a")
+		ha.reportEnded("w1", "a.0.0.0", 1, outcome)
+		ha.commands()
+		ha.submit("b", 1, 10000)
+		must.Eq(t, []string{"start w1 b.0.0.0 1"}, ha.commands())
+	}
+}
+
 func TestHandOverReleasesIdleWorkers(t *testing.T) {
 	ha := newHarness(t, testWorker("w1", 10000), testWorker("w2", 10000))
 	ha.submit("a", 1, 10000)
--- a/lovagepool/runs.go
+++ b/lovagepool/runs.go
@@ -274,6 +274,8 @@
 	case RunFailed:
 		ta.avoidWorker = wo.ID
 		po.recordFailure(now, wo, ta.job.Work.ID)
+	default:
+		wo.probing = false // the run tells nothing of the worker's health, so that another one may probe it
 	}
 	if ta.run != ru {
 		return
