--- a/lovageapi/route_test.go
+++ b/lovageapi/route_test.go
@@ -175,8 +175,10 @@
 		}
 		return now.Sub(failedAt)
 	}
-	for _, want := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second,
-		10 * time.Second, 10 * time.Second} {
+	for _, want := range []time.Duration{
+		500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second,
+		10 * time.Second, 10 * time.Second,
+	} {
 		must.Eq(t, want, avoidedFor())
 	}
 	ro.noteAnswer(address)
--- a/lovagefleet/claim_test.go
+++ b/lovagefleet/claim_test.go
@@ -176,8 +176,19 @@
 	_, err = decodeDomainRow(row("domain/east", goodDomain), dataCentres)
 	must.NoError(t, err)
 	for _, change := range [][2]string{
-		{`"i"`, `"j"`}, {`"i"`, `7`}, {"east", "mars"}, {"7720", "99999"}, {"7720", "0"}, {"10.0.0.1", ""}, {"10.0.0.1", "0.0.0.0"},
-		{"10.0.0.1:7720", "host:7720"}, {`"a"`, `""`}, {"0.4", "-1"}, {"0.4", "1e999"}, {`"beat":1`, `"beat":1e30`}, {"{", "["},
+		{`"i"`, `"j"`},
+		{`"i"`, `7`},
+		{"east", "mars"},
+		{"7720", "99999"},
+		{"7720", "0"},
+		{"10.0.0.1", ""},
+		{"10.0.0.1", "0.0.0.0"},
+		{"10.0.0.1:7720", "host:7720"},
+		{`"a"`, `""`},
+		{"0.4", "-1"},
+		{"0.4", "1e999"},
+		{`"beat":1`, `"beat":1e30`},
+		{"{", "["},
 	} {
 		_, err := decodeInstanceRow(row("instance/i", strings.Replace(goodInstance, change[0], change[1], 1)), dataCentres)
 		must.Error(t, err, must.Sprint(change))
--- a/lovagefleet/validity_test.go
+++ b/lovagefleet/validity_test.go
@@ -91,9 +91,12 @@
 		lent  bool
 		stale bool
 	}{
-		{0, false, false}, {0, true, false},
-		{maxForwardAge + 50*time.Millisecond, false, true}, {maxOffloadAge + 50*time.Millisecond, true, true},
-		{5 * time.Second, false, true}, {5 * time.Second, true, true},
+		{0, false, false},
+		{0, true, false},
+		{maxForwardAge + 50*time.Millisecond, false, true},
+		{maxOffloadAge + 50*time.Millisecond, true, true},
+		{5 * time.Second, false, true},
+		{5 * time.Second, true, true},
 	} {
 		pr := place(tc.age, tc.lent)
 		want := lovagepool.Completed
