--- a/lovagefleet/ownership.go
+++ b/lovagefleet/ownership.go
@@ -24,6 +24,8 @@
 	// registryInterval is how often an owner reads the registered workers. The owner must stop starts on a worker
 	// within 2 s after the worker began to drain.
 	registryInterval = 600 * time.Millisecond
+	// registryTimeout limits the duration of a read of the registered workers, thousands of which take several calls.
+	registryTimeout = 2500 * time.Millisecond
 	// maxWorkerListAge is the age above which an instance that owns no workers reads the registered workers again before it
 	// relies on them. It does not read them otherwise.
 	maxWorkerListAge = 2 * time.Second
--- a/lovagefleet/registry.go
+++ b/lovagefleet/registry.go
@@ -51,7 +51,7 @@
 // readRegistry reads the registered workers, and has loop use those of the owned domains.
 func (no *Node) readRegistry(ctx context.Context) {
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
 	defer cancel()
 	list, err := no.registry.Workers(ctx)
 	if err != nil {
