lovagepeer: the comparison of boot clocks follows their drift

Cause: found by reading: the difference was taken once a session. Clocks that drift by 100 millionths differ by 400 ms after 70 minutes, and an owner would then reject every offload of that peer as too old, or accept old ones. Change: the least difference of the last two minutes, from the handshake and from each job received. Measured: TestPeerClock plays clocks that gain and lose 1 ms a second.

--- a/lovagepeer/mesh_test.go
+++ b/lovagepeer/mesh_test.go
@@ -187,6 +187,30 @@
 	must.False(t, ok)
 }
 
+// The estimate must follow clocks that drift apart, and a late message must not change it.
+func TestPeerClock(t *testing.T) {
+	var pc peerClock
+	now, offset, late := 10*time.Hour, 3*time.Hour, 500*time.Millisecond
+	must.Eq(t, offset+20*time.Millisecond, pc.compare(now, now-offset-20*time.Millisecond)) // the handshake took 20 ms
+	must.Eq(t, offset+time.Millisecond, pc.compare(now, now-offset-time.Millisecond))
+	must.Eq(t, offset+time.Millisecond, pc.compare(now, now-offset-late))
+	for range 1000 { // this machine's clock gains 10 ms on the peer's in 10 s
+		now += 10 * time.Second
+		offset += 10 * time.Millisecond
+		must.LessEq(t, offset+time.Millisecond, pc.compare(now, now-offset-time.Millisecond))
+		must.GreaterEq(t, offset-130*time.Millisecond, pc.compare(now, now-offset-late))
+	}
+	for range 1000 {
+		now += 10 * time.Second
+		offset -= 10 * time.Millisecond
+		estimate := pc.compare(now, now-offset-time.Millisecond)
+		must.LessEq(t, offset+time.Millisecond, estimate)
+		must.GreaterEq(t, offset-130*time.Millisecond, estimate)
+	}
+	now += time.Hour // nothing is left of the window
+	must.Eq(t, offset+time.Second, pc.compare(now, now-offset-time.Second))
+}
+
 // A cancelled call must not wait for the peer any longer, and its late response must not reach another call.
 func TestCancelledCallReturnsAndLateResponseIsDropped(t *testing.T) {
 	release := make(chan struct{})
--- a/lovagepeer/session.go
+++ b/lovagepeer/session.go
@@ -33,11 +33,10 @@
 	pe          *peer
 	ya          *yamux.Session
 	conn        *countedConn
-	dialled     bool           // this side dialled
-	id          uint64         // random, chosen by the dialling side
-	instance    string         // ID of the peer
-	incarnation uint64         // identifies the peer's process
-	clockOffset *time.Duration // this machine's boot clock minus the peer's, at most HandshakeTimeout too large; nil: not known
+	dialled     bool   // this side dialled
+	id          uint64 // random, chosen by the dialling side
+	instance    string // ID of the peer
+	incarnation uint64 // identifies the peer's process
 
 	streams        [2]*yamux.Stream
 	readers        [2]*bufio.Reader
@@ -45,6 +44,7 @@
 	ctx            context.Context // cancelled when the session ends; passed to handlers
 	cancel         context.CancelFunc
 	closeOnce      sync.Once
+	peerClock      peerClock
 	activeHandlers atomic.Int64 // requests from the peer in progress
 	lastUsed       atomic.Int64 // Unix time in nanoseconds of the last request or response, or of the start of a call
 
@@ -115,21 +115,51 @@
 
 // setClockOffset compares a reading of the peer's boot clock, which the peer has just sent, with this machine's.
 func (se *session) setClockOffset(micros int64) {
-	if micros == 0 {
-		return // the peer runs a version that does not send it
+	if micros != 0 { // otherwise the peer runs a version that does not send it
+		se.peerClock.compare(lovageclock.Boot(), time.Duration(micros)*time.Microsecond)
 	}
-	offset := lovageclock.Boot() - time.Duration(micros)*time.Microsecond
-	se.clockOffset = &offset
 }
 
 // LocalTime converts a reading of the boot clock of the peer whose request a handler serves to this machine's boot clock. The
-// result is at most HandshakeTimeout too late. It returns false if the peer's clock is not known.
+// handler calls it when it gets the request that carries the reading. The result is too late by at most the shortest time that a
+// request took within the last two minutes, or that the handshake took. LocalTime returns false if the peer's clock is not known.
 func LocalTime(ctx context.Context, micros int64) (time.Duration, bool) {
 	se, ok := ctx.Value(sessionKey{}).(*session)
-	if !ok || se.clockOffset == nil || micros == 0 {
+	if !ok || micros == 0 {
 		return 0, false
 	}
-	return time.Duration(micros)*time.Microsecond + *se.clockOffset, true
+	reading := time.Duration(micros) * time.Microsecond
+	return reading + se.peerClock.compare(lovageclock.Boot(), reading), true
+}
+
+// peerClock estimates how far this machine's boot clock is ahead of a peer's: by the least difference between the receipt of a
+// reading and the reading itself, of the last one to two halves of clockWindow, because the clocks drift apart. It is safe for
+// concurrent use.
+type peerClock struct {
+	mu       sync.Mutex
+	halves   [2]time.Duration // least difference in the current and in the last half; valid if known
+	known    [2]bool
+	changeAt time.Duration // end of the current half, by this machine's clock
+}
+
+// clockWindow is how long a difference between two clocks counts. Clocks that drift by 100 millionths differ by 12 ms more after it.
+const clockWindow = 2 * time.Minute
+
+// compare takes a reading of the peer's clock into account that was received at the time now, and returns the estimate.
+func (pc *peerClock) compare(now, reading time.Duration) time.Duration {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	if now >= pc.changeAt {
+		pc.halves[1], pc.known[1] = pc.halves[0], pc.known[0] && now-pc.changeAt < clockWindow/2
+		pc.known[0], pc.changeAt = false, now+clockWindow/2
+	}
+	if difference := now - reading; !pc.known[0] || difference < pc.halves[0] {
+		pc.halves[0], pc.known[0] = difference, true
+	}
+	if pc.known[1] {
+		return min(pc.halves[0], pc.halves[1])
+	}
+	return pc.halves[0]
 }
 
 // fail closes the yamux session. The session ends after all received data has been read, so that no response is lost if
