lovagefleet: the age of a message counts from its receipt, not from when loop gets to it

Cause: found by reading the diff: the sender's clock was compared when loop took the job, so that the first message after two minutes without any would have counted as new however long it had waited for loop. Change: the comparison is made in the handler; loop checks its result. Measured: go test ./lovagefleet -run 'Stale|Paused'.

--- a/lovagefleet/peer.go
+++ b/lovagefleet/peer.go
@@ -65,7 +65,7 @@
 	if err := jo.Work.Validate(); err != nil {
 		return nil, err
 	}
-	fi, err := no.submitLocal(ctx, jo, func() string { return checkAcceptable(ctx, pl) })
+	fi, err := no.submitLocal(ctx, jo, newAcceptCheck(ctx, pl))
 	if err != nil {
 		return nil, err
 	}
--- a/lovagefleet/validity.go
+++ b/lovagefleet/validity.go
@@ -53,25 +53,24 @@
 	}
 }
 
-// expiry returns the reading of the boot clock after which a job that a peer has sent must not be accepted any more, and
-// false if the peer's clock is not known.
-func expiry(ctx context.Context, pl *lovagemessage.Place) (time.Duration, bool) {
-	sent, ok := lovagepeer.LocalTime(ctx, pl.GetSentMicros())
+// newAcceptCheck returns a function that says why a job that a peer has just sent must not be accepted at the time of its call, or
+// "". Whether the message is too old is not known if the peer does not send its clock.
+func newAcceptCheck(ctx context.Context, pl *lovagemessage.Place) func() string {
+	expiry, known := lovagepeer.LocalTime(ctx, pl.GetSentMicros()) // before the job waits for loop
 	if len(pl.GetLent()) > 0 {
-		return sent + maxOffloadAge, ok
+		expiry += maxOffloadAge
+	} else {
+		expiry += maxForwardAge
 	}
-	return sent + maxForwardAge, ok
-}
-
-// checkAcceptable returns why a job that a peer has sent must not be accepted now, or "".
-func checkAcceptable(ctx context.Context, pl *lovagemessage.Place) string {
-	if ctx.Err() != nil {
-		return "the session with the sender is lost"
-	}
-	if end, ok := expiry(ctx, pl); ok && lovageclock.Boot() > end {
-		return "the message was under way for too long"
+	return func() string {
+		switch {
+		case ctx.Err() != nil:
+			return "the session with the sender is lost"
+		case known && lovageclock.Boot() > expiry:
+			return "the message was under way for too long"
+		}
+		return ""
 	}
-	return ""
 }
 
 // awaitCallerCheck waits for callerCheckTime if this process was paused shortly before.
