lovagefleet: a new owner does not use an old list of workers; the first candidates read it before they claim

Change: such a list is used only if it is at most 7.5 s old. The first three candidates for a domain without an owner read the registrations, so that what is left to read after the claim are the changes. Measured: TestNewOwnerIgnoresOldList; go test -race ./lovagefleet.

--- a/lovagefleet/claim.go
+++ b/lovagefleet/claim.go
@@ -128,6 +128,7 @@
 	dataCentre      string
 	row             domainRow
 	version         int64     // version of the domain's row; 0: the row does not exist
+	position        int       // of this instance among the candidates while the domain is ownerless; -1: it is none
 	ownerlessSince  time.Time // since when this instance has seen no live owner; zero: the owner is live
 	lastUnreachable time.Time // when this instance last failed to reach the workers
 }
@@ -214,8 +215,8 @@
 	if do.ownerlessSince.IsZero() {
 		do.ownerlessSince = cv.now
 	}
-	position := slices.IndexFunc(list, func(me *member) bool { return me.ID == cv.self.ID })
-	if position < 0 || cv.now.Sub(do.ownerlessSince) < time.Duration(position)*candidateDelay {
+	do.position = slices.IndexFunc(list, func(me *member) bool { return me.ID == cv.self.ID })
+	if do.position < 0 || cv.now.Sub(do.ownerlessSince) < time.Duration(do.position)*candidateDelay {
 		return claimNone, nil
 	}
 	if cv.self.DataCentre == do.dataCentre {
--- a/lovagefleet/link.go
+++ b/lovagefleet/link.go
@@ -360,14 +360,19 @@
 	no.linkCount.Store(int64(len(no.links)))
 }
 
-// registryReadTimeout is how long a new owner waits, after claiming a domain, for a read of the registered workers. It then
-// uses its older list, in which a draining worker may not be marked.
-const registryReadTimeout = 3 * time.Second
+const (
+	// registryReadTimeout is how long a new owner waits, after claiming a domain, for a read of the registered workers. It then
+	// uses the list that it had, unless that is older than maxFallbackListAge: a worker that drains may not be marked in it.
+	registryReadTimeout = 3 * time.Second
+	// maxFallbackListAge is registryReadTimeout, and maxWorkerListAge before the claim, and what a read may take.
+	maxFallbackListAge = registryReadTimeout + maxWorkerListAge + registryTimeout
+)
 
-// registryIsCurrent reports whether the registered workers were read after this instance claimed the domain, or
-// registryReadTimeout has passed since the claim.
+// registryIsCurrent reports whether the registered workers were read after this instance claimed the domain, or the wait for that
+// is over and the older list may be used.
 func (no *Node) registryIsCurrent(now time.Time, name string) bool {
-	return no.registryReadAt.After(no.claimedAt[name]) || now.Sub(no.claimedAt[name]) > registryReadTimeout
+	return no.registryReadAt.After(no.claimedAt[name]) ||
+		now.Sub(no.claimedAt[name]) > registryReadTimeout && now.Sub(no.registryReadAt) <= maxFallbackListAge
 }
 
 // releaseWorker tells a worker's new owner that this instance has no run left on the worker, and ends the link.
--- a/lovagefleet/ownership.go
+++ b/lovagefleet/ownership.go
@@ -29,6 +29,9 @@
 	// maxWorkerListAge is the age above which an instance that owns no workers reads the registered workers again before it
 	// relies on them. It does not read them otherwise.
 	maxWorkerListAge = 2 * time.Second
+	// readingCandidates is how many of the candidates for a domain without an owner read the registered workers before they may
+	// claim it, in case the store does not answer afterwards.
+	readingCandidates = 3
 	// maxFullMeshInstances is the largest deployment in which all instances have sessions with each other; a session costs
 	// about 20 wake-ups a second.
 	maxFullMeshInstances = 16
@@ -313,6 +316,9 @@
 	for _, dc := range no.settings.DataCentres {
 		do := no.ensureDomain(dc)
 		action, to := cv.decideClaim(do)
+		if !do.ownerlessSince.IsZero() && do.position >= 0 && do.position < readingCandidates && !no.workerListIsFresh() {
+			no.wakeRegistryLoop()
+		}
 		if _, reclaim := no.reclaimDomains.LoadAndDelete(dc); reclaim && action == claimNone && do.ownedBy(&no.self) {
 			action = claimNow
 		}
@@ -494,7 +500,7 @@
 	defer cancel()
 	woken := false
 	for ctx.Err() == nil {
-		if at := no.workerListReadAt.Load(); at != nil && time.Since(*at) <= maxWorkerListAge {
+		if no.workerListIsFresh() {
 			return
 		}
 		if !woken {
@@ -505,6 +511,12 @@
 	}
 }
 
+// workerListIsFresh reports whether the registered workers were read within maxWorkerListAge.
+func (no *Node) workerListIsFresh() bool {
+	at := no.workerListReadAt.Load()
+	return at != nil && time.Since(*at) <= maxWorkerListAge
+}
+
 // canReachWorkers reports whether one of up to three workers of a data centre accepts a connection.
 func (no *Node) canReachWorkers(ctx context.Context, dataCentre string) bool {
 	no.awaitWorkerList(ctx)
--- a/lovagefleet/registry_test.go
+++ b/lovagefleet/registry_test.go
@@ -52,3 +52,22 @@
 	cancel()
 	<-done
 }
+
+// Checks that a new owner whose reads fail does not use a list so old that workers which drain are not marked in it.
+func TestNewOwnerIgnoresOldList(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	for _, tc := range []struct {
+		name            string
+		claimed, readAt time.Duration // before now
+		want            bool
+	}{
+		{"read after the claim", time.Second, 900 * time.Millisecond, true},
+		{"read before the claim", time.Second, 2 * time.Second, false},
+		{"no read for long after the claim", registryReadTimeout + 1, maxFallbackListAge, true},
+		{"old list", registryReadTimeout + 1, maxFallbackListAge + 1, false},
+		{"never read", time.Minute, 1000 * time.Hour, false},
+	} {
+		no := &Node{claimedAt: map[string]time.Time{"east": now.Add(-tc.claimed)}, registryReadAt: now.Add(-tc.readAt)}
+		must.Eq(t, tc.want, no.registryIsCurrent(now, "east"), must.Sprint(tc.name))
+	}
+}
