lovagefleet, lovagepool: log lines tell submissions of a job apart, and say when an instance is late

Cause: the record of the incident names the instances that started both runs, but no line says by which submission, whether a run belonged to nobody, or whether an owner was late. Late owner, extended orphan and a wrong answer could not be told apart.

--- a/lovagefleet/control.go
+++ b/lovagefleet/control.go
@@ -12,10 +12,16 @@
 	"lovagestack/lovagetrace"
 )
 
+// event is a function that loop will call.
+type event struct {
+	handle   func(now time.Time)
+	postedAt time.Time
+}
+
 // post queues a function that loop will call.
 func (no *Node) post(ev func(now time.Time)) {
 	select {
-	case no.eventQueue <- ev:
+	case no.eventQueue <- event{ev, time.Now()}:
 	case <-no.ctx.Done():
 	}
 }
@@ -34,11 +40,11 @@
 			return
 		case ev := <-no.eventQueue:
 			now := time.Now()
-			ev(now)
+			no.apply(now, ev)
 			for more := true; more; {
 				select {
 				case ev = <-no.eventQueue:
-					ev(now)
+					no.apply(now, ev)
 				default:
 					more = false
 				}
@@ -69,6 +75,25 @@
 	}
 }
 
+const (
+	// lateEvent is the age of an event above which loop reports that it is late, at most once in lateReportInterval.
+	lateEvent          = 200 * time.Millisecond
+	lateReportInterval = time.Second
+)
+
+// apply handles an event, and reports it if it has waited for long.
+func (no *Node) apply(now time.Time, ev event) {
+	if waited := time.Since(ev.postedAt); waited >= lateEvent {
+		no.countEvent("eventsLate")
+		if now.Sub(no.latenessReportedAt) >= lateReportInterval {
+			no.latenessReportedAt = now
+			no.log.Warn("this instance is late", zap.Duration("waitedMs", waited), zap.Duration("lagMs", no.lags.lag(now)),
+				zap.Int("queued", len(no.eventQueue)), zap.Int("workers", len(no.links)))
+		}
+	}
+	ev.handle(now)
+}
+
 // publishCounts copies the pool's counts to the metrics.
 func (no *Node) publishCounts() {
 	for name, n := range no.pool.Counts {
@@ -141,7 +166,7 @@
 
 // logDecision logs a decision of the pool.
 func (no *Node) logDecision(de lovagepool.Decision) {
-	fields := make([]zap.Field, 0, 10)
+	fields := make([]zap.Field, 0, 12)
 	text := func(name, value string) {
 		if value != "" {
 			fields = append(fields, zap.String(name, value))
@@ -153,6 +178,7 @@
 		}
 	}
 	text("job", de.Job)
+	text("ref", de.Ref)
 	text("task", de.Task)
 	text("worker", de.Worker)
 	if de.Attempt != 0 {
--- a/lovagefleet/node.go
+++ b/lovagefleet/node.go
@@ -52,7 +52,7 @@
 	counts         lovagemetric.CounterFamily
 	responseTimes  lovagemetric.TimerFamily // from the arrival of a job to its answer, by outcome
 
-	eventQueue       chan func(now time.Time) // functions that loop will call
+	eventQueue       chan event // functions that loop will call
 	ctx              context.Context
 	config           atomic.Pointer[Configuration]
 	ownerByDomain    sync.Map // domain name to ownerRef
@@ -85,18 +85,19 @@
 	registryWake chan struct{}
 
 	// Used only by loop.
-	pool            *lovagepool.Pool
-	fenceByDomain   map[string]int64     // fence of each domain that is owned or still being released to a new owner
-	claimedAt       map[string]time.Time // when this instance claimed the domain
-	registryReadAt  time.Time            // start of the last successful read of the registered workers
-	handOvers       map[string]*handOver // hand-overs to other instances, by domain name
-	unsentReleases  int                  // messages to new owners about released workers that are on their way
-	awaitedReleases map[string]awaitedRelease
-	links           map[string]*link           // by worker ID
-	jobWaiters      map[string]*waiter         // by job reference
-	publishedCounts map[string]int64           // values of pool.Counts already added to the metrics
-	stopWaiters     map[string][]chan struct{} // by job reference; closed when the cancelled job has no active run
-	sentReports     sentReports
+	pool               *lovagepool.Pool
+	fenceByDomain      map[string]int64     // fence of each domain that is owned or still being released to a new owner
+	claimedAt          map[string]time.Time // when this instance claimed the domain
+	registryReadAt     time.Time            // start of the last successful read of the registered workers
+	handOvers          map[string]*handOver // hand-overs to other instances, by domain name
+	unsentReleases     int                  // messages to new owners about released workers that are on their way
+	awaitedReleases    map[string]awaitedRelease
+	links              map[string]*link           // by worker ID
+	jobWaiters         map[string]*waiter         // by job reference
+	publishedCounts    map[string]int64           // values of pool.Counts already added to the metrics
+	stopWaiters        map[string][]chan struct{} // by job reference; closed when the cancelled job has no active run
+	sentReports        sentReports
+	latenessReportedAt time.Time // when loop last reported that it is late
 }
 
 // ownerRef identifies the owner of a domain and its fence.
@@ -165,7 +166,7 @@
 		},
 		counts:        de.Metrics.Counter("fleet_events", "decisions and events of the instance", lovagemetric.LabelEvent),
 		responseTimes: de.Metrics.Timer("fleet_response", "from the arrival of a job to its answer", lovagemetric.LabelOutcome),
-		eventQueue:    make(chan func(time.Time), eventQueueSize),
+		eventQueue:    make(chan event, eventQueueSize),
 		members:       map[string]*member{}, domains: map[string]*domain{},
 		ownershipWake: make(chan struct{}, 1), registryWake: make(chan struct{}, 1), takeOverRequests: make(chan takeOverRequest, 16),
 		pool: lovagepool.New(se.Pool), fenceByDomain: map[string]int64{}, claimedAt: map[string]time.Time{},
--- a/lovagepool/offload.go
+++ b/lovagepool/offload.go
@@ -200,7 +200,7 @@
 		}
 		if !known && !notSent {
 			po.recordDecision(Decision{
-				Kind: "lentUnknown", Job: of.job.Work.ID, Task: of.job.Work.TaskName(ta.step, ta.index), Worker: of.peerID,
+				Kind: "lentUnknown", Job: of.job.Work.ID, Ref: ref, Task: of.job.Work.TaskName(ta.step, ta.index), Worker: of.peerID,
 				Reason: "the peer cannot be asked; held until its leases have expired",
 			})
 			ta.attempt++
@@ -216,7 +216,7 @@
 		po.taskEnded(now, ta, outcome)
 	}
 	if declined {
-		po.recordDecision(Decision{Kind: "lentDeclined", Job: of.job.Work.ID, Worker: of.peerID})
+		po.recordDecision(Decision{Kind: "lentDeclined", Job: of.job.Work.ID, Ref: ref, Worker: of.peerID})
 	}
 }
 
@@ -246,7 +246,7 @@
 // placeOffloaded starts all tasks of a peer's job at once, or declines them all.
 func (po *Pool) placeOffloaded(now time.Time, jo *Job) {
 	if !po.startAllOrNone(now, jo, !jo.AnySpeed) {
-		po.recordDecision(Decision{Kind: "loanDeclined", Job: jo.Work.ID, Reason: "no free room"})
+		po.recordDecision(Decision{Kind: "loanDeclined", Job: jo.Work.ID, Ref: jo.Ref, Reason: "no free room"})
 		po.finish(jo, NotRun, "no free room", 0)
 	}
 }
--- a/lovagepool/place.go
+++ b/lovagepool/place.go
@@ -331,7 +331,7 @@
 				continue
 			}
 			po.recordDecision(Decision{
-				Kind: RefusedInfeasible, Job: jo.Work.ID, Reason: reason, Age: age, Wait: wait, Slack: slack,
+				Kind: RefusedInfeasible, Job: jo.Work.ID, Ref: jo.Ref, Reason: reason, Age: age, Wait: wait, Slack: slack,
 				ExpectedRunTime: fastestRunTime, FreeTasks: po.LoadReport(now, service).FreeTasks(), PeerFreeTasks: po.OffloadCapacity(now, service),
 			})
 			po.finish(jo, NotRun, reason, max(wait-slack, minRetryDelay))
@@ -366,7 +366,8 @@
 			return
 		}
 		po.recordDecision(Decision{
-			Kind: "refusedWithoutWorkers", Job: jo.Work.ID, Reason: "no worker can be used", Age: now.Sub(jo.Work.Arrived),
+			Kind: "refusedWithoutWorkers", Job: jo.Work.ID, Ref: jo.Ref, Reason: "no worker can be used",
+			Age: now.Sub(jo.Work.Arrived),
 		})
 		po.finish(jo, NotRun, "no worker can be used", minRetryDelay)
 	}
--- a/lovagepool/pool.go
+++ b/lovagepool/pool.go
@@ -114,6 +114,7 @@
 type Decision struct {
 	Kind            string // key in Pool.Counts
 	Job             string // ID that the caller gave the job; empty if only a worker is concerned
+	Ref             string // of the submission of the job; two submissions of a job differ in it
 	Task            string
 	Worker          string // ID of the worker, or of the peer that the decision is about
 	Attempt         int    // with workerEjected: number of ejections in a row
--- a/lovagepool/runs.go
+++ b/lovagepool/runs.go
@@ -221,6 +221,9 @@
 	if !wo.ejectedUntil.IsZero() {
 		wo.probing = true
 	}
+	if ru.key.attempt > 1 {
+		po.recordRunDecision(now, ru, "startedAgain", "an earlier run was rejected or has ended, or the job was submitted again")
+	}
 	po.emit(StartRun{jo.Ref, wo.ID, ru.key.task, ru.key.attempt, jo.Work.Spec})
 }
 
@@ -256,6 +259,7 @@
 	ta := ru.task
 	if ta == nil {
 		wo.orphanRuns--
+		po.recordRunDecision(now, ru, "orphanEnded:"+string(outcome), "")
 		return
 	}
 	if outcome == RunDone {
@@ -291,7 +295,7 @@
 		ExpectedRunTime: ru.expectedRunTime,
 	}
 	if ru.task != nil {
-		de.Job = ru.task.job.Work.ID
+		de.Job, de.Ref = ru.task.job.Work.ID, ru.task.job.Ref
 	}
 	po.recordDecision(de)
 }
--- a/lovagepool/submit.go
+++ b/lovagepool/submit.go
@@ -32,7 +32,7 @@
 		jo.stats.addArrival(now, jo.unstartedWork(), jo.goal.Sub(wo.Arrived)-jo.runTime)
 		if older := po.jobsByID[wo.ID]; older != nil {
 			po.recordDecision(Decision{
-				Kind: "jobReplaced", Job: wo.ID, Reason: "the caller has submitted it again", Age: now.Sub(older.Work.Arrived),
+				Kind: "jobReplaced", Job: wo.ID, Ref: older.Ref, Reason: "the caller has submitted it again", Age: now.Sub(older.Work.Arrived),
 			})
 			po.cancelJob(now, older)
 			jo.supersede(older)
@@ -43,7 +43,7 @@
 			return
 		}
 		if !po.fitsAnyWorker(jo) {
-			po.recordDecision(Decision{Kind: "refusedUnfit", Job: wo.ID, Reason: "no worker is large enough or has the label"})
+			po.recordDecision(Decision{Kind: "refusedUnfit", Job: wo.ID, Ref: jo.Ref, Reason: "no worker is large enough or has the label"})
 			po.finish(jo, NotRun, "no worker is large enough or has the label", unfitRetryDelay)
 			return
 		}
@@ -56,7 +56,7 @@
 
 // Reject answers a job that must not start any more, because it was under way for too long, with Moved.
 func (po *Pool) Reject(now time.Time, jo *Job, reason string) {
-	po.recordDecision(Decision{Kind: "jobRejected", Job: jo.Work.ID, Reason: reason, Age: now.Sub(jo.Work.Arrived)})
+	po.recordDecision(Decision{Kind: "jobRejected", Job: jo.Work.ID, Ref: jo.Ref, Reason: reason, Age: now.Sub(jo.Work.Arrived)})
 	jo.buildTasks()
 	po.emitAnswer(jo, FinishJob{Outcome: Moved, Reason: reason})
 }
@@ -179,7 +179,8 @@
 		return false
 	}
 	po.recordDecision(Decision{
-		Kind: "jobCancelled", Job: jo.Work.ID, Reason: "cancelled by its caller or by a peer", Age: now.Sub(jo.Work.Arrived),
+		Kind: "jobCancelled", Job: jo.Work.ID, Ref: jo.Ref, Reason: "cancelled by its caller or by a peer",
+		Age: now.Sub(jo.Work.Arrived),
 	})
 	jo.cancelled = true
 	if jo.Offloaded == nil {
@@ -242,7 +243,7 @@
 		kind = "deadlineWaiting"
 	}
 	po.recordDecision(Decision{
-		Kind: kind, Job: jo.Work.ID, Reason: "the caller's deadline has passed", Age: now.Sub(jo.Work.Arrived),
+		Kind: kind, Job: jo.Work.ID, Ref: jo.Ref, Reason: "the caller's deadline has passed", Age: now.Sub(jo.Work.Arrived),
 	})
 	if jo.possibleStarts == 0 {
 		po.finish(jo, NotRun, "no room before the caller's deadline", minRetryDelay)
@@ -270,7 +271,7 @@
 // forwardJob ends a job that has not started with Moved, so that it is submitted to a peer.
 func (po *Pool) forwardJob(now time.Time, jo *Job, peerID string) {
 	po.recordDecision(Decision{
-		Kind: "passedOn", Job: jo.Work.ID, Worker: peerID, Reason: "not expected to start in time here",
+		Kind: "passedOn", Job: jo.Work.ID, Ref: jo.Ref, Worker: peerID, Reason: "not expected to start in time here",
 		Age: now.Sub(jo.Work.Arrived),
 	})
 	po.endJob(jo, FinishJob{Outcome: Moved, Reason: "another owner is expected to start it in time", To: peerID})
