--- a/lovagefleet/fake_test.go
+++ b/lovagefleet/fake_test.go
@@ -41,6 +41,7 @@
 	changed          chan struct{}
 	ignoresCalls     bool // calls get no reply and have no effect
 	dropsReplies     bool // polls take effect, but the instance gets no reply
+	dropsStops       bool // stops are lost without effect
 	dropEveryNth     int  // every n-th call is lost without effect; 0: none
 	callCount        int
 
@@ -225,7 +226,7 @@
 func (fc *fakeCluster) Stop(_ context.Context, rr RunRequest) (Reply, error) {
 	fc.mu.Lock()
 	wo := fc.workers[rr.Worker]
-	if wo == nil || wo.ignoresCalls || wo.refusesConnections {
+	if wo == nil || wo.ignoresCalls || wo.refusesConnections || wo.dropsStops {
 		fc.mu.Unlock()
 		return Reply{}, errNoReply
 	}
