lovagepool, lovagefleet: an instance that is late grants shorter leases and starts nothing when it is very late

What callers saw: one task with two runs at once, after their job had been sent again. Cause: an instance that gets too little CPU time, without a pause of 0.8 s, learns late that a caller or a sender has given a job up, and reads requests late whose callers wait no longer. It went on extending leases for 1 s, and starting tasks, on what it had known seconds before. Change: the time that events wait for the loop counts as lateness. Leases end earlier by it; below 0.5 s nothing is started; a job counts as given up earlier by it, and a caller's deadline comes nearer by it from 200 ms on.

--- a/lovagefleet/control_test.go
+++ b/lovagefleet/control_test.go
@@ -12,6 +12,19 @@
 	"lovagestack/lovagepool"
 )
 
+func TestLateInstanceKeepsNoJobPastItsCallersDeadline(t *testing.T) {
+	de := deploy(t)
+	owner := de.owner("east")
+	de.awaitWorkers(owner, 3)
+	lag := 400 * time.Millisecond
+	de.nodes[owner].lags.note(time.Now(), lag)
+	wo := testWork(randomID(), 1, 3*time.Second)
+	wo.SlackFactor, wo.Deadline = 10, time.Now().Add(time.Second)
+	an := de.nodes[owner].Submit(t.Context(), wo)
+	must.Eq(t, lovagepool.Unknown, an.Outcome)
+	must.Less(t, time.Second-lag+100*time.Millisecond, time.Since(wo.Arrived))
+}
+
 func TestLateEventsAreReported(t *testing.T) {
 	core, logs := observer.New(zap.WarnLevel)
 	no := New(Settings{ID: "east-1", DataCentre: "east", PeerListen: "127.0.0.1:0", Pool: lovagepool.DefaultSettings()},
--- a/lovagefleet/node.go
+++ b/lovagefleet/node.go
@@ -64,8 +64,9 @@
 	workerListReadAt atomic.Pointer[time.Time] // start of the read of workerList; nil: not read yet
 	leaving          atomic.Bool
 	lastLostCallAt   atomic.Pointer[time.Time] // time of the last unanswered call to a worker; nil: never
-	lags             lagMeter
-	linkCount        atomic.Int64 // number of links
+	lags             lagMeter                  // of ticks and timers
+	eventLags        lagMeter                  // of the events that loop handles
+	linkCount        atomic.Int64              // number of links
 	fetchingConfig   atomic.Bool
 	ownReports       atomic.Pointer[map[string]lovagepool.LoadReport] // reports last sent, by service; nil: owns no domain
 	ownsWorkers      atomic.Bool
--- a/lovagefleet/route.go
+++ b/lovagefleet/route.go
@@ -64,6 +64,7 @@
 		no.countEvent("refusedUnsupported")
 		return Answer{Outcome: lovagepool.NotRun, Reason: "not supported: " + part, RetryIn: retryUnsupported}, no.self.ID
 	}
+	wo = no.advanceDeadline(wo)
 	ctx, cancel := context.WithDeadline(ctx, wo.Deadline.Add(answerGrace))
 	defer cancel()
 	no.awaitCallerCheck(ctx)
@@ -107,6 +108,17 @@
 	}
 }
 
+// advanceDeadline returns the job with an earlier deadline if this process is late: its request may have waited for that long.
+func (no *Node) advanceDeadline(wo *lovagejob.Workload) *lovagejob.Workload {
+	lag := no.lateness(time.Now())
+	if lag < lateEvent {
+		return wo
+	}
+	earlier := *wo
+	earlier.Deadline = wo.Deadline.Add(-lag)
+	return &earlier
+}
+
 // chooseOwner returns the owner in this data centre if it can be reached and has usable workers, otherwise the owner with
 // usable workers and the most free capacity, or else any owner.
 func (no *Node) chooseOwner(service string, failed map[string]bool) (ownerRef, bool) {
--- a/lovagepool/lease.go
+++ b/lovagepool/lease.go
@@ -9,7 +9,8 @@
 //
 //   - a run that belongs to no job of this pool: not at all;
 //   - a run of a job that was given up: until retryReserve before its caller may submit it again;
-//   - other runs: without limit.
+//   - other runs: until retryReserve before a caller may submit a job again that left when the oldest unhandled event arrived, which is
+//     as long ago as this instance is late.
 
 const (
 	// retryReserve is the part of RetryDelay that is kept for noticing that a caller has left, and for the comparison of clocks.
@@ -28,7 +29,7 @@
 }
 
 func (po *Pool) grantLease(now time.Time, wo *worker) time.Time {
-	lease := po.settings.Lease
+	lease := po.longestLease()
 	if limit := po.leaseLimit(wo); !limit.IsZero() {
 		lease = min(lease, po.settings.leaseWithin(limit.Sub(now)))
 	}
@@ -39,6 +40,14 @@
 	return now.Add(lease)
 }
 
+// longestLease returns the longest lease that may be granted now.
+func (po *Pool) longestLease() time.Duration {
+	return min(po.settings.Lease, po.settings.leaseWithin(po.settings.RetryDelay-retryReserve-po.lag))
+}
+
+// mayStartRuns reports whether leases are long enough for starts.
+func (po *Pool) mayStartRuns() bool { return po.longestLease() >= minStartLease }
+
 // extendRunsEnd records that a call may keep the runs of the worker alive until end.
 func (wo *worker) extendRunsEnd(end time.Time) {
 	if end.After(wo.runsEndBy) {
--- a/lovagepool/pool.go
+++ b/lovagepool/pool.go
@@ -254,7 +254,8 @@
 func (po *Pool) Idle() bool { return len(po.jobs) == 0 }
 
 // SetLag tells the pool how late its process handles events at present. Replies that are missing for no longer than that, and
-// runs that are overdue by no more, are not held against the workers.
+// runs that are overdue by no more, are not held against the workers. Leases are shorter by it, because a caller may have left that
+// long ago.
 func (po *Pool) SetLag(lag time.Duration) { po.lag = lag }
 
 // Tick handles what depends on time alone: expired leases, overdue runs, passed deadlines, infeasible jobs.
--- a/lovagepool/submit.go
+++ b/lovagepool/submit.go
@@ -208,7 +208,7 @@
 
 // stopRuns stops the runs of a job that are not being stopped yet.
 func (po *Pool) stopRuns(now time.Time, jo *Job) {
-	jo.givenUpAt = earlier(jo.givenUpAt, now)
+	po.giveUp(now, jo)
 	for _, ta := range jo.tasks {
 		if ta.run != nil && ta.run.state != runStopping {
 			po.stopRun(now, ta.run)
@@ -216,13 +216,18 @@
 	}
 }
 
+// giveUp records that a job's runs are no longer wanted. This instance may have learned it late.
+func (po *Pool) giveUp(now time.Time, jo *Job) {
+	jo.givenUpAt = earlier(jo.givenUpAt, now.Add(-po.lag))
+}
+
 // cancelJob drops the waiting tasks of a job and stops its runs. The job is removed once its runs have ended.
 func (po *Pool) cancelJob(now time.Time, jo *Job) {
 	if jo.ended {
 		return
 	}
 	jo.ended = true
-	jo.givenUpAt = earlier(jo.givenUpAt, now)
+	po.giveUp(now, jo)
 	po.dequeue(jo)
 	for _, ta := range jo.tasks {
 		if ta.run != nil {
--- a/lovagepool/workers.go
+++ b/lovagepool/workers.go
@@ -142,6 +142,9 @@
 	if wo.unregistered || wo.handingOver || wo.Draining || !wo.reachable || wo.orphanRuns > 0 {
 		return false
 	}
+	if !po.mayStartRuns() {
+		return false
+	}
 	if !wo.leaseLimit.IsZero() && wo.leaseLimit.Sub(now) < po.settings.runLifetime(minStartLease) {
 		return false
 	}
