lovagefleet, lovagepool: lateness counts for 0.2 s for leases, and apart from the lag of timeouts

The lateness of the last second is meant for timeouts. Change: a meter of its own, of ticks and events within the last 100 to 200 ms, bounds leases and callers' deadlines. The tests of lagMeter set its period; TestLeaseEndsWithThePermissionOfEachRun calls SetLateness where it called SetLag.

--- a/lovagefleet/control.go
+++ b/lovagefleet/control.go
@@ -60,8 +60,10 @@
 		if !now.Before(nextTick) {
 			if !nextTick.IsZero() {
 				no.lags.note(now, now.Sub(nextTick))
+				no.noteLateness(now, now.Sub(nextTick))
 			}
-			no.pool.SetLag(no.lateness(now))
+			no.pool.SetLag(no.lags.lag(now))
+			no.pool.SetLateness(no.latenesses.lag(now))
 			no.pool.Tick(now)
 			interval := tickInterval
 			if no.pool.Idle() {
@@ -81,23 +83,23 @@
 	lateReportInterval = time.Second
 )
 
-// lateness returns how late this process has acted or handled events within lagPeriod.
-func (no *Node) lateness(now time.Time) time.Duration {
-	return max(no.lags.lag(now), no.eventLags.lag(now))
+// noteLateness records that loop did something later than it was due. Only loop calls it.
+func (no *Node) noteLateness(now time.Time, lateness time.Duration) {
+	no.latenesses.note(now, lateness)
+	no.pool.SetLateness(no.latenesses.lag(now))
 }
 
 // apply handles an event, and reports it if it has waited for long.
 func (no *Node) apply(now time.Time, ev event) {
 	waited := time.Since(ev.postedAt)
 	if waited >= minLag {
-		no.eventLags.note(now, waited)
-		no.pool.SetLag(no.lateness(now))
+		no.noteLateness(now, waited)
 	}
 	if waited >= lateEvent {
 		no.countEvent("eventsLate")
 		if now.Sub(no.latenessReportedAt) >= lateReportInterval {
 			no.latenessReportedAt = now
-			no.log.Warn("this instance is late", zap.Duration("waitedMs", waited), zap.Duration("lagMs", no.lateness(now)),
+			no.log.Warn("this instance is late", zap.Duration("waitedMs", waited), zap.Duration("lagMs", no.lags.lag(now)),
 				zap.Int("queued", len(no.eventQueue)), zap.Int("workers", len(no.links)))
 		}
 	}
--- a/lovagefleet/control_test.go
+++ b/lovagefleet/control_test.go
@@ -17,7 +17,7 @@
 	owner := de.owner("east")
 	de.awaitWorkers(owner, 3)
 	lag := 400 * time.Millisecond
-	de.nodes[owner].lags.note(time.Now(), lag)
+	de.nodes[owner].latenesses.note(time.Now(), lag)
 	wo := testWork(randomID(), 1, 3*time.Second)
 	wo.SlackFactor, wo.Deadline = 10, time.Now().Add(time.Second)
 	an := de.nodes[owner].Submit(t.Context(), wo)
--- a/lovagefleet/node.go
+++ b/lovagefleet/node.go
@@ -65,7 +65,7 @@
 	leaving          atomic.Bool
 	lastLostCallAt   atomic.Pointer[time.Time] // time of the last unanswered call to a worker; nil: never
 	lags             lagMeter                  // of ticks and timers
-	eventLags        lagMeter                  // of the events that loop handles
+	latenesses       lagMeter                  // of ticks and of the events that loop handles
 	linkCount        atomic.Int64              // number of links
 	fetchingConfig   atomic.Bool
 	ownReports       atomic.Pointer[map[string]lovagepool.LoadReport] // reports last sent, by service; nil: owns no domain
@@ -172,7 +172,7 @@
 		ownershipWake: make(chan struct{}, 1), registryWake: make(chan struct{}, 1), takeOverRequests: make(chan takeOverRequest, 16),
 		pool: lovagepool.New(se.Pool), fenceByDomain: map[string]int64{}, claimedAt: map[string]time.Time{},
 		handOvers: map[string]*handOver{}, awaitedReleases: map[string]awaitedRelease{}, links: map[string]*link{},
-		jobWaiters:      map[string]*waiter{},
+		jobWaiters: map[string]*waiter{}, lags: lagMeter{period: lagPeriod}, latenesses: lagMeter{period: latenessPeriod},
 		publishedCounts: map[string]int64{}, stopWaiters: map[string][]chan struct{}{},
 	}
 	no.pool.OnDecision = no.logDecision
--- a/lovagefleet/patience.go
+++ b/lovagefleet/patience.go
@@ -30,8 +30,10 @@
 	maxPollsPerCore = 1000
 	// minLag is the lateness of this process above which a missing reply says more about this process than about the worker.
 	minLag = 30 * time.Millisecond
-	// lagPeriod is how long an observed lateness counts.
-	lagPeriod = time.Second
+	// lagPeriod is how long an observed lateness counts for timeouts, and latenessPeriod for leases and callers' deadlines: after a
+	// stall, this process has soon read what has arrived meanwhile.
+	lagPeriod      = time.Second
+	latenessPeriod = 200 * time.Millisecond
 )
 
 // patience decides how long calls to workers may take. It answers two loads: links that lose calls, where a short wait brings the
@@ -103,10 +105,11 @@
 	return callCtx, cancel, func() bool { return errors.Is(context.Cause(callCtx), context.DeadlineExceeded) }
 }
 
-// lagMeter holds the greatest lateness of this process within lagPeriod. It is safe for concurrent use.
+// lagMeter holds the greatest lateness of this process within the last half to whole period. It is safe for concurrent use.
 type lagMeter struct {
+	period   time.Duration
 	mu       sync.Mutex
-	halves   [2]time.Duration // greatest lateness in the current and in the last half of lagPeriod
+	halves   [2]time.Duration // greatest lateness in the current and in the last half of the period
 	changeAt time.Time        // end of the current half
 }
 
@@ -118,7 +121,7 @@
 	lm.halves[0] = max(lm.halves[0], lag)
 }
 
-// lag returns the greatest lateness within lagPeriod.
+// lag returns the greatest lateness within the period.
 func (lm *lagMeter) lag(now time.Time) time.Duration {
 	lm.mu.Lock()
 	defer lm.mu.Unlock()
@@ -131,10 +134,10 @@
 		return
 	}
 	lm.halves[1] = lm.halves[0]
-	if now.Sub(lm.changeAt) > lagPeriod/2 {
+	if now.Sub(lm.changeAt) > lm.period/2 {
 		lm.halves[1] = 0
 	}
-	lm.halves[0], lm.changeAt = 0, now.Add(lagPeriod/2)
+	lm.halves[0], lm.changeAt = 0, now.Add(lm.period/2)
 }
 
 // patience returns the present input of the decisions on timeouts.
--- a/lovagefleet/patience_test.go
+++ b/lovagefleet/patience_test.go
@@ -30,7 +30,7 @@
 }
 
 func TestLagMeter(t *testing.T) {
-	var lm lagMeter
+	lm := lagMeter{period: lagPeriod}
 	now := time.Unix(1_700_000_000, 0)
 	must.Eq(t, 0, lm.lag(now))
 	lm.note(now, 50*time.Millisecond)
@@ -43,7 +43,7 @@
 
 // Checks that a call is given up on time, and a little later if this process noticed that time late.
 func TestWithPatience(t *testing.T) {
-	no := &Node{}
+	no := &Node{lags: lagMeter{period: lagPeriod}}
 	wait := func(ctx context.Context) time.Duration {
 		began := time.Now()
 		<-ctx.Done()
@@ -93,7 +93,7 @@
 		links[i].replyAt = time.Duration(i) * pollWait / time.Duration(pm.links)
 		links[i].giveUpAt = links[i].replyAt + pollGrace
 	}
-	var lags lagMeter
+	lags := lagMeter{period: lagPeriod}
 	epoch := time.Unix(0, 0)
 	for now := time.Duration(0); now < 10*time.Second; now += modelStep {
 		if now == time.Second {
--- a/lovagefleet/route.go
+++ b/lovagefleet/route.go
@@ -110,12 +110,12 @@
 
 // advanceDeadline returns the job with an earlier deadline if this process is late: its request may have waited for that long.
 func (no *Node) advanceDeadline(wo *lovagejob.Workload) *lovagejob.Workload {
-	lag := no.lateness(time.Now())
-	if lag < lateEvent {
+	lateness := no.latenesses.lag(time.Now())
+	if lateness < lateEvent {
 		return wo
 	}
 	earlier := *wo
-	earlier.Deadline = wo.Deadline.Add(-lag)
+	earlier.Deadline = wo.Deadline.Add(-lateness)
 	return &earlier
 }
 
--- a/lovagepool/lease.go
+++ b/lovagepool/lease.go
@@ -42,7 +42,7 @@
 
 // longestLease returns the longest lease that may be granted now.
 func (po *Pool) longestLease() time.Duration {
-	return min(po.settings.Lease, po.settings.leaseWithin(po.settings.RetryDelay-retryReserve-po.lag))
+	return min(po.settings.Lease, po.settings.leaseWithin(po.settings.RetryDelay-retryReserve-po.lateness))
 }
 
 // mayStartRuns reports whether leases are long enough for starts.
--- a/lovagepool/lease_test.go
+++ b/lovagepool/lease_test.go
@@ -36,12 +36,12 @@
 			ha.po.HandleRunList(ha.now, ha.now, "w1", []ActiveRun{{"a.0.0.0", 1}, {"x.0.0.0", 1}}, nil)
 			ha.reportEnded("w1", "x.0.0.0", 1, RunStopped)
 		}, time.Second, retryDelay},
-		{"this instance is late", func(ha *harness) { ha.po.SetLag(500 * time.Millisecond) }, 500 * time.Millisecond, retryDelay - 500*time.Millisecond},
-		{"this instance is very late", func(ha *harness) { ha.po.SetLag(1200 * time.Millisecond) }, 0, 0},
+		{"this instance is late", func(ha *harness) { ha.po.SetLateness(500 * time.Millisecond) }, 500 * time.Millisecond, retryDelay - 500*time.Millisecond},
+		{"this instance is very late", func(ha *harness) { ha.po.SetLateness(1200 * time.Millisecond) }, 0, 0},
 		{"job cancelled by a late instance, stop lost", func(ha *harness) {
-			ha.po.SetLag(300 * time.Millisecond)
+			ha.po.SetLateness(300 * time.Millisecond)
 			ha.po.Cancel(ha.now, "a")
-			ha.po.SetLag(0)
+			ha.po.SetLateness(0)
 			ha.advance(400 * time.Millisecond)
 		}, 400 * time.Millisecond, retryDelay - 700*time.Millisecond},
 		{"nothing runs", func(ha *harness) { ha.reportEnded("w1", "a.0.0.0", 1, RunDone) }, 0, 0},
@@ -82,10 +82,10 @@
 
 func TestLateInstanceStartsNothing(t *testing.T) {
 	ha := newHarness(t, testWorker("w1", 32000))
-	ha.po.SetLag(time.Second)
+	ha.po.SetLateness(time.Second)
 	ha.submit("a", 1, 1000)
 	must.SliceEmpty(t, ha.commands())
-	ha.po.SetLag(0)
+	ha.po.SetLateness(0)
 	ha.advance(20 * time.Millisecond)
 	must.Eq(t, []string{"start w1 a.0.0.0 1"}, ha.commands())
 }
--- a/lovagepool/pool.go
+++ b/lovagepool/pool.go
@@ -222,6 +222,7 @@
 	leaving           bool
 	commands          []Command
 	lag               time.Duration    // see SetLag
+	lateness          time.Duration    // see SetLateness
 	needsSchedule     bool             // set when a change may allow starts
 	Counts            map[string]int64 // number of decisions and events, by kind
 	OnDecision        func(Decision)   // gets every Decision, but not events that are only counted; may be nil
@@ -254,10 +255,13 @@
 func (po *Pool) Idle() bool { return len(po.jobs) == 0 }
 
 // SetLag tells the pool how late its process handles events at present. Replies that are missing for no longer than that, and
-// runs that are overdue by no more, are not held against the workers. Leases are shorter by it, because a caller may have left that
-// long ago.
+// runs that are overdue by no more, are not held against the workers.
 func (po *Pool) SetLag(lag time.Duration) { po.lag = lag }
 
+// SetLateness tells the pool how old the events are that its process handles now. Leases are shorter by it, because a caller may have
+// left that long ago.
+func (po *Pool) SetLateness(lateness time.Duration) { po.lateness = lateness }
+
 // Tick handles what depends on time alone: expired leases, overdue runs, passed deadlines, infeasible jobs.
 func (po *Pool) Tick(now time.Time) {
 	for _, wo := range po.workerList {
--- a/lovagepool/submit.go
+++ b/lovagepool/submit.go
@@ -218,7 +218,7 @@
 
 // giveUp records that a job's runs are no longer wanted. This instance may have learned it late.
 func (po *Pool) giveUp(now time.Time, jo *Job) {
-	jo.givenUpAt = earlier(jo.givenUpAt, now.Add(-po.lag))
+	jo.givenUpAt = earlier(jo.givenUpAt, now.Add(-po.lateness))
 }
 
 // cancelJob drops the waiting tasks of a job and stops its runs. The job is removed once its runs have ended.
