lovagefleet, lovagepool: senders confirm that they wait for a job; an owner keeps its runs alive no longer than that permits

What callers saw: one task with two runs at once, after their job had been sent again. Cause: an owner learned that a sender had given a job up only from a cancellation, or by noticing the end of the session up to 0.3 s after the sender. Until then it started and extended the job's runs; if it was late, paused or cut off then, or its stops were lost, the runs outlasted the 1.3 s after which the caller may send the job again. An owner whose sender had died within half a second before its own pause was a known case (docs/platform.md). Change: an instance confirms every 100 ms the jobs and offloads whose answers it awaits, with the reading of its boot clock at which the caller was last known to wait; tasks lent on carry the time of the job's own sender. Runs of a job are kept alive, and started, only as far as the last confirmation permits, in the same way as for a job that was given up. A suspension of any length from 20 ms on moves these times. Measured: TestRunWithoutRenewalEndsBeforeItsCallerRetries fails if the owner ignores the time in the message, and passes.

--- a/lovagefleet/control.go
+++ b/lovagefleet/control.go
@@ -33,7 +33,8 @@
 	timer := time.NewTimer(idleTickInterval)
 	defer timer.Stop()
 	var nextTick time.Time
-	pauses, checkedAt := no.pauses.Check(), time.Now()
+	pauses := no.pauses.Check()
+	no.bootAhead = lovageclock.Boot() - time.Since(no.startedAt)
 	for {
 		select {
 		case <-ctx.Done():
@@ -54,9 +55,9 @@
 		now := time.Now() // before the check, so that leases of starts that a pause after the check delays have expired
 		if n := no.pauses.Check(); n != pauses {
 			pauses = n
-			no.handlePause(now, now.Sub(checkedAt))
+			no.handlePause(now)
 		}
-		checkedAt = now
+		no.handleSuspension()
 		if !now.Before(nextTick) {
 			if !nextTick.IsZero() {
 				no.lags.note(now, now.Sub(nextTick))
--- a/lovagefleet/grant_test.go
+++ b/lovagefleet/grant_test.go
@@ -5,7 +5,12 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+
+	"lovagestack/lovageclock"
+	"lovagestack/lovagemessage"
+	"lovagestack/lovagepool"
 )
 
 // retryDelay is how long after a lost answer a caller sends its job again.
@@ -69,3 +74,48 @@
 	time.Sleep(time.Until(killed.Add(retryDelay)))
 	must.False(t, de.activeTask(job))
 }
+
+// Guards against a second run of a task whose sender can neither confirm nor cancel its job, while the session seems to live.
+func TestRunWithoutRenewalEndsBeforeItsCallerRetries(t *testing.T) {
+	de := deploy(t)
+	from, owner := de.nodes["west-1"], de.owner("east")
+	if de.owner("west") != "west-1" {
+		from = de.nodes["west-2"] // an owner has sessions with all
+	}
+	de.awaitWorkers(owner, 3)
+	wo := testWork(randomID(), 1, 3*time.Second)
+	wo.SlackFactor, wo.Deadline = 10, time.Now().Add(5*time.Second)
+	pl := jobToMessage(from.newRef(), wo, nil)
+	pl.SentMicros = lovageclock.Boot().Microseconds()
+	pl.WantedMicros = pl.SentMicros
+	sent := time.Now()
+	go func() {
+		_, _ = from.mesh.Call(from.ctx, de.nodes[owner].self.Address, &lovagemessage.Request{
+			Body: &lovagemessage.Request_Place{Place: pl},
+		})
+	}()
+	de.await("the task runs", time.Second, func() bool { return de.activeTask(wo.ID) })
+	time.Sleep(time.Until(sent.Add(retryDelay)))
+	must.False(t, de.activeTask(wo.ID))
+}
+
+func TestLongRunsOfOtherInstancesAreRenewed(t *testing.T) {
+	de := deploy(t)
+	de.awaitCapacity()
+	var answers []chan lovagepool.Outcome
+	for _, id := range []string{"east-1", "east-2", "west-1"} {
+		wo := testWork(randomID(), 5, 2500*time.Millisecond) // more tasks than fit in one data centre, so that some are offloaded
+		wo.SlackFactor, wo.Deadline = 10, time.Now().Add(8*time.Second)
+		answer := make(chan lovagepool.Outcome, 1)
+		answers = append(answers, answer)
+		go func() { answer <- de.nodes[id].Submit(context.Background(), wo).Outcome }()
+	}
+	for _, answer := range answers {
+		test.Eq(t, lovagepool.Completed, <-answer)
+	}
+	de.cluster.mu.Lock()
+	defer de.cluster.mu.Unlock()
+	for task, n := range de.cluster.acceptedStarts {
+		test.Eq(t, 1, n, test.Sprint(task))
+	}
+}
--- a/lovagefleet/node.go
+++ b/lovagefleet/node.go
@@ -72,6 +72,7 @@
 	ownsWorkers      atomic.Bool
 	allHandedOver    atomic.Bool // leaving, and another instance has taken over a domain
 	refCounter       atomic.Int64
+	sent             sentJobs
 
 	// Used only by ownershipLoop, except for the channels.
 	members          map[string]*member
@@ -98,7 +99,8 @@
 	publishedCounts    map[string]int64           // values of pool.Counts already added to the metrics
 	stopWaiters        map[string][]chan struct{} // by job reference; closed when the cancelled job has no active run
 	sentReports        sentReports
-	latenessReportedAt time.Time // when loop last reported that it is late
+	bootAhead          time.Duration // what the boot clock reads more than the time since startedAt; grows when the machine is suspended
+	latenessReportedAt time.Time     // when loop last reported that it is late
 }
 
 // ownerRef identifies the owner of a domain and its fence.
@@ -172,7 +174,8 @@
 		ownershipWake: make(chan struct{}, 1), registryWake: make(chan struct{}, 1), takeOverRequests: make(chan takeOverRequest, 16),
 		pool: lovagepool.New(se.Pool), fenceByDomain: map[string]int64{}, claimedAt: map[string]time.Time{},
 		handOvers: map[string]*handOver{}, awaitedReleases: map[string]awaitedRelease{}, links: map[string]*link{},
-		jobWaiters: map[string]*waiter{}, lags: lagMeter{period: lagPeriod}, latenesses: lagMeter{period: latenessPeriod},
+		jobWaiters: map[string]*waiter{}, sent: sentJobs{byRef: map[string]sentJob{}},
+		lags: lagMeter{period: lagPeriod}, latenesses: lagMeter{period: latenessPeriod},
 		publishedCounts: map[string]int64{}, stopWaiters: map[string][]chan struct{}{},
 	}
 	no.pool.OnDecision = no.logDecision
--- a/lovagefleet/peer.go
+++ b/lovagefleet/peer.go
@@ -45,6 +45,8 @@
 		if err := no.serveWithdraw(ctx, body.Withdraw.GetRef()); err != nil {
 			return nil, err
 		}
+	case *lovagemessage.Request_Renew:
+		no.serveRenew(ctx, body.Renew)
 	case *lovagemessage.Request_Standing:
 		no.serveLoadReport(from, body.Standing)
 	case *lovagemessage.Request_TakeOver:
@@ -62,6 +64,7 @@
 
 func (no *Node) servePlace(ctx context.Context, pl *lovagemessage.Place) (*lovagemessage.Response, error) {
 	jo := jobFromMessage(pl)
+	jo.WantedAt = wantedAt(ctx, pl)
 	if err := jo.Work.Validate(); err != nil {
 		return nil, err
 	}
@@ -201,16 +204,21 @@
 	no.refreshWorkers(now)
 }
 
-// reportLoop sends load reports to the peers.
+// reportLoop sends load reports and confirmations of sent jobs to the peers.
 func (no *Node) reportLoop(ctx context.Context) {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
+	var renewedAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			no.post(no.sendReports)
+		}
+		no.post(no.sendReports)
+		if now := time.Now(); now.Sub(renewedAt) >= renewalInterval-reportInterval/2 {
+			renewedAt = now
+			no.post(no.sendRenewals)
 		}
 	}
 }
@@ -328,8 +336,10 @@
 	ctx, cancel := context.WithDeadline(no.ctx, cm.Work.Deadline.Add(answerGrace))
 	defer cancel()
 	pl := jobToMessage(cm.Ref, cm.Work, cm.Tasks)
-	pl.AnySpeed, pl.SentMicros = cm.AnySpeed, decidedAt.Microseconds()
+	pl.AnySpeed, pl.SentMicros, pl.WantedMicros = cm.AnySpeed, decidedAt.Microseconds(), no.offloadWantedMicros(cm)
+	no.sent.add(cm.Ref, sentJob{address: address.(string), sentAt: decidedAt, offload: true})
 	resp, err := no.tracedCall(ctx, address.(string), &lovagemessage.Request{Body: &lovagemessage.Request_Place{Place: pl}})
+	no.sent.remove(cm.Ref)
 	notSent := errors.Is(err, lovagepeer.ErrNotSent)
 	results := finishFromReply(resp.GetPlace()).Results
 	if err != nil && !notSent {
--- a/lovagefleet/route.go
+++ b/lovagefleet/route.go
@@ -193,7 +193,10 @@
 		return no.submitLocal(ctx, &lovagepool.Job{Ref: ref, Work: wo, Forwarded: forwarded}, func() string { return "" })
 	}
 	pl := jobToMessage(ref, wo, nil)
-	pl.PassedOn, pl.SentMicros = forwarded, lovageclock.Boot().Microseconds()
+	sentAt := lovageclock.Boot()
+	pl.PassedOn, pl.SentMicros, pl.WantedMicros = forwarded, sentAt.Microseconds(), no.callersSeenAt().Microseconds()
+	no.sent.add(ref, sentJob{address: ow.Address, sentAt: sentAt})
+	defer no.sent.remove(ref)
 	resp, err := no.tracedCall(ctx, ow.Address, &lovagemessage.Request{Body: &lovagemessage.Request_Place{Place: pl}})
 	if err != nil {
 		if !errors.Is(err, lovagepeer.ErrNotSent) {
--- a/lovagefleet/validity.go
+++ b/lovagefleet/validity.go
@@ -39,17 +39,30 @@
 var errPaused = errors.New("this instance was paused")
 
 // handlePause gives up what other instances have sent before a pause of this process that has just been noticed: they may have
-// started it elsewhere. steady is how far the steady clock has advanced meanwhile; the callers' deadlines have come nearer by the
-// rest. Only loop calls it, before the pool decides on further starts.
-func (no *Node) handlePause(now time.Time, steady time.Duration) {
-	length := no.pauses.LastPause()
+// started it elsewhere. Only loop calls it, before the pool decides on further starts.
+func (no *Node) handlePause(now time.Time) {
 	no.countEvent("paused")
 	no.log.Warn("this instance was paused; the jobs of other instances are given up",
-		zap.Duration("lengthMs", length), zap.Duration("suspendedMs", max(length-steady, 0)))
+		zap.Duration("lengthMs", no.pauses.LastPause()))
 	no.mesh.CloseSessions(errPaused) // so that nothing that arrived on them is accepted any more
 	no.pool.CancelForeign(now, no.self.ID+"/")
-	if suspended := length - steady; suspended > 0 {
+}
+
+// minSuspension is the least difference by which the boot clock overtakes the steady clock that counts as a suspension of the machine.
+const minSuspension = 20 * time.Millisecond
+
+// handleSuspension moves the jobs' times by the length of a suspension of the machine, which the steady clock leaves out. Only loop
+// calls it, before the pool decides on further starts.
+func (no *Node) handleSuspension() {
+	now := time.Now()
+	ahead := lovageclock.Boot() - now.Sub(no.startedAt)
+	if time.Since(now) >= minSuspension {
+		return // this process did not run between the two readings; the next call compares again
+	}
+	if suspended := ahead - no.bootAhead; suspended >= minSuspension {
+		no.log.Warn("the machine was suspended", zap.Duration("lengthMs", suspended))
 		no.pool.AdvanceDeadlines(suspended)
+		no.bootAhead = ahead
 	}
 }
 
--- a/lovagepeer/counters.go
+++ b/lovagepeer/counters.go
@@ -42,13 +42,14 @@
 	kindStanding         = "standing"
 	kindTakeOver         = "takeOver"
 	kindAskConfiguration = "askConfiguration"
+	kindRenew            = "renew"
 	kindOther            = "other"
 )
 
 var kinds = []string{
 	kindHello, kindHeartbeat, kindSubmit, kindAsk, kindCancel, kindMint, kindAccept, kindResultCopy, kindTransfer,
 	kindEstimates, kindConfigDelta, kindConfigAsk, kindPlace,
-	kindWithdraw, kindStanding, kindTakeOver, kindAskConfiguration, kindOther,
+	kindWithdraw, kindStanding, kindTakeOver, kindAskConfiguration, kindRenew, kindOther,
 }
 
 // Kind returns the kind of a request, such as "accept", for counter labels and span attributes.
@@ -88,6 +89,8 @@
 		return kindTakeOver
 	case *lovagemessage.Request_AskConfiguration:
 		return kindAskConfiguration
+	case *lovagemessage.Request_Renew:
+		return kindRenew
 	}
 	return kindOther
 }
--- a/lovagepool/lease.go
+++ b/lovagepool/lease.go
@@ -8,7 +8,8 @@
 // be extended as far as every run on the worker is permitted:
 //
 //   - a run that belongs to no job of this pool: not at all;
-//   - a run of a job that was given up: until retryReserve before its caller may submit it again;
+//   - a run of a job that was given up, or that another instance has sent: until retryReserve before its caller may submit it again,
+//     counted from the moment at which the caller was last known to wait;
 //   - other runs: until retryReserve before a caller may submit a job again that left when the oldest unhandled event arrived, which is
 //     as long ago as this instance is late.
 
@@ -69,10 +70,28 @@
 
 // runsLimit returns the time by which all runs of the job must have ended, or the zero time if there is none.
 func (po *Pool) runsLimit(jo *Job) time.Time {
-	if jo.givenUpAt.IsZero() {
+	wantedAt := earlier(jo.givenUpAt, jo.WantedAt)
+	if wantedAt.IsZero() {
 		return time.Time{}
 	}
-	return jo.givenUpAt.Add(po.settings.RetryDelay - retryReserve)
+	return wantedAt.Add(po.settings.RetryDelay - retryReserve)
+}
+
+// Renew records that the sender of a job waited for it at the given time.
+func (po *Pool) Renew(ref string, at time.Time) {
+	jo := po.jobs[ref]
+	if jo == nil || !at.After(jo.WantedAt) || jo.WantedAt.IsZero() {
+		return
+	}
+	jo.WantedAt = at
+	po.needsSchedule = po.needsSchedule || jo.readyTasks > 0
+}
+
+// mayRunOn reports whether a run of the job that starts now would end in time on the worker, whose lease may have been extended for
+// other runs.
+func (po *Pool) mayRunOn(now time.Time, jo *Job, wo *worker) bool {
+	limit := po.runsLimit(jo)
+	return limit.IsZero() || !wo.runsEndBy.After(limit) && limit.Sub(now) >= po.settings.runLifetime(minStartLease)
 }
 
 // earlier returns the earlier of two times, of which the zero time means none.
@@ -88,9 +107,9 @@
 	return time.Duration(float64(lease)*(1+se.ClockDrift)) + se.StopGrace
 }
 
-// leaseWithin returns the longest lease whose runLifetime is at most du.
+// leaseWithin returns the longest lease, in whole milliseconds, whose runLifetime is at most du.
 func (se Settings) leaseWithin(du time.Duration) time.Duration {
-	return time.Duration(float64(du-se.StopGrace) / (1 + se.ClockDrift))
+	return time.Duration(float64(du-se.StopGrace) / (1 + se.ClockDrift)).Truncate(time.Millisecond)
 }
 
 // maxRunLifetime returns how long a run may go on after the call that last extended its lease was sent.
--- a/lovagepool/lease_test.go
+++ b/lovagepool/lease_test.go
@@ -66,6 +66,55 @@
 	}
 }
 
+// submitFrom submits a job of another instance whose caller was known to wait the given time ago.
+func (ha *harness) submitFrom(id string, age time.Duration) {
+	wo := ha.newWork(id, 1, 1000)
+	wo.SlackFactor = 20 // not refused for want of time
+	ha.po.Submit(ha.now, &Job{Ref: id, Work: wo, WantedAt: ha.now.Add(-age)})
+}
+
+func TestRunOfAnotherInstancesJobEndsUnlessRenewed(t *testing.T) {
+	retryDelay := DefaultSettings().RetryDelay
+	ha := newHarness(t, testWorker("w1", 32000))
+	ha.submitFrom("a", 0)
+	must.Eq(t, []string{"start w1 a.0.0.0 1"}, ha.commands())
+	ha.reportStarted("w1", "a.0.0.0", 1)
+	for range 20 {
+		must.Eq(t, time.Second, ha.po.GrantLease(ha.now, "w1").Sub(ha.now))
+		ha.advance(100 * time.Millisecond)
+		ha.po.Renew("a", ha.now)
+	}
+	renewedAt := ha.now
+	for until := ha.now; !until.IsZero(); until = ha.po.GrantLease(ha.now, "w1") {
+		must.LessEq(t, renewedAt.Add(retryDelay).Sub(ha.now), ha.po.settings.runLifetime(until.Sub(ha.now)))
+		ha.advance(100 * time.Millisecond)
+	}
+}
+
+func TestJobOfSilentInstanceStartsNothing(t *testing.T) {
+	ha := newHarness(t, testWorker("w1", 2000))
+	ha.submit("own", 1, 2000)
+	must.Eq(t, []string{"start w1 own.0.0.0 1"}, ha.commands())
+	ha.reportStarted("w1", "own.0.0.0", 1)
+	ha.submitFrom("a", 0)
+	must.SliceEmpty(t, ha.commands())
+	ha.advance(650 * time.Millisecond)
+	ha.reportEnded("w1", "own.0.0.0", 1, RunDone)
+	must.Eq(t, []string{"finish own completed"}, ha.commands())
+	ha.po.Renew("a", ha.now)
+	must.Eq(t, []string{"start w1 a.0.0.0 1"}, ha.commands())
+}
+
+func TestRunStartsOnNoWorkerWhoseLeaseOutlastsItsPermission(t *testing.T) {
+	ha := newHarness(t, testWorker("w1", 3000), testWorker("w2", 30000))
+	ha.submit("own", 1, 1000)
+	must.Eq(t, []string{"start w1 own.0.0.0 1"}, ha.commands()) // w1 has a lease of 1 s
+	ha.submitFrom("a", 300*time.Millisecond)
+	must.Eq(t, []string{"start w2 a.0.0.0 1"}, ha.commands())
+	ha.submitFrom("b", 0)
+	must.Eq(t, []string{"start w1 b.0.0.0 1"}, ha.commands())
+}
+
 func TestWorkerWhoseLeaseCannotBeExtendedGetsNoStarts(t *testing.T) {
 	ha := newHarness(t, testWorker("w1", 32000))
 	ha.submit("a", 1, 1000)
--- a/lovagepool/offload.go
+++ b/lovagepool/offload.go
@@ -177,7 +177,7 @@
 	po.offloads[ref] = of
 	jo.possibleStarts += len(list)
 	po.Counts["tasksLent"] += int64(len(list))
-	po.emit(Offload{Peer: pe.id, Ref: ref, Work: jo.Work, Tasks: list, AnySpeed: anySpeed})
+	po.emit(Offload{Peer: pe.id, Ref: ref, Work: jo.Work, Tasks: list, AnySpeed: anySpeed, WantedAt: jo.WantedAt})
 	return true
 }
 
@@ -220,6 +220,15 @@
 	}
 }
 
+// OffloadWantedAt returns WantedAt of the job of an offload, and whether the job is still wanted.
+func (po *Pool) OffloadWantedAt(ref string) (time.Time, bool) {
+	of := po.offloads[ref]
+	if of == nil || of.job.ended {
+		return time.Time{}, false
+	}
+	return of.job.WantedAt, true
+}
+
 // expireHeldTasks makes held tasks ready once all runs that a peer may have started for them must have ended.
 func (po *Pool) expireHeldTasks(now time.Time, jo *Job) {
 	for _, ta := range jo.tasks {
--- a/lovagepool/place.go
+++ b/lovagepool/place.go
@@ -238,7 +238,8 @@
 		if minSlowdown == 0 || slowdown < minSlowdown {
 			minSlowdown = slowdown
 		}
-		if !st.Resources.Fits(free) || (st.AntiAffinity > 0 && wo.countRuns(jo, ta.step) >= st.AntiAffinity) {
+		if !st.Resources.Fits(free) || !po.mayRunOn(now, jo, wo) ||
+			(st.AntiAffinity > 0 && wo.countRuns(jo, ta.step) >= st.AntiAffinity) {
 			continue
 		}
 		cost := slowdown * (1 +
--- a/lovagepool/pool.go
+++ b/lovagepool/pool.go
@@ -63,6 +63,8 @@
 	AnySpeed bool
 	// Forwarded says that another owner has forwarded the job, so this pool does not forward it.
 	Forwarded bool
+	// WantedAt is when the caller was last known to wait, if another instance has sent the job and confirms it by Pool.Renew; else zero.
+	WantedAt time.Time
 
 	tasks           []*task
 	tasksByStep     [][]*task
@@ -177,6 +179,7 @@
 	Tasks []OffloadedTask
 	// AnySpeed allows the peer to use slow workers, because a late answer is better than none.
 	AnySpeed bool
+	WantedAt time.Time // WantedAt of the job
 }
 
 // CancelOffload cancels an earlier Offload.
--- a/lovagepool/submit.go
+++ b/lovagepool/submit.go
@@ -78,6 +78,11 @@
 		wo := *jo.Work // the submitter reads the original
 		wo.Arrived, wo.Deadline = wo.Arrived.Add(-by), wo.Deadline.Add(-by)
 		jo.Work, jo.goal = &wo, jo.goal.Add(-by)
+		for _, at := range []*time.Time{&jo.WantedAt, &jo.givenUpAt} {
+			if !at.IsZero() {
+				*at = at.Add(-by)
+			}
+		}
 	}
 	po.needsSchedule = true
 }
