platform, lovagepool: the callers' retry delay comes from the settings

The least lease with which a run is started is at most half of what the delay leaves, so that a short delay does not stop all starts.

--- a/lovagepool/lease.go
+++ b/lovagepool/lease.go
@@ -16,8 +16,8 @@
 const (
 	// retryReserve is the part of RetryDelay that is kept for noticing that a caller has left, and for the comparison of clocks.
 	retryReserve = 100 * time.Millisecond
-	// minStartLease is the shortest lease with which a run is started: a poll must follow before it ends.
-	minStartLease = 500 * time.Millisecond
+	// maxStartLease is the longest that Settings.minStartLease returns.
+	maxStartLease = 500 * time.Millisecond
 )
 
 // GrantLease returns until when a call to the worker that is sent now may extend its lease, or the zero time if it must not extend it.
@@ -47,7 +47,7 @@
 }
 
 // mayStartRuns reports whether leases are long enough for starts.
-func (po *Pool) mayStartRuns() bool { return po.longestLease() >= minStartLease }
+func (po *Pool) mayStartRuns() bool { return po.longestLease() >= po.settings.minStartLease() }
 
 // extendRunsEnd records that a call may keep the runs of the worker alive until end.
 func (wo *worker) extendRunsEnd(end time.Time) {
@@ -91,7 +91,7 @@
 // other runs.
 func (po *Pool) mayRunOn(now time.Time, jo *Job, wo *worker) bool {
 	limit := po.runsLimit(jo)
-	return limit.IsZero() || !wo.runsEndBy.After(limit) && limit.Sub(now) >= po.settings.runLifetime(minStartLease)
+	return limit.IsZero() || !wo.runsEndBy.After(limit) && limit.Sub(now) >= po.settings.runLifetime(po.settings.minStartLease())
 }
 
 // earlier returns the earlier of two times, of which the zero time means none.
@@ -112,5 +112,10 @@
 	return time.Duration(float64(du-se.StopGrace) / (1 + se.ClockDrift)).Truncate(time.Millisecond)
 }
 
+// minStartLease returns the shortest lease with which a run is started: a poll must follow before it ends.
+func (se Settings) minStartLease() time.Duration {
+	return min(maxStartLease, se.leaseWithin(se.RetryDelay-retryReserve)/2)
+}
+
 // maxRunLifetime returns how long a run may go on after the call that last extended its lease was sent.
 func (se Settings) maxRunLifetime() time.Duration { return se.runLifetime(se.Lease) }
--- a/lovagepool/lease_test.go
+++ b/lovagepool/lease_test.go
@@ -138,3 +138,11 @@
 	ha.advance(20 * time.Millisecond)
 	must.Eq(t, []string{"start w1 a.0.0.0 1"}, ha.commands())
 }
+
+func TestShortRetryDelayLeavesRoomForStarts(t *testing.T) {
+	ha := newHarness(t, testWorker("w1", 32000))
+	ha.po.settings.RetryDelay = 600 * time.Millisecond
+	ha.submitFrom("a", 50*time.Millisecond)
+	must.Eq(t, []string{"start w1 a.0.0.0 1"}, ha.commands())
+	must.LessEq(t, 450*time.Millisecond, ha.po.settings.runLifetime(ha.po.GrantLease(ha.now, "w1").Sub(ha.now)))
+}
--- a/lovagepool/workers.go
+++ b/lovagepool/workers.go
@@ -145,7 +145,7 @@
 	if !po.mayStartRuns() {
 		return false
 	}
-	if !wo.leaseLimit.IsZero() && wo.leaseLimit.Sub(now) < po.settings.runLifetime(minStartLease) {
+	if !wo.leaseLimit.IsZero() && wo.leaseLimit.Sub(now) < po.settings.runLifetime(po.settings.minStartLease()) {
 		return false
 	}
 	if wo.ejectedUntil.IsZero() {
