lovagefleet: an owner hands its domain over to a local instance with twice its CPU

Cause: after losses a small instance takes a domain and keeps it for the rest of its life. Change: a local owner hands over, in the same way as a remote one, to an instance of the domain's data centre that is connected, has been known for 1.5 s and has at least twice its CPU cores. Measured: the case of TestDecideClaim failed before the change; it and TestDomainMovesToInstanceWithMoreCPU pass 4 of 4 under the race detector, the latter with all jobs of an instance in the other data centre completed.

--- a/lovagefleet/claim.go
+++ b/lovagefleet/claim.go
@@ -36,9 +36,12 @@
 	// minReachableTime is how long the workers of another data centre must be reachable again before their domain is claimed.
 	// When a partition heals, the owner becomes reachable too, so no claim is needed.
 	minReachableTime = 1500 * time.Millisecond
-	// minHandOverUptime is how long a remote owner must have known an instance of the domain's data centre before the
-	// owner hands the domain over to that instance, unless the owner is leaving.
+	// minHandOverUptime is how long an owner must have known an instance of the domain's data centre before it hands the domain
+	// over to that instance, unless the owner is leaving.
 	minHandOverUptime = 1500 * time.Millisecond
+	// handOverCoresFactor is how many times as many CPU cores a local instance must have for a local owner to hand the domain over
+	// to it. An owner with too few is late for its workers and the instances that send it jobs.
+	handOverCoresFactor = 2
 )
 
 // instanceRow is the row that an instance writes about itself.
@@ -185,21 +188,22 @@
 	return do.version > 0 && do.row.Owner == in.ID && do.row.Incarnation == in.Incarnation
 }
 
+// shouldOwn reports whether another instance should own the domain instead of this one, which is not leaving.
+func (cv *claimView) shouldOwn(me *member, do *domain) bool {
+	if me.DataCentre != do.dataCentre || cv.now.Sub(me.firstSeen) < minHandOverUptime {
+		return false
+	}
+	return cv.self.DataCentre != do.dataCentre || me.Cores >= handOverCoresFactor*cv.self.Cores && cv.self.Cores > 0
+}
+
 // decideClaim returns what this instance should do about a domain and, for claimHandOver, the instance to hand it to.
 func (cv *claimView) decideClaim(do *domain) (claimAction, *member) {
 	owned := do.ownedBy(&cv.self.instanceRow)
 	list := cv.candidates(do)
 	if owned {
 		do.ownerlessSince = time.Time{}
-		if !cv.leaving && cv.self.DataCentre == do.dataCentre {
-			return claimNone, nil
-		}
 		for _, me := range list {
-			if me.ID == cv.self.ID {
-				continue
-			}
-			local := me.DataCentre == do.dataCentre && cv.now.Sub(me.firstSeen) >= minHandOverUptime
-			if me.connected && (cv.leaving || local) {
+			if me.ID != cv.self.ID && me.connected && (cv.leaving || cv.shouldOwn(me, do)) {
 				return claimHandOver, me
 			}
 		}
--- a/lovagefleet/claim_test.go
+++ b/lovagefleet/claim_test.go
@@ -16,7 +16,7 @@
 	long := now.Add(-time.Minute)
 	instance := func(id, dc string, change func(me *member)) *member {
 		me := &member{
-			instanceRow: instanceRow{ID: id, DataCentre: dc, Incarnation: "1", IsOwner: true},
+			instanceRow: instanceRow{ID: id, DataCentre: dc, Incarnation: "1", IsOwner: true, Cores: 1},
 			lastRenewed: now, firstSeen: long, connected: true,
 		}
 		if change != nil {
@@ -97,6 +97,19 @@
 			name: "no hand-over to an instance that has just started", dataCentre: "west", started: long, owner: "self",
 			incarnation: "1", others: []*member{instance("a", "east", func(me *member) { me.firstSeen = now })}, want: claimNone,
 		},
+		{
+			name: "hand-over to a local instance with much more CPU", dataCentre: "east", started: long, owner: "self", incarnation: "1",
+			others: []*member{instance("a", "east", func(me *member) { me.Cores = 2 }), instance("b", "east", nil)},
+			want:   claimHandOver, wantTo: "a",
+		},
+		{
+			name: "no hand-over for a little more CPU", dataCentre: "east", started: long, owner: "self", incarnation: "1",
+			others: []*member{instance("a", "east", func(me *member) { me.Cores = 1.9 })}, want: claimNone,
+		},
+		{
+			name: "no hand-over to a remote instance with more CPU", dataCentre: "east", started: long, owner: "self", incarnation: "1",
+			others: []*member{instance("a", "west", func(me *member) { me.Cores = 9 })}, want: claimNone,
+		},
 		{
 			name: "leaving", dataCentre: "east", started: long, leaving: true, owner: "self", incarnation: "1",
 			others: []*member{instance("a", "west", nil)}, want: claimHandOver, wantTo: "a",
@@ -109,7 +122,7 @@
 	}
 	for _, ca := range cases {
 		t.Run(ca.name, func(t *testing.T) {
-			self := instance("self", ca.dataCentre, func(me *member) { me.Leaving = ca.leaving })
+			self := instance("self", ca.dataCentre, func(me *member) { me.Leaving, me.Cores = ca.leaving, 1 })
 			cv := &claimView{now: now, self: self, startedAt: ca.started, leaving: ca.leaving, members: map[string]*member{"self": self}}
 			for _, me := range ca.others {
 				cv.members[me.ID] = me
--- a/lovagefleet/fleet_test.go
+++ b/lovagefleet/fleet_test.go
@@ -32,6 +32,7 @@
 	cluster   *fakeCluster
 	nodes     map[string]*testNode
 	newLogger func(id string) Logger // creates the loggers; nil: testLogger
+	cores     map[string]float64     // CPU cores of instances; others have 0
 	spanDir   string                 // directory with a file of spans per instance; empty: none
 }
 
@@ -102,7 +103,7 @@
 	must.NoError(de.t, err)
 	no := New(Settings{
 		ID: id, DataCentre: id[:4], DataCentres: []string{"east", "west"}, PeerListen: address,
-		Pool: lovagepool.DefaultSettings(),
+		Pool: lovagepool.DefaultSettings(), Cores: de.cores[id],
 	}, Dependencies{
 		Store: partitionableStore{de.cluster, id}, Registry: partitionableStore{de.cluster, id}, Workers: de.cluster,
 		Metrics: lovagemetric.New(), Logger: log, Tracer: tracer,
@@ -332,6 +333,18 @@
 	must.NoError(t, ctx.Err(), must.Sprint("some workers have not been handed over"))
 }
 
+// Guards against an owner that stays late because it keeps the workers of a data centre where an instance with more CPU is up.
+func TestDomainMovesToInstanceWithMoreCPU(t *testing.T) {
+	de := deployWith(t, &deployment{cores: map[string]float64{"east-1": 0.1, "east-2": 0.1, "west-1": 1, "west-2": 1, "east-3": 1}})
+	lo := de.startLoad("west-1")
+	de.start("east-3")
+	de.await("the instance with more CPU owns the workers", 10*time.Second, func() bool { return de.owner("east") == "east-3" })
+	de.awaitWorkers("east-3", 3)
+	outcomes := lo.stop()
+	must.Greater(t, 0, outcomes[lovagepool.Completed])
+	must.MapLen(t, 1, outcomes)
+}
+
 func TestOwnerLeavesBeforeReadingWorkers(t *testing.T) {
 	// Guards against an owner that never hands over its workers because it leaves before it has read the registry.
 	de := deploy(t)
