lovagefleet: what the loop knows is dated before it grants anything on it

What callers could see: one task with two runs at once, after a freeze, stall or suspension of an owner or of the instance that sent the job. Change: each event is handled with its own time, after a look at the clocks for a suspension, and counts as late by as much as the tick that was due before it. Confirmations are not dated after the caller's deadline.

--- a/lovagefleet/control.go
+++ b/lovagefleet/control.go
@@ -32,7 +32,6 @@
 func (no *Node) loop(ctx context.Context) {
 	timer := time.NewTimer(idleTickInterval)
 	defer timer.Stop()
-	var nextTick time.Time
 	pauses := no.pauses.Check()
 	no.bootAhead = lovageclock.Boot() - time.Since(no.startedAt)
 	for {
@@ -40,12 +39,12 @@
 		case <-ctx.Done():
 			return
 		case ev := <-no.eventQueue:
-			now := time.Now()
-			no.apply(now, ev)
+			no.handleSuspension()
+			no.apply(time.Now(), ev)
 			for more := true; more; {
 				select {
 				case ev = <-no.eventQueue:
-					no.apply(now, ev)
+					no.apply(time.Now(), ev)
 				default:
 					more = false
 				}
@@ -58,19 +57,19 @@
 			no.handlePause(now)
 		}
 		no.handleSuspension()
-		if !now.Before(nextTick) {
-			if !nextTick.IsZero() {
-				no.lags.note(now, now.Sub(nextTick))
-				no.noteLateness(now, now.Sub(nextTick))
+		if !now.Before(no.nextTick) {
+			if !no.nextTick.IsZero() {
+				no.lags.note(now, now.Sub(no.nextTick))
+				no.noteLateness(now, now.Sub(no.nextTick))
 			}
 			no.pool.SetLag(no.lags.lag(now))
 			no.pool.SetLateness(no.latenesses.lag(now))
 			no.pool.Tick(now)
 			interval := tickInterval
-			if no.pool.Idle() {
+			if no.pool.Idle() && no.sent.empty() {
 				interval = idleTickInterval
 			}
-			nextTick = now.Add(interval)
+			no.nextTick = now.Add(interval)
 			timer.Reset(interval)
 			no.publishCounts()
 		}
@@ -90,9 +89,13 @@
 	no.pool.SetLateness(no.latenesses.lag(now))
 }
 
-// apply handles an event, and reports it if it has waited for long.
+// apply handles an event, and reports it if it has waited for long. An event that was posted right after a stall has not waited, but
+// the tick that was due during the stall has.
 func (no *Node) apply(now time.Time, ev event) {
-	waited := time.Since(ev.postedAt)
+	waited := now.Sub(ev.postedAt)
+	if !no.nextTick.IsZero() {
+		waited = max(waited, now.Sub(no.nextTick))
+	}
 	if waited >= minLag {
 		no.noteLateness(now, waited)
 	}
--- a/lovagefleet/control_test.go
+++ b/lovagefleet/control_test.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"lovagestack/lovageclock"
 	"lovagestack/lovagemetric"
 	"lovagestack/lovagepool"
 )
@@ -42,3 +43,52 @@
 	must.Len(t, 1, lines)
 	must.GreaterEq(t, lateEvent, lines[0].ContextMap()["waitedMs"].(time.Duration))
 }
+
+// startLoop returns a node of which only loop runs.
+func startLoop(t *testing.T) *Node {
+	no := New(Settings{ID: "east-1", DataCentre: "east", PeerListen: "127.0.0.1:0", Pool: lovagepool.DefaultSettings()},
+		Dependencies{Metrics: lovagemetric.New(), Logger: testLogger{zap.NewNop()}})
+	no.ctx = t.Context()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		no.loop(no.ctx)
+	}()
+	t.Cleanup(func() { <-done })
+	time.Sleep(3 * idleTickInterval)
+	return no
+}
+
+// Guards against confirmations and leases that are granted after a stall before the next tick notices it.
+func TestStallCountsForEventsBeforeTheNextTick(t *testing.T) {
+	no := startLoop(t)
+	stall := 600 * time.Millisecond
+	late := make(chan time.Duration, 1)
+	no.post(func(time.Time) {
+		time.Sleep(stall) // stands for a freeze of the process
+		no.post(func(time.Time) { late <- lovageclock.Boot() - no.callersSeenAt() })
+	})
+	must.GreaterEq(t, stall-idleTickInterval, <-late)
+}
+
+// Guards against times that are too early for heldUntil, stopAckedAt and sendRenewals, since loop handles many events with one time.
+func TestEventIsHandledWithItsOwnTime(t *testing.T) {
+	no := startLoop(t)
+	age := make(chan time.Duration, 1)
+	no.post(func(time.Time) {
+		time.Sleep(300 * time.Millisecond)
+		no.post(func(now time.Time) { age <- time.Since(now) })
+	})
+	must.LessEq(t, minLag, <-age)
+}
+
+// Guards against leases and confirmations after a suspension of the machine, which the clock of the ticks leaves out.
+func TestSuspensionCountsAsLateness(t *testing.T) {
+	no := startLoop(t)
+	suspended := 600 * time.Millisecond
+	no.post(func(time.Time) { no.bootAhead -= suspended })
+	late := make(chan time.Duration, 1)
+	time.Sleep(20 * time.Millisecond)
+	no.post(func(time.Time) { late <- lovageclock.Boot() - no.callersSeenAt() })
+	must.GreaterEq(t, suspended-time.Millisecond, <-late)
+}
--- a/lovagefleet/node.go
+++ b/lovagefleet/node.go
@@ -99,6 +99,7 @@
 	publishedCounts    map[string]int64           // values of pool.Counts already added to the metrics
 	stopWaiters        map[string][]chan struct{} // by job reference; closed when the cancelled job has no active run
 	sentReports        sentReports
+	nextTick           time.Time     // when loop's next tick is due
 	bootAhead          time.Duration // what the boot clock reads more than the time since startedAt; grows when the machine is suspended
 	latenessReportedAt time.Time     // when loop last reported that it is late
 }
@@ -150,8 +151,8 @@
 	// releaseTimeout is how long the new owner of a domain waits for the previous one to release the workers before it uses
 	// them anyway. Most tasks take less than a second.
 	releaseTimeout = 3 * time.Second
-	// pingInterval and pingTimeout apply to peer sessions. A caller resubmits a job 1.3 s after losing its instance. By then,
-	// the owner must have noticed the loss and stopped the job's runs.
+	// pingInterval and pingTimeout apply to peer sessions. A caller resubmits a job 1.3 s after losing its instance. An owner
+	// that notices the loss earlier stops the job's runs; if it does not, their leases end by then (renewal.go).
 	pingInterval = 250 * time.Millisecond
 	pingTimeout  = 400 * time.Millisecond
 )
--- a/lovagefleet/patience.go
+++ b/lovagefleet/patience.go
@@ -30,8 +30,9 @@
 	maxPollsPerCore = 1000
 	// minLag is the lateness of this process above which a missing reply says more about this process than about the worker.
 	minLag = 30 * time.Millisecond
-	// lagPeriod is how long an observed lateness counts for timeouts, and latenessPeriod for leases and callers' deadlines: after a
-	// stall, this process has soon read what has arrived meanwhile.
+	// lagPeriod is how long a lag counts: lateness that makes replies look late, and so lengthens timeouts. latenessPeriod is how long
+	// lateness counts that makes what this process knows old, and so shortens leases and callers' deadlines: after a stall, it has
+	// soon read what has arrived meanwhile.
 	lagPeriod      = time.Second
 	latenessPeriod = 200 * time.Millisecond
 )
--- a/lovagefleet/peer.go
+++ b/lovagefleet/peer.go
@@ -337,7 +337,7 @@
 	defer cancel()
 	pl := jobToMessage(cm.Ref, cm.Work, cm.Tasks)
 	pl.AnySpeed, pl.SentMicros, pl.WantedMicros = cm.AnySpeed, decidedAt.Microseconds(), no.offloadWantedMicros(cm)
-	no.sent.add(cm.Ref, sentJob{address: address.(string), sentAt: decidedAt, offload: true})
+	no.sent.add(cm.Ref, sentJob{address: address.(string), sentAt: decidedAt, deadline: bootTime(cm.Work.Deadline), offload: true})
 	resp, err := no.tracedCall(ctx, address.(string), &lovagemessage.Request{Body: &lovagemessage.Request_Place{Place: pl}})
 	no.sent.remove(cm.Ref)
 	notSent := errors.Is(err, lovagepeer.ErrNotSent)
--- a/lovagefleet/renewal.go
+++ b/lovagefleet/renewal.go
@@ -26,12 +26,17 @@
 	byRef map[string]sentJob
 }
 
+// sentJob is a job or offload. Its times are readings of the boot clock.
 type sentJob struct {
-	address string // of the owner
-	sentAt  time.Duration
-	offload bool
+	address  string // of the owner
+	sentAt   time.Duration
+	deadline time.Duration // until when the caller waits
+	offload  bool
 }
 
+// bootTime converts a time to a reading of the boot clock.
+func bootTime(at time.Time) time.Duration { return lovageclock.Boot() + time.Until(at) }
+
 // add records a job. After remove, no confirmation with a later time is sent.
 func (sj *sentJobs) add(ref string, jo sentJob) {
 	sj.mu.Lock()
@@ -45,13 +50,19 @@
 	sj.mu.Unlock()
 }
 
+func (sj *sentJobs) empty() bool {
+	sj.mu.Lock()
+	defer sj.mu.Unlock()
+	return len(sj.byRef) == 0
+}
+
 // callersSeenAt returns the reading of the boot clock at which this instance's callers were last known to wait.
 func (no *Node) callersSeenAt() time.Duration {
 	return lovageclock.Boot() - no.latenesses.lag(time.Now())
 }
 
 // sendRenewals confirms the jobs that were not sent just now. Only loop calls it.
-func (no *Node) sendRenewals(now time.Time) {
+func (no *Node) sendRenewals(time.Time) {
 	byAddress := map[string]*lovagemessage.Renew{}
 	no.sent.mu.Lock()
 	boot, seenAt := lovageclock.Boot(), no.callersSeenAt()
@@ -59,14 +70,14 @@
 		if boot-jo.sentAt < renewalInterval/2 {
 			continue
 		}
-		wantedAt := seenAt
+		wantedAt := min(seenAt, jo.deadline)
 		if jo.offload {
 			at, ok := no.pool.OffloadWantedAt(ref)
 			if !ok {
 				continue
 			}
 			if !at.IsZero() {
-				wantedAt = min(wantedAt, boot+at.Sub(now))
+				wantedAt = min(wantedAt, boot+time.Until(at))
 			}
 		}
 		re := byAddress[jo.address]
@@ -119,7 +130,7 @@
 func (no *Node) offloadWantedMicros(of lovagepool.Offload) int64 {
 	at := no.callersSeenAt()
 	if !of.WantedAt.IsZero() {
-		at = min(at, lovageclock.Boot()+time.Until(of.WantedAt))
+		at = min(at, bootTime(of.WantedAt))
 	}
 	return at.Microseconds()
 }
--- /dev/null
+++ b/lovagefleet/renewal_test.go
@@ -0,0 +1,71 @@
+package lovagefleet
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"lovagestack/lovageclock"
+	"lovagestack/lovagemessage"
+	"lovagestack/lovagemetric"
+	"lovagestack/lovagepeer"
+	"lovagestack/lovagepool"
+)
+
+type renewalRecorder struct{ wanted chan time.Duration }
+
+func (rr renewalRecorder) Handle(_ context.Context, _ string, req *lovagemessage.Request) (*lovagemessage.Response, error) {
+	for _, rl := range req.GetRenew().GetRenewals() {
+		rr.wanted <- time.Duration(rl.GetWantedMicros()) * time.Microsecond
+	}
+	return &lovagemessage.Response{Body: &lovagemessage.Response_Empty{Empty: &lovagemessage.Empty{}}}, nil
+}
+
+// Guards against confirmations of another instance's job that are newer than what that instance has confirmed. loop handles a batch
+// of events with one time; the batch has taken 200 ms here.
+func TestConfirmationIsNoNewerThanTheSendersConfirmation(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	recorder := renewalRecorder{make(chan time.Duration, 10)}
+	borrower := lovagepeer.New(lovagepeer.Options{
+		Instance: "west-1", Listen: "127.0.0.1:0", Counters: lovagemetric.PeerCounters{Registry: lovagemetric.New()},
+	}, recorder)
+	address, err := borrower.Listen()
+	must.NoError(t, err)
+	no := New(Settings{ID: "east-1", DataCentre: "east", PeerListen: "127.0.0.1:0", Pool: lovagepool.DefaultSettings()},
+		Dependencies{Metrics: lovagemetric.New(), Logger: testLogger{zap.NewNop()}})
+	no.ctx = ctx
+	_, err = no.mesh.Listen()
+	must.NoError(t, err)
+	wg.Go(func() { _ = borrower.Serve(ctx) })
+	wg.Go(func() { _ = no.mesh.Serve(ctx) })
+
+	now := time.Now()
+	wo := testWork(randomID(), 1, 100*time.Millisecond)
+	wo.SlackFactor, wo.Deadline = 20, now.Add(10*time.Second)
+	wantedAt, wantedBoot := now.Add(-500*time.Millisecond), lovageclock.Boot()-500*time.Millisecond
+	no.pool.SetPeer(now, "west-1", map[string]lovagepool.LoadReport{
+		"s": {Free: []lovagepool.FreeCapacity{{Slowdown: 1, Tasks: 4}}, Workers: 1, Rate: 1},
+	})
+	no.pool.Submit(now, &lovagepool.Job{Ref: "entry/1", Work: wo, WantedAt: wantedAt})
+	ref := ""
+	for _, cmd := range no.pool.Commands(now) {
+		if of, ok := cmd.(lovagepool.Offload); ok {
+			ref = of.Ref
+		}
+	}
+	must.NotEq(t, "", ref)
+	no.sent.add(ref, sentJob{address: address, sentAt: lovageclock.Boot() - time.Second, offload: true})
+	time.Sleep(200 * time.Millisecond)
+	no.noteLateness(time.Now(), 200*time.Millisecond) // loop has noticed it
+	no.sendRenewals(now)
+	must.LessEq(t, 5*time.Millisecond, <-recorder.wanted-wantedBoot)
+}
--- a/lovagefleet/route.go
+++ b/lovagefleet/route.go
@@ -195,7 +195,7 @@
 	pl := jobToMessage(ref, wo, nil)
 	sentAt := lovageclock.Boot()
 	pl.PassedOn, pl.SentMicros, pl.WantedMicros = forwarded, sentAt.Microseconds(), no.callersSeenAt().Microseconds()
-	no.sent.add(ref, sentJob{address: ow.Address, sentAt: sentAt})
+	no.sent.add(ref, sentJob{address: ow.Address, sentAt: sentAt, deadline: bootTime(wo.Deadline)})
 	defer no.sent.remove(ref)
 	resp, err := no.tracedCall(ctx, ow.Address, &lovagemessage.Request{Body: &lovagemessage.Request_Place{Place: pl}})
 	if err != nil {
--- a/lovagefleet/validity.go
+++ b/lovagefleet/validity.go
@@ -18,8 +18,8 @@
 //
 //   - from the instance that got the job to an owner: maxForwardAge, checked when the owner's pool gets the job;
 //   - from one owner to another that runs tasks for it: maxOffloadAge, checked likewise;
-//   - at an owner: while the session with the sender lives, whose loss both sides notice within sessionLossTimeout, and until the
-//     process pauses for maxPause;
+//   - at an owner: while the sender's confirmations (renewal.go) permit it, while the session with the sender lives, whose loss both
+//     sides notice within sessionLossTimeout, and until the process pauses for maxPause;
 //   - from an owner to a worker: the lease in the start, which the worker checks by its own clock.
 const (
 	// maxForwardAge leaves, with the error of the clocks' comparison (pingTimeout), 300 ms of the callers' 1.3 s.
@@ -52,7 +52,7 @@
 const minSuspension = 20 * time.Millisecond
 
 // handleSuspension moves the jobs' times by the length of a suspension of the machine, which the steady clock leaves out. Only loop
-// calls it, before the pool decides on further starts.
+// calls it, before it handles events and before the pool decides on further starts.
 func (no *Node) handleSuspension() {
 	now := time.Now()
 	ahead := lovageclock.Boot() - now.Sub(no.startedAt)
@@ -62,6 +62,7 @@
 	if suspended := ahead - no.bootAhead; suspended >= minSuspension {
 		no.log.Warn("the machine was suspended", zap.Duration("lengthMs", suspended))
 		no.pool.AdvanceDeadlines(suspended)
+		no.noteLateness(now, suspended)
 		no.bootAhead = ahead
 	}
 }
