lovagepool: no lease outlasts what the caller's deadline permits

What callers could see: one task with two runs at once, after a deadline that a late owner had not handled yet. Cause: the end of a job's permission did not include the deadline of its caller; only Tick looked at it. Found by review. TestRunOfAnotherInstancesJobEndsUnlessRenewed did not test its name, because the deadline of its job passed when the renewals stopped; the job's deadline is now later. Tests of the lease in a start, of old confirmations and of ended offloads are added, which mutations had survived; they pass without the change.

--- a/lovagepool/lease.go
+++ b/lovagepool/lease.go
@@ -8,10 +8,9 @@
 // be extended as far as every run on the worker is permitted:
 //
 //   - a run that belongs to no job of this pool: not at all;
-//   - a run of a job that was given up, or that another instance has sent: until retryReserve before its caller may submit it again,
-//     counted from the moment at which the caller was last known to wait;
-//   - other runs: until retryReserve before a caller may submit a job again that left when the oldest unhandled event arrived, which is
-//     as long ago as this instance is late.
+//   - a run of a job: until retryReserve before its caller may submit it again, counted from the moment at which the job was given up,
+//     from its caller's deadline, or from the last confirmation of the instance that has sent it, whichever is earliest;
+//   - any run: not as long by as much as this instance is late, because it may not have read yet that a caller has left.
 
 const (
 	// retryReserve is the part of RetryDelay that is kept for noticing that a caller has left, and for the comparison of clocks.
@@ -68,12 +67,9 @@
 	return limit
 }
 
-// runsLimit returns the time by which all runs of the job must have ended, or the zero time if there is none.
+// runsLimit returns the time by which all runs of the job must have ended, as far as is known now.
 func (po *Pool) runsLimit(jo *Job) time.Time {
-	wantedAt := earlier(jo.givenUpAt, jo.WantedAt)
-	if wantedAt.IsZero() {
-		return time.Time{}
-	}
+	wantedAt := earlier(earlier(jo.givenUpAt, jo.WantedAt), jo.Work.Deadline)
 	return wantedAt.Add(po.settings.RetryDelay - retryReserve)
 }
 
@@ -91,7 +87,7 @@
 // other runs.
 func (po *Pool) mayRunOn(now time.Time, jo *Job, wo *worker) bool {
 	limit := po.runsLimit(jo)
-	return limit.IsZero() || !wo.runsEndBy.After(limit) && limit.Sub(now) >= po.settings.runLifetime(po.settings.minStartLease())
+	return !wo.runsEndBy.After(limit) && limit.Sub(now) >= po.settings.runLifetime(po.settings.minStartLease())
 }
 
 // earlier returns the earlier of two times, of which the zero time means none.
--- a/lovagepool/lease_test.go
+++ b/lovagepool/lease_test.go
@@ -77,17 +77,25 @@
 	retryDelay := DefaultSettings().RetryDelay
 	ha := newHarness(t, testWorker("w1", 32000))
 	ha.submitFrom("a", 0)
+	ha.po.jobs["a"].Work.Deadline = ha.now.Add(time.Minute)
+	ha.po.jobs["a"].runTime = time.Minute // never overdue
 	must.Eq(t, []string{"start w1 a.0.0.0 1"}, ha.commands())
 	ha.reportStarted("w1", "a.0.0.0", 1)
 	for range 20 {
-		must.Eq(t, time.Second, ha.po.GrantLease(ha.now, "w1").Sub(ha.now))
 		ha.advance(100 * time.Millisecond)
 		ha.po.Renew("a", ha.now)
+		must.Eq(t, time.Second, ha.po.GrantLease(ha.now, "w1").Sub(ha.now))
 	}
+	must.True(t, ha.po.jobs["a"].givenUpAt.IsZero())
 	renewedAt := ha.now
-	for until := ha.now; !until.IsZero(); until = ha.po.GrantLease(ha.now, "w1") {
-		must.LessEq(t, renewedAt.Add(retryDelay).Sub(ha.now), ha.po.settings.runLifetime(until.Sub(ha.now)))
+	for i := 0; ; i++ {
+		must.Less(t, 20, i, must.Sprint("leases are granted for ever"))
 		ha.advance(100 * time.Millisecond)
+		until := ha.po.GrantLease(ha.now, "w1")
+		if until.IsZero() {
+			return
+		}
+		must.LessEq(t, renewedAt.Add(retryDelay).Sub(ha.now), ha.po.settings.runLifetime(until.Sub(ha.now)))
 	}
 }
 
@@ -107,6 +115,7 @@
 
 func TestRunStartsOnNoWorkerWhoseLeaseOutlastsItsPermission(t *testing.T) {
 	ha := newHarness(t, testWorker("w1", 3000), testWorker("w2", 30000))
+	ha.advance(1100 * time.Millisecond) // leases of earlier owners have ended
 	ha.submit("own", 1, 1000)
 	must.Eq(t, []string{"start w1 own.0.0.0 1"}, ha.commands()) // w1 has a lease of 1 s
 	ha.submitFrom("a", 300*time.Millisecond)
@@ -141,8 +150,73 @@
 
 func TestShortRetryDelayLeavesRoomForStarts(t *testing.T) {
 	ha := newHarness(t, testWorker("w1", 32000))
+	ha.advance(1100 * time.Millisecond) // leases of earlier owners have ended
 	ha.po.settings.RetryDelay = 600 * time.Millisecond
 	ha.submitFrom("a", 50*time.Millisecond)
 	must.Eq(t, []string{"start w1 a.0.0.0 1"}, ha.commands())
 	must.LessEq(t, 450*time.Millisecond, ha.po.settings.runLifetime(ha.po.GrantLease(ha.now, "w1").Sub(ha.now)))
 }
+
+// lastLease returns the end of the longest lease that starts on the worker have granted since the last call of Commands, or prev.
+func (ha *harness) lastLease(worker string, prev time.Time) (time.Time, int) {
+	starts := 0
+	for _, cmd := range ha.po.Commands(ha.now) {
+		if cm, ok := cmd.(StartRun); ok && cm.Worker == worker {
+			starts++
+			if cm.LeaseUntil.After(prev) {
+				prev = cm.LeaseUntil
+			}
+		}
+	}
+	return prev, starts
+}
+
+func TestLeaseOfStartEndsWithThePermission(t *testing.T) {
+	ha := newHarness(t, testWorker("w1", 32000))
+	ha.advance(1100 * time.Millisecond) // leases of earlier owners have ended
+	ha.submitFrom("a", 300*time.Millisecond)
+	lease, starts := ha.lastLease("w1", time.Time{})
+	must.Eq(t, 1, starts)
+	must.LessEq(t, ha.po.settings.RetryDelay-300*time.Millisecond, ha.po.settings.runLifetime(lease.Sub(ha.now)))
+}
+
+
+// Guards against a lease that is granted after the caller's deadline, before Tick has noticed that it has passed.
+func TestNoLeaseOutlastsTheCallersDeadline(t *testing.T) {
+	ha := newHarness(t, testWorker("w1", 32000))
+	ha.submit("a", 1, 1000)
+	must.Eq(t, []string{"start w1 a.0.0.0 1"}, ha.commands())
+	ha.reportStarted("w1", "a.0.0.0", 1)
+	deadline := ha.po.jobs["a"].Work.Deadline
+	ha.now = deadline.Add(700 * time.Millisecond)
+	until := ha.po.GrantLease(ha.now, "w1")
+	if until.IsZero() {
+		return
+	}
+	end := ha.now.Add(ha.po.settings.runLifetime(until.Sub(ha.now)))
+	must.LessEq(t, ha.po.settings.RetryDelay, end.Sub(deadline))
+}
+
+
+func TestOldConfirmationRenewsNothing(t *testing.T) {
+	ha := newHarness(t, testWorker("w1", 32000))
+	ha.submitFrom("a", 0)
+	ha.submit("own", 1, 1000)
+	ha.po.Renew("a", ha.now.Add(-time.Second))
+	must.Eq(t, ha.now, ha.po.jobs["a"].WantedAt)
+	ha.po.Renew("own", ha.now) // a job of this instance's caller
+	must.True(t, ha.po.jobs["own"].WantedAt.IsZero())
+}
+
+func TestOffloadOfEndedJobIsNotConfirmed(t *testing.T) {
+	ha := newHarness(t)
+	ha.po.SetPeer(ha.now, "west-1", map[string]LoadReport{"checks": {Free: []FreeCapacity{{Slowdown: 1, Tasks: 1}}, Workers: 1, Rate: 1}})
+	ha.submitFrom("a", 100*time.Millisecond)
+	must.Eq(t, []string{"offload west-1 1"}, ha.commands())
+	at, wanted := ha.po.OffloadWantedAt("a/1")
+	must.True(t, wanted)
+	must.Eq(t, ha.now.Add(-100*time.Millisecond), at)
+	ha.po.Cancel(ha.now, "a")
+	_, wanted = ha.po.OffloadWantedAt("a/1")
+	must.False(t, wanted)
+}
