lovagepool: an instance that is very late refuses no waiting jobs for it

Cause: such an instance starts nothing for up to 0.2 s, and counted its workers as unusable. Change: it refuses nothing in that time either.

--- a/lovagepool/lease_test.go
+++ b/lovagepool/lease_test.go
@@ -197,6 +197,24 @@
 	must.LessEq(t, ha.po.settings.RetryDelay, end.Sub(deadline))
 }
 
+// Guards against the refusal of waiting jobs for want of workers because this instance itself has stood still for a while.
+func TestLateInstanceRefusesNoWaitingJob(t *testing.T) {
+	ha := newHarness(t, testWorker("w1", 2000))
+	ha.submit("own", 1, 2000)
+	must.Eq(t, []string{"start w1 own.0.0.0 1"}, ha.commands())
+	ha.reportStarted("w1", "own.0.0.0", 1)
+	wo := ha.newWork("a", 1, 2000)
+	wo.SlackFactor = 20
+	ha.po.Submit(ha.now, &Job{Ref: "a", Work: wo})
+	must.SliceEmpty(t, ha.commands())
+	ha.now = ha.now.Add(700 * time.Millisecond) // stall
+	ha.po.SetLateness(700 * time.Millisecond)
+	ha.reportEnded("w1", "own.0.0.0", 1, RunDone)
+	must.Eq(t, []string{"finish own completed"}, ha.commands())
+	ha.po.SetLateness(0)
+	ha.advance(200 * time.Millisecond)
+	must.Eq(t, []string{"start w1 a.0.0.0 1"}, ha.commands())
+}
 
 func TestOldConfirmationRenewsNothing(t *testing.T) {
 	ha := newHarness(t, testWorker("w1", 32000))
--- a/lovagepool/place.go
+++ b/lovagepool/place.go
@@ -297,6 +297,9 @@
 // callers can go elsewhere or retry. It does so at once if the wait is far too long, and otherwise within the refusal
 // window. Later, it refuses a job only once an answer would be too late to be useful.
 func (po *Pool) refuseInfeasible(now time.Time, order []*Job) {
+	if !po.mayStartRuns() {
+		return // the workers will be usable again as soon as this instance is not late any more
+	}
 	workAhead := map[string]float64{}
 	for _, jo := range order {
 		if jo.ended || jo.readyTasks == 0 || jo.Offloaded != nil {
