lovagepool: a worker that is added may have a lease of before

The protocol says that a lease is never shortened; whether it covers later runs is left open. Cause: the record of a new worker began without a lease. Found by review. Change: it begins with the longest lease.

--- a/lovagepool/lease_test.go
+++ b/lovagepool/lease_test.go
@@ -180,6 +180,27 @@
 	must.LessEq(t, ha.po.settings.RetryDelay-300*time.Millisecond, ha.po.settings.runLifetime(lease.Sub(ha.now)))
 }
 
+// Guards against a run that outlasts its permission by a lease that was granted before the worker was removed and added again.
+func TestLeaseOfWorkerThatIsAddedAgainCounts(t *testing.T) {
+	w1 := testWorker("w1", 32000)
+	ha := newHarness(t, w1)
+	ha.submit("own", 1, 1000)
+	lease, starts := ha.lastLease("w1", time.Time{})
+	must.Eq(t, 1, starts)
+	ha.reportStarted("w1", "own.0.0.0", 1)
+	ha.reportEnded("w1", "own.0.0.0", 1, RunDone)
+	ha.po.SetWorkers(ha.now, nil)
+	ha.po.SetWorkers(ha.now, []Worker{w1})
+	ha.po.HandleRunList(ha.now, ha.now, "w1", nil, nil)
+	ha.submitFrom("a", 600*time.Millisecond)
+	lease, starts = ha.lastLease("w1", lease)
+	if starts == 0 {
+		return
+	}
+	end := ha.now.Add(ha.po.settings.runLifetime(lease.Sub(ha.now))) // a worker never shortens its lease
+	retry := ha.now.Add(ha.po.settings.RetryDelay - 600*time.Millisecond)
+	must.LessEq(t, 0, end.Sub(retry), must.Sprint("time for which the run may go on after the caller's retry"))
+}
 
 // Guards against a lease that is granted after the caller's deadline, before Tick has noticed that it has passed.
 func TestNoLeaseOutlastsTheCallersDeadline(t *testing.T) {
--- a/lovagepool/workers.go
+++ b/lovagepool/workers.go
@@ -59,7 +59,8 @@
 		seen[info.ID] = true
 		wo := po.workers[info.ID]
 		if wo == nil {
-			wo = &worker{Worker: info}
+			// Another owner, or this one before the worker was removed, may have extended its lease.
+			wo = &worker{Worker: info, runsEndBy: now.Add(po.settings.maxRunLifetime())}
 			po.workers[info.ID] = wo
 			po.workerList = append(po.workerList, wo)
 			continue
