lovagefleet: the conversion to a worker's clock allows for its drift

Cause: a lease was converted with the time since the last reading of the worker's clock as it is; on a clock 2% slow that was read 1 s ago, it ended 20.8 ms after the pool counted it as ended. Found by review. Change: the time since the reading, to the end of the lease, is divided by 1 + drift.

--- a/lovagefleet/link.go
+++ b/lovagefleet/link.go
@@ -32,6 +32,7 @@
 	node          *Node
 	worker        lovagepool.Worker
 	domain        string
+	drift         float64 // fraction by which the worker's clock may be slow
 	cancel        context.CancelFunc
 	mu            sync.Mutex
 	fence         int64
@@ -49,7 +50,7 @@
 func (no *Node) newLink(rw RegisteredWorker, fence int64) *link {
 	ctx, cancel := context.WithCancel(no.ctx)
 	wo := rw.Worker
-	li := &link{node: no, worker: wo, domain: rw.DataCentre, cancel: cancel, fence: fence, processStart: wo.ProcessStart}
+	li := &link{node: no, worker: wo, domain: rw.DataCentre, drift: no.settings.Pool.ClockDrift, cancel: cancel, fence: fence, processStart: wo.ProcessStart}
 	go li.loop(ctx)
 	return li
 }
@@ -60,12 +61,13 @@
 	li.mu.Unlock()
 }
 
-// leaseExpiry converts the end of a lease to the worker's clock. It returns 0 for the zero time, or if that clock is unknown.
+// leaseExpiry converts the end of a lease to the worker's clock, which may be slow. It returns 0 for the zero time, or if that clock is
+// unknown.
 func (li *link) leaseExpiry(until time.Time) int64 {
 	if li.clockReadAt.IsZero() || until.IsZero() {
 		return 0
 	}
-	return li.workerClock + until.Sub(li.clockReadAt).Milliseconds()
+	return li.workerClock + int64(float64(until.Sub(li.clockReadAt).Milliseconds())/(1+li.drift))
 }
 
 // updateClock stores the clock reading of a worker's reply.
@@ -101,7 +103,8 @@
 	return pr
 }
 
-// requestLease asks loop until when a poll may extend the worker's lease. loop has then handled the replies to all earlier polls.
+// requestLease asks loop until when a poll may extend the worker's lease. loop has then handled the replies to the earlier polls of
+// this link's loop.
 func (li *link) requestLease(ctx context.Context) time.Time {
 	if li.isUnreachable() {
 		return time.Time{}
--- a/lovagefleet/link_test.go
+++ b/lovagefleet/link_test.go
@@ -94,3 +94,17 @@
 	must.LessEq(t, 6000+1, rr.Expires)
 	must.Greater(t, 6000-10, rr.Expires)
 }
+
+// Guards against a run that goes on after the pool counts its lease as expired, because the worker's clock was read long before the
+// lease was granted: polls whose replies are lost still extend leases until the worker counts as unreachable.
+func TestLeaseOnSlowClockEndsWhenThePoolExpects(t *testing.T) {
+	se := lovagepool.DefaultSettings()
+	readAt := time.Now().Add(-time.Second)
+	li := &link{worker: lovagepool.Worker{ID: "w1"}, fence: 1, workerClock: 5000, clockReadAt: readAt, drift: se.ClockDrift}
+	granted := readAt.Add(time.Second)
+	expires := li.leaseExpiry(granted.Add(se.Lease))
+	onWorker := time.Duration(expires-li.workerClock) * time.Millisecond
+	ends := readAt.Add(time.Duration(float64(onWorker) / (1 - se.ClockDrift))).Add(se.StopGrace)
+	expected := granted.Add(time.Duration(float64(se.Lease)*(1+se.ClockDrift)) + se.StopGrace) // runLifetime
+	must.LessEq(t, time.Millisecond, ends.Sub(expected), must.Sprint("time for which the run goes on after runsEndBy"))
+}
