lovagefleet: a peer that refuses a question about an offload has not disowned it

What callers could see: one task with two runs at once, if the borrower had 16,384 requests in flight. Cause: the refusal of a Withdraw also counts as an answer of the peer, which stands for "restarted, and does not know the tasks". Found by review. Change: a request that did not reach the handler is repeated until the loss of the session is certain.

--- a/lovagefleet/peer.go
+++ b/lovagefleet/peer.go
@@ -369,7 +369,7 @@
 			}
 			return results
 		}
-		if errors.Is(err, lovagepeer.ErrRemote) {
+		if errors.Is(err, lovagepeer.ErrRemote) && !errors.Is(err, lovagepeer.ErrNotSent) {
 			return nil
 		}
 		sleep(ctx, ownerRetryInterval)
--- a/lovagefleet/renewal_test.go
+++ b/lovagefleet/renewal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"time"
@@ -69,3 +70,46 @@
 	no.sendRenewals(now)
 	must.LessEq(t, 5*time.Millisecond, <-recorder.wanted-wantedBoot)
 }
+
+type blockingHandler struct{ called, release chan struct{} }
+
+func (bh blockingHandler) Handle(context.Context, string, *lovagemessage.Request) (*lovagemessage.Response, error) {
+	bh.called <- struct{}{}
+	<-bh.release
+	return &lovagemessage.Response{Body: &lovagemessage.Response_Empty{Empty: &lovagemessage.Empty{}}}, nil
+}
+
+// Guards against a second run of an offloaded task whose borrower was too busy to answer the question about it: that is no proof that
+// it has restarted or does not know the task.
+func TestRefusedWithdrawIsNoProofThatTheTaskIsUnknown(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	handler := blockingHandler{make(chan struct{}, 10), make(chan struct{})}
+	t.Cleanup(func() {
+		close(handler.release)
+		cancel()
+		wg.Wait()
+	})
+	borrower := lovagepeer.New(lovagepeer.Options{
+		Instance: "west-1", Listen: "127.0.0.1:0", MaxInFlight: 1, Counters: lovagemetric.PeerCounters{Registry: lovagemetric.New()},
+	}, handler)
+	address, err := borrower.Listen()
+	must.NoError(t, err)
+	no := New(Settings{ID: "east-1", DataCentre: "east", PeerListen: "127.0.0.1:0", Pool: lovagepool.DefaultSettings()},
+		Dependencies{Metrics: lovagemetric.New(), Logger: testLogger{zap.NewNop()}})
+	no.ctx = ctx
+	_, err = no.mesh.Listen()
+	must.NoError(t, err)
+	wg.Go(func() { _ = borrower.Serve(ctx) })
+	wg.Go(func() { _ = no.mesh.Serve(ctx) })
+	place := jobToMessage("east-1/1", testWork(randomID(), 1, time.Second), nil)
+	wg.Go(func() {
+		for err := error(lovagepeer.ErrNotSent); errors.Is(err, lovagepeer.ErrNotSent) && ctx.Err() == nil; {
+			_, err = no.mesh.Call(ctx, address, &lovagemessage.Request{Body: &lovagemessage.Request_Place{Place: place}})
+		}
+	})
+	<-handler.called
+	began := time.Now()
+	must.Nil(t, no.resolveOffload(address, lovagepool.Offload{Peer: "west-1", Ref: "east-1/1"}))
+	must.GreaterEq(t, sessionLossTimeout-50*time.Millisecond, time.Since(began))
+}
