--- a/lovagefleet/renewal_test.go
+++ b/lovagefleet/renewal_test.go
@@ -104,7 +104,7 @@
 	wg.Go(func() { _ = no.mesh.Serve(ctx) })
 	place := jobToMessage("east-1/1", testWork(randomID(), 1, time.Second), nil)
 	wg.Go(func() {
-		for err := error(lovagepeer.ErrNotSent); errors.Is(err, lovagepeer.ErrNotSent) && ctx.Err() == nil; {
+		for err := lovagepeer.ErrNotSent; errors.Is(err, lovagepeer.ErrNotSent) && ctx.Err() == nil; {
 			_, err = no.mesh.Call(ctx, address, &lovagemessage.Request{Body: &lovagemessage.Request_Place{Place: place}})
 		}
 	})
