lovageledger: a lease expires only by reads that show it unchanged for its TTL

What callers would see: "unknown" for all keys of a range whose owner is alive and renews its lease, and an owner without its range after 3 s of lateness instead of 6 s or more. Cause: an instance that was missing from the last read of the instance rows counted as one whose lease had expired. That read is up to 30 s old. An owner that had started since, and then was silent for 3 s (suspect), lost its range at once: to a peer that needed a range (Rule C, without the records), or to its replica (Rule B). Change: the absence of a row that a range row names is observed like a version, for a TTL; an instance that no read has covered has a lease.

--- a/lovageledger/lease.go
+++ b/lovageledger/lease.go
@@ -75,38 +75,39 @@
 	}
 }
 
-// instancesRead records the versions of all instance rows.
+// instancesRead records the versions of all instance rows. The row of an instance that a range row names has version 0
+// if it does not exist.
 func (le *Ledger) instancesRead(re *pendingRead, rows []lovageplatform.Row) {
 	le.table.lastInstancesReadID, le.table.instancesReadAt = re.id, re.issuedAt
-	presentIDs := map[string]bool{}
+	versions := map[string]int64{}
+	for _, rg := range le.ranges {
+		versions[rg.row.Owner], versions[rg.row.Replica] = 0, 0
+	}
 	for _, row := range rows {
-		id := strings.TrimPrefix(row.Key, instancePrefix)
-		if id == le.settings.Instance {
-			continue
-		}
-		presentIDs[id] = true
+		versions[strings.TrimPrefix(row.Key, instancePrefix)] = row.Version
+	}
+	delete(versions, "")
+	delete(versions, le.settings.Instance)
+	for id, version := range versions {
 		ov := le.lease.observedVersions[id]
-		if ov == nil || ov.version != row.Version {
-			le.lease.observedVersions[id] = &observedVersion{version: row.Version, firstSeen: le.now, lastSeen: re.issuedAt}
+		if ov == nil || ov.version != version {
+			le.lease.observedVersions[id] = &observedVersion{version: version, firstSeen: le.now, lastSeen: re.issuedAt}
 			continue
 		}
 		ov.lastSeen = re.issuedAt
 	}
 	for id := range le.lease.observedVersions {
-		if !presentIDs[id] {
+		if _, present := versions[id]; !present {
 			delete(le.lease.observedVersions, id)
 		}
 	}
 }
 
-// leaseExpired reports whether the lease of an instance has expired: its row does not exist, or a read issued at least
-// a TTL after the version was first seen still showed that version.
+// leaseExpired reports whether the lease of an instance has expired: a read issued at least a TTL after the version of
+// its row was first seen still showed that version. An instance that no read has covered yet has just been named.
 func (le *Ledger) leaseExpired(id string) bool {
-	if id == le.settings.Instance || le.table.instancesReadAt.IsZero() {
-		return false
-	}
 	ov := le.lease.observedVersions[id]
-	return ov == nil || ov.lastSeen.Sub(ov.firstSeen) >= le.settings.LeaseTTL
+	return ov != nil && ov.lastSeen.Sub(ov.firstSeen) >= le.settings.LeaseTTL
 }
 
 // presumedFailed reports whether the instance is not live and its lease has expired, so that an attempt to take its
