lovageapi: only a rejection by an instance means that a request was not processed

What callers would see: Submit, Cancel or Put fails with a *ReplyError, which promises that the request was not processed, although a balancer had passed it on and lost the answer (502, 504 with a JSON error, 408), or the instance failed after the work (500). A caller that trusts it submits the work again under a new key, and the work runs twice; apply and delete exit with "failed" instead of "unknown". Cause: each reply with an unexpected status became a *ReplyError. Only 4xx and 503 with the field "error" say that nothing was processed. A submission without a key took a 504 without outcome for an answer.

--- a/lovageapi/client.go
+++ b/lovageapi/client.go
@@ -214,7 +214,7 @@
 }
 
 // callJSON makes a call with JSON bodies at the base address. isExpected reports which statuses come with a body for
-// out, by default those below 300. An error status with the field "error" in the body is always returned as a [*ReplyError].
+// out, by default those below 300. Only a reply by which an instance rejects the request is returned as a [*ReplyError].
 func (cl *Client) callJSON(ctx context.Context, method, path string, in, out any, isExpected func(int) bool) error {
 	_, err := callJSONAt(ctx, cl.http, cl.baseURL, method, path, in, out, isExpected)
 	return err
@@ -234,18 +234,19 @@
 	if isExpected == nil {
 		isExpected = func(status int) bool { return status < 300 }
 	}
-	if er := replyError(res.StatusCode, data); er != nil || !isExpected(res.StatusCode) {
-		if er == nil {
-			er = &ReplyError{Status: res.StatusCode, ErrorReply: ErrorReply{Error: http.StatusText(res.StatusCode)}}
-		}
+	if er := replyError(res.StatusCode, data); er != nil {
 		return nil, er
 	}
+	if !isExpected(res.StatusCode) {
+		return nil, errors.Newf("%s %s: status %d, which does not say whether the request was processed", method, path, res.StatusCode)
+	}
 	return res.Header, errors.Wrapf(json.Unmarshal(data, out), "%s %s: decode the reply", method, path)
 }
 
-// replyError returns the error in a reply, or nil if the status is below 300 or the body has no error.
+// replyError returns the error in a reply that says that the request was not processed, or nil. A gateway may send
+// another 5xx after it has forwarded the request, and an instance may send 500 after it has processed the request.
 func replyError(status int, data []byte) *ReplyError {
-	if status < 300 {
+	if status/100 != 4 && status != http.StatusServiceUnavailable {
 		return nil
 	}
 	er := &ReplyError{Status: status}
--- a/lovageapi/route.go
+++ b/lovageapi/route.go
@@ -246,8 +246,8 @@
 	}
 }
 
-// isRefusal reports whether err is a reply by which an instance rejects a request without processing it. Other error
-// replies, such as 404 and 502, do not come from a caller API.
+// isRefusal reports whether err is a reply by which a caller API rejects a request without processing it. Other error
+// replies, such as 404, do not come from a caller API.
 func isRefusal(err error) bool {
 	var re *ReplyError
 	if !errors.As(err, &re) {
@@ -279,8 +279,8 @@
 		return out, err
 	case kc.key != "" && out.Key.String() != kc.key:
 		return AnswerReply{}, errors.Newf("asked about key %s but got the answer to key %s", kc.key, out.Key)
-	case kc.key != "" && !out.Outcome.Valid():
-		return AnswerReply{}, errors.Newf("the answer to key %s has the outcome %q", kc.key, out.Outcome)
+	case !out.Outcome.Valid():
+		return AnswerReply{}, errors.Newf("the answer to key %q has the outcome %q", kc.key, out.Outcome)
 	}
 	cl.routes.learnOwner(header.Get(OwnerHeader), out.Key)
 	return out, nil
