lovagestack: the rejection of a repeated submission is no outcome of the job

What callers would see: "lovagestack submit" loses the connection after the job has been sent, sends it again with the same key, and the repeat is rejected, for example because the instance's clock is past the deadline. The command then ended with "bad input", as if nothing had run; exit status 2 instead of 0 or 5. Cause: a rejection counted for all requests, but it says only that this one was not processed. Change: once a request may have been processed, a rejection makes the command ask for the answer instead of sending the job again. If only 503 came, the command now ends with that error (nothing was processed) instead of "unknown".

--- a/lovagestack/submit.go
+++ b/lovagestack/submit.go
@@ -110,23 +110,23 @@
 }
 
 // submit sends the job. While the outcome is not final, it resends the job until the deadline, and then asks for the
-// answer. If the job was rejected or never sent, submit returns the last error. Other errors make the outcome Unknown.
+// answer. If no request can have been processed, submit returns the last error. Otherwise errors make the outcome Unknown:
+// the rejection of a repeat says nothing about the requests before it.
 func (cmd *submitCommand) submit(ctx context.Context, cl *lovageapi.Client, jo lovageapi.JobRequest) (lovageapi.AnswerReply, error) {
 	ctx, cancel := context.WithDeadline(ctx, jo.Deadline.Add(askAfterDeadline))
 	defer cancel()
 	answer, err := cl.Submit(ctx, jo)
-	maybeSent := !errors.Is(err, lovageapi.ErrNotSent)
+	maybeProcessed, rejected := mayBeProcessed(err), isRejection(err)
 	for {
-		var re *lovageapi.ReplyError
 		switch {
 		case err == nil && answer.Outcome.Final():
 			return answer, nil
-		case errors.As(err, &re) && re.Status < 500:
+		case rejected && !maybeProcessed:
 			return answer, err
 		}
 		select {
 		case <-ctx.Done():
-			if !maybeSent {
+			if !maybeProcessed {
 				return answer, err
 			}
 			if err != nil {
@@ -138,18 +138,31 @@
 		}
 		var next lovageapi.AnswerReply
 		var nextErr error
-		if time.Now().Before(jo.Deadline) {
+		if time.Now().Before(jo.Deadline) && !rejected {
 			next, nextErr = cl.Submit(ctx, jo)
+			rejected = isRejection(nextErr)
 		} else {
 			next, nextErr = cl.Ask(ctx, jo.Key, time.Second)
 		}
-		maybeSent = maybeSent || !errors.Is(nextErr, lovageapi.ErrNotSent)
+		maybeProcessed = maybeProcessed || mayBeProcessed(nextErr)
 		if ctx.Err() == nil || nextErr == nil {
 			answer, err = next, nextErr
 		}
 	}
 }
 
+// mayBeProcessed reports whether a request with this result may have been processed.
+func mayBeProcessed(err error) bool {
+	var re *lovageapi.ReplyError
+	return !errors.As(err, &re) && !errors.Is(err, lovageapi.ErrNotSent)
+}
+
+// isRejection reports whether err is a reply that makes the same request useless.
+func isRejection(err error) bool {
+	var re *lovageapi.ReplyError
+	return errors.As(err, &re) && re.Status < 500
+}
+
 func printAnswer(en *environment, an *lovageapi.AnswerReply) int {
 	if en.json {
 		en.printJSON(an)
