lovageledger: a record that a receiver leaves out bars its key for good

What callers would see: a second run of a job that may not be repeated, if the setting keyLifetime is raised while a range is handed over or copied, and the caller sends a job again that is older than the former lifetime. Cause: a receiver leaves out the records of keys that are past its own KeyLifetime, but raised the time before which no key starts only at its next tick. If the longer lifetime is applied in between, the key has neither a record nor a bar. Change: the bar is raised where the record is left out.

--- a/lovageledger/behaviour_test.go
+++ b/lovageledger/behaviour_test.go
@@ -193,3 +193,24 @@
 	sim.advance(1500 * time.Millisecond)
 	must.True(t, alone.drained) // the wait is bounded
 }
+
+// Guards against a second start of a key whose record a receiver with a shorter KeyLifetime left out of a transfer.
+func TestLongerLifetimeRevivesNoKey(t *testing.T) {
+	sl := newSingleLedger(Settings{KeyLifetime: time.Minute})
+	sl.settle()
+	id := RangeID{DataCentre: "kandla", Index: 9}
+	row := RangeRow{Owner: "former", Epoch: 1, CompleteSince: 1}
+	key := shortKey{epoch: 1, mintedMillis: sl.now.Add(-2 * time.Minute).UnixMilli(), nonce: 7}.fullKey(id)
+	sl.step(&PeerTransfer{Peer: "former", Chunk: TransferChunk{
+		TransferID: 1, Last: true, HandOver: true, Range: RangeState{Range: id, Row: row, Version: 1},
+		DroppedBefore: sl.now.Add(-15 * time.Minute), // the sender already has the longer lifetime
+		Records:       []Record{{Key: key, Fingerprint: 7, State: StateAccepted}},
+	}})
+	sl.step(&TunablesChanged{KeyLifetime: 15 * time.Minute})
+	row.Owner, row.Epoch = "a", 2
+	sl.step(&RangesReceived{Peer: "former", Ranges: []RangeState{{Range: id, Row: row, Version: 2}}})
+	must.NotNil(t, sl.ledger.ranges[id].owner)
+	out := sl.step(&Submit{Request: 1, Key: key, Fingerprint: 7, WaitUntil: sl.now.Add(time.Second)})
+	must.Len(t, 1, out)
+	must.Eq(t, lovagejob.Unknown, out[0].(Reply).Answer.Outcome)
+}
--- a/lovageledger/replica.go
+++ b/lovageledger/replica.go
@@ -122,7 +122,11 @@
 // have started is never removed or reset, and an outcome never changes.
 func (le *Ledger) mergeRecord(rg *keyRange, rec *Record) {
 	sk, ok := shorten(rec.Key)
-	if !ok || rangeOf(rec.Key) != rg.id || sk.mintedMillis < le.expiredBeforeMillis() {
+	if !ok || rangeOf(rec.Key) != rg.id {
+		return
+	}
+	if cutoff := le.expiredBeforeMillis(); sk.mintedMillis < cutoff {
+		rg.store.droppedBeforeMillis = max(rg.store.droppedBeforeMillis, cutoff) // KeyLifetime may become longer
 		return
 	}
 	re, known := rg.store.get(sk)
