lovagebackend: a late write starts no task that was cancelled or is past its deadline

What callers would see: a cancelled job starts one more task after the answer "cancelled", by as much as the instance's goroutines are late. "started" covers that task, but a task may not start 1 s after the answer. Likewise a start after the job's deadline. Cause: the transport gives the request to the connection's writing goroutine. If that goroutine runs late, and before the one that notices the end of the context, it writes the request, however long ago the task was cancelled. Change: a connection asks its request right before each write whether it may still start, by the context and by the clock. TestNoResendAfterWrite gives its request a context, which is needed now; what it checks is the same.

--- a/lovagebackend/attempt.go
+++ b/lovagebackend/attempt.go
@@ -16,6 +16,7 @@
 type attempt struct {
 	worker  *worker
 	service string
+	ctx     context.Context // ends when the task may no longer start
 	cancel  context.CancelCauseFunc
 	reused  bool // the last assigned connection had been used before; accessed only by the sending goroutine
 
@@ -30,6 +31,13 @@
 	slowestLaterReply int64 // longest response time of these later requests, in nanoseconds
 }
 
+// mayWrite reports whether the task may still start. It compares the deadline itself, because the timer of the context
+// may be late.
+func (at *attempt) mayWrite() bool {
+	deadline, ok := at.ctx.Deadline()
+	return at.ctx.Err() == nil && (!ok || time.Now().Before(deadline))
+}
+
 // clientTrace returns the hook by which http.Transport reports the request's connections.
 func (at *attempt) clientTrace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{GotConn: at.gotConn}
--- a/lovagebackend/attempt_test.go
+++ b/lovagebackend/attempt_test.go
@@ -28,7 +28,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
-	at := &attempt{worker: wo, cancel: cancel}
+	at := &attempt{worker: wo, ctx: ctx, cancel: cancel}
 	first, second, third := pipe(), pipe(), pipe()
 	at.gotConn(httptrace.GotConnInfo{Conn: first})
 	at.gotConn(httptrace.GotConnInfo{Conn: second})
--- a/lovagebackend/client.go
+++ b/lovagebackend/client.go
@@ -126,7 +126,7 @@
 	defer cl.releaseWorker(wo)
 	var res Result
 	for range maxSendAttempts {
-		at := &attempt{worker: wo, service: re.Service, cancel: cancel}
+		at := &attempt{worker: wo, service: re.Service, ctx: ctx, cancel: cancel}
 		res = at.send(ctx, re)
 		if res.State != NotStarted || res.Status != 0 || !at.reused || ctx.Err() != nil {
 			break
--- a/lovagebackend/conn.go
+++ b/lovagebackend/conn.go
@@ -75,7 +75,8 @@
 	return idle
 }
 
-// Write writes to the connection unless it is sealed. An error with n == 0 means that the kernel accepted no byte.
+// Write writes to the connection unless it is sealed or its owner's task may no longer start. An error with n == 0 means
+// that the kernel accepted no byte.
 func (co *conn) Write(buf []byte) (int, error) {
 	co.mu.Lock()
 	if co.sealed {
@@ -93,8 +94,13 @@
 			return 0, errStale
 		}
 	}
-	co.writing = true
 	at := co.owner
+	if at != nil && !at.mayWrite() {
+		co.sealed = true
+		co.mu.Unlock()
+		return 0, errSealed
+	}
+	co.writing = true
 	co.mu.Unlock()
 	n, err := co.Conn.Write(buf)
 	co.mu.Lock()
