lovageplatform: a Writer keeps the newest results of lost replies, not an arbitrary rest

What a caller of Commit would see: a transaction whose reply was lost, and which is committed again with its ID as the comment allows, takes effect twice. No caller in the product repeats a transaction. Cause: the results of settled transactions, by which a repeat is recognised, were all dropped when there were 256; results that nobody asks for fill the map over time, so that one further lost reply was enough. Change: the oldest result is dropped, and the comment states the limit.

--- a/lovageplatform/writer.go
+++ b/lovageplatform/writer.go
@@ -14,7 +14,8 @@
 // operationPrefix is the key prefix of the rows that hold the last operation of each writer.
 const operationPrefix = "operation/"
 
-// maxRecovered is the maximum number of settled transactions whose results are kept for a repeated Commit.
+// maxRecovered is the maximum number of settled transactions whose results are kept for a repeated Commit. The oldest are
+// dropped first.
 const maxRecovered = 256
 
 // Table is the part of a platform that a Writer uses.
@@ -54,6 +55,7 @@
 	deleted      bool   // whether the operation row was deleted after it had been created
 	pending      *pendingTransaction
 	recovered    map[string]CommitResult // results of settled transactions that took effect, by operation ID
+	recoveredIDs []string                // keys of recovered, and IDs of results that were used, oldest first
 }
 
 // pendingTransaction is a transaction that was sent and whose effect is unknown. It checks the operation row at
@@ -89,7 +91,8 @@
 // ErrRowDeleted means that no further transaction of this writer can take effect.
 //
 // Commit replaces an empty operation ID by a new one. Two different transactions must never have the same ID. After an
-// ambiguous result, the transaction may be committed again with its ID. It then has no effect if it had one before.
+// ambiguous result, the transaction may be committed again with its ID. It then has no effect if it had one before,
+// unless 256 other transactions of the writer took effect with a lost reply in between.
 //
 // The result's Versions holds the written rows. If the reply was lost, it holds only those that the transaction deleted
 // or also checked, because the new versions of the others are unknown.
@@ -378,10 +381,12 @@
 	wr.version = ro.Version
 	switch {
 	case string(ro.Value) == pt.tx.OperationID:
-		if len(wr.recovered) >= maxRecovered {
-			clear(wr.recovered)
+		if len(wr.recoveredIDs) == maxRecovered {
+			delete(wr.recovered, wr.recoveredIDs[0])
+			wr.recoveredIDs = append(wr.recoveredIDs[:0], wr.recoveredIDs[1:]...)
 		}
 		wr.recovered[pt.tx.OperationID] = recoveredResult(pt.tx)
+		wr.recoveredIDs = append(wr.recoveredIDs, pt.tx.OperationID)
 	case pt.fences[string(ro.Value)]:
 	case ro.Version != checked+1:
 		return errors.Newf("row %q went from version %d to %d, another process writes it: the effect of operation %q is unknown",
--- a/lovageplatform/writer_test.go
+++ b/lovageplatform/writer_test.go
@@ -179,6 +179,44 @@
 	}
 }
 
+// Guards against a second effect of a repeat whose first result was dropped to make room for one other result.
+func TestWriterRepeatAfterManyLostReplies(t *testing.T) {
+	ft := newFlakyTable(scriptedActions())
+	wr := newFastWriter(ft)
+	commitAndLoseReply := func(id string) Transaction {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		lost := false
+		ft.nextAction = func() string {
+			if !lost {
+				lost = true
+				return "lost"
+			}
+			cancel()
+			return "dropped"
+		}
+		tx := Transaction{OperationID: id, Writes: []Write{{Key: "a"}}}
+		_, err := wr.Commit(ctx, tx)
+		must.ErrorIs(t, err, ErrAmbiguous)
+		ft.nextAction = scriptedActions()
+		_, committed, err := wr.Settle(context.Background())
+		must.NoError(t, err)
+		must.True(t, committed)
+		return tx
+	}
+	_, err := wr.Commit(context.Background(), Transaction{OperationID: "before"}) // creates the operation row
+	must.NoError(t, err)
+	for i := range maxRecovered - 1 {
+		commitAndLoseReply(fmt.Sprintf("never repeated %d", i))
+	}
+	tx := commitAndLoseReply("op")
+	commitAndLoseReply("another")
+	res, err := wr.Commit(context.Background(), tx)
+	must.NoError(t, err)
+	must.True(t, res.Committed)
+	must.Eq(t, 1, ft.appliedCount["op"])
+}
+
 // Checks that a commit without a reply is ambiguous if a second process with the same name has written operation/k1.
 func TestWriterSharedName(t *testing.T) {
 	ctx := context.Background()
