lovageentry: a late loop judges nobody by replies that wait in its own queue

What callers would see: an instance whose loop is behind by 3 s takes live peers for suspect, by 6 s for gone: it drops a healthy replica, takes over ranges of live owners, and answers "unknown" or blocks submissions meanwhile. At 0.5 s it sends accepts again and ignores the acknowledgement that waits in its queue, so that a range with a replica admits nothing while the lateness lasts. Cause: the loop chose at random between a tick and the queue, so that ticks ran on time while heartbeats and replies that had arrived long before waited. A time limit then measured the loop's lateness. Change: a tick comes after the events that had arrived before it. Evidence: TestLateLoopJudgesNoPeerByItsOwnLateness failed 5 of 5 before (a peer with a heartbeat in the queue is gone); 10 of 10 pass under -race. A process that was stopped as a whole, heartbeats unread in the sockets, still takes its peers for gone at first.

--- a/lovageentry/loop.go
+++ b/lovageentry/loop.go
@@ -91,10 +91,9 @@
 	for {
 		select {
 		case ev := <-lo.events:
-			lo.now = time.Now()
-			ev.apply(lo)
-			lo.in.counts.eventsHandled.Inc(1)
+			lo.applyEvent(ev)
 		case <-ticker.C:
+			lo.applyArrivedEvents()
 			lo.now = time.Now()
 			lo.tick()
 		case <-lo.dispatchTimer.C:
@@ -110,6 +109,20 @@
 	}
 }
 
+func (lo *controlLoop) applyEvent(ev event) {
+	lo.now = time.Now()
+	ev.apply(lo)
+	lo.in.counts.eventsHandled.Inc(1)
+}
+
+// applyArrivedEvents applies the events that are in the queue. A tick after them does not take a reply or a heartbeat
+// that waits there for missing, however late this loop is.
+func (lo *controlLoop) applyArrivedEvents() {
+	for range len(lo.events) {
+		lo.applyEvent(<-lo.events)
+	}
+}
+
 func (lo *controlLoop) tick() {
 	lo.stepMember(lovagemember.Tick{})
 	lo.stepLedger(&lovageledger.Tick{})
