lovageentry: a worker that registers anew under its ID gets tasks again

What operators would see: a worker that left and was started again under the same ID is shown as live and gets no task from the instances that decided for it when it left, until they are restarted or the worker's pool is declared without it. Cause: the membership view clears the mark when the worker was missing from the list in between. The dispatch core keeps its own mark until it gets a set without the worker, which the control loop never sent for a declared worker. Change: the control loop first passes the set without the workers whose mark is gone. Evidence: TestWorkerThatRegistersAnewIsUsed failed before (0 free slots instead of 8); package lovageentry passes under -race.

--- a/lovageentry/domain_test.go
+++ b/lovageentry/domain_test.go
@@ -240,3 +240,26 @@
 	must.True(t, dr.inBackOff("suva-9", lo.now.Add(decidingBackOff-1)))
 	must.False(t, dr.inBackOff("suva-9", lo.now.Add(decidingBackOff)))
 }
+
+// Guards against a worker that left, was replaced under the same ID, and gets no tasks any more.
+func TestWorkerThatRegistersAnewIsUsed(t *testing.T) {
+	lo := newTestLoop(t)
+	lo.now = time.Now()
+	lo.applyResources(t, newPool("a", "kandla", "", 0, "ticket"))
+	lo.setMembers(lovagemember.Live)
+	freeSlotsAfter := func(states ...string) int {
+		var list []lovageplatform.Instance
+		for _, state := range states {
+			list = append(list, lovageplatform.Instance{
+				ID: "w-a", DataCentre: "kandla", Kind: lovageplatform.KindWorker, Address: "127.0.0.1:9", State: state,
+			})
+		}
+		lo.stepMember(lovagemember.ListRead{Instances: list})
+		return lo.core.Load().FreeSlots
+	}
+	must.Eq(t, 8, freeSlotsAfter(lovageplatform.StateLive))
+	must.Eq(t, 0, freeSlotsAfter(lovageplatform.StateLeaving))
+	must.Eq(t, 0, freeSlotsAfter(lovageplatform.StateLive)) // the list lags
+	must.Eq(t, 0, freeSlotsAfter())
+	must.Eq(t, 8, freeSlotsAfter(lovageplatform.StateLive))
+}
--- a/lovageentry/resources.go
+++ b/lovageentry/resources.go
@@ -245,14 +245,20 @@
 	lo.stepCore(lovagedispatch.TeamsChanged{Teams: teams})
 }
 
-// workersChanged records the leaving workers.
+// workersChanged records the leaving workers. A worker whose mark is gone has registered anew. The dispatch core forgets
+// the mark only when it gets a set of workers without it.
 func (lo *controlLoop) workersChanged(cm lovagemember.WorkersChanged) {
-	clear(lo.leavingWorkers)
+	marked := lo.leavingWorkers
+	lo.leavingWorkers = make(map[string]bool)
 	for _, wo := range cm.Workers {
 		if wo.State == lovagemember.Leaving {
 			lo.leavingWorkers[wo.Worker] = true
 		}
 	}
+	hasRegisteredAnew := func(wo lovagedispatch.Worker) bool { return marked[wo.ID] && !lo.leavingWorkers[wo.ID] }
+	if usable := lo.usableWorkers(); slices.ContainsFunc(usable, hasRegisteredAnew) {
+		lo.stepCore(lovagedispatch.WorkersChanged{Workers: slices.DeleteFunc(usable, hasRegisteredAnew)})
+	}
 	lo.updateWorkers()
 }
 
