lovageentry: a process that starts owns no keys before its peers have told it which workers are leaving

What callers and operators would see: an instance that is restarted gives tasks to a leaving worker, which refuses them or is about to end with them, until the first replies of its peers arrive: later than 1 s on a loaded machine. Cause: a new process takes every worker for usable of which it has not heard. It claimed ranges and minted keys a few milliseconds after its start, in no order with the first heartbeats, whose replies name the leaving workers. Change: the writer of the ledger's transactions starts when the platform's list has been read once and each known peer has answered a heartbeat, at the latest after heartbeat.suspect. Without a lease the ledger claims nothing, and a job is started by its key's owner only. A process with a dead seed owns keys 3 s later than before.

--- a/lovageentry/heartbeat.go
+++ b/lovageentry/heartbeat.go
@@ -237,6 +237,9 @@
 	if len(hb.GetSummaries()) > 0 {
 		hs.in.control.post(ctx, &summariesReceived{hb.GetSummaries()})
 	}
+	if !hs.in.isIntroduced() {
+		hs.in.control.post(ctx, &introductionStep{address: hs.address})
+	}
 }
 
 // apply records that the peer has acknowledged the topology and the summaries in the heartbeat.
--- a/lovageentry/instance.go
+++ b/lovageentry/instance.go
@@ -197,7 +197,7 @@
 		heartbeatTargetStates: make(map[string]*heartbeatTarget), deltas: newDeltaTracker(),
 		leavingWorkers: make(map[string]bool), estimateCopies: make(map[string]*estimateCopy),
 		domains: domains{layout: lovagedomain.Divide(nil, 0), expansions: make(expansions)},
-		drained: make(chan struct{}),
+		drained: make(chan struct{}), introduction: newIntroduction(),
 	}
 }
 
--- a/lovageentry/loop.go
+++ b/lovageentry/loop.go
@@ -28,7 +28,7 @@
 }
 
 // controlLoop owns the control state of an instance. Only the goroutine of Serve accesses the fields, except for in,
-// events and drained, which are never reassigned.
+// events, drained and introduction.done, which are never reassigned.
 type controlLoop struct {
 	in     *Instance
 	events chan event
@@ -56,6 +56,7 @@
 	ledgerTimer           *time.Timer
 	drained               chan struct{} // closed after the hand-over of the ranges
 	draining              bool
+	introduction          introduction
 	sharingInstances      int // number of live and suspect instances in this data centre, which share its workers
 	teams                 []lovagedispatch.Team
 	nextHeartbeatAt       time.Time
@@ -130,6 +131,7 @@
 	lo.in.evictedRecordCount.Store(lo.ledger.EvictedRecords())
 	lo.sendDueHeartbeats()
 	lo.sendEstimatesIfDue()
+	lo.endIntroductionIfDue()
 }
 
 // stepCore passes an event to the dispatch core and executes the resulting commands.
--- a/lovageentry/member.go
+++ b/lovageentry/member.go
@@ -237,6 +237,9 @@
 		if err == nil {
 			lr.in.control.post(ctx, &listRead{list: list})
 		}
+		if !lr.in.isIntroduced() {
+			lr.in.control.post(ctx, &introductionStep{})
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/lovageentry/table.go
+++ b/lovageentry/table.go
@@ -86,8 +86,13 @@
 
 type tableWriter struct{ *tableAccess }
 
-// Serve runs until ctx ends.
+// Serve runs until ctx ends. It writes nothing before the end of the introduction.
 func (tw *tableWriter) Serve(ctx context.Context) error {
+	select {
+	case <-tw.in.control.introduction.done:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	for {
 		select {
 		case cm := <-tw.commits:
