lovageledger, lovageentry: an admitted key runs the submission that was admitted

What callers would see: a key is submitted while its range cannot accept (hand-over, drop of a replica, table down). The caller gives up and submits it again. With a later deadline the job is refused for good, because the abandoned submission's deadline has passed. With other content under the same key the job runs the abandoned content, and the second caller gets those results as its own. Cause: the instance holds one submission per key, the first, also when nobody waits for it any more. The ledger admits the one that waits. Change: Admit names the fingerprint; contents are held by key and fingerprint, with the latest deadline. TestResubmitStartsOnce expects the fingerprint as well.

--- a/lovageentry/instance.go
+++ b/lovageentry/instance.go
@@ -193,7 +193,7 @@
 			MeshInstances: se.Heartbeat.MeshInstances,
 		}),
 		requests: make(map[uint64]*request), abandonHooks: make(map[uint64]*abandonHook), jobs: make(map[uint64]*job),
-		jobsByKey: make(map[lovagejob.Key]*job), submissions: make(map[lovagejob.Key]*pendingSubmission), peerCallReplies: make(map[uint64]chan<- any),
+		jobsByKey: make(map[lovagejob.Key]*job), submissions: make(map[submissionID]*pendingSubmission), peerCallReplies: make(map[uint64]chan<- any),
 		heartbeatTargetStates: make(map[string]*heartbeatTarget), deltas: newDeltaTracker(),
 		leavingWorkers: make(map[string]bool), estimateCopies: make(map[string]*estimateCopy),
 		domains: domains{layout: lovagedomain.Divide(nil, 0), expansions: make(expansions)},
--- a/lovageentry/job.go
+++ b/lovageentry/job.go
@@ -34,14 +34,15 @@
 // admit submits the job of an admitted key to the dispatch core. It refuses the job if the submission's content is no
 // longer stored or the instance has too many jobs.
 func (lo *controlLoop) admit(cm lovageledger.Admit) {
-	ps := lo.submissions[cm.Key]
+	id := submissionID{cm.Key, cm.Fingerprint}
+	ps := lo.submissions[id]
 	if ps == nil {
 		// No task of the job was or can be started, so refusing the key for good is correct.
 		lo.refuse(lovagejob.Answer{Key: cm.Key, Reason: "the submission's content is no longer held"})
 		return
 	}
 	if limit := lo.in.settings.Limits.QueuedJobs; len(lo.jobsByKey) >= limit {
-		delete(lo.submissions, cm.Key)
+		delete(lo.submissions, id)
 		lo.refuse(lovagejob.Answer{
 			Key: cm.Key, Tasks: len(ps.sub.Tasks), RetryAt: lo.now.Add(queueFullRetry),
 			Reason: fmt.Sprintf("the instance holds %d jobs, which is its limit", limit),
@@ -49,7 +50,7 @@
 		return
 	}
 	lo.in.reportStep(StepQueue)
-	delete(lo.submissions, cm.Key)
+	delete(lo.submissions, id)
 	lo.lastJobID++
 	jo := &job{
 		id: lo.lastJobID, key: cm.Key, keyText: cm.Key.String(), sub: ps.sub,
--- a/lovageentry/loop.go
+++ b/lovageentry/loop.go
@@ -44,7 +44,7 @@
 	jobs                  map[uint64]*job
 	jobsByKey             map[lovagejob.Key]*job
 	lastJobID             uint64
-	submissions           map[lovagejob.Key]*pendingSubmission
+	submissions           map[submissionID]*pendingSubmission
 	abandonHooks          map[uint64]*abandonHook
 	peerCallReplies       map[uint64]chan<- any // reply channels by call ID
 	lastPeerCallID        uint64
--- a/lovageentry/request.go
+++ b/lovageentry/request.go
@@ -58,12 +58,18 @@
 	replies     chan reply // buffered, gets at most one reply
 }
 
+// submissionID identifies the submissions of a key with the same content.
+type submissionID struct {
+	key         lovagejob.Key
+	fingerprint uint64
+}
+
+func (re *request) submissionID() submissionID { return submissionID{re.key, re.fingerprint} }
+
 // pendingSubmission is a submission whose key has not been admitted yet.
 type pendingSubmission struct {
-	sub             *lovagejob.Submission
-	fingerprint     uint64
+	sub             *lovagejob.Submission // the one with the latest deadline
 	ctx             context.Context
-	receivedAt      time.Time
 	waitingRequests int // requests without a final reply from the ledger, including abandoned ones
 }
 
@@ -95,10 +101,13 @@
 
 // holdSubmission keeps the submission's content until the ledger admits, answers or forwards its key.
 func (lo *controlLoop) holdSubmission(re *request) {
-	ps := lo.submissions[re.key]
+	ps := lo.submissions[re.submissionID()]
 	if ps == nil {
-		ps = &pendingSubmission{sub: re.sub, fingerprint: re.fingerprint, ctx: re.ctx, receivedAt: lo.now}
-		lo.submissions[re.key] = ps
+		ps = &pendingSubmission{sub: re.sub, ctx: re.ctx}
+		lo.submissions[re.submissionID()] = ps
+	}
+	if re.sub.Deadline.After(ps.sub.Deadline) {
+		ps.sub, ps.ctx = re.sub, re.ctx
 	}
 	ps.waitingRequests++
 }
@@ -140,13 +149,13 @@
 // releaseSubmission is for a submission that the ledger answered or forwarded instead of admitting its key. It drops
 // the submission's content once no other request for the key waits for the ledger.
 func (lo *controlLoop) releaseSubmission(re *request) {
-	ps := lo.submissions[re.key]
+	ps := lo.submissions[re.submissionID()]
 	if re.kind != kindSubmit || ps == nil {
 		return
 	}
 	ps.waitingRequests--
 	if ps.waitingRequests <= 0 {
-		delete(lo.submissions, re.key)
+		delete(lo.submissions, re.submissionID())
 	}
 }
 
@@ -154,9 +163,9 @@
 // callers no longer wait. The ledger admits such a key only after a change of the table, and admit then refuses the job
 // because its content is gone.
 func (lo *controlLoop) dropExpiredSubmissions() {
-	for key, ps := range lo.submissions {
+	for id, ps := range lo.submissions {
 		if lo.now.After(ps.sub.Deadline.Add(answerGrace)) {
-			delete(lo.submissions, key)
+			delete(lo.submissions, id)
 		}
 	}
 }
--- a/lovageledger/command.go
+++ b/lovageledger/command.go
@@ -20,7 +20,10 @@
 }
 
 // Admit hands a key to dispatch. It is emitted at most once per key across all instances.
-type Admit struct{ Key lovagejob.Key }
+type Admit struct {
+	Key         lovagejob.Key
+	Fingerprint uint64 // of the submission that is admitted; others of the key may wait with other content
+}
 
 // Fault is an error in a request.
 type Fault string
--- a/lovageledger/ledger_test.go
+++ b/lovageledger/ledger_test.go
@@ -70,7 +70,7 @@
 	sl.settle()
 	key := sl.mint(t, true)
 	until := sl.now.Add(time.Second)
-	must.Eq(t, []Command{Admit{Key: key}}, sl.step(&Submit{Request: 2, Key: key, Fingerprint: 7, WaitUntil: until}))
+	must.Eq(t, []Command{Admit{Key: key, Fingerprint: 7}}, sl.step(&Submit{Request: 2, Key: key, Fingerprint: 7, WaitUntil: until}))
 	must.Len(t, 0, sl.step(&Submit{Request: 3, Key: key, Fingerprint: 7, WaitUntil: until}))
 	wrong := sl.step(&Submit{Request: 4, Key: key, Fingerprint: 8, WaitUntil: until})
 	must.Eq(t, FaultFingerprint, wrong[0].(Reply).Fault)
--- a/lovageledger/mutation_test.go
+++ b/lovageledger/mutation_test.go
@@ -63,7 +63,7 @@
 			sk, _ := shorten(bs.key)
 			if _, known := rg.store.get(sk); rg.owner.stopped && !known {
 				rg.store.put(sk, record{fingerprint: bs.fingerprint, state: stateRunning})
-				le.emit(Admit{Key: bs.key})
+				le.emit(Admit{Key: bs.key, Fingerprint: bs.fingerprint})
 			}
 		}
 	})},
--- a/lovageledger/owner.go
+++ b/lovageledger/owner.go
@@ -118,7 +118,7 @@
 	}
 	re.state = stateRunning
 	rg.store.put(sk, re)
-	le.emit(Admit{Key: sk.fullKey(rg.id)})
+	le.emit(Admit{Key: sk.fullKey(rg.id), Fingerprint: re.fingerprint})
 	le.answerStartWaiters(rg, sk)
 }
 
--- a/lovageledger/request.go
+++ b/lovageledger/request.go
@@ -46,7 +46,7 @@
 		// Rule A lets the key start at once: this instance is the owner, the key's epoch is in range, the key has no
 		// record, the row names no replica, and none is being added.
 		rg.store.put(wa.shortKey, record{fingerprint: fingerprint, state: stateRunning})
-		le.emit(Admit{Key: wa.key})
+		le.emit(Admit{Key: wa.key, Fingerprint: fingerprint})
 		le.waitForEnd(rg, wa)
 		return
 	}
