lovagemember: an instance's own lateness is no silence of its peers

What callers would see: after an instance was starved or paused for 6 s, it takes all peers for gone at its first step, before it reads the heartbeats that wait in its sockets: it drops its replicas, takes over ranges of live owners that it replicates, and decides for all workers, until the peers are heard again. Cause: silence was the time since the last contact by the clock, also the part in which the instance handled nothing. Change: one step advances the time by which silence is measured by at most 1 s; the program steps every 50 ms. Evidence: TestOwnLatenessIsNotSilenceOfPeers failed before ("gone" instead of "live"); package lovagemember passes under -race.

--- a/lovagemember/core.go
+++ b/lovagemember/core.go
@@ -47,7 +47,8 @@
 type Core struct {
 	settings   Settings
 	draining   bool
-	latestTime time.Time
+	lastStepAt time.Time
+	latestTime time.Time // advances with lastStepAt, but by at most maxAdvance a step
 	commands   []Command
 
 	instances      map[string]*instance
@@ -89,9 +90,7 @@
 // Step applies an event at the time now and appends the resulting commands to out. A time before the latest one seen is
 // treated as the latest one.
 func (co *Core) Step(now time.Time, ev Event, out []Command) []Command {
-	if now.After(co.latestTime) {
-		co.latestTime = now
-	}
+	co.advance(now)
 	co.commands = out
 	switch ev := ev.(type) {
 	case ListRead:
@@ -126,6 +125,22 @@
 	return out
 }
 
+// maxAdvance is the most by which one step advances latestTime. The program steps the Core every 50 ms. A longer time
+// without a step is this instance's own lateness, in which it could not hear from anyone.
+const maxAdvance = time.Second
+
+func (co *Core) advance(now time.Time) {
+	switch {
+	case co.lastStepAt.IsZero():
+		co.latestTime = now
+	case now.After(co.lastStepAt):
+		co.latestTime = co.latestTime.Add(min(now.Sub(co.lastStepAt), maxAdvance))
+	default:
+		return
+	}
+	co.lastStepAt = now
+}
+
 func (co *Core) emit(cmd Command) { co.commands = append(co.commands, cmd) }
 
 func (co *Core) emitChanges() {
