--- a/lovageentry/loop.go
+++ b/lovageentry/loop.go
@@ -28,7 +28,7 @@
 }
 
 // controlLoop owns the control state of an instance. Only the goroutine of Serve accesses the fields, except for in,
-// events and drained, which are never reassigned.
+// events, drained and introduction.done, which are never reassigned.
 type controlLoop struct {
 	in     *Instance
 	events chan event
@@ -44,7 +44,7 @@
 	jobs                  map[uint64]*job
 	jobsByKey             map[lovagejob.Key]*job
 	lastJobID             uint64
-	submissions           map[lovagejob.Key]*pendingSubmission
+	submissions           map[submissionID]*pendingSubmission
 	abandonHooks          map[uint64]*abandonHook
 	peerCallReplies       map[uint64]chan<- any // reply channels by call ID
 	lastPeerCallID        uint64
@@ -56,6 +56,7 @@
 	ledgerTimer           *time.Timer
 	drained               chan struct{} // closed after the hand-over of the ranges
 	draining              bool
+	introduction          introduction
 	sharingInstances      int // number of live and suspect instances in this data centre, which share its workers
 	teams                 []lovagedispatch.Team
 	nextHeartbeatAt       time.Time
@@ -91,10 +92,9 @@
 	for {
 		select {
 		case ev := <-lo.events:
-			lo.now = time.Now()
-			ev.apply(lo)
-			lo.in.counts.eventsHandled.Inc(1)
+			lo.applyEvent(ev)
 		case <-ticker.C:
+			lo.applyArrivedEvents()
 			lo.now = time.Now()
 			lo.tick()
 		case <-lo.dispatchTimer.C:
@@ -110,6 +110,20 @@
 	}
 }
 
+func (lo *controlLoop) applyEvent(ev event) {
+	lo.now = time.Now()
+	ev.apply(lo)
+	lo.in.counts.eventsHandled.Inc(1)
+}
+
+// applyArrivedEvents applies the events that are in the queue. A tick after them does not take a reply or a heartbeat
+// that waits there for missing, however late this loop is.
+func (lo *controlLoop) applyArrivedEvents() {
+	for range len(lo.events) {
+		lo.applyEvent(<-lo.events)
+	}
+}
+
 func (lo *controlLoop) tick() {
 	lo.stepMember(lovagemember.Tick{})
 	lo.stepLedger(&lovageledger.Tick{})
@@ -117,6 +131,7 @@
 	lo.in.evictedRecordCount.Store(lo.ledger.EvictedRecords())
 	lo.sendDueHeartbeats()
 	lo.sendEstimatesIfDue()
+	lo.endIntroductionIfDue()
 }
 
 // stepCore passes an event to the dispatch core and executes the resulting commands.
