--- a/lovagefleet/renewal_test.go
+++ b/lovagefleet/renewal_test.go
@@ -17,6 +17,30 @@
 	"lovagestack/lovagepool"
 )
 
+// nodeWithPeer returns a node of which only the mesh runs, the address of a peer with at most maxInFlight requests at a time (0: the
+// usual limit), and a function that stops both.
+func nodeWithPeer(t *testing.T, maxInFlight int, handler lovagepeer.Handler) (no *Node, address string, stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	peer := lovagepeer.New(lovagepeer.Options{
+		Instance: "west-1", Listen: "127.0.0.1:0", MaxInFlight: maxInFlight,
+		Counters: lovagemetric.PeerCounters{Registry: lovagemetric.New()},
+	}, handler)
+	address, err := peer.Listen()
+	must.NoError(t, err)
+	no = New(Settings{ID: "east-1", DataCentre: "east", PeerListen: "127.0.0.1:0", Pool: lovagepool.DefaultSettings()},
+		Dependencies{Metrics: lovagemetric.New(), Logger: testLogger{zap.NewNop()}})
+	no.ctx = ctx
+	_, err = no.mesh.Listen()
+	must.NoError(t, err)
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = peer.Serve(ctx) })
+	wg.Go(func() { _ = no.mesh.Serve(ctx) })
+	return no, address, func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
 type renewalRecorder struct{ wanted chan time.Duration }
 
 func (rr renewalRecorder) Handle(_ context.Context, _ string, req *lovagemessage.Request) (*lovagemessage.Response, error) {
@@ -29,25 +53,9 @@
 // Guards against confirmations of another instance's job that are newer than what that instance has confirmed. loop handles a batch
 // of events with one time; the batch has taken 200 ms here.
 func TestConfirmationIsNoNewerThanTheSendersConfirmation(t *testing.T) {
-	ctx, cancel := context.WithCancel(t.Context())
-	var wg sync.WaitGroup
-	t.Cleanup(func() {
-		cancel()
-		wg.Wait()
-	})
 	recorder := renewalRecorder{make(chan time.Duration, 10)}
-	borrower := lovagepeer.New(lovagepeer.Options{
-		Instance: "west-1", Listen: "127.0.0.1:0", Counters: lovagemetric.PeerCounters{Registry: lovagemetric.New()},
-	}, recorder)
-	address, err := borrower.Listen()
-	must.NoError(t, err)
-	no := New(Settings{ID: "east-1", DataCentre: "east", PeerListen: "127.0.0.1:0", Pool: lovagepool.DefaultSettings()},
-		Dependencies{Metrics: lovagemetric.New(), Logger: testLogger{zap.NewNop()}})
-	no.ctx = ctx
-	_, err = no.mesh.Listen()
-	must.NoError(t, err)
-	wg.Go(func() { _ = borrower.Serve(ctx) })
-	wg.Go(func() { _ = no.mesh.Serve(ctx) })
+	no, address, stop := nodeWithPeer(t, 0, recorder)
+	defer stop()
 
 	now := time.Now()
 	wo := testWork(randomID(), 1, 100*time.Millisecond)
@@ -82,30 +90,18 @@
 // Guards against a second run of an offloaded task whose borrower was too busy to answer the question about it: that is no proof that
 // it has restarted or does not know the task.
 func TestRefusedWithdrawIsNoProofThatTheTaskIsUnknown(t *testing.T) {
-	ctx, cancel := context.WithCancel(t.Context())
-	var wg sync.WaitGroup
 	handler := blockingHandler{make(chan struct{}, 10), make(chan struct{})}
-	t.Cleanup(func() {
+	no, address, stop := nodeWithPeer(t, 1, handler)
+	var wg sync.WaitGroup
+	defer func() {
 		close(handler.release)
-		cancel()
+		stop()
 		wg.Wait()
-	})
-	borrower := lovagepeer.New(lovagepeer.Options{
-		Instance: "west-1", Listen: "127.0.0.1:0", MaxInFlight: 1, Counters: lovagemetric.PeerCounters{Registry: lovagemetric.New()},
-	}, handler)
-	address, err := borrower.Listen()
-	must.NoError(t, err)
-	no := New(Settings{ID: "east-1", DataCentre: "east", PeerListen: "127.0.0.1:0", Pool: lovagepool.DefaultSettings()},
-		Dependencies{Metrics: lovagemetric.New(), Logger: testLogger{zap.NewNop()}})
-	no.ctx = ctx
-	_, err = no.mesh.Listen()
-	must.NoError(t, err)
-	wg.Go(func() { _ = borrower.Serve(ctx) })
-	wg.Go(func() { _ = no.mesh.Serve(ctx) })
+	}()
 	place := jobToMessage("east-1/1", testWork(randomID(), 1, time.Second), nil)
 	wg.Go(func() {
-		for err := lovagepeer.ErrNotSent; errors.Is(err, lovagepeer.ErrNotSent) && ctx.Err() == nil; {
-			_, err = no.mesh.Call(ctx, address, &lovagemessage.Request{Body: &lovagemessage.Request_Place{Place: place}})
+		for err := lovagepeer.ErrNotSent; errors.Is(err, lovagepeer.ErrNotSent) && no.ctx.Err() == nil; {
+			_, err = no.mesh.Call(no.ctx, address, &lovagemessage.Request{Body: &lovagemessage.Request_Place{Place: place}})
 		}
 	})
 	<-handler.called
