lovagepool: polls extend a lease every 200 ms at most, so that jobs start beside runs

Cause: a job of another instance starts only on a worker whose lease ends in time for it. A busy worker is polled whenever a run ends, or every 60 ms while calls are being lost, and each poll extended the lease by 1 s, so that only confirmations younger than 130 ms fitted beside other runs. Change: a poll extends the lease only if the last extension is 200 ms old, or if its reply may have been lost. The cost is not gone: starts extend the lease as well.

--- a/lovagefleet/link.go
+++ b/lovagefleet/link.go
@@ -106,11 +106,14 @@
 // requestLease asks loop until when a poll may extend the worker's lease. loop has then handled the replies to the earlier polls of
 // this link's loop.
 func (li *link) requestLease(ctx context.Context) time.Time {
-	if li.isUnreachable() {
+	li.mu.Lock()
+	unreachable, lost := li.unreachable, li.lostPolls > 0 || !li.excusedSince.IsZero()
+	li.mu.Unlock()
+	if unreachable {
 		return time.Time{}
 	}
 	granted := make(chan time.Time, 1)
-	li.node.post(func(now time.Time) { granted <- li.node.pool.GrantLease(now, li.worker.ID) })
+	li.node.post(func(now time.Time) { granted <- li.node.pool.GrantLease(now, li.worker.ID, lost) })
 	select {
 	case until := <-granted:
 		return until
@@ -119,13 +122,6 @@
 	}
 }
 
-// isUnreachable reports whether the worker counts as unreachable.
-func (li *link) isUnreachable() bool {
-	li.mu.Lock()
-	defer li.mu.Unlock()
-	return li.unreachable
-}
-
 // loop polls the worker until the link ends.
 func (li *link) loop(ctx context.Context) {
 	id := li.worker.ID
--- a/lovagefleet/link_test.go
+++ b/lovagefleet/link_test.go
@@ -84,6 +84,13 @@
 	<-done
 }
 
+// isUnreachable reports whether the worker counts as unreachable.
+func (li *link) isUnreachable() bool {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	return li.unreachable
+}
+
 // Checks that a start that a pause of the process delays past its lease has expired for the worker when it arrives.
 func TestLeaseCountsFromTheDecision(t *testing.T) {
 	li := &link{worker: lovagepool.Worker{ID: "w1"}, fence: 1}
--- a/lovagemodel/worker.go
+++ b/lovagemodel/worker.go
@@ -180,7 +180,7 @@
 	case sw.hasFault(FaultCrash):
 		sw.owner.pool.MarkUnreachable(si.now, sw.ID)
 	default:
-		leaseUntil := sw.owner.pool.GrantLease(si.now, sw.ID)
+		leaseUntil := sw.owner.pool.GrantLease(si.now, sw.ID, false)
 		for _, ru := range sw.runs {
 			if leaseUntil.After(ru.expires) {
 				ru.expires = leaseUntil
--- a/lovagepool/lease.go
+++ b/lovagepool/lease.go
@@ -15,17 +15,28 @@
 const (
 	// retryReserve is the part of RetryDelay that is kept for noticing that a caller has left, and for the comparison of clocks.
 	retryReserve = 100 * time.Millisecond
+	// extensionInterval is the least time between polls that extend a lease. Polls follow each other more closely while calls are being
+	// lost; if each of them extended the lease, no job whose sender confirmed it a little earlier could start on the worker.
+	extensionInterval = 200 * time.Millisecond
 	// maxStartLease is the longest that Settings.minStartLease returns.
 	maxStartLease = 500 * time.Millisecond
 )
 
-// GrantLease returns until when a call to the worker that is sent now may extend its lease, or the zero time if it must not extend it.
-func (po *Pool) GrantLease(now time.Time, id string) time.Time {
+// GrantLease returns until when a poll of the worker that is sent now may extend its lease, or the zero time if it must not extend it or
+// need not. lost says that the reply to the last poll was lost, so that it may not have extended the lease.
+func (po *Pool) GrantLease(now time.Time, id string, lost bool) time.Time {
 	wo := po.workers[id]
 	if wo == nil || len(wo.runs) == 0 {
 		return time.Time{}
 	}
-	return po.grantLease(now, wo)
+	if !lost && now.Sub(wo.extendedAt) < extensionInterval {
+		return time.Time{}
+	}
+	until := po.grantLease(now, wo)
+	if !until.IsZero() {
+		wo.extendedAt = now
+	}
+	return until
 }
 
 func (po *Pool) grantLease(now time.Time, wo *worker) time.Time {
--- a/lovagepool/lease_test.go
+++ b/lovagepool/lease_test.go
@@ -9,16 +9,16 @@
 )
 
 func TestLeaseEndsWithThePermissionOfEachRun(t *testing.T) {
-	retryDelay := DefaultSettings().RetryDelay
+	retryDelay, fullLease := DefaultSettings().RetryDelay, DefaultSettings().Lease
 	cases := []struct {
 		name  string
 		event func(ha *harness)
 		least time.Duration // of the lease
 		most  time.Duration // of the time until the last run has ended
 	}{
-		{"running", func(*harness) {}, time.Second, retryDelay},
-		{"start unanswered", func(ha *harness) { ha.po.HandleStartTimeout(ha.now, "w1", "a.0.0.0", 1) }, time.Second, retryDelay},
-		{"job cancelled just now", func(ha *harness) { ha.po.Cancel(ha.now, "a") }, time.Second, retryDelay},
+		{"running", func(*harness) {}, fullLease, retryDelay},
+		{"start unanswered", func(ha *harness) { ha.po.HandleStartTimeout(ha.now, "w1", "a.0.0.0", 1) }, fullLease, retryDelay},
+		{"job cancelled just now", func(ha *harness) { ha.po.Cancel(ha.now, "a") }, fullLease, retryDelay},
 		{"job cancelled before, stop lost", func(ha *harness) {
 			ha.po.Cancel(ha.now, "a")
 			ha.advance(400 * time.Millisecond)
@@ -35,7 +35,7 @@
 		{"run of a former owner has ended", func(ha *harness) {
 			ha.po.HandleRunList(ha.now, ha.now, "w1", []ActiveRun{{"a.0.0.0", 1}, {"x.0.0.0", 1}}, nil)
 			ha.reportEnded("w1", "x.0.0.0", 1, RunStopped)
-		}, time.Second, retryDelay},
+		}, fullLease, retryDelay},
 		{"this instance is late", func(ha *harness) { ha.po.SetLateness(500 * time.Millisecond) }, 500 * time.Millisecond, retryDelay - 500*time.Millisecond},
 		{"this instance is very late", func(ha *harness) { ha.po.SetLateness(1200 * time.Millisecond) }, 0, 0},
 		{"job cancelled by a late instance, stop lost", func(ha *harness) {
@@ -53,7 +53,7 @@
 			must.Eq(t, []string{"start w1 a.0.0.0 1"}, ha.commands())
 			ha.reportStarted("w1", "a.0.0.0", 1)
 			ca.event(ha)
-			until := ha.po.GrantLease(ha.now, "w1")
+			until := ha.po.GrantLease(ha.now, "w1", true)
 			if ca.most == 0 {
 				must.True(t, until.IsZero())
 				return
@@ -84,14 +84,14 @@
 	for range 20 {
 		ha.advance(100 * time.Millisecond)
 		ha.po.Renew("a", ha.now)
-		must.Eq(t, time.Second, ha.po.GrantLease(ha.now, "w1").Sub(ha.now))
+		must.Eq(t, ha.po.settings.Lease, ha.po.GrantLease(ha.now, "w1", true).Sub(ha.now))
 	}
 	must.True(t, ha.po.jobs["a"].givenUpAt.IsZero())
 	renewedAt := ha.now
 	for i := 0; ; i++ {
 		must.Less(t, 20, i, must.Sprint("leases are granted for ever"))
 		ha.advance(100 * time.Millisecond)
-		until := ha.po.GrantLease(ha.now, "w1")
+		until := ha.po.GrantLease(ha.now, "w1", true)
 		if until.IsZero() {
 			return
 		}
@@ -117,7 +117,7 @@
 	ha := newHarness(t, testWorker("w1", 3000), testWorker("w2", 30000))
 	ha.advance(1100 * time.Millisecond) // leases of earlier owners have ended
 	ha.submit("own", 1, 1000)
-	must.Eq(t, []string{"start w1 own.0.0.0 1"}, ha.commands()) // w1 has a lease of 1 s
+	must.Eq(t, []string{"start w1 own.0.0.0 1"}, ha.commands()) // w1 has a full lease
 	ha.submitFrom("a", 300*time.Millisecond)
 	must.Eq(t, []string{"start w2 a.0.0.0 1"}, ha.commands())
 	ha.submitFrom("b", 0)
@@ -154,7 +154,7 @@
 	ha.po.settings.RetryDelay = 600 * time.Millisecond
 	ha.submitFrom("a", 50*time.Millisecond)
 	must.Eq(t, []string{"start w1 a.0.0.0 1"}, ha.commands())
-	must.LessEq(t, 450*time.Millisecond, ha.po.settings.runLifetime(ha.po.GrantLease(ha.now, "w1").Sub(ha.now)))
+	must.LessEq(t, 450*time.Millisecond, ha.po.settings.runLifetime(ha.po.GrantLease(ha.now, "w1", true).Sub(ha.now)))
 }
 
 // lastLease returns the end of the longest lease that starts on the worker have granted since the last call of Commands, or prev.
@@ -210,7 +210,7 @@
 	ha.reportStarted("w1", "a.0.0.0", 1)
 	deadline := ha.po.jobs["a"].Work.Deadline
 	ha.now = deadline.Add(700 * time.Millisecond)
-	until := ha.po.GrantLease(ha.now, "w1")
+	until := ha.po.GrantLease(ha.now, "w1", true)
 	if until.IsZero() {
 		return
 	}
@@ -259,3 +259,23 @@
 	_, wanted = ha.po.OffloadWantedAt("a/1")
 	must.False(t, wanted)
 }
+
+// Guards against jobs that never start because their sender is a little late, on a worker that is polled every 60 ms.
+func TestJobOfLateSenderStartsOnBusyWorker(t *testing.T) {
+	ha := newHarness(t, testWorker("w1", 32000))
+	wo := ha.newWork("own", 1, 1000)
+	wo.Deadline = ha.now.Add(time.Minute)
+	ha.po.Submit(ha.now, &Job{Ref: "own", Work: wo})
+	must.Eq(t, []string{"start w1 own.0.0.0 1"}, ha.commands())
+	ha.po.jobs["own"].tasks[0].run.expectedRunTime = time.Minute
+	ha.reportStarted("w1", "own.0.0.0", 1)
+	ha.submitFrom("a", 200*time.Millisecond)
+	var list []string
+	for i := 0; i < 25 && len(list) == 0; i++ {
+		ha.advance(60 * time.Millisecond)
+		ha.po.GrantLease(ha.now, "w1", false)
+		ha.po.Renew("a", ha.now.Add(-200*time.Millisecond))
+		list = append(list, ha.commands()...)
+	}
+	must.Eq(t, []string{"start w1 a.0.0.0 1"}, list)
+}
--- a/lovagepool/workers.go
+++ b/lovagepool/workers.go
@@ -47,6 +47,7 @@
 	handingOver      bool      // is being handed over to another instance; gets no starts
 	unregistered     bool      // not in the last list of workers; kept until its runs have ended
 	runsEndBy        time.Time // when all runs will have ended unless their leases are extended again; zero: no lease was granted
+	extendedAt       time.Time // when a poll last extended the lease
 	leaseLimit       time.Time // Pool.leaseLimit when the worker was last considered for starts
 	slowdown         float64
 	slowdownVersion  int // Pool.slowdownVersion when slowdown was computed
