lovagefleet: a poll does not wait for the loop within 200 ms of an extension

Cause: since the loop grants extensions, each poll waited for it first. On a busy owner that delays the news of ended runs, and so the next starts, by the time that the loop takes for a pass. Change: the link asks only if its last extension is 200 ms old or a poll was lost; other polls are sent at once and extend nothing.

--- a/lovagefleet/link.go
+++ b/lovagefleet/link.go
@@ -32,7 +32,8 @@
 	node          *Node
 	worker        lovagepool.Worker
 	domain        string
-	drift         float64 // fraction by which the worker's clock may be slow
+	drift         float64   // fraction by which the worker's clock may be slow
+	extendedAt    time.Time // when loop last granted an extension; used only by the link's loop
 	cancel        context.CancelFunc
 	mu            sync.Mutex
 	fence         int64
@@ -104,18 +105,21 @@
 }
 
 // requestLease asks loop until when a poll may extend the worker's lease. loop has then handled the replies to the earlier polls of
-// this link's loop.
+// this link's loop. It does not wait for loop if the lease was extended just before: news of ended runs would come later.
 func (li *link) requestLease(ctx context.Context) time.Time {
 	li.mu.Lock()
 	unreachable, lost := li.unreachable, li.lostPolls > 0 || !li.excusedSince.IsZero()
 	li.mu.Unlock()
-	if unreachable {
+	if unreachable || !lost && time.Since(li.extendedAt) < lovagepool.ExtensionInterval {
 		return time.Time{}
 	}
 	granted := make(chan time.Time, 1)
 	li.node.post(func(now time.Time) { granted <- li.node.pool.GrantLease(now, li.worker.ID, lost) })
 	select {
 	case until := <-granted:
+		if !until.IsZero() {
+			li.extendedAt = time.Now()
+		}
 		return until
 	case <-ctx.Done():
 		return time.Time{}
--- a/lovagepool/lease.go
+++ b/lovagepool/lease.go
@@ -15,9 +15,9 @@
 const (
 	// retryReserve is the part of RetryDelay that is kept for noticing that a caller has left, and for the comparison of clocks.
 	retryReserve = 100 * time.Millisecond
-	// extensionInterval is the least time between polls that extend a lease. Polls follow each other more closely while calls are being
+	// ExtensionInterval is the least time between polls that extend a lease. Polls follow each other more closely while calls are being
 	// lost; if each of them extended the lease, no job whose sender confirmed it a little earlier could start on the worker.
-	extensionInterval = 200 * time.Millisecond
+	ExtensionInterval = 200 * time.Millisecond
 	// maxStartLease is the longest that Settings.minStartLease returns.
 	maxStartLease = 500 * time.Millisecond
 )
@@ -29,7 +29,7 @@
 	if wo == nil || len(wo.runs) == 0 {
 		return time.Time{}
 	}
-	if !lost && now.Sub(wo.extendedAt) < extensionInterval {
+	if !lost && now.Sub(wo.extendedAt) < ExtensionInterval {
 		return time.Time{}
 	}
 	until := po.grantLease(now, wo)
