lovagefleet: workers are used again after their domain is taken back

Cause: worker.handingOver was set by Pool.HandOver and never reset. If the instance that was to get a worker gave its domain up, or died, while a task ran on the worker, the former owner took the domain back but never started a task on that worker again, and a later hand-over did not release it.

Change: Pool.TakeBack, called when this instance is found to own a domain.

Measured: TestWorkersAreUsedAfterTakingTheDomainBack plays a hand-over to an instance that is killed: without the call red in 3 of 3 runs ("the owner uses its workers" not true within 5 s), with it green. TestTakeBackEndsHandOver shows both effects on the pool.

--- a/lovagefleet/fleet_test.go
+++ b/lovagefleet/fleet_test.go
@@ -349,6 +349,23 @@
 	must.MapLen(t, 1, outcomes)
 }
 
+// Guards against a worker that stays unusable because the instance that was to get it died while a task ran on it, so that the
+// former owner took the domain back.
+func TestWorkersAreUsedAfterTakingTheDomainBack(t *testing.T) {
+	de := deployWith(t, &deployment{cores: map[string]float64{"east-1": 0.3, "east-2": 0.1, "west-1": 1, "west-2": 1, "east-3": 1}})
+	owner := "east-1" // the one that also claims the domain first after east-3
+	de.await("the preferred instance owns the workers", 10*time.Second, func() bool { return de.owner("east") == owner })
+	de.awaitWorkers(owner, 3)
+	de.start("east-3")
+	time.Sleep(minHandOverUptime / 2)
+	job := de.submitLong(owner)
+	de.await("the new instance owns the workers", 10*time.Second, func() bool { return de.owner("east") == "east-3" })
+	de.kill("east-3")
+	must.True(t, de.activeTask(job), must.Sprint("no task runs during the hand-over"))
+	de.await("the former owner has taken the domain back", 5*time.Second, func() bool { return de.owner("east") == owner })
+	de.awaitWorkers(owner, 3)
+}
+
 func TestOwnerLeavesBeforeReadingWorkers(t *testing.T) {
 	// Guards against an owner that never hands over its workers because it leaves before it has read the registry.
 	de := deploy(t)
--- a/lovagefleet/ownership.go
+++ b/lovagefleet/ownership.go
@@ -282,6 +282,7 @@
 			}
 			no.fenceByDomain[name] = fence
 			delete(no.handOvers, name)
+			no.pool.TakeBack(no.workersOfDomain(name)) // the instance that was to get them may have given the domain up
 		} else if ho := no.handOvers[name]; ho != nil && ho.newOwnerAddress == to {
 			if ho.state != handOverAccepted { // the new owner took the domain, but its reply was lost
 				no.beginWorkerRelease(name, ho)
--- a/lovagepool/pool_test.go
+++ b/lovagepool/pool_test.go
@@ -383,6 +383,24 @@
 	must.Eq(t, []string{"release w1", "finish a completed"}, ha.commands())
 }
 
+// Guards against a worker that stays unusable, or is never released, because its domain was taken back during a hand-over.
+func TestTakeBackEndsHandOver(t *testing.T) {
+	ha := newHarness(t, testWorker("w1", 32000))
+	ha.submit("a", 1, 10000)
+	must.Eq(t, []string{"start w1 a.0.0.0 1"}, ha.commands())
+	ha.po.HandOver([]string{"w1"})
+	ha.submit("b", 1, 10000)
+	must.SliceEmpty(t, ha.commands())
+	ha.po.TakeBack([]string{"w1", "w2"})
+	must.Eq(t, []string{"start w1 b.0.0.0 1"}, ha.commands())
+	ha.reportEnded("w1", "a.0.0.0", 1, RunDone)
+	must.Eq(t, []string{"finish a completed"}, ha.commands(), must.Sprint("released although the hand-over has ended"))
+	ha.reportEnded("w1", "b.0.0.0", 1, RunDone)
+	must.Eq(t, []string{"finish b completed"}, ha.commands())
+	ha.po.HandOver([]string{"w1"})
+	must.Eq(t, []string{"release w1"}, ha.commands())
+}
+
 func TestLeaveMovesJobsThatHaveNotStarted(t *testing.T) {
 	ha := newHarness(t, testWorker("w1", 10000))
 	ha.submit("a", 1, 10000)
--- a/lovagepool/workers.go
+++ b/lovagepool/workers.go
@@ -139,6 +139,16 @@
 	po.needsSchedule = true
 }
 
+// TakeBack ends the hand-over of the given workers, because this instance owns them again.
+func (po *Pool) TakeBack(ids []string) {
+	for _, id := range ids {
+		if wo := po.workers[id]; wo != nil && wo.handingOver {
+			wo.handingOver = false
+			po.needsSchedule = true
+		}
+	}
+}
+
 // mayGetStart reports whether the worker may get starts.
 func (po *Pool) mayGetStart(now time.Time, wo *worker) bool {
 	if wo.unregistered || wo.handingOver || wo.Draining || !wo.reachable || wo.orphanRuns > 0 {
