lovagestack: a graceful stop serves requests that have arrived

Change: server closes a connection only if no byte of a request has been read from it or waits in its socket. A new connection has 1 s for its first request.

--- a/lovagestack/serve.go
+++ b/lovagestack/serve.go
@@ -146,7 +146,7 @@
 	stopCtx, stop := context.WithDeadline(context.Background(), deadline)
 	defer stop()
 	for _, sv := range servers {
-		if err := sv.http.Shutdown(stopCtx); err != nil {
+		if err := sv.shutDown(stopCtx); err != nil {
 			log.Warn("shutdown ended with requests in progress", zap.String("address", sv.http.Addr), zap.Error(err))
 		}
 	}
@@ -165,29 +165,3 @@
 	}
 	return ts
 }
-
-type server struct {
-	http     *http.Server
-	listener net.Listener
-}
-
-func newServer(address string, handler http.Handler) *server {
-	return &server{http: &http.Server{
-		Addr: address, Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes,
-	}}
-}
-
-func (sv *server) listen() error {
-	li, err := net.Listen("tcp", sv.http.Addr)
-	sv.listener = li
-	return errors.Wrapf(err, "listen on %s", sv.http.Addr)
-}
-
-// run serves until the server is shut down.
-func (sv *server) run() error {
-	if err := sv.http.Serve(sv.listener); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrapf(err, "serve on %s", sv.http.Addr)
-	}
-	return nil
-}
--- /dev/null
+++ b/lovagestack/server.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// shutDownInterval is how often shutDown looks for idle connections.
+	shutDownInterval = 5 * time.Millisecond
+	// newConnectionGrace is how long shutDown waits for the first request on a new connection.
+	newConnectionGrace = time.Second
+)
+
+// server is an HTTP server that shuts down without cutting a request that has arrived. http.Server.Shutdown closes a connection
+// as idle until net/http has read the whole header of the next request.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+	stopping atomic.Bool
+
+	mu    sync.Mutex
+	conns map[*serverConn]bool
+}
+
+func newServer(address string, handler http.Handler) *server {
+	sv := &server{conns: map[*serverConn]bool{}}
+	sv.http = &http.Server{
+		Addr: address, Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ConnState: sv.noteState,
+	}
+	return sv
+}
+
+func (sv *server) listen() error {
+	li, err := net.Listen("tcp", sv.http.Addr)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", sv.http.Addr)
+	}
+	sv.listener = li
+	return nil
+}
+
+// run serves until the server is shut down.
+func (sv *server) run() error {
+	err := sv.http.Serve(serverListener{sv.listener, sv})
+	if sv.stopping.Load() {
+		return nil
+	}
+	return errors.Wrapf(err, "serve on %s", sv.http.Addr)
+}
+
+// shutDown stops listening, closes connections once they are idle, and returns when none is left. It returns an error if ctx ends
+// first; the remaining connections are then still served.
+func (sv *server) shutDown(ctx context.Context) error {
+	sv.stopping.Store(true)
+	if err := sv.listener.Close(); err != nil {
+		return errors.Wrapf(err, "stop listening on %s", sv.http.Addr)
+	}
+	ticker := time.NewTicker(shutDownInterval)
+	defer ticker.Stop()
+	for {
+		n := sv.closeIdle(time.Now())
+		if n == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%d connections are open", n)
+		case <-ticker.C:
+		}
+	}
+}
+
+// closeIdle closes the idle connections and returns the number of the others.
+func (sv *server) closeIdle(now time.Time) int {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	n := 0
+	for sc := range sv.conns {
+		if !sc.idle(now) {
+			n++
+			continue
+		}
+		delete(sv.conns, sc)
+		_ = sc.Close() // net/http notices that it is closed
+	}
+	return n
+}
+
+// noteState is the server's ConnState hook.
+func (sv *server) noteState(nc net.Conn, state http.ConnState) {
+	sc, ok := nc.(*serverConn)
+	if !ok {
+		return
+	}
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sc.state = state
+	switch state {
+	case http.StateIdle:
+		sc.hasRead.Store(false)
+	case http.StateClosed, http.StateHijacked:
+		delete(sv.conns, sc)
+	default:
+	}
+}
+
+// serverListener makes serverConns of the connections of a server.
+type serverListener struct {
+	net.Listener
+	sv *server
+}
+
+// Accept implements net.Listener.
+func (sl serverListener) Accept() (net.Conn, error) {
+	nc, err := sl.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	sc := &serverConn{Conn: nc, acceptedAt: time.Now()}
+	sl.sv.mu.Lock()
+	defer sl.sv.mu.Unlock()
+	sl.sv.conns[sc] = true
+	return sc, nil
+}
+
+// serverConn is a connection of a server.
+type serverConn struct {
+	net.Conn
+	acceptedAt time.Time
+	state      http.ConnState // guarded by server.mu
+	hasRead    atomic.Bool    // part of the next request has been read
+}
+
+// Read implements net.Conn.
+func (sc *serverConn) Read(b []byte) (int, error) {
+	n, err := sc.Conn.Read(b)
+	if n > 0 {
+		sc.hasRead.Store(true)
+	}
+	return n, err
+}
+
+// idle reports whether no request is in progress, being read or waiting in the socket. The caller holds server.mu.
+func (sc *serverConn) idle(now time.Time) bool {
+	switch {
+	case sc.state == http.StateActive, sc.hasRead.Load():
+		return false
+	case sc.state == http.StateNew && now.Sub(sc.acceptedAt) < newConnectionGrace:
+		return false
+	}
+	return !hasUnreadBytes(sc.Conn)
+}
+
+// hasUnreadBytes reports whether bytes have arrived on a connection that its owner has not read.
+func hasUnreadBytes(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	err = rc.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = err == nil && n > 0
+	})
+	return err == nil && unread
+}
