lovagestack: SIGHUP is handled before anything listens

Cause: serve installed the handler after its servers listened, and entry had none, so that SIGHUP ended the process.

Change: main installs it first, and commands that do not read settings again restore the default. entry checks its settings on SIGHUP, as serve does.

--- a/lovagestack/entry.go
+++ b/lovagestack/entry.go
@@ -24,7 +24,23 @@
 // help describes the signals.
 func (*entryCommand) help() string {
 	return `The first SIGTERM or SIGINT starts a graceful shutdown: the instance becomes not ready, hands its key ranges over
-and finishes what is in flight. A second signal ends the process at once. Exit status 1 means that requests were cut.`
+and finishes what is in flight. A second signal ends the process at once. Exit status 1 means that requests were cut. SIGHUP reads the
+settings again for checks only; changes need a restart.`
+}
+
+func (*entryCommand) reloadsOnHangup() {}
+
+// checkOnHangup checks the settings again on each SIGHUP until ctx ends.
+func (ec *entryCommand) checkOnHangup(ctx context.Context, en *environment, log *zap.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-en.hangups:
+			_, findings := lovageconfig.Load(ec.Settings)
+			log.Info("settings checked", zap.Stringers("findings", findings))
+		}
+	}
 }
 
 // run serves until the first signal ends ctx and then shuts down gracefully.
@@ -41,6 +57,7 @@
 		return en.fail(exitBadInput, err)
 	}
 	defer func() { _ = log.Sync() }()
+	go ec.checkOnHangup(ctx, en, log)
 	cutRequests, err := serveEntry(ctx, settings, log)
 	switch {
 	case err != nil:
--- a/lovagestack/main.go
+++ b/lovagestack/main.go
@@ -32,13 +32,17 @@
 	run(ctx context.Context, en *environment) int
 }
 
+// reloader is a command that uses SIGHUP. It ends all others.
+type reloader interface{ reloadsOnHangup() }
+
 // helpProvider is a subcommand with a help text besides the descriptions of its arguments.
 type helpProvider interface{ help() string }
 
 type environment struct {
 	stdin          io.Reader
 	stdout, stderr io.Writer
-	json           bool // print JSON instead of tables
+	hangups        <-chan os.Signal // nil: none are received
+	json           bool             // print JSON instead of tables
 }
 
 type arguments struct {
@@ -79,9 +83,11 @@
 }
 
 func main() {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP) // before anything else, because the default action ends the process
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	context.AfterFunc(ctx, stop) // the first signal restores the default, so that a second one ends the process
-	en := &environment{stdin: os.Stdin, stdout: os.Stdout, stderr: os.Stderr}
+	en := &environment{stdin: os.Stdin, stdout: os.Stdout, stderr: os.Stderr, hangups: hangups}
 	status := runMain(ctx, os.Args[1:], en)
 	stop()
 	os.Exit(status)
@@ -110,6 +116,12 @@
 		parser.WriteHelp(en.stderr)
 		return exitBadInput
 	}
+	if _, ok := cmd.(reloader); !ok {
+		signal.Reset(syscall.SIGHUP)
+		if len(en.hangups) > 0 {
+			return exitFailed
+		}
+	}
 	if args.Output != "table" && args.Output != "json" {
 		return en.fail(exitBadInput, errors.Newf("--output is %q, want table or json", args.Output))
 	}
--- a/lovagestack/serve.go
+++ b/lovagestack/serve.go
@@ -5,11 +5,9 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -73,14 +71,18 @@
 	if se.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(se.Limits.MemoryMB<<20)))
 	}
-	if err := sc.serve(ctx, se, path, logger); err != nil {
+	if err := sc.serve(ctx, en, se, path, logger); err != nil {
 		logger.Zap().Error("instance failed", zap.Error(err))
 		return exitFailed
 	}
 	return exitOK
 }
 
-func (sc *serveCommand) serve(ctx context.Context, se *platform.Settings, path string, logger *lovagelog.Logger) error {
+func (*serveCommand) reloadsOnHangup() {}
+
+func (sc *serveCommand) serve(
+	ctx context.Context, en *environment, se *platform.Settings, path string, logger *lovagelog.Logger,
+) error {
 	log := logger.Zap()
 	log.Info("start", zap.String("instance", se.Node), zap.String("dataCentre", se.Zone))
 	metrics := lovagemetric.New()
@@ -124,14 +126,11 @@
 		}
 		go func() { errs <- sv.run() }()
 	}
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	for {
 		select {
 		case err := <-errs:
 			return err
-		case <-hup:
+		case <-en.hangups:
 			_, err := platform.ReadSettings(path)
 			log.Info("reload", zap.Bool("valid", err == nil))
 			continue
