lovageconfig: JSON that ends too early is reported alike by Go 1.26 and 1.27

Cause: with Go 1.27, json.Decoder reports an early end as a *json.SyntaxError, not as io.ErrUnexpectedEOF, so that TestDecodeJSONFaults/cut_off was red: another message, and a column before the end.

Change: syntaxFinding takes both for the same.

Measured: lovageconfig and lovageresource green with Go 1.27.3; Go 1.26 was not at hand.

--- a/lovageconfig/json.go
+++ b/lovageconfig/json.go
@@ -51,14 +51,15 @@
 
 // syntaxFinding reports an error of the JSON decoder.
 func (pa *jsonParser) syntaxFinding(err error) Finding {
-	offset := pa.nextTokenOffset()
+	offset, problem := pa.nextTokenOffset(), err.Error()
 	var se *json.SyntaxError
-	if errors.As(err, &se) {
-		offset = max(int(se.Offset)-1, 0)
-	}
-	problem := err.Error()
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+	isSyntaxError := errors.As(err, &se)
+	switch {
+	// Go 1.27 reports an early end as a syntax error, Go 1.26 as io.EOF or io.ErrUnexpectedEOF.
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isSyntaxError && problem == "unexpected end of JSON input":
 		problem = "the JSON text ends too early"
+	case isSyntaxError:
+		offset = max(int(se.Offset)-1, 0)
 	}
 	pa.doc.offsets["\x00syntax"] = offset
 	fi := pa.doc.Finding("\x00syntax", "%s", problem)
