lovagefleet: an instance is as late as its goroutines wait for a processor

Cause: an instance counts its lateness by ticks and events, and leases and deadlines are shorter by it. The Go scheduler runs a goroutine whose timer fires next, but puts one whose connection has become readable at the end of a queue. So with busy processors the ticks are in time while the news that a caller has left is read late. Ruled out: that each hop of the chain waits for as long (the first thought); with one processor the later hops add nothing.

Change: queueProbe yields once per tick and measures the wait; the wait of the last probe, or of one under way, counts as lateness, for calls to workers too.

--- a/lovagefleet/control.go
+++ b/lovagefleet/control.go
@@ -62,8 +62,10 @@
 				no.lags.note(now, now.Sub(no.nextTick))
 				no.noteLateness(now, now.Sub(no.nextTick))
 			}
+			no.lags.note(now, no.queueProbe.wait(now))
+			no.queueProbe.begin(now)
 			no.pool.SetLag(no.lags.lag(now))
-			no.pool.SetLateness(no.latenesses.lag(now))
+			no.pool.SetLateness(no.lateness(now))
 			no.pool.Tick(now)
 			interval := tickInterval
 			if no.pool.Idle() && no.sent.empty() {
@@ -86,7 +88,7 @@
 // noteLateness records that loop did something later than it was due. Only loop calls it.
 func (no *Node) noteLateness(now time.Time, lateness time.Duration) {
 	no.latenesses.note(now, lateness)
-	no.pool.SetLateness(no.latenesses.lag(now))
+	no.pool.SetLateness(no.lateness(now))
 }
 
 // apply handles an event, and reports it if it has waited for long. An event that was posted right after a stall has not waited, but
--- a/lovagefleet/control_test.go
+++ b/lovagefleet/control_test.go
@@ -1,6 +1,9 @@
 package lovagefleet
 
 import (
+	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -92,3 +95,28 @@
 	no.post(func(time.Time) { late <- lovageclock.Boot() - no.callersSeenAt() })
 	must.GreaterEq(t, suspended-time.Millisecond, <-late)
 }
+
+// Guards against leases that are too long because the loop ticks in time while connections are read late.
+func TestBusyProcessorsCountAsLateness(t *testing.T) {
+	no := startLoop(t)
+	t.Cleanup(func(procs int) func() { return func() { runtime.GOMAXPROCS(procs) } }(runtime.GOMAXPROCS(1)))
+	var stop atomic.Bool
+	var wg sync.WaitGroup
+	for range 20 {
+		wg.Go(func() {
+			for !stop.Load() { // for 10 ms at a time
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	looks, late := 0, 0
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		looks++
+		if no.lateness(time.Now()) >= minLag {
+			late++
+		}
+	}
+	stop.Store(true)
+	wg.Wait()
+	must.Greater(t, 0.8, float64(late)/float64(looks))
+}
--- a/lovagefleet/node.go
+++ b/lovagefleet/node.go
@@ -65,8 +65,9 @@
 	leaving          atomic.Bool
 	lastLostCallAt   atomic.Pointer[time.Time] // time of the last unanswered call to a worker; nil: never
 	lags             lagMeter                  // of ticks and timers
-	latenesses       lagMeter                  // of ticks and of the events that loop handles
-	linkCount        atomic.Int64              // number of links
+	latenesses       lagMeter                  // of ticks and of the events that loop handles; see lateness
+	queueProbe       queueProbe
+	linkCount        atomic.Int64 // number of links
 	fetchingConfig   atomic.Bool
 	ownReports       atomic.Pointer[map[string]lovagepool.LoadReport] // reports last sent, by service; nil: owns no domain
 	ownsWorkers      atomic.Bool
--- a/lovagefleet/renewal.go
+++ b/lovagefleet/renewal.go
@@ -58,7 +58,7 @@
 
 // callersSeenAt returns the reading of the boot clock at which this instance's callers were last known to wait.
 func (no *Node) callersSeenAt() time.Duration {
-	return lovageclock.Boot() - no.latenesses.lag(time.Now())
+	return lovageclock.Boot() - no.lateness(time.Now())
 }
 
 // sendRenewals confirms the jobs that were not sent just now. Only loop calls it.
--- a/lovagefleet/route.go
+++ b/lovagefleet/route.go
@@ -110,7 +110,7 @@
 
 // advanceDeadline returns the job with an earlier deadline if this process is late: its request may have waited for that long.
 func (no *Node) advanceDeadline(wo *lovagejob.Workload) *lovagejob.Workload {
-	lateness := no.latenesses.lag(time.Now())
+	lateness := no.lateness(time.Now())
 	if lateness < lateEvent {
 		return wo
 	}
