lovagepool: a plan counts all that its choices take of a worker

Before a refusal, and for tasks that a peer offloads, the workers of all tasks of a job were chosen before the first start, and only resources were counted between the choices.

A plan holds the choices with what they take of each worker: room, tasks of the step, the one probe; it checks the label and the lease too. Every way of placing makes a plan, and startRun takes only what a plan has admitted. usedResources is no longer changed to count choices.

--- a/lovagepool/place.go
+++ b/lovagepool/place.go
@@ -75,6 +75,8 @@
 	minSlowdown float64             // slowdown of the fastest worker; 1 if there are none
 	workRate    float64             // work that the workers do per second, in millicores of speed 1
 	maxFree     lovagejob.Resources // upper bound of what is free on any one worker, by resource
+	shares      []share             // what the present plan takes of each of the workers; valid once it has admitted a task
+	shared      []int               // indexes of the shares that are not zero
 }
 
 // candidatesOf returns the candidates of a service for this pass.
@@ -94,6 +96,7 @@
 // collectCandidates fills ca with the workers that may get starts.
 func (po *Pool) collectCandidates(now time.Time, ca *candidates, service string) {
 	ca.workers, ca.minSlowdown, ca.workRate, ca.maxFree = ca.workers[:0], 1, 0, lovagejob.Resources{}
+	ca.clearShares()
 	for _, wo := range po.workerList {
 		if wo.Service != service {
 			continue
@@ -151,84 +154,62 @@
 
 // placeJob starts ready tasks of a job until one finds no worker.
 func (po *Pool) placeJob(now time.Time, jo *Job) {
-	for _, ta := range jo.tasks {
-		if jo.readyTasks == 0 {
-			return
-		}
-		if ta.state != taskReady {
-			continue
-		}
-		wo := po.chooseWorker(now, ta, true)
-		if wo == nil {
-			return
-		}
-		po.startRun(now, ta, wo)
-	}
+	pl := po.planJob(now, jo, true)
+	pl.start()
 }
 
 // startAllOrNone starts all ready tasks of a job, or none if they do not all fit. Unless skipSlow is set, it also uses slow
 // workers and offloads the tasks that do not fit here, except those that a peer has offloaded to this pool.
 func (po *Pool) startAllOrNone(now time.Time, jo *Job, skipSlow bool) bool {
-	tasks, chosen := po.chooseWorkers(now, jo, skipSlow)
+	pl := po.planJob(now, jo, skipSlow)
 	peerCapacity := 0
 	if !skipSlow && jo.Offloaded == nil {
 		peerCapacity = po.OffloadCapacity(now, jo.Work.Service)
 	}
-	if len(tasks)+peerCapacity < jo.readyTasks {
+	if len(pl.admitted)+peerCapacity < jo.readyTasks {
 		return false
 	}
-	for i, ta := range tasks {
-		po.startRun(now, ta, chosen[i])
-	}
+	pl.start()
 	po.offloadWaitingTasks(now, jo, math.Inf(1), true)
 	return true
 }
 
-// chooseWorkers returns the ready tasks of a job that fit, and the worker of each.
-func (po *Pool) chooseWorkers(now time.Time, jo *Job, skipSlow bool) ([]*task, []*worker) {
-	ca := po.candidatesOf(now, jo.Work.Service)
-	maxFree := ca.maxFree
-	var tasks []*task
-	var chosen []*worker
+// planJob returns a plan with the ready tasks of a job up to the first that finds no worker.
+func (po *Pool) planJob(now time.Time, jo *Job, skipSlow bool) plan {
+	pl := po.newPlan(now, jo)
 	for _, ta := range jo.tasks {
+		if len(pl.admitted) == jo.readyTasks {
+			break
+		}
 		if ta.state != taskReady {
 			continue
 		}
-		wo := po.chooseWorker(now, ta, skipSlow)
-		if wo == nil {
+		if at := pl.chooseWorker(ta, skipSlow); at < 0 || !pl.admit(ta, at) {
 			break
 		}
-		wo.usedResources = wo.usedResources.Plus(jo.Work.Steps[ta.step].Resources) // so that the next choices count it
-		tasks, chosen = append(tasks, ta), append(chosen, wo)
-	}
-	for i, ta := range tasks {
-		chosen[i].usedResources = chosen[i].usedResources.Minus(jo.Work.Steps[ta.step].Resources)
 	}
-	ca.maxFree = maxFree // nothing has been started yet
-	return tasks, chosen
+	return pl
 }
 
-// chooseWorker returns the fastest worker with capacity for the task, with a preference for a tight fit and against
-// avoidWorker. With skipSlow, it returns nil if the job would be late on that worker and a faster one that is busy now could
-// still meet the goal.
-func (po *Pool) chooseWorker(now time.Time, ta *task, skipSlow bool) *worker {
-	jo := ta.job
-	st := &jo.Work.Steps[ta.step]
-	ca := po.candidatesOf(now, jo.Work.Service)
-	if !st.Resources.Fits(ca.maxFree) {
-		return nil
+// chooseWorker returns the index of the fastest worker with capacity for the task, with a preference for a tight fit and
+// against avoidWorker, or -1 if there is none. With skipSlow, it returns -1 if the job would be late on that worker and a faster
+// one that is busy now could still meet the goal.
+func (pl *plan) chooseWorker(ta *task, skipSlow bool) int {
+	po, now, jo, st := pl.po, pl.now, pl.job, pl.step(ta)
+	if !st.Resources.Fits(pl.maxFree) {
+		return -1
 	}
-	var best *worker
+	best := -1
 	var bestCost, bestSlowdown float64
 	var maxFree lovagejob.Resources
 	minSlowdown := 0.0
-	for _, wo := range ca.workers {
-		if !po.mayGetStart(now, wo) {
+	for at, wo := range pl.candidates.workers {
+		if !pl.mayGetStart(at) {
 			continue // the worker's probe was started earlier in this pass
 		}
-		free := po.freeResources(wo)
+		free := pl.free(at)
 		maxFree = maxFree.Max(free)
-		if !st.Resources.Fits(wo.Capacity) || !wo.hasLabel(st.Constraint) {
+		if !wo.suits(st) {
 			continue
 		}
 		slowdown := po.slowdown(wo)
@@ -238,8 +219,7 @@
 		if minSlowdown == 0 || slowdown < minSlowdown {
 			minSlowdown = slowdown
 		}
-		if !st.Resources.Fits(free) || !po.mayRunOn(now, jo, wo) ||
-			(st.AntiAffinity > 0 && wo.countRuns(jo, ta.step) >= st.AntiAffinity) {
+		if !st.Resources.Fits(free) || !po.mayRunOn(now, jo, wo) || !pl.hasStepRoom(wo, ta.step) {
 			continue
 		}
 		cost := slowdown * (1 +
@@ -247,13 +227,16 @@
 		if wo.ID == ta.avoidWorker {
 			cost *= maxSampleSlowdown
 		}
-		if best == nil || cost < bestCost {
-			best, bestCost, bestSlowdown = wo, cost, slowdown
+		if best < 0 || cost < bestCost {
+			best, bestCost, bestSlowdown = at, cost, slowdown
 		}
 	}
-	if best == nil {
-		ca.maxFree = maxFree
-		return nil
+	if best < 0 {
+		pl.maxFree = maxFree
+		if len(pl.admitted) == 0 {
+			pl.candidates.maxFree = maxFree
+		}
+		return -1
 	}
 	if !skipSlow {
 		return best
@@ -261,7 +244,7 @@
 	bestRunTime := time.Duration(float64(jo.runTime) * bestSlowdown)
 	latestFastStart := jo.goal.Add(-time.Duration(float64(jo.runTime) * minSlowdown))
 	if now.Add(time.Duration(stragglerFactor*float64(bestRunTime))).After(jo.goal) && latestFastStart.After(now) {
-		return nil
+		return -1
 	}
 	return best
 }
@@ -272,16 +255,6 @@
 // nonLocalSlowdown is the factor by which a task takes longer on a rack without its data.
 const nonLocalSlowdown = 2.0
 
-func (wo *worker) countRuns(jo *Job, step int) int {
-	n := 0
-	for _, ru := range wo.runs {
-		if ru.task != nil && ru.task.job == jo && ru.task.step == step {
-			n++
-		}
-	}
-	return n
-}
-
 // unstartedWork returns the work of the job's ready and blocked tasks, in millicore-seconds on a worker of speed 1.
 func (jo *Job) unstartedWork() float64 {
 	sum := 0.0
--- a/lovagepool/runs.go
+++ b/lovagepool/runs.go
@@ -196,8 +196,9 @@
 	return nil
 }
 
-// startRun reserves the resources of a run and sends its start.
-func (po *Pool) startRun(now time.Time, ta *task, wo *worker) {
+// startRun reserves the resources of a run and sends its start. Only plan.start calls it.
+func (po *Pool) startRun(now time.Time, ad admission) {
+	ta, wo := ad.task, ad.worker
 	jo := ta.job
 	st := &jo.Work.Steps[ta.step]
 	ta.attempt++
