lovagepool: anti_affinity counts the runs of all offloads of a job

A peer that got two offloads of one job counted the runs of each by itself, so that its workers could get more tasks of a step than anti_affinity allows. Runs count by job ID and step, which covers every submission of the job too.

TestOffloadsOfOneJobKeepAntiAffinity fails on the code before and passes now.

--- a/lovagepool/plan.go
+++ b/lovagepool/plan.go
@@ -11,7 +11,8 @@
 // what its choices take of each worker, so that they are allowed together:
 //
 //   - room: the resources of the worker's runs and of the choices fit its capacity;
-//   - anti_affinity: the worker's runs of the step, with those that are being stopped, and the choices are at most AntiAffinity;
+//   - anti_affinity: the worker's runs of the step and the choices are at most AntiAffinity. Runs of every submission and offload
+//     of the job ID count, because workers and callers know only the ID, and runs that are being stopped count too;
 //   - constraints: the worker has the step's label;
 //   - the probe: a worker whose ejection is over gets one task, and no other until that one tells of the worker's health;
 //   - the lease: the worker's runs and the choices may be kept alive for long enough.
@@ -81,14 +82,14 @@
 // hasStepRoom reports whether the worker may get one more task of the step.
 func (pl *plan) hasStepRoom(wo *worker, step int) bool {
 	most := pl.job.Work.Steps[step].AntiAffinity
-	return most <= 0 || wo.countRuns(pl.job, step)+pl.stepTasks[stepOnWorker{wo, step}] < most
+	return most <= 0 || wo.countRuns(pl.job.Work.ID, step)+pl.stepTasks[stepOnWorker{wo, step}] < most
 }
 
-// countRuns returns the number of the job's runs of a step on the worker.
-func (wo *worker) countRuns(jo *Job, step int) int {
+// countRuns returns the number of runs of a step on the worker, of all submissions of the job ID.
+func (wo *worker) countRuns(jobID string, step int) int {
 	n := 0
 	for _, ru := range wo.runs {
-		if ru.task != nil && ru.task.job == jo && ru.task.step == step {
+		if ru.task != nil && ru.task.step == step && ru.task.job.Work.ID == jobID {
 			n++
 		}
 	}
--- a/lovagepool/plan_test.go
+++ b/lovagepool/plan_test.go
@@ -42,3 +42,13 @@
 	ha.submit("e", 2, 1000)
 	must.Eq(t, []string{"start w1 e.0.0.0 1"}, ha.commands())
 }
+
+func TestOffloadsOfOneJobKeepAntiAffinity(t *testing.T) {
+	// Guards against too many tasks of a step on one worker of the peer that gets several offloads of one job.
+	ha := newHarness(t, testWorker("w1", 32000))
+	wo := ha.newWork("a", 2, 1000)
+	wo.Steps[0].AntiAffinity = 1
+	ha.po.Submit(ha.now, &Job{Ref: "x", Work: wo, Offloaded: []OffloadedTask{{0, 0, 1}}})
+	ha.po.Submit(ha.now, &Job{Ref: "y", Work: wo, Offloaded: []OffloadedTask{{0, 1, 1}}})
+	must.Eq(t, []string{"start w1 a.0.0.0 1", "finish y notRun"}, ha.commands())
+}
