lovagepool: BenchmarkPlacing measures time to place and placed share

Jobs of 1 to 8 tasks arrive at 1.15 times the load that 108 or 540 workers take, with and without anti_affinity; runs end, and their workers list the others.

--- a/lovagepool/bench_test.go
+++ b/lovagepool/bench_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -80,6 +82,80 @@
 	}
 }
 
+// BenchmarkPlacing measures an arriving job, the ends before it and the starts that follow, at 1.15 times the load that the workers
+// take, so that jobs wait and some are refused. The placed share is the part of the jobs of which all tasks ran.
+func BenchmarkPlacing(b *testing.B) {
+	for _, workers := range []int{108, 540} {
+		for _, antiAffinity := range []int{0, 1} {
+			b.Run(fmt.Sprintf("workers=%d/antiAffinity=%d", workers, antiAffinity), func(b *testing.B) {
+				benchPlacing(b, workers, antiAffinity)
+			})
+		}
+	}
+}
+
+func benchPlacing(b *testing.B, workers, antiAffinity int) {
+	const meanTasks, meanCores, meanRunTime, load = 4.5, 11, 0.25, 1.15 // of benchSteps; cores of benchPool are 37.3 a worker
+	po, now := benchPool(workers)
+	rng := rand.New(rand.NewPCG(1, 1))
+	gap := time.Duration(meanTasks * meanCores * meanRunTime / (load * 37.3 * float64(workers)) * float64(time.Second))
+	ends := map[int64][]StartRun{} // by millisecond
+	active := map[string][]ActiveRun{}
+	from, at := now, int64(0)
+	submitted, completed := 0, 0
+	execute := func() {
+		for _, cmd := range po.Commands(now) {
+			switch cm := cmd.(type) {
+			case StartRun:
+				end := now.Sub(from).Milliseconds() + 100 + int64(rng.IntN(301))
+				ends[end] = append(ends[end], cm)
+				active[cm.Worker] = append(active[cm.Worker], ActiveRun{cm.Task, cm.Attempt})
+				po.HandleStartReply(now, cm.Worker, cm.Task, cm.Attempt, false, "")
+			case FinishJob:
+				if cm.Outcome == Completed {
+					completed++
+				}
+			}
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		submitted++
+		arrival := from.Add(time.Duration(submitted) * gap)
+		for ; at < arrival.Sub(from).Milliseconds(); at++ {
+			now = from.Add(time.Duration(at) * time.Millisecond)
+			if at%20 == 0 {
+				po.Tick(now)
+			}
+			for _, st := range ends[at] {
+				active[st.Worker] = slices.DeleteFunc(active[st.Worker], func(ac ActiveRun) bool { return ac.Task == st.Task })
+				po.HandleRunList(now, now, st.Worker, active[st.Worker], []EndedRun{{st.Task, st.Attempt, RunDone}})
+			}
+			delete(ends, at)
+			execute()
+		}
+		now = arrival
+		wo := benchWork(submitted, 1, now)
+		wo.TargetLatency, wo.Deadline = 100*time.Millisecond, now.Add(2*time.Second)
+		wo.Steps = benchSteps(rng, antiAffinity)
+		po.Submit(now, &Job{Ref: wo.ID, Work: wo})
+		execute()
+	}
+	b.ReportMetric(float64(completed)/float64(submitted), "placedShare")
+}
+
+// benchSteps returns a step of 1 to 8 tasks of 4 to 18 cores; one in five has a label, and half have the limit antiAffinity.
+func benchSteps(rng *rand.Rand, antiAffinity int) []lovagejob.Step {
+	st := lovagejob.Step{
+		Count: 1 + rng.IntN(8), Resources: lovagejob.Resources{MilliCores: 4000 + 1000*int64(rng.IntN(15)), MemoryMB: 64},
+		RunTime: time.Duration(100+rng.IntN(301)) * time.Millisecond, AntiAffinity: antiAffinity * rng.IntN(2),
+	}
+	if rng.IntN(5) == 0 {
+		st.Constraint = "a"
+	}
+	return []lovagejob.Step{st}
+}
+
 func startsOf(list []Command) []StartRun {
 	var starts []StartRun
 	for _, cmd := range list {
