lovagepool: the choice of a worker checks once what holds for a whole pass

A plan asked of each candidate again whether it may get starts, which computes a lease, and whether the run would end in time, also where a better worker was known. Within a pass only the probe can change; the lease and the limit of the step are looked at only where the worker would be the best so far. Each admission checks all of it.

--- a/lovagepool/place.go
+++ b/lovagepool/place.go
@@ -204,8 +204,8 @@
 	var maxFree lovagejob.Resources
 	minSlowdown := 0.0
 	for at, wo := range pl.candidates.workers {
-		if !pl.mayGetStart(at) {
-			continue // the worker's probe was started earlier in this pass
+		if pl.probeTaken(at) {
+			continue
 		}
 		free := pl.free(at)
 		maxFree = maxFree.Max(free)
@@ -219,7 +219,7 @@
 		if minSlowdown == 0 || slowdown < minSlowdown {
 			minSlowdown = slowdown
 		}
-		if !st.Resources.Fits(free) || !po.mayRunOn(now, jo, wo) || !pl.hasStepRoom(wo, ta.step) {
+		if !st.Resources.Fits(free) {
 			continue
 		}
 		cost := slowdown * (1 +
@@ -227,7 +227,7 @@
 		if wo.ID == ta.avoidWorker {
 			cost *= maxSampleSlowdown
 		}
-		if best < 0 || cost < bestCost {
+		if (best < 0 || cost < bestCost) && po.mayRunOn(now, jo, wo) && pl.hasStepRoom(wo, ta.step) {
 			best, bestCost, bestSlowdown = at, cost, slowdown
 		}
 	}
--- a/lovagepool/plan.go
+++ b/lovagepool/plan.go
@@ -65,13 +65,11 @@
 	return free
 }
 
-// mayGetStart reports whether the worker may get a start beside the choices.
-func (pl *plan) mayGetStart(at int) bool {
+// probeTaken reports whether the ejection of the worker is over and the one task to probe it is chosen or started. What else
+// may keep a candidate from starts does not change within a pass.
+func (pl *plan) probeTaken(at int) bool {
 	wo := pl.candidates.workers[at]
-	if !wo.ejectedUntil.IsZero() && len(pl.admitted) > 0 && pl.candidates.shares[at].tasks > 0 {
-		return false // the one probe
-	}
-	return pl.po.mayGetStart(pl.now, wo)
+	return !wo.ejectedUntil.IsZero() && (wo.probing || len(pl.admitted) > 0 && pl.candidates.shares[at].tasks > 0)
 }
 
 // suits reports whether the worker has the label and the size for a step.
@@ -99,8 +97,8 @@
 // admit adds the start of a task on a worker to the plan, if the plan allows it beside its other choices.
 func (pl *plan) admit(ta *task, at int) bool {
 	wo, st := pl.candidates.workers[at], pl.step(ta)
-	allowed := wo.Service == pl.job.Work.Service && wo.suits(st) && pl.mayGetStart(at) && st.Resources.Fits(pl.free(at)) &&
-		pl.po.mayRunOn(pl.now, pl.job, wo) && pl.hasStepRoom(wo, ta.step)
+	allowed := wo.Service == pl.job.Work.Service && wo.suits(st) && pl.po.mayGetStart(pl.now, wo) && !pl.probeTaken(at) &&
+		st.Resources.Fits(pl.free(at)) && pl.po.mayRunOn(pl.now, pl.job, wo) && pl.hasStepRoom(wo, ta.step)
 	if !allowed {
 		return false
 	}
