lovagepool: a job is cancelled by its ID

A caller names its job by queue and ID, not by the reference of a submission. CancelJob stops what the pool has of a job, refuses copies that arrive within the next minute (16,384 IDs at most), and answers the submitter once no run can be active, with Completed if all tasks ended before they could be stopped. The end of a start in doubt, of offloaded tasks and of runs on silent workers is waited for.

--- a/lovagepool/pool.go
+++ b/lovagepool/pool.go
@@ -52,6 +52,7 @@
 	NotRun    Outcome = "notRun"  // no task has started and none will
 	Moved     Outcome = "moved"   // not run here; to be submitted to another owner
 	Unknown   Outcome = "unknown" // tasks may have run, but whether and how they ended is not known
+	Cancelled Outcome = "cancelled"
 )
 
 // Job is a submitted workload, or tasks of a workload that a peer has offloaded.
@@ -76,7 +77,8 @@
 	unfinishedTasks int
 	possibleStarts  int // number of starts, here or by peers, that may have happened
 	ended           bool
-	cancelled       bool      // Cancel was called
+	cancelled       bool      // Cancel or CancelJob was called
+	answerOnStop    bool      // CancelJob was called; the answer follows once no run is left
 	givenUpAt       time.Time // when the job's runs were no longer wanted; its caller or the peer may have it run elsewhere
 	predecessor     *Job      // earlier submission of the same ID; its runs must end before this job starts
 }
@@ -192,7 +194,10 @@
 type PollWorker struct{ Worker string }
 
 // JobStopped says that a cancelled job has no runs left.
-type JobStopped struct{ Ref string }
+type JobStopped struct {
+	Ref       string
+	Completed bool // all tasks had ended as done before they could be stopped
+}
 
 func (JobStopped) command()    {}
 func (PollWorker) command()    {}
@@ -222,6 +227,8 @@
 	offloads          map[string]*offload // by Ref of the Offload
 	lastOffloadNumber int
 	earlyCancels      map[string]time.Time // times of cancellations that arrived before their jobs, by Ref
+	cancelledJobs     map[jobKey]cancelledJob
+	cancelOrder       []jobKey // keys of cancelledJobs, oldest first
 	leaving           bool
 	commands          []Command
 	lag               time.Duration    // see SetLag
@@ -238,6 +245,7 @@
 		queueStats: map[string]*queueStats{}, meanResources: map[string]*meanResources{}, candidates: map[string]*candidates{},
 		slowdownVersion: 1, kindSlowdowns: map[string]*slowdownEstimate{}, peers: map[string]*peer{},
 		offloads: map[string]*offload{}, Counts: map[string]int64{}, earlyCancels: map[string]time.Time{},
+		cancelledJobs: map[jobKey]cancelledJob{},
 	}
 }
 
@@ -272,8 +280,12 @@
 	}
 	for _, jo := range slices.Clone(po.jobList) {
 		po.expireHeldTasks(now, jo)
-		if !jo.ended && !now.Before(jo.Work.Deadline) {
-			po.handleDeadline(now, jo)
+		if !now.Before(jo.Work.Deadline) {
+			if jo.ended {
+				po.answerCancelled(jo) // the caller does not wait until the runs have stopped
+			} else {
+				po.handleDeadline(now, jo)
+			}
 		}
 	}
 	for ref, at := range po.earlyCancels {
@@ -281,5 +293,6 @@
 			delete(po.earlyCancels, ref)
 		}
 	}
+	po.forgetCancelledJobs(now)
 	po.needsSchedule = po.needsSchedule || len(po.readyJobs) > 0
 }
--- a/lovagepool/submit.go
+++ b/lovagepool/submit.go
@@ -20,6 +20,9 @@
 		po.emitAnswer(jo, FinishJob{Outcome: NotRun, Reason: "cancelled before it arrived"})
 		return
 	}
+	if po.refuseCancelled(now, jo) {
+		return
+	}
 	jo.stats = po.ensureQueueStats(wo.Queue)
 	po.recordResources(jo)
 	jo.buildTasks()
@@ -307,8 +310,9 @@
 		return
 	}
 	delete(po.jobs, jo.Ref)
+	po.answerCancelled(jo)
 	if jo.cancelled {
-		po.emit(JobStopped{jo.Ref})
+		po.emit(JobStopped{jo.Ref, jo.allDone()})
 	}
 	if at := slices.Index(po.jobList, jo); at >= 0 {
 		po.jobList = slices.Delete(po.jobList, at, at+1)
@@ -342,6 +346,10 @@
 	}
 	po.needsSchedule = true
 	if jo.ended {
+		if outcome == RunDone {
+			ta.state = taskDone
+			jo.unfinishedTasks--
+		}
 		po.removeIfStopped(jo)
 		return
 	}
