--- a/lovagepeer/counters.go
+++ b/lovagepeer/counters.go
@@ -23,7 +23,7 @@
 
 // Kinds of messages, used as counter labels. "place" asks an owner of workers to run tasks of a job, and "withdraw"
 // cancels an earlier "place". "standing" is an owner's load report or its release of workers to a new owner. "takeOver"
-// asks a peer to own a domain.
+// asks a peer to own a domain. "cancelJob" cancels a job by its ID.
 const (
 	kindHello            = "hello"
 	kindHeartbeat        = "heartbeat"
@@ -43,13 +43,15 @@
 	kindTakeOver         = "takeOver"
 	kindAskConfiguration = "askConfiguration"
 	kindRenew            = "renew"
+	kindCancelJob        = "cancelJob"
+	kindNoteCancelled    = "noteCancelled"
 	kindOther            = "other"
 )
 
 var kinds = []string{
 	kindHello, kindHeartbeat, kindSubmit, kindAsk, kindCancel, kindMint, kindAccept, kindResultCopy, kindTransfer,
 	kindEstimates, kindConfigDelta, kindConfigAsk, kindPlace,
-	kindWithdraw, kindStanding, kindTakeOver, kindAskConfiguration, kindRenew, kindOther,
+	kindWithdraw, kindStanding, kindTakeOver, kindAskConfiguration, kindRenew, kindCancelJob, kindNoteCancelled, kindOther,
 }
 
 // Kind returns the kind of a request, such as "accept", for counter labels and span attributes.
@@ -91,6 +93,10 @@
 		return kindAskConfiguration
 	case *lovagemessage.Request_Renew:
 		return kindRenew
+	case *lovagemessage.Request_CancelJob:
+		return kindCancelJob
+	case *lovagemessage.Request_NoteCancelled:
+		return kindNoteCancelled
 	}
 	return kindOther
 }
