lovagefleet, platform: DELETE cancels a job in progress

The instance that gets it now asks the owners of all domains and the instances that have lately reported that they hold jobs; each stops what it has of the job, refuses it if it arrives later, and replies once no run is active. 200 and 410 are answered only when all have replied, otherwise 503 with Retry-After. A former owner goes on to report that it holds jobs, owners pass requests on to such instances, and a new owner is told which jobs were cancelled. The POST that waits gets the state cancelled, or completed if that came first.

--- a/lovagefleet/control.go
+++ b/lovagefleet/control.go
@@ -149,7 +149,7 @@
 			}
 		case lovagepool.JobStopped:
 			for _, stopped := range no.stopWaiters[cm.Ref] {
-				close(stopped)
+				stopped <- cm.Completed
 			}
 			delete(no.stopWaiters, cm.Ref)
 		case lovagepool.ReleaseWorker:
--- a/lovagefleet/node.go
+++ b/lovagefleet/node.go
@@ -73,6 +73,9 @@
 	allHandedOver    atomic.Bool // leaving, and another instance has taken over a domain
 	refCounter       atomic.Int64
 	sent             sentJobs
+	callers          callerJobs
+	domainRowsRead   atomic.Bool // all domains' rows have been read and were usable
+	jobHolders       sync.Map    // instance ID to the time.Time of its last load report or report of jobs that it holds
 
 	// Used only by ownershipLoop, except for the channels.
 	members          map[string]*member
@@ -94,10 +97,10 @@
 	handOvers          map[string]*handOver // hand-overs to other instances, by domain name
 	unsentReleases     int                  // messages to new owners about released workers that are on their way
 	awaitedReleases    map[string]awaitedRelease
-	links              map[string]*link           // by worker ID
-	jobWaiters         map[string]*waiter         // by job reference
-	publishedCounts    map[string]int64           // values of pool.Counts already added to the metrics
-	stopWaiters        map[string][]chan struct{} // by job reference; closed when the cancelled job has no active run
+	links              map[string]*link       // by worker ID
+	jobWaiters         map[string]*waiter     // by job reference
+	publishedCounts    map[string]int64       // values of pool.Counts already added to the metrics
+	stopWaiters        map[string][]chan bool // by job reference; get, once the cancelled job has no active run, whether it has completed
 	sentReports        sentReports
 	nextTick           time.Time     // when loop's next tick is due
 	bootAhead          time.Duration // what the boot clock reads more than the time since startedAt; grows when the machine is suspended
@@ -175,9 +178,9 @@
 		ownershipWake: make(chan struct{}, 1), registryWake: make(chan struct{}, 1), takeOverRequests: make(chan takeOverRequest, 16),
 		pool: lovagepool.New(se.Pool), fenceByDomain: map[string]int64{}, claimedAt: map[string]time.Time{},
 		handOvers: map[string]*handOver{}, awaitedReleases: map[string]awaitedRelease{}, links: map[string]*link{},
-		jobWaiters: map[string]*waiter{}, sent: sentJobs{byRef: map[string]sentJob{}},
+		jobWaiters: map[string]*waiter{}, sent: sentJobs{byRef: map[string]sentJob{}}, callers: callerJobs{byName: map[jobName][]*callerJob{}},
 		lags: lagMeter{period: lagPeriod}, latenesses: lagMeter{period: latenessPeriod},
-		publishedCounts: map[string]int64{}, stopWaiters: map[string][]chan struct{}{},
+		publishedCounts: map[string]int64{}, stopWaiters: map[string][]chan bool{},
 	}
 	no.pool.OnDecision = no.logDecision
 	no.mesh = lovagepeer.New(lovagepeer.Options{
--- a/lovagefleet/ownership.go
+++ b/lovagefleet/ownership.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
@@ -178,6 +180,9 @@
 		}
 	}
 	no.unusableRows = unusable
+	no.domainRowsRead.Store(!slices.ContainsFunc(slices.Collect(maps.Keys(unusable)), func(key string) bool {
+		return strings.HasPrefix(key, domainPrefix)
+	}))
 	for id, me := range no.members {
 		if !seen[id] && id != no.self.ID {
 			no.mesh.Disconnect(me.Address)
--- a/lovagefleet/peer.go
+++ b/lovagefleet/peer.go
@@ -47,6 +47,13 @@
 		}
 	case *lovagemessage.Request_Renew:
 		no.serveRenew(ctx, body.Renew)
+	case *lovagemessage.Request_CancelJob:
+		oc := no.serveCancelJob(ctx, from, body.CancelJob)
+		return &lovagemessage.Response{Body: &lovagemessage.Response_CancelJob{
+			CancelJob: &lovagemessage.CancelJobReply{Outcome: string(oc)},
+		}}, nil
+	case *lovagemessage.Request_NoteCancelled:
+		no.serveNoteCancelled(body.NoteCancelled)
 	case *lovagemessage.Request_Standing:
 		no.serveLoadReport(from, body.Standing)
 	case *lovagemessage.Request_TakeOver:
@@ -118,7 +125,7 @@
 
 // serveWithdraw cancels a job and waits until none of its runs is active.
 func (no *Node) serveWithdraw(ctx context.Context, ref string) error {
-	stopped, known := make(chan struct{}), make(chan bool, 1)
+	stopped, known := make(chan bool, 1), make(chan bool, 1)
 	no.post(func(now time.Time) {
 		ok := no.pool.Cancel(now, ref)
 		if ok {
@@ -152,6 +159,7 @@
 		}
 	}
 	no.peerReports.Store(from, services)
+	no.jobHolders.Store(from, time.Now())
 	address := st.GetAddress()
 	if known, ok := no.peerAddresses.Load(from); ok {
 		address = known.(string)
@@ -228,6 +236,7 @@
 func (no *Node) sendReports(now time.Time) {
 	if len(no.fenceByDomain) == 0 {
 		no.ownReports.Store(nil)
+		no.reportHeldJobs(now)
 		return
 	}
 	services := map[string]lovagepool.LoadReport{}
--- a/lovagefleet/registry.go
+++ b/lovagefleet/registry.go
@@ -11,10 +11,11 @@
 func (no *Node) updateOwner(name string, ow ownerRef) {
 	for {
 		old, loaded := no.ownerByDomain.LoadOrStore(name, ow)
-		if !loaded || old.(ownerRef).fence >= ow.fence {
+		if loaded && old.(ownerRef).fence >= ow.fence {
 			return
 		}
-		if no.ownerByDomain.CompareAndSwap(name, old, ow) {
+		if !loaded || no.ownerByDomain.CompareAndSwap(name, old, ow) {
+			no.passOnCancelledJobs(ow)
 			return
 		}
 	}
--- a/lovagefleet/route.go
+++ b/lovagefleet/route.go
@@ -33,7 +33,9 @@
 func (no *Node) Submit(ctx context.Context, wo *lovagejob.Workload) Answer {
 	ctx, span := no.tracer.Start(ctx, lovagetrace.CallerRequest)
 	span.SetString("job", wo.ID)
-	an, owner := no.submit(ctx, wo)
+	ca := no.callers.add(jobName{wo.Queue, wo.ID})
+	an, owner := no.submit(ctx, wo, ca)
+	no.callers.remove(ca, an.Outcome)
 	span.SetString("outcome", string(an.Outcome))
 	span.End(nil)
 	took := time.Since(wo.Arrived)
@@ -59,7 +61,7 @@
 }
 
 // submit implements Submit. It also returns the ID of the instance that answered, if any.
-func (no *Node) submit(ctx context.Context, wo *lovagejob.Workload) (Answer, string) {
+func (no *Node) submit(ctx context.Context, wo *lovagejob.Workload, ca *callerJob) (Answer, string) {
 	if part := wo.Unsupported(); part != "" {
 		no.countEvent("refusedUnsupported")
 		return Answer{Outcome: lovagepool.NotRun, Reason: "not supported: " + part, RetryIn: retryUnsupported}, no.self.ID
@@ -75,6 +77,9 @@
 	failed := map[string]bool{}
 	forwarded, target := false, ""
 	for {
+		if ca.cancelled.Load() { // no owner has the job
+			return Answer{Outcome: lovagepool.Cancelled, Reason: "cancelled by its caller"}, no.self.ID
+		}
 		ow, ok := no.ownerByID(target)
 		if !ok {
 			ow, ok = no.chooseOwner(wo.Service, failed)
