--- a/lovagepool/bench_test.go
+++ b/lovagepool/bench_test.go
@@ -80,6 +80,34 @@
 	}
 }
 
+// BenchmarkCancelJob measures the cancellation of a job with one run, the end of that run and the start that takes its room, while many
+// jobs run or wait.
+func BenchmarkCancelJob(b *testing.B) {
+	for _, waiting := range []int{20, 200, 2000} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			po, now := benchPool(70)
+			var running []StartRun
+			n := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				for len(po.readyJobs) < waiting {
+					n++
+					wo := benchWork(n, 1, now)
+					po.Submit(now, &Job{Ref: wo.ID, Work: wo})
+					running = append(running, startsOf(po.Commands(now))...)
+				}
+				st := running[0]
+				running = running[1:]
+				po.CancelJob(now, "queue", st.Ref)
+				running = append(running, startsOf(po.Commands(now))...)
+				po.HandleRunList(now, now, st.Worker, nil, []EndedRun{{st.Task, st.Attempt, RunStopped}})
+				running = append(running, startsOf(po.Commands(now))...)
+			}
+		})
+	}
+}
+
 func startsOf(list []Command) []StartRun {
 	var starts []StartRun
 	for _, cmd := range list {
