lovagepool, lovagefleet: a worker gets starts only by the entry of its process

What is known of a worker now belongs to its process (Process, by born). It gets starts only while the entry in use is that of the process that answers, and a start is not sent once another process has answered. Which process is newer follows from the order of calls, since clocks may be set back; born orders only answers to calls that overlap. An entry with a lower born than that in use is not used; the worker is polled, and nothing starts there until it has answered. Run times and failures of runs for a former process are not learnt.

HandleWorkerRestart becomes HandleProcess, which passes born. Tests of the pool that restart a worker now also pass the new entry, as the worker would else get nothing.

--- a/lovagefleet/control.go
+++ b/lovagefleet/control.go
@@ -147,6 +147,8 @@
 			if li := no.links[cm.Worker]; li != nil {
 				go li.pollNow(no.ctx)
 			}
+		case lovagepool.ReadEntries:
+			no.requestEntries(now)
 		case lovagepool.JobStopped:
 			for _, stopped := range no.stopWaiters[cm.Ref] {
 				close(stopped)
--- a/lovagefleet/fake_test.go
+++ b/lovagefleet/fake_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -29,8 +30,12 @@
 	partitioned      map[string]bool          // IDs of instances that cannot reach the store
 	readDelay        time.Duration            // delay of reads of the registered workers
 	commitReplyDelay map[string]time.Duration // delay of commit replies, by instance; commits are not delayed
+	startsByOldLabel int                      // starts on a worker without the label within labelGrace of its restart
 }
 
+// labelGrace is how long after the first answer of a new process a start on it may have been decided before that answer was known.
+const labelGrace = 50 * time.Millisecond
+
 type fakeWorker struct {
 	RegisteredWorker
 	fence            int64
@@ -50,6 +55,10 @@
 	refusesConnections  bool // as a partition may; the worker's runs go on
 	startedAt           time.Time
 	rejectedCalls       int // calls with a fence lower than the highest seen
+
+	formerEntry   *RegisteredWorker // the registry still has the entry of a former process; nil: it has that of the present one
+	firstAnswerAt time.Time         // of the present process; zero: it has not answered a poll yet
+	lastStartAt   time.Time         // when a start was last accepted
 }
 
 type fakeEnd struct {
@@ -93,12 +102,16 @@
 // taskResources are the resources of each task; two tasks fit on a worker.
 var taskResources = lovagejob.Resources{MilliCores: 14000, MemoryMB: 10}
 
-func (fc *fakeCluster) Workers(context.Context) ([]RegisteredWorker, error) {
+func (fc *fakeCluster) Workers(context.Context, bool) ([]RegisteredWorker, error) {
 	fc.mu.Lock()
 	defer fc.mu.Unlock()
 	var list []RegisteredWorker
 	for _, wo := range fc.workers {
-		if !wo.unregistered {
+		switch {
+		case wo.unregistered:
+		case wo.formerEntry != nil:
+			list = append(list, *wo.formerEntry)
+		default:
 			list = append(list, wo.RegisteredWorker)
 		}
 	}
@@ -180,6 +193,8 @@
 		fc.violations = append(fc.violations, fmt.Sprintf("task %s has two active runs", rr.Task))
 	}
 	fc.acceptedStarts[rr.Task]++
+	fc.checkLabel(wo, rr)
+	wo.lastStartAt = time.Now()
 	if wo.Draining {
 		wo.startsWhileDraining++
 	}
@@ -247,9 +262,14 @@
 
 func (fc *fakeCluster) Poll(ctx context.Context, pr PollRequest) (Reply, error) {
 	deadline := time.Now().Add(pr.Wait)
+	var startedAt time.Time
 	for first := true; ; first = false {
 		fc.mu.Lock()
 		wo := fc.workers[pr.Worker]
+		if wo != nil && !first && !wo.startedAt.Equal(startedAt) { // the process that was to answer has ended
+			fc.mu.Unlock()
+			return Reply{}, errNoReply
+		}
 		if wo == nil {
 			fc.mu.Unlock()
 			return Reply{}, ConnectionRefusedError{errNoReply}
@@ -263,6 +283,7 @@
 			<-ctx.Done()
 			return Reply{}, ctx.Err()
 		}
+		startedAt = wo.startedAt
 		re := Reply{Clock: wo.clock(), ProcessStart: wo.ProcessStart}
 		if !wo.acceptsFence(pr.Fence) {
 			fc.mu.Unlock()
@@ -289,6 +310,7 @@
 		}
 		left := time.Until(deadline)
 		if len(re.Ended) > 0 || left <= 0 || ctx.Err() != nil {
+			fc.noteAnswer(wo, startedAt)
 			return re, ctx.Err()
 		}
 		timer := time.NewTimer(left)
@@ -301,6 +323,60 @@
 	}
 }
 
+// restart ends the processes of workers and starts others of the kind under their IDs, which register the given time later. Tasks
+// whose constraint is another kind must not be started on them from then on.
+func (fc *fakeCluster) restart(kind string, registerAfter time.Duration, ids ...string) {
+	fc.mu.Lock()
+	defer fc.mu.Unlock()
+	for _, id := range ids {
+		wo := fc.workers[id]
+		former := wo.RegisteredWorker
+		for task, ru := range wo.runs {
+			ru.ended = true
+			fc.activeRuns[task]--
+		}
+		wo.fence, wo.runs, wo.lastEndedAttempt, wo.endedRuns, wo.lastEndNumber = 0, map[string]*fakeRun{}, map[string]int{}, nil, 0
+		wo.ProcessStart, wo.Kind, wo.Labels, wo.startedAt, wo.firstAnswerAt = wo.ProcessStart+1, kind, []string{kind}, time.Now(), time.Time{}
+		if registerAfter > 0 {
+			wo.formerEntry = &former
+			started := wo.ProcessStart
+			time.AfterFunc(registerAfter, func() {
+				fc.mu.Lock()
+				defer fc.mu.Unlock()
+				if wo.ProcessStart == started {
+					wo.formerEntry = nil
+				}
+			})
+		} else {
+			wo.formerEntry = nil
+		}
+		wo.signalChange()
+	}
+}
+
+// noteAnswer notes that the process of a worker that started at startedAt answers a poll.
+func (fc *fakeCluster) noteAnswer(wo *fakeWorker, startedAt time.Time) {
+	fc.mu.Lock()
+	defer fc.mu.Unlock()
+	if wo.firstAnswerAt.IsZero() && wo.startedAt.Equal(startedAt) {
+		wo.firstAnswerAt = time.Now()
+	}
+}
+
+// checkLabel records a violation if a task is started on a worker without the label that its job's ID begins with. The caller holds
+// the lock.
+func (fc *fakeCluster) checkLabel(wo *fakeWorker, rr RunRequest) {
+	label, _, found := strings.Cut(rr.Task, "=")
+	if !found || slices.Contains(wo.Labels, label) {
+		return
+	}
+	fc.startsByOldLabel++
+	if !wo.firstAnswerAt.IsZero() && time.Since(wo.firstAnswerAt) > labelGrace {
+		fc.violations = append(fc.violations, fmt.Sprintf("worker %s with labels %v starts %s %s after its first answer",
+			wo.ID, wo.Labels, rr.Task, time.Since(wo.firstAnswerAt)))
+	}
+}
+
 // partitionableStore is the store and registry as one instance sees them. Calls fail while fakeCluster.partitioned is set for
 // the instance.
 type partitionableStore struct {
@@ -317,7 +393,7 @@
 	return nil
 }
 
-func (ps partitionableStore) Workers(ctx context.Context) ([]RegisteredWorker, error) {
+func (ps partitionableStore) Workers(ctx context.Context, whole bool) ([]RegisteredWorker, error) {
 	if err := ps.checkReachable(); err != nil {
 		return nil, err
 	}
@@ -326,7 +402,7 @@
 	took := ps.readDelay
 	ps.mu.Unlock()
 	sleep(ctx, took)
-	return ps.fakeCluster.Workers(ctx)
+	return ps.fakeCluster.Workers(ctx, whole)
 }
 
 func (ps partitionableStore) Configuration(ctx context.Context, after int64, wait time.Duration) (*Configuration, error) {
--- a/lovagefleet/fleet.go
+++ b/lovagefleet/fleet.go
@@ -37,8 +37,9 @@
 
 // Registry provides the registered workers and the operators' configuration.
 type Registry interface {
-	// Workers returns all registered workers.
-	Workers(ctx context.Context) ([]RegisteredWorker, error)
+	// Workers returns all registered workers. An implementation may follow the changes of what it has read before; with whole, it
+	// reads all of them again.
+	Workers(ctx context.Context, whole bool) ([]RegisteredWorker, error)
 	// Configuration returns the newest configuration. If after is above 0, it waits up to the given time for a newer version and
 	// returns nil if there is none.
 	Configuration(ctx context.Context, after int64, wait time.Duration) (*Configuration, error)
--- a/lovagefleet/fleet_test.go
+++ b/lovagefleet/fleet_test.go
@@ -1,6 +1,7 @@
 package lovagefleet
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -36,6 +37,7 @@
 	newLogger func(id string) Logger // creates the loggers; nil: testLogger
 	cores     map[string]float64     // CPU cores of instances; others have 0
 	spanDir   string                 // directory with a file of spans per instance; empty: none
+	workers   int                    // in each data centre; 0: three
 }
 
 type testNode struct {
@@ -58,7 +60,7 @@
 // deployWith is like deploy, but with the loggers and span directory that are set in de.
 func deployWith(t testing.TB, de *deployment) *deployment {
 	t.Helper()
-	de.t, de.cluster, de.nodes = t, newFakeCluster([]string{"east", "west"}, 3), map[string]*testNode{}
+	de.t, de.cluster, de.nodes = t, newFakeCluster([]string{"east", "west"}, cmp.Or(de.workers, 3)), map[string]*testNode{}
 	for _, id := range []string{"east-1", "east-2", "west-1", "west-2"} {
 		de.start(id)
 	}
--- /dev/null
+++ b/lovagefleet/lifetime_test.go
@@ -0,0 +1,198 @@
+package lovagefleet
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"lovagestack/lovagejob"
+	"lovagestack/lovagepool"
+)
+
+// constrainedWork is a workload whose tasks need a worker with the label.
+func constrainedWork(label string, tasks int, took time.Duration) *lovagejob.Workload {
+	work := testWork(label+"="+randomID(), tasks, took)
+	work.Steps[0].Constraint = label
+	return work
+}
+
+// workerIDs returns the IDs of the workers of a data centre.
+func (fc *fakeCluster) workerIDs(dc string) []string {
+	fc.mu.Lock()
+	defer fc.mu.Unlock()
+	var ids []string
+	for id, wo := range fc.workers {
+		if wo.DataCentre == dc {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// workerReads returns how often an instance has read the registered workers.
+func (fc *fakeCluster) workerReads(instance string) int {
+	fc.mu.Lock()
+	defer fc.mu.Unlock()
+	return fc.reads[instance+" workers"]
+}
+
+// Checks that the workers of a rack that restart together as another kind are all in use 100 ms after they have answered and
+// registered, and that this takes a few reads of the registry and not one for each worker.
+func TestRestartedRackIsUsedAtOnce(t *testing.T) {
+	playSteadily(t, testRestartedRackIsUsedAtOnce)
+}
+
+func testRestartedRackIsUsedAtOnce(t testing.TB) {
+	de := deployWith(t, &deployment{workers: 6})
+	owner, rack := de.owner("east"), de.cluster.workerIDs("east")
+	de.awaitWorkers(owner, len(rack))
+	for n, registerAfter := range []time.Duration{0, 0, 0, 10 * time.Millisecond, 10 * time.Millisecond, 30 * time.Millisecond, 30 * time.Millisecond} {
+		time.Sleep(time.Duration(rand.Int64N(int64(registryInterval))))
+		kind := fmt.Sprint("kind-", n)
+		before := de.cluster.workerReads(owner)
+		began := time.Now()
+		de.cluster.restart(kind, registerAfter, rack...)
+		for {
+			// The job needs both places of each worker.
+			an := de.nodes[owner].Submit(t.Context(), constrainedWork(kind, 2*len(rack), 20*time.Millisecond))
+			if an.Outcome == lovagepool.Completed {
+				break
+			}
+			must.Less(t, time.Second, time.Since(began), must.Sprintf("%+v", an))
+			time.Sleep(time.Millisecond)
+		}
+		took := time.Since(began)
+		reads := de.cluster.workerReads(owner) - before
+		de.cluster.mu.Lock()
+		var known, used time.Time
+		for _, id := range rack {
+			wo := de.cluster.workers[id]
+			known, used = later(known, later(wo.firstAnswerAt, wo.startedAt.Add(registerAfter))), later(used, wo.lastStartAt)
+		}
+		de.cluster.mu.Unlock()
+		t.Logf("registered after %s: in use after %s, %d reads in %s", registerAfter, used.Sub(known), reads, took)
+		must.LessEq(t, 100*time.Millisecond, used.Sub(known))
+		must.LessEq(t, len(rack)-1+int(took/registryInterval), reads)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
+// Checks 200 restarts with changing labels of the workers of two data centres, under load at all instances, while a domain is handed
+// over and tasks are offloaded.
+func TestRestartsUnderLoad(t *testing.T) {
+	playSteadily(t, testRestartsUnderLoad)
+}
+
+func testRestartsUnderLoad(t testing.TB) {
+	de := deployWith(t, &deployment{workers: 6, cores: map[string]float64{"east-1": 0.3, "east-2": 0.1, "west-1": 1, "west-2": 1, "east-3": 1}})
+	kinds := []string{"a", "b"}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	outcomes := map[lovagepool.Outcome]int{}
+	for _, tn := range de.nodes {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				wg.Go(func() {
+					an := tn.Submit(context.Background(), constrainedWork(kinds[rand.IntN(2)], 1+rand.IntN(2), 20*time.Millisecond))
+					mu.Lock()
+					defer mu.Unlock()
+					outcomes[an.Outcome]++
+				})
+				sleep(ctx, 15*time.Millisecond)
+			}
+		})
+	}
+	ids := append(de.cluster.workerIDs("east"), de.cluster.workerIDs("west")...)
+	for n := range 200 {
+		if n == 60 {
+			de.start("east-3")
+		}
+		de.cluster.restart(kinds[rand.IntN(2)], time.Duration(rand.IntN(4))*15*time.Millisecond, ids[rand.IntN(len(ids))])
+		time.Sleep(time.Duration(10+rand.IntN(20)) * time.Millisecond)
+	}
+	de.await("the domain is handed over", 10*time.Second, func() bool { return strings.HasSuffix(de.owner("east"), "-3") })
+	cancel()
+	wg.Wait()
+	de.awaitWorkers("east-3", 6)
+	de.cluster.mu.Lock()
+	defer de.cluster.mu.Unlock()
+	t.Logf("outcomes: %v, starts on a restarted worker that were under way: %d", outcomes, de.cluster.startsByOldLabel)
+	must.Less(t, outcomes[lovagepool.Completed], 200)
+}
+
+// Checks that workers that restart one after the other, and whose entries do not come, cause few reads of the registry, and fewer
+// still if this instance is late.
+func TestEntryReadsAreBounded(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		lag      time.Duration
+		atOnce   int // reads before interval counts
+		interval time.Duration
+	}{
+		{"in time", 0, maxEntryReads + 1, entryReadInterval},
+		{"late", 4 * minLag, 1, lateEntryReadPause},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			const workers, spacing = 60, 15 * time.Millisecond
+			fc := newFakeCluster([]string{"east"}, workers)
+			no := startLoop(t)
+			no.workerClient, no.registry = fc, partitionableStore{fc, "east-1"}
+			ctx, cancel := context.WithCancel(t.Context())
+			var wg sync.WaitGroup
+			wg.Go(func() { no.registryLoop(ctx) })
+			defer wg.Wait()
+			defer cancel()
+			no.post(func(now time.Time) { no.fenceByDomain["east"], no.claimedAt["east"] = 1, now })
+			no.wakeRegistryLoop()
+			time.Sleep(registryInterval)
+			before, began := fc.workerReads("east-1"), time.Now()
+			for _, id := range fc.workerIDs("east") {
+				if tc.lag > 0 {
+					no.lags.note(time.Now(), tc.lag)
+				}
+				fc.restart("b", time.Hour, id)
+				time.Sleep(spacing)
+			}
+			reads := fc.workerReads("east-1") - before
+			took := time.Since(began)
+			t.Logf("%d reads in %s", reads, took)
+			must.LessEq(t, tc.atOnce+int(took/tc.interval)+1+int(took/registryInterval)+1, reads)
+			must.GreaterEq(t, 2, reads)
+		})
+	}
+}
+
+// Checks that a start that was decided for a former process is not sent once the new one has answered, and that replies which a former
+// process gave before its end change nothing.
+func TestLinkKeepsProcessesApart(t *testing.T) {
+	fc := newFakeCluster([]string{"east"}, 1)
+	no := startLoop(t)
+	no.workerClient = fc
+	li := &link{node: no, worker: fc.workers["east-w0"].Worker, fence: 1, process: lovagepool.Process{Start: 1, KnownSince: time.Now()}}
+	sent := time.Now()
+	must.False(t, li.noteReply(sent, Reply{Clock: 5000, ProcessStart: 1, LastEnd: 40}))
+	fc.restart("b", 0, "east-w0")
+	must.False(t, li.noteReply(time.Now(), Reply{Clock: 7, ProcessStart: 2, LastEnd: 3}))
+	must.True(t, li.noteReply(sent, Reply{Clock: 5001, ProcessStart: 1, LastEnd: 41}))
+	must.Eq(t, 3, li.lastEndNumber)
+	must.Eq(t, 7, li.workerClock)
+	for start, want := range map[int64]int{1: 0, 2: 1} {
+		task := fmt.Sprintf("a=%d.0.0.0", start)
+		li.start(t.Context(), lovagepool.StartRun{Worker: "east-w0", Task: task, Attempt: 1, ProcessStart: start},
+			RunRequest{Worker: "east-w0", Fence: 1, Task: task, Attempt: 1, Spec: "1h", Expires: 1 << 40})
+		must.Eq(t, want, fc.acceptedStarts[task])
+	}
+}
--- a/lovagefleet/link.go
+++ b/lovagefleet/link.go
@@ -30,7 +30,7 @@
 // link sends this instance's requests to one worker, and polls the worker without pauses.
 type link struct {
 	node          *Node
-	worker        lovagepool.Worker
+	worker        lovagepool.Worker // the entry by which the link was made; only its ID and its address hold as long as the link
 	domain        string
 	drift         float64   // fraction by which the worker's clock may be slow
 	extendedAt    time.Time // when loop last granted an extension; used only by the link's loop
@@ -39,8 +39,8 @@
 	fence         int64
 	workerClock   int64 // last reading of the worker's clock, milliseconds
 	clockReadAt   time.Time
-	processStart  int64
-	lastEndNumber int64     // highest number of an ended run in the replies
+	process       lovagepool.Process
+	lastEndNumber int64     // highest number of an ended run in the replies of process
 	unreachable   bool      // the worker gets no starts until it answers a poll
 	lostPolls     int       // polls in a row without a reply
 	firstLostAt   time.Time // when the first of these lost polls was sent
@@ -51,7 +51,10 @@
 func (no *Node) newLink(rw RegisteredWorker, fence int64) *link {
 	ctx, cancel := context.WithCancel(no.ctx)
 	wo := rw.Worker
-	li := &link{node: no, worker: wo, domain: rw.DataCentre, drift: no.settings.Pool.ClockDrift, cancel: cancel, fence: fence, processStart: wo.ProcessStart}
+	li := &link{
+		node: no, worker: wo, domain: rw.DataCentre, drift: no.settings.Pool.ClockDrift, cancel: cancel, fence: fence,
+		process: lovagepool.Process{Start: wo.ProcessStart, KnownSince: time.Now()},
+	}
 	go li.loop(ctx)
 	return li
 }
@@ -71,14 +74,31 @@
 	return li.workerClock + int64(float64(until.Sub(li.clockReadAt).Milliseconds())/(1+li.drift))
 }
 
-// updateClock stores the clock reading of a worker's reply.
-func (li *link) updateClock(re Reply) {
-	if re.Clock == 0 {
-		return
+// noteReply stores what a worker's reply to a call made at the time sent tells of its process. It reports whether the reply is of a former
+// process and must be ignored.
+func (li *link) noteReply(sent time.Time, re Reply) (former bool) {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	now := time.Now()
+	restarted, former := li.process.Note(now, sent, re.ProcessStart)
+	if former {
+		return true
+	}
+	if restarted {
+		li.lastEndNumber, li.workerClock, li.clockReadAt = 0, 0, time.Time{} // they start anew with each process
 	}
+	li.lastEndNumber = max(li.lastEndNumber, re.LastEnd)
+	if re.Clock != 0 {
+		li.workerClock, li.clockReadAt = re.Clock, now
+	}
+	return false
+}
+
+// answersAs reports whether the process that began at start, 0 for any, is the newest that is known.
+func (li *link) answersAs(start int64) bool {
 	li.mu.Lock()
-	li.workerClock, li.clockReadAt = re.Clock, time.Now()
-	li.mu.Unlock()
+	defer li.mu.Unlock()
+	return start == 0 || li.process.Start == start
 }
 
 // fenceRejected returns the link's fence and whether the worker has rejected it. A replaced owner must stop calling the
@@ -150,7 +170,6 @@
 			li.handleLostPoll(ctx, sent, timedOut, err)
 			continue
 		}
-		li.updateClock(re)
 		switch re.Rejected {
 		case "":
 			li.handlePoll(sent, re)
@@ -164,15 +183,10 @@
 
 // handlePoll tells the pool which runs are active or have ended, according to the worker's reply to a poll.
 func (li *link) handlePoll(sent time.Time, re Reply) {
-	li.mu.Lock()
-	restarted := re.ProcessStart != 0 && li.processStart != 0 && re.ProcessStart != li.processStart
-	if re.ProcessStart != 0 {
-		li.processStart = re.ProcessStart
-	}
-	if restarted {
-		li.lastEndNumber = 0
+	if li.noteReply(sent, re) {
+		return
 	}
-	li.lastEndNumber = max(li.lastEndNumber, re.LastEnd)
+	li.mu.Lock()
 	wasUnreachable := li.unreachable
 	li.unreachable, li.lostPolls, li.excusedSince = false, 0, time.Time{}
 	li.mu.Unlock()
@@ -181,10 +195,9 @@
 	}
 	id := li.worker.ID
 	li.node.post(func(now time.Time) {
-		if restarted {
-			li.node.pool.HandleWorkerRestart(now, id)
+		if li.node.pool.HandleProcess(now, sent, id, re.ProcessStart) {
+			li.node.pool.HandleRunList(now, sent, id, re.Active, re.Ended)
 		}
-		li.node.pool.HandleRunList(now, sent, id, re.Active, re.Ended)
 	})
 }
 
@@ -236,7 +249,6 @@
 	if err != nil || re.Rejected != "" {
 		return // loop handles the failure if it lasts
 	}
-	li.updateClock(re)
 	li.handlePoll(sent, re)
 }
 
@@ -259,10 +271,14 @@
 	ctx, span := li.node.tracer.Start(ctx, lovagetrace.WorkerCall)
 	span.SetString("task", cm.Task)
 	span.SetString("worker", cm.Worker)
-	re, err := li.node.workerClient.Start(ctx, rr)
+	sent := time.Now()
+	re, err := Reply{Rejected: RejectIncarnation}, error(nil)
+	if li.answersAs(cm.ProcessStart) { // else the worker has restarted since the decision
+		re, err = li.node.workerClient.Start(ctx, rr)
+	}
 	span.End(err)
 	if err == nil {
-		li.updateClock(re)
+		li.noteReply(sent, re)
 	}
 	li.node.post(func(now time.Time) {
 		var refused ConnectionRefusedError
@@ -286,11 +302,14 @@
 func (li *link) stop(ctx context.Context, cm lovagepool.StopRun) {
 	ctx, cancel := context.WithTimeout(ctx, li.node.patience().timeout(requestTimeout))
 	defer cancel()
+	sent := time.Now()
 	re, err := li.node.workerClient.Stop(ctx, li.newRunRequest(time.Time{}, cm.Task, cm.Attempt, ""))
 	if err != nil || re.Rejected != "" {
 		return // the pool repeats the stop until the run has certainly ended
 	}
-	li.updateClock(re)
+	if li.noteReply(sent, re) {
+		return
+	}
 	li.node.post(func(now time.Time) { li.node.pool.HandleStopReply(now, cm.Worker, cm.Task, cm.Attempt) })
 }
 
@@ -361,7 +380,7 @@
 		used[rw.ID] = true
 		list = append(list, rw.Worker)
 		li := no.links[rw.ID]
-		if li != nil && (li.worker.Address != rw.Address || li.worker.ProcessStart != rw.ProcessStart) {
+		if li != nil && (no.pool.IsSucceededBy(rw.Worker) || li.worker.Address != rw.Address && !no.pool.Outlives(rw.Worker)) {
 			li.cancel()
 			li = nil
 		}
--- a/lovagefleet/link_test.go
+++ b/lovagefleet/link_test.go
@@ -61,7 +61,7 @@
 		return <-lw.startTimeouts
 	}
 	other := link("w1")
-	other.updateClock(Reply{Clock: 1})
+	other.noteReply(time.Now(), Reply{Clock: 1})
 	must.Eq(t, pollWait, other.nextPoll(time.Now().Add(time.Second)).Wait)
 	must.Eq(t, requestTimeout, no.patience().timeout(requestTimeout))
 	must.GreaterEq(t, requestTimeout, start())
@@ -98,7 +98,7 @@
 // Checks that a start that a pause of the process delays past its lease has expired for the worker when it arrives.
 func TestLeaseCountsFromTheDecision(t *testing.T) {
 	li := &link{worker: lovagepool.Worker{ID: "w1"}, fence: 1}
-	li.updateClock(Reply{Clock: 5000})
+	li.noteReply(time.Now(), Reply{Clock: 5000})
 	decidedAt := time.Now()
 	time.Sleep(50 * time.Millisecond)
 	rr := li.newRunRequest(decidedAt.Add(time.Second), "a.0.0.0", 1, "")
--- a/lovagefleet/node.go
+++ b/lovagefleet/node.go
@@ -85,6 +85,7 @@
 	takeOverRequests chan takeOverRequest
 
 	registryWake chan struct{}
+	readWhole    atomic.Bool // the next read of the registered workers reads all entries, not only the changes
 
 	// Used only by loop.
 	pool               *lovagepool.Pool
@@ -94,6 +95,7 @@
 	handOvers          map[string]*handOver // hand-overs to other instances, by domain name
 	unsentReleases     int                  // messages to new owners about released workers that are on their way
 	awaitedReleases    map[string]awaitedRelease
+	entryReads         entryReads
 	links              map[string]*link           // by worker ID
 	jobWaiters         map[string]*waiter         // by job reference
 	publishedCounts    map[string]int64           // values of pool.Counts already added to the metrics
--- a/lovagefleet/registry_test.go
+++ b/lovagefleet/registry_test.go
@@ -19,7 +19,7 @@
 	reads atomic.Int64
 }
 
-func (cr *countingRegistry) Workers(context.Context) ([]RegisteredWorker, error) {
+func (cr *countingRegistry) Workers(context.Context, bool) ([]RegisteredWorker, error) {
 	cr.reads.Add(1)
 	return nil, nil
 }
--- a/lovagepool/pool.go
+++ b/lovagepool/pool.go
@@ -152,6 +152,8 @@
 	Attempt    int
 	Spec       string
 	LeaseUntil time.Time // end of the lease that the start grants
+
+	ProcessStart int64 // the worker's process for which the start was decided; 0: not known
 }
 
 // StopRun tells a worker to stop a run, or to reject the run's start if that arrives later.
@@ -191,11 +193,15 @@
 // PollWorker asks the worker for its run lists at once, not when the next run ends.
 type PollWorker struct{ Worker string }
 
+// ReadEntries asks for the workers' entries at once, because a worker answers whose process has none among those of the last SetWorkers.
+type ReadEntries struct{}
+
 // JobStopped says that a cancelled job has no runs left.
 type JobStopped struct{ Ref string }
 
 func (JobStopped) command()    {}
 func (PollWorker) command()    {}
+func (ReadEntries) command()   {}
 func (StartRun) command()      {}
 func (StopRun) command()       {}
 func (FinishJob) command()     {}
--- a/lovagepool/pool_test.go
+++ b/lovagepool/pool_test.go
@@ -123,19 +123,16 @@
 		{"worker restarted and lists nothing", func(ha *harness) {
 			ha.reportStarted("w1", "a.0.0.0", 1)
 			ha.now = ha.now.Add(time.Millisecond)
-			ha.po.HandleWorkerRestart(ha.now, "w1")
-			ha.po.HandleRunList(ha.now, ha.now, "w1", nil, nil)
+			ha.restart("w1", 2)
 		}, true},
 		{"worker restarted before the start is answered", func(ha *harness) {
-			ha.po.HandleWorkerRestart(ha.now, "w1")
-			ha.po.HandleRunList(ha.now, ha.now, "w1", nil, nil)
+			ha.restart("w1", 2)
 		}, false},
 		{"stop acknowledged by the process before the restart", func(ha *harness) {
 			ha.po.HandleStartTimeout(ha.now, "w1", "a.0.0.0", 1)
 			ha.po.HandleStopReply(ha.now, "w1", "a.0.0.0", 1)
 			ha.now = ha.now.Add(time.Millisecond)
-			ha.po.HandleWorkerRestart(ha.now, "w1")
-			ha.po.HandleRunList(ha.now, ha.now, "w1", nil, nil)
+			ha.restart("w1", 2)
 		}, false},
 		{"all leases expired", func(ha *harness) {
 			ha.po.MarkUnreachable(ha.now, "w1")
@@ -179,7 +176,11 @@
 			wo.ProcessStart = 2
 			ha.po.SetWorkers(ha.now, []Worker{wo, testWorker("w2", 32000)})
 		},
-		"look": func(ha *harness, wo Worker) { ha.po.HandleWorkerRestart(ha.now, wo.ID) },
+		"look": func(ha *harness, wo Worker) {
+			must.True(t, ha.po.HandleProcess(ha.now, ha.now, wo.ID, 2))
+			wo.ProcessStart = 2
+			ha.po.SetWorkers(ha.now, []Worker{wo, testWorker("w2", 32000)})
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			wo := testWorker("w1", 32000)
--- a/lovagepool/runs.go
+++ b/lovagepool/runs.go
@@ -38,6 +38,7 @@
 	key             runKey
 	task            *task // nil: started by another instance before this one owned the worker
 	worker          *worker
+	processStart    int64 // of the worker's process for which it was started
 	resources       lovagejob.Resources
 	state           runState
 	startSentAt     time.Time
@@ -121,6 +122,10 @@
 		return
 	}
 	wo.reachable = true
+	if !sent.Before(wo.doubtedAt) {
+		wo.doubtedAt = time.Time{}
+	}
+	po.requestEntry(wo)
 	for _, en := range ended {
 		if ru := wo.findRun(runKey{en.Task, en.Attempt}); ru != nil {
 			po.endRun(now, ru, en.Outcome)
@@ -196,14 +201,18 @@
 	return nil
 }
 
+// ofPresentProcess reports whether the run was started for the worker's present process, so that it tells of it.
+func (ru *run) ofPresentProcess() bool { return ru.processStart == ru.worker.process.Start }
+
 // startRun reserves the resources of a run and sends its start.
 func (po *Pool) startRun(now time.Time, ta *task, wo *worker) {
 	jo := ta.job
 	st := &jo.Work.Steps[ta.step]
 	ta.attempt++
 	ru := &run{
-		key: runKey{jo.Work.TaskName(ta.step, ta.index), ta.attempt}, task: ta, worker: wo, resources: st.Resources,
-		state: runStarting, startSentAt: now, expectedRunTime: time.Duration(float64(jo.runTime) * po.slowdown(wo)),
+		key: runKey{jo.Work.TaskName(ta.step, ta.index), ta.attempt}, task: ta, worker: wo, processStart: wo.process.Start,
+		resources: st.Resources,
+		state:     runStarting, startSentAt: now, expectedRunTime: time.Duration(float64(jo.runTime) * po.slowdown(wo)),
 	}
 	ta.run, ta.state = ru, taskRunning
 	jo.readyTasks--
@@ -219,7 +228,7 @@
 	if ru.key.attempt > 1 {
 		po.recordRunDecision(now, ru, "startedAgain", "an earlier run was rejected or has ended, or the job was submitted again")
 	}
-	po.emit(StartRun{jo.Ref, wo.ID, ru.key.task, ru.key.attempt, jo.Work.Spec, leaseUntil})
+	po.emit(StartRun{jo.Ref, wo.ID, ru.key.task, ru.key.attempt, jo.Work.Spec, leaseUntil, ru.processStart})
 }
 
 // stopRun sends the stop of a run. Its resources stay reserved until it has certainly ended.
@@ -268,11 +277,15 @@
 		if startedAt.IsZero() {
 			startedAt = ru.startSentAt
 		}
-		po.recordRunTime(ru, now.Sub(startedAt))
-		wo.resetFailures()
+		if ru.ofPresentProcess() {
+			po.recordRunTime(ru, now.Sub(startedAt))
+			wo.resetFailures()
+		}
 	case RunFailed:
 		ta.avoidWorker = wo.ID
-		po.recordFailure(now, wo, ta.job.Work.ID)
+		if ru.ofPresentProcess() {
+			po.recordFailure(now, wo, ta.job.Work.ID)
+		}
 	default:
 		wo.probing = false // the run tells nothing of the worker's health, so that another one may probe it
 	}
@@ -313,7 +326,9 @@
 			now.Sub(ru.startedAt) > overdueFactor*ru.expectedRunTime+overdueSlack+po.lag:
 			po.recordRunDecision(now, ru, "runOverdue", "stopped, as it takes far longer than expected")
 			ru.task.avoidWorker = wo.ID
-			po.recordFailure(now, wo, ru.task.job.Work.ID)
+			if ru.ofPresentProcess() {
+				po.recordFailure(now, wo, ru.task.job.Work.ID)
+			}
 			po.stopRun(now, ru)
 		}
 	}
--- a/lovagepool/workers.go
+++ b/lovagepool/workers.go
@@ -33,7 +33,11 @@
 }
 
 type worker struct {
-	Worker
+	Worker                     // the entry in use; it may be of a former process
+	process          Process   // the newest process that is known, by an answer or an entry
+	requestedEntry   int64     // start of the process for which ReadEntries was last issued
+	doubtedEntry     int64     // start of the process in the last entry that SetWorkers did not use
+	doubtedAt        time.Time // when that entry was read; no starts until a call sent later is answered; zero: answered
 	usedResources    lovagejob.Resources
 	runs             []*run           // in start order
 	orphanRuns       int              // number of runs that belong to no job of this pool; their resources are unknown
@@ -53,7 +57,8 @@
 	slowdownVersion  int // Pool.slowdownVersion when slowdown was computed
 }
 
-// SetWorkers replaces the set of workers. A worker that is not in the list gets no more starts; its runs go on.
+// SetWorkers replaces the set of workers. A worker that is not in the list gets no more starts; its runs go on. The entry of a former
+// process does not replace that of the present one.
 func (po *Pool) SetWorkers(now time.Time, list []Worker) {
 	seen := map[string]bool{}
 	for _, info := range list {
@@ -61,15 +66,28 @@
 		wo := po.workers[info.ID]
 		if wo == nil {
 			// Another owner, or this one before the worker was removed, may have extended its lease.
-			wo = &worker{Worker: info, runsEndBy: now.Add(po.settings.maxRunLifetime())}
+			wo = &worker{Worker: info, process: Process{info.ProcessStart, now}, runsEndBy: now.Add(po.settings.maxRunLifetime())}
 			po.workers[info.ID] = wo
 			po.workerList = append(po.workerList, wo)
 			continue
 		}
-		if wo.ProcessStart != info.ProcessStart && info.ProcessStart != 0 && wo.ProcessStart != 0 {
-			po.handleRestart(now, wo)
+		wo.unregistered = false
+		if wo.outlives(info) {
+			if wo.doubtedEntry != info.ProcessStart {
+				wo.doubtedEntry, wo.doubtedAt = info.ProcessStart, now
+				po.emit(PollWorker{wo.ID})
+			}
+			continue
 		}
-		wo.unregistered, wo.Worker, wo.slowdownVersion = false, info, 0 // the worker's kind may have changed
+		switch {
+		case wo.process.Start == 0:
+			wo.process = Process{info.ProcessStart, now}
+		case wo.isSucceededBy(info):
+			po.beginProcess(now, wo, info.ProcessStart)
+			wo.reachable = false // until the process answers
+		}
+		wo.reachable = wo.reachable && info.Address == wo.Address
+		wo.Worker, wo.slowdownVersion = info, 0 // the worker's kind may have changed
 	}
 	for _, wo := range po.workerList {
 		if !seen[wo.ID] {
@@ -90,10 +108,54 @@
 	po.needsSchedule = true
 }
 
-// handleRestart handles a new process of the worker. Runs of the old process are gone, but the new one may have got
+// Process is a process that answers for a worker. What is known of a worker belongs to its process: a worker may start again under its
+// ID with other labels, another capacity and another address.
+type Process struct {
+	Start      int64     // Unix milliseconds, by the clock of the worker's machine; 0: not known
+	KnownSince time.Time // when its first answer or its entry was read
+}
+
+// Note handles an answer by the process that began at start to a call made at the time sent. restarted says that it has replaced
+// the known process. former says that it is an earlier one: the answer has been overtaken and tells nothing about the present one.
+//
+// A process that has been replaced answers no call that is made after that, so an answer to such a call comes from a newer process
+// whatever the starts say: clocks may step back between two processes. Only where calls overlap do the starts decide.
+func (pr *Process) Note(now, sent time.Time, start int64) (restarted, former bool) {
+	if start == 0 || start == pr.Start {
+		return false, false
+	}
+	if start < pr.Start && sent.Before(pr.KnownSince) {
+		return false, true
+	}
+	restarted = pr.Start != 0
+	*pr = Process{start, now}
+	return restarted, false
+}
+
+// HandleProcess handles an answer by the worker's process that began at processStart, 0 if not known, to a call made at the time sent.
+// It reports whether the answer is of the present process; if not, its run list must be ignored. If this is another process than
+// that of the worker's entry, the worker gets no starts until SetWorkers passes the entry of that process.
+func (po *Pool) HandleProcess(now, sent time.Time, id string, processStart int64) bool {
+	wo := po.workers[id]
+	if wo == nil {
+		return true
+	}
+	known := wo.process
+	restarted, former := known.Note(now, sent, processStart)
+	switch {
+	case restarted:
+		po.recordDecision(Decision{Kind: "workerReborn", Worker: id, Reason: "a new process of the worker has answered"})
+		po.beginProcess(now, wo, processStart)
+	case !former:
+		wo.process = known
+	}
+	return !former
+}
+
+// beginProcess handles a new process of the worker. Runs of the old process are gone, but the new one may have got
 // starts that were sent before the pool noticed the restart. So a running run counts as gone if the next run list lacks
 // it. Stops are sent again, as the new process does not know them.
-func (po *Pool) handleRestart(now time.Time, wo *worker) {
+func (po *Pool) beginProcess(now time.Time, wo *worker, start int64) {
 	for _, ru := range wo.runs {
 		ru.missedLists = goneAfterMissedLists - 1
 		if ru.state == runStopping {
@@ -101,17 +163,62 @@
 			po.stopRun(now, ru)
 		}
 	}
-	wo.relativeSlowdown, wo.slowdownVersion, wo.failures, wo.ejections, wo.ejectedUntil = slowdownEstimate{}, 0, 0, 0, time.Time{}
+	wo.process = Process{start, now}
+	wo.relativeSlowdown, wo.slowdownVersion, wo.lastFailedJob = slowdownEstimate{}, 0, ""
+	wo.resetFailures()
+	po.needsSchedule = true
 }
 
-// HandleWorkerRestart handles an answer from a new process of the worker. Pass the process's run list to HandleRunList next.
-func (po *Pool) HandleWorkerRestart(now time.Time, id string) {
-	if wo := po.workers[id]; wo != nil {
-		po.recordDecision(Decision{Kind: "workerReborn", Worker: id, Reason: "a new process of the worker has answered"})
-		po.handleRestart(now, wo)
+// entryIsCurrent reports whether the worker's entry is of the process that answers. An entry that does not tell its process is
+// current if the answers do not tell it either.
+func (wo *worker) entryIsCurrent() bool { return wo.ProcessStart == wo.process.Start }
+
+// outlives reports whether an entry is, by its start, of a process before that of the worker's entry, which answers. Such an entry may
+// be read late: a write that a process made before its end may take effect after the first one of its successor. But its process may
+// also be a newer one whose clock has been set back. So it is not used unless that process answers, or the present one does not
+// any more; and nothing is started until one of them has answered once more.
+func (wo *worker) outlives(info Worker) bool {
+	return wo.reachable && wo.entryIsCurrent() && info.ProcessStart < wo.ProcessStart
+}
+
+// Outlives reports whether an entry is of a former process of a worker whose present process has answered with an entry of its own,
+// so that SetWorkers does not use it.
+func (po *Pool) Outlives(info Worker) bool {
+	wo := po.workers[info.ID]
+	return wo != nil && wo.outlives(info)
+}
+
+// isSucceededBy reports whether an entry is of a process after the newest that is known. The entry in use is not, even if a process with
+// a lower start has answered since.
+func (wo *worker) isSucceededBy(info Worker) bool {
+	return wo.process.Start != 0 && info.ProcessStart > wo.process.Start && info.ProcessStart != wo.ProcessStart
+}
+
+// IsSucceededBy reports whether an entry is of a process of the worker that has not answered yet, after that which is known. Its calls
+// must not wait for answers of the former process.
+func (po *Pool) IsSucceededBy(info Worker) bool {
+	wo := po.workers[info.ID]
+	return wo != nil && wo.isSucceededBy(info)
+}
+
+// requestEntry issues ReadEntries once for each process of the worker that has no entry.
+func (po *Pool) requestEntry(wo *worker) {
+	if wo.awaitsEntry() && wo.requestedEntry != wo.process.Start {
+		wo.requestedEntry = wo.process.Start
+		po.emit(ReadEntries{})
 	}
 }
 
+// awaitsEntry reports whether the worker could be used if the entry of its process were known.
+func (wo *worker) awaitsEntry() bool {
+	return wo.reachable && !wo.unregistered && !wo.handingOver && !wo.entryIsCurrent()
+}
+
+// AwaitsEntries reports whether a worker answers whose process has no entry among those of the last SetWorkers.
+func (po *Pool) AwaitsEntries() bool {
+	return slices.ContainsFunc(po.workerList, (*worker).awaitsEntry)
+}
+
 // MarkUnreachable notes that a worker has not answered a call in time. It gets no starts until it answers again.
 func (po *Pool) MarkUnreachable(now time.Time, id string) {
 	if wo := po.workers[id]; wo != nil {
@@ -151,7 +258,7 @@
 
 // mayGetStart reports whether the worker may get starts.
 func (po *Pool) mayGetStart(now time.Time, wo *worker) bool {
-	if wo.unregistered || wo.handingOver || wo.Draining || !wo.reachable || wo.orphanRuns > 0 {
+	if wo.unregistered || wo.handingOver || wo.Draining || !wo.reachable || wo.orphanRuns > 0 || !wo.entryIsCurrent() || !wo.doubtedAt.IsZero() {
 		return false
 	}
 	if !po.mayStartRuns() {
