--- a/lovagepool/pool.go
+++ b/lovagepool/pool.go
@@ -154,6 +154,8 @@
 	Attempt    int
 	Spec       string
 	LeaseUntil time.Time // end of the lease that the start grants
+
+	ProcessStart int64 // the worker's process for which the start was decided; 0: not known
 }
 
 // StopRun tells a worker to stop a run, or to reject the run's start if that arrives later.
@@ -193,6 +195,9 @@
 // PollWorker asks the worker for its run lists at once, not when the next run ends.
 type PollWorker struct{ Worker string }
 
+// ReadEntries asks for the workers' entries at once, because a worker answers whose process has none among those of the last SetWorkers.
+type ReadEntries struct{}
+
 // JobStopped says that a cancelled job has no runs left.
 type JobStopped struct {
 	Ref       string
@@ -201,6 +206,7 @@
 
 func (JobStopped) command()    {}
 func (PollWorker) command()    {}
+func (ReadEntries) command()   {}
 func (StartRun) command()      {}
 func (StopRun) command()       {}
 func (FinishJob) command()     {}
