--- a/lovagepool/plan.go
+++ b/lovagepool/plan.go
@@ -18,7 +18,7 @@
 //   - the lease: the worker's runs and the choices may be kept alive for long enough.
 //
 // A worker with runs that belong to no job of this pool is no candidate, as neither their resources nor their steps are known.
-// The pool knows no slots or connections of workers: a worker's slots bound its other requests, not its tasks.
+// The pool knows no slots or connections of workers: the users' pages bound tasks by capacity alone.
 //
 // A plan is only valid until the pool handles the next event. There is one plan at a time for a service.
 type plan struct {
