--- a/lovagefleet/cancel_test.go
+++ b/lovagefleet/cancel_test.go
@@ -70,7 +70,9 @@
 	return oc
 }
 
-func TestCancelAtAnyInstance(t *testing.T) {
+func TestCancelAtAnyInstance(t *testing.T) { playSteadily(t, cancelAtAnyInstance) }
+
+func cancelAtAnyInstance(t testing.TB) {
 	de := deploy(t)
 	de.awaitCapacity()
 	for _, from := range []string{"east-1", "east-2", "west-1", "west-2"} {
@@ -90,7 +92,9 @@
 	must.Eq(t, JobNotKnown, de.cancelJob("east-1", id), must.Sprint("completed before"))
 }
 
-func TestCancelOffloadedTasks(t *testing.T) {
+func TestCancelOffloadedTasks(t *testing.T) { playSteadily(t, cancelOffloadedTasks) }
+
+func cancelOffloadedTasks(t testing.TB) {
 	de := deploy(t)
 	for _, at := range []string{"east-1", "east-2", "west-1", "west-2"} {
 		de.awaitCapacity()
@@ -102,7 +106,9 @@
 	}
 }
 
-func TestCancelQueuedJob(t *testing.T) {
+func TestCancelQueuedJob(t *testing.T) { playSteadily(t, cancelQueuedJob) }
+
+func cancelQueuedJob(t testing.TB) {
 	de := deploy(t)
 	de.awaitCapacity()
 	first, id := randomID(), randomID()
@@ -119,7 +125,9 @@
 	must.Eq(t, lovagepool.Completed, (<-de.submit("east-1", testWork(randomID(), 12, 10*time.Millisecond))).Outcome)
 }
 
-func TestCancelBeforeTheJobArrives(t *testing.T) {
+func TestCancelBeforeTheJobArrives(t *testing.T) { playSteadily(t, cancelBeforeTheJobArrives) }
+
+func cancelBeforeTheJobArrives(t testing.TB) {
 	de := deploy(t)
 	id := randomID()
 	result := make(chan CancelOutcome, 1)
@@ -129,7 +137,9 @@
 	must.Eq(t, JobCancelled, <-result)
 }
 
-func TestCancelDuringHandOver(t *testing.T) {
+func TestCancelDuringHandOver(t *testing.T) { playSteadily(t, cancelDuringHandOver) }
+
+func cancelDuringHandOver(t testing.TB) {
 	de := deploy(t)
 	de.awaitCapacity()
 	owner := de.owner("east")
@@ -149,7 +159,9 @@
 	must.Eq(t, lovagepool.Cancelled, (<-de.submit(other, longWork(before, 1))).Outcome, must.Sprint("sent again to the new owner"))
 }
 
-func TestCancelWithoutTheOwner(t *testing.T) {
+func TestCancelWithoutTheOwner(t *testing.T) { playSteadily(t, cancelWithoutTheOwner) }
+
+func cancelWithoutTheOwner(t testing.TB) {
 	// A job is not said to be unknown while the owner that may have it cannot be asked.
 	de := deploy(t)
 	de.awaitCapacity()
@@ -175,7 +187,9 @@
 	must.Eq(t, lovagepool.Cancelled, (<-de.submit(other, longWork(id, 2))).Outcome)
 }
 
-func TestCancelAtSilentWorker(t *testing.T) {
+func TestCancelAtSilentWorker(t *testing.T) { playSteadily(t, cancelAtSilentWorker) }
+
+func cancelAtSilentWorker(t testing.TB) {
 	// The end of a run on a worker that does not answer is waited for, as is that of a start in doubt.
 	de := deploy(t)
 	de.awaitCapacity()
--- a/lovagefleet/fake_test.go
+++ b/lovagefleet/fake_test.go
@@ -22,8 +22,10 @@
 	*lovageplatform.Memory
 	mu               sync.Mutex
 	workers          map[string]*fakeWorker
-	activeRuns       map[string]int // number of active runs, by task
-	acceptedStarts   map[string]int // number of accepted starts, by task
+	activeRuns       map[string]int       // number of active runs, by task
+	acceptedStarts   map[string]int       // number of accepted starts, by task
+	startedAt        map[string]time.Time // time of the last accepted start, by task
+	endedAt          map[string]time.Time // time of the last end, by task
 	violations       []string
 	config           *Configuration
 	reads            map[string]int           // number of reads, by instance and what was read
@@ -44,10 +46,11 @@
 	endedRuns        []fakeEnd
 	lastEndNumber    int64
 	changed          chan struct{}
-	ignoresCalls     bool // calls get no reply and have no effect
-	dropsReplies     bool // polls take effect, but the instance gets no reply
-	dropsStops       bool // stops are lost without effect
-	dropEveryNth     int  // every n-th call is lost without effect; 0: none
+	ignoresCalls     bool          // calls get no reply and have no effect
+	dropsReplies     bool          // polls take effect, but the instance gets no reply
+	stopTime         time.Duration // from a stop to the end of the run
+	dropsStops       bool          // stops are lost without effect
+	dropEveryNth     int           // every n-th call is lost without effect; 0: none
 	callCount        int
 
 	startsWhileDraining int
@@ -78,7 +81,8 @@
 func newFakeCluster(dataCentres []string, each int) *fakeCluster {
 	fc := &fakeCluster{
 		Memory: lovageplatform.NewMemory(), workers: map[string]*fakeWorker{}, activeRuns: map[string]int{},
-		acceptedStarts: map[string]int{}, reads: map[string]int{}, partitioned: map[string]bool{}, commitReplyDelay: map[string]time.Duration{},
+		acceptedStarts: map[string]int{}, startedAt: map[string]time.Time{}, endedAt: map[string]time.Time{},
+		reads: map[string]int{}, partitioned: map[string]bool{}, commitReplyDelay: map[string]time.Duration{},
 		config: &Configuration{Version: 1, Routes: []Route{{
 			Name: "checks", Host: "h", PathPrefix: "/c/", Service: "s", MaxAttempts: 2, SlackFactor: 1.6,
 			TargetLatency: 60 * time.Millisecond, Timeout: 2 * time.Second,
@@ -195,6 +199,7 @@
 	fc.acceptedStarts[rr.Task]++
 	fc.checkLabel(wo, rr)
 	wo.lastStartAt = time.Now()
+	fc.startedAt[rr.Task] = time.Now()
 	if wo.Draining {
 		wo.startsWhileDraining++
 	}
@@ -231,6 +236,7 @@
 	}
 	ru.ended = true
 	fc.activeRuns[task]--
+	fc.endedAt[task] = time.Now()
 	delete(wo.runs, task)
 	wo.lastEndedAttempt[task] = max(wo.lastEndedAttempt[task], ru.attempt)
 	wo.lastEndNumber++
@@ -254,7 +260,11 @@
 	wo.lastEndedAttempt[rr.Task] = max(wo.lastEndedAttempt[rr.Task], rr.Attempt)
 	ru := wo.runs[rr.Task]
 	fc.mu.Unlock()
-	if ru != nil && ru.attempt == rr.Attempt {
+	switch {
+	case ru == nil || ru.attempt != rr.Attempt:
+	case wo.stopTime > 0:
+		time.AfterFunc(wo.stopTime, func() { fc.endRun(wo, rr.Task, ru, lovagepool.RunStopped) })
+	default:
 		fc.endRun(wo, rr.Task, ru, lovagepool.RunStopped)
 	}
 	return re, nil
