lovagepool: a job is not refused as unfit while entries of restarted workers are awaited

The entry in use of a worker that has just restarted is that of its former process. A job that only the new one fits was refused as unfit, with a Retry-After of 10 s, until the entries had been read (some ms).

--- a/lovagepool/submit.go
+++ b/lovagepool/submit.go
@@ -45,7 +45,7 @@
 			po.finish(jo, Moved, "the instance is handing over its workers", 0)
 			return
 		}
-		if !po.fitsAnyWorker(jo) {
+		if !po.fitsAnyWorker(jo) && !po.AwaitsEntries() { // the entries of restarted workers may have the label or the size
 			po.recordDecision(Decision{Kind: "refusedUnfit", Job: wo.ID, Ref: jo.Ref, Reason: "no worker is large enough or has the label"})
 			po.finish(jo, NotRun, "no worker is large enough or has the label", unfitRetryDelay)
 			return
