lovagepool: a third submission waits for the runs of the first

Cause: a submission waits for the runs of the one before it with the same ID. One that waits has no runs of its own, so the next one waited for nothing, and started while the run of the first was still being stopped: two runs of a task at once (TWICE). The same if the waiting submission had ended by then, because the first was no longer known by its ID. Found by the review of placing.

Change: a submission takes over the predecessor of the one that it replaces; when a waiting submission ends, its predecessor is known by the ID again.

Measured: TestThirdSubmissionWaitsForTheRunsOfTheFirst is red without either change and green with both. That this made tasks run twice for the users is not shown; it needs three sendings of a job within the time in which a run is stopped.

--- a/lovagepool/pool_test.go
+++ b/lovagepool/pool_test.go
@@ -526,3 +526,23 @@
 	must.False(t, ha.po.startAllOrNone(ha.now, large, false))
 	must.True(t, ha.po.startAllOrNone(ha.now, small, false))
 }
+
+// Guards against two runs of a task. The second submission has no runs while it waits for those of the first, so the third must
+// wait for those of the first too, whether the second has ended or not.
+func TestThirdSubmissionWaitsForTheRunsOfTheFirst(t *testing.T) {
+	for _, secondEnds := range []bool{false, true} {
+		ha := newHarness(t, testWorker("w1", 32000))
+		submit := func(ref string) { ha.po.Submit(ha.now, &Job{Ref: ref, Work: ha.newWork("a", 1, 14000)}) }
+		submit("x")
+		must.Eq(t, []string{"start w1 a.0.0.0 1"}, ha.commands())
+		submit("y")
+		must.Eq(t, []string{"stop w1 a.0.0.0 1"}, ha.commands())
+		if secondEnds {
+			ha.po.Cancel(ha.now, "y")
+		}
+		submit("z")
+		must.SliceEmpty(t, ha.commands())
+		ha.reportEnded("w1", "a.0.0.0", 1, RunStopped)
+		must.SliceContains(t, ha.commands(), "start w1 a.0.0.0 2")
+	}
+}
--- a/lovagepool/submit.go
+++ b/lovagepool/submit.go
@@ -131,6 +131,7 @@
 			ta.attempt = older.tasks[i].attempt
 		}
 	}
+	jo.predecessor = older.predecessor // an older submission whose runs the one between still waits for
 	if older.activeTasks > 0 {
 		jo.predecessor = older
 	}
@@ -317,7 +318,11 @@
 	if at := slices.Index(po.jobList, jo); at >= 0 {
 		po.jobList = slices.Delete(po.jobList, at, at+1)
 	}
-	if po.jobsByID[jo.Work.ID] == jo {
+	switch {
+	case po.jobsByID[jo.Work.ID] != jo:
+	case jo.predecessor != nil: // its runs go on; a later submission must wait for them
+		po.jobsByID[jo.Work.ID] = jo.predecessor
+	default:
 		delete(po.jobsByID, jo.Work.ID)
 	}
 	for _, ot := range po.jobList {
