lovagefleet: jobs sent again are cancelled at random times

Callers that lose their POST send the job again 1.3 s later to another instance and cancel it at a third one, while the owner of a domain is killed; nothing starts after the answer.

--- a/lovagefleet/cancel_test.go
+++ b/lovagefleet/cancel_test.go
@@ -245,3 +245,53 @@
 	t.Log(counts)
 	must.Positive(t, counts["cancelled, job cancelled"])
 }
+
+func TestCancelsOfJobsSentAgain(t *testing.T) {
+	// Callers lose the channel of their POST, send the job again 1.3 s later to another instance, and cancel it at a third one at any time
+	// meanwhile. The owner of a domain is killed. cancelJob checks that nothing starts after the answer, whichever sending it is of.
+	de := deploy(t)
+	de.awaitCapacity()
+	owner := de.owner("west")
+	var ids []string
+	for id := range de.nodes {
+		if id != owner {
+			ids = append(ids, id)
+		}
+	}
+	const retryDelay = 1300 * time.Millisecond
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	counts := map[CancelOutcome]int{}
+	for n := range 80 {
+		if n == 40 {
+			de.nodes[owner].stop()
+		}
+		id := randomID()
+		first, second, at := de.nodes[ids[rand.IntN(3)]], de.nodes[ids[rand.IntN(3)]], ids[rand.IntN(3)]
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Duration(rand.IntN(300))*time.Millisecond)
+			defer cancel()
+			first.Submit(ctx, testWork(id, 1+rand.IntN(8), 400*time.Millisecond))
+			time.Sleep(retryDelay)
+			second.Submit(context.Background(), testWork(id, 1+rand.IntN(8), 400*time.Millisecond))
+		})
+		wg.Go(func() {
+			time.Sleep(time.Duration(rand.IntN(2000)) * time.Millisecond)
+			oc := CancelUncertain
+			for range 4 {
+				if oc = de.cancelJob(at, id); oc != CancelUncertain {
+					break
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			mu.Lock()
+			counts[oc]++
+			mu.Unlock()
+		})
+		time.Sleep(40 * time.Millisecond)
+	}
+	wg.Wait()
+	t.Log(counts)
+	must.Positive(t, counts[JobCancelled])
+	must.Zero(t, counts[CancelUncertain])
+}
