lovagefleet: tests of cancellations at former owners

A new owner passes the request on to the former one; a former owner that has only offloaded tasks left is found (not without reportHeldJobs).

--- a/lovagefleet/cancel_test.go
+++ b/lovagefleet/cancel_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/must"
 
 	"lovagestack/lovagejob"
+	"lovagestack/lovagemessage"
 	"lovagestack/lovagepool"
 )
 
@@ -295,3 +296,46 @@
 	must.Positive(t, counts[JobCancelled])
 	must.Zero(t, counts[CancelUncertain])
 }
+
+func TestNewOwnerPassesCancelOn(t *testing.T) { playSteadily(t, newOwnerPassesCancelOn) }
+
+func newOwnerPassesCancelOn(t testing.TB) {
+	// In a large deployment the instance that gets the request has no session with a former owner, but the new owner has.
+	de := deploy(t)
+	de.awaitCapacity()
+	owner := de.owner("east")
+	other := map[string]string{"east-1": "east-2", "east-2": "east-1"}[owner]
+	id := randomID()
+	answer := de.submit(owner, longWork(id, 2))
+	de.awaitRuns(id, 2)
+	de.nodes[owner].Leave()
+	de.await("the other instance owns the domain", time.Second, func() bool { return de.owner("east") == other })
+	request := &lovagemessage.CancelJob{Job: &lovagemessage.JobName{Queue: "checks", Id: id}, Forwarded: true}
+	must.Eq(t, JobNotKnown, de.nodes[other].serveCancelJob(t.Context(), "west-1", request))
+	request.Forwarded = false
+	must.Eq(t, JobCancelled, de.nodes[other].serveCancelJob(t.Context(), "west-1", request))
+	must.Eq(t, lovagepool.Cancelled, (<-answer).Outcome)
+}
+
+func TestCancelJobOfFormerOwner(t *testing.T) { playSteadily(t, cancelJobOfFormerOwner) }
+
+func cancelJobOfFormerOwner(t testing.TB) {
+	// A former owner without runs on its former workers still has a job whose tasks run in the other data centre.
+	de := deploy(t)
+	de.awaitCapacity()
+	owner := de.owner("east")
+	blocker, id := randomID(), randomID()
+	first := de.submit(owner, longWork(blocker, 6))
+	de.awaitRuns(blocker, 6)
+	wo := longWork(id, 2)
+	wo.Spec = "8s"
+	answer := de.submit(owner, wo)
+	de.awaitRuns(id, 2)
+	must.Eq(t, JobCancelled, de.cancelJob(owner, blocker))
+	<-first
+	de.nodes[owner].Leave()
+	de.await("the former owner has released its workers", 3*time.Second, func() bool { return !de.nodes[owner].ownsWorkers.Load() })
+	time.Sleep(maxHolderAge + peerReportInterval)
+	must.Eq(t, JobCancelled, de.cancelJob("west-1", id))
+	must.Eq(t, lovagepool.Cancelled, (<-answer).Outcome)
+}
