--- a/lovagefleet/cancel_test.go
+++ b/lovagefleet/cancel_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/must"
 
 	"lovagestack/lovagejob"
+	"lovagestack/lovagemessage"
 	"lovagestack/lovagepool"
 )
 
@@ -245,3 +246,96 @@
 	t.Log(counts)
 	must.Positive(t, counts["cancelled, job cancelled"])
 }
+
+func TestCancelsOfJobsSentAgain(t *testing.T) {
+	// Callers lose the channel of their POST, send the job again 1.3 s later to another instance, and cancel it at a third one at any time
+	// meanwhile. The owner of a domain is killed. cancelJob checks that nothing starts after the answer, whichever sending it is of.
+	de := deploy(t)
+	de.awaitCapacity()
+	owner := de.owner("west")
+	var ids []string
+	for id := range de.nodes {
+		if id != owner {
+			ids = append(ids, id)
+		}
+	}
+	const retryDelay = 1300 * time.Millisecond
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	counts := map[CancelOutcome]int{}
+	for n := range 80 {
+		if n == 40 {
+			de.nodes[owner].stop()
+		}
+		id := randomID()
+		first, second, at := de.nodes[ids[rand.IntN(3)]], de.nodes[ids[rand.IntN(3)]], ids[rand.IntN(3)]
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Duration(rand.IntN(300))*time.Millisecond)
+			defer cancel()
+			first.Submit(ctx, testWork(id, 1+rand.IntN(8), 400*time.Millisecond))
+			time.Sleep(retryDelay)
+			second.Submit(context.Background(), testWork(id, 1+rand.IntN(8), 400*time.Millisecond))
+		})
+		wg.Go(func() {
+			time.Sleep(time.Duration(rand.IntN(2000)) * time.Millisecond)
+			oc := CancelUncertain
+			for range 4 {
+				if oc = de.cancelJob(at, id); oc != CancelUncertain {
+					break
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			mu.Lock()
+			counts[oc]++
+			mu.Unlock()
+		})
+		time.Sleep(40 * time.Millisecond)
+	}
+	wg.Wait()
+	t.Log(counts)
+	must.Positive(t, counts[JobCancelled])
+	must.Zero(t, counts[CancelUncertain])
+}
+
+func TestNewOwnerPassesCancelOn(t *testing.T) { playSteadily(t, newOwnerPassesCancelOn) }
+
+func newOwnerPassesCancelOn(t testing.TB) {
+	// In a large deployment the instance that gets the request has no session with a former owner, but the new owner has.
+	de := deploy(t)
+	de.awaitCapacity()
+	owner := de.owner("east")
+	other := map[string]string{"east-1": "east-2", "east-2": "east-1"}[owner]
+	id := randomID()
+	answer := de.submit(owner, longWork(id, 2))
+	de.awaitRuns(id, 2)
+	de.nodes[owner].Leave()
+	de.await("the other instance owns the domain", time.Second, func() bool { return de.owner("east") == other })
+	request := &lovagemessage.CancelJob{Job: &lovagemessage.JobName{Queue: "checks", Id: id}, Forwarded: true}
+	must.Eq(t, JobNotKnown, de.nodes[other].serveCancelJob(t.Context(), "west-1", request))
+	request.Forwarded = false
+	must.Eq(t, JobCancelled, de.nodes[other].serveCancelJob(t.Context(), "west-1", request))
+	must.Eq(t, lovagepool.Cancelled, (<-answer).Outcome)
+}
+
+func TestCancelJobOfFormerOwner(t *testing.T) { playSteadily(t, cancelJobOfFormerOwner) }
+
+func cancelJobOfFormerOwner(t testing.TB) {
+	// A former owner without runs on its former workers still has a job whose tasks run in the other data centre.
+	de := deploy(t)
+	de.awaitCapacity()
+	owner := de.owner("east")
+	blocker, id := randomID(), randomID()
+	first := de.submit(owner, longWork(blocker, 6))
+	de.awaitRuns(blocker, 6)
+	wo := longWork(id, 2)
+	wo.Spec = "8s"
+	answer := de.submit(owner, wo)
+	de.awaitRuns(id, 2)
+	must.Eq(t, JobCancelled, de.cancelJob(owner, blocker))
+	<-first
+	de.nodes[owner].Leave()
+	de.await("the former owner has released its workers", 3*time.Second, func() bool { return !de.nodes[owner].ownsWorkers.Load() })
+	time.Sleep(maxHolderAge + peerReportInterval)
+	must.Eq(t, JobCancelled, de.cancelJob("west-1", id))
+	must.Eq(t, lovagepool.Cancelled, (<-answer).Outcome)
+}
