lovagefleet: tests of cancellations wait until the job runs in its data centre

TestCancelWithoutTheOwner failed once in one run of the package: the workers of east were not usable by their owner yet, so the job ran in west, where it was cancelled as it should. The tests that need the job at the owner of east now submit it until it runs there; what they require of the cancellation is unchanged.

--- a/lovagefleet/cancel_test.go
+++ b/lovagefleet/cancel_test.go
@@ -56,6 +56,33 @@
 	})
 }
 
+// submitEast submits a long job of two tasks and waits until both run on workers of the data centre east. The first jobs may go to west,
+// while workers of east are not usable yet.
+func (de *deployment) submitEast(instance string) (id string, answer chan Answer) {
+	de.t.Helper()
+	de.await("a job runs in east", 5*time.Second, func() bool {
+		id = randomID()
+		answer = de.submit(instance, longWork(id, 2))
+		de.awaitRuns(id, 2)
+		local := 0
+		de.cluster.mu.Lock()
+		for _, wo := range de.cluster.workers {
+			for task := range wo.runs {
+				if wo.DataCentre == "east" && strings.HasPrefix(task, id+".") {
+					local++
+				}
+			}
+		}
+		de.cluster.mu.Unlock()
+		if local < 2 {
+			must.Eq(de.t, JobCancelled, de.cancelJob(instance, id))
+			<-answer
+		}
+		return local == 2
+	})
+	return id, answer
+}
+
 // cancelJob cancels a job, and fails the test if a run of it is active or is started after the answer.
 func (de *deployment) cancelJob(instance, id string) CancelOutcome {
 	de.t.Helper()
@@ -145,19 +172,16 @@
 	de.awaitCapacity()
 	owner := de.owner("east")
 	other := map[string]string{"east-1": "east-2", "east-2": "east-1"}[owner]
-	before, id := randomID(), randomID()
-	first := de.submit(owner, longWork(before, 1))
-	de.awaitRuns(before, 1)
+	before, first := de.submitEast(owner)
 	must.Eq(t, JobCancelled, de.cancelJob("west-1", before))
 	must.Eq(t, lovagepool.Cancelled, (<-first).Outcome)
-	answer := de.submit(other, longWork(id, 2))
-	de.awaitRuns(id, 2)
+	id, answer := de.submitEast(other)
 	de.nodes[owner].Leave()
 	de.await("the other instance owns the domain", time.Second, func() bool { return de.owner("east") == other })
 	must.Eq(t, JobCancelled, de.cancelJob("west-2", id), must.Sprint("its runs are at the former owner"))
 	must.Eq(t, lovagepool.Cancelled, (<-answer).Outcome)
 	de.awaitWorkers(other, 3)
-	must.Eq(t, lovagepool.Cancelled, (<-de.submit(other, longWork(before, 1))).Outcome, must.Sprint("sent again to the new owner"))
+	must.Eq(t, lovagepool.Cancelled, (<-de.submit(other, longWork(before, 2))).Outcome, must.Sprint("sent again to the new owner"))
 }
 
 func TestCancelWithoutTheOwner(t *testing.T) { playSteadily(t, cancelWithoutTheOwner) }
@@ -168,9 +192,7 @@
 	de.awaitCapacity()
 	owner := de.owner("east")
 	other := map[string]string{"east-1": "east-2", "east-2": "east-1"}[owner]
-	id := randomID()
-	answer := de.submit(other, longWork(id, 2))
-	de.awaitRuns(id, 2)
+	id, answer := de.submitEast(other)
 	for _, in := range []string{other, "west-1", "west-2"} {
 		de.cluster.mu.Lock()
 		de.cluster.partitioned[in] = true // so that none takes the domain over
@@ -305,9 +327,7 @@
 	de.awaitCapacity()
 	owner := de.owner("east")
 	other := map[string]string{"east-1": "east-2", "east-2": "east-1"}[owner]
-	id := randomID()
-	answer := de.submit(owner, longWork(id, 2))
-	de.awaitRuns(id, 2)
+	id, answer := de.submitEast(owner)
 	de.nodes[owner].Leave()
 	de.await("the other instance owns the domain", time.Second, func() bool { return de.owner("east") == other })
 	request := &lovagemessage.CancelJob{Job: &lovagemessage.JobName{Queue: "checks", Id: id}, Forwarded: true}
@@ -323,6 +343,7 @@
 	// A former owner without runs on its former workers still has a job whose tasks run in the other data centre.
 	de := deploy(t)
 	de.awaitCapacity()
+	time.Sleep(2 * peerReportInterval) // so that the owner's own report names its workers too, and the first job stays in east
 	owner := de.owner("east")
 	blocker, id := randomID(), randomID()
 	first := de.submit(owner, longWork(blocker, 6))
