lovagepool: a noted cancellation stops the job if it has arrived before

A new owner is told which jobs other instances have cancelled, only after it has taken the domain. A copy of such a job that its caller or another instance sent to it before the note was refused nothing: it started and ran to its end. NoteCancelled now cancels what the pool has of the noted jobs, in one pass.

TestNotedCancellationStopsTheJob: red before, green after.

--- a/lovagefleet/cancel.go
+++ b/lovagefleet/cancel.go
@@ -337,9 +337,13 @@
 
 func (no *Node) serveNoteCancelled(nc *lovagemessage.NoteCancelled) {
 	no.post(func(now time.Time) {
-		for _, name := range nc.GetJobs() {
-			no.pool.NoteCancelled(now, name.GetQueue(), name.GetId())
-		}
+		no.pool.NoteCancelled(now, func(yield func(queue, id string) bool) {
+			for _, name := range nc.GetJobs() {
+				if !yield(name.GetQueue(), name.GetId()) {
+					return
+				}
+			}
+		})
 	})
 }
 
--- a/lovagepool/cancel.go
+++ b/lovagepool/cancel.go
@@ -1,6 +1,7 @@
 package lovagepool
 
 import (
+	"iter"
 	"slices"
 	"time"
 )
@@ -57,9 +58,16 @@
 	return refs, before
 }
 
-// NoteCancelled records that a job was cancelled at other instances.
-func (po *Pool) NoteCancelled(now time.Time, queue, id string) {
-	po.rememberCancelled(now, jobKey{queue, id})
+// NoteCancelled records jobs, by queue and ID, that were cancelled at other instances. It cancels those that have arrived before the note.
+func (po *Pool) NoteCancelled(now time.Time, jobs iter.Seq2[string, string]) {
+	for queue, id := range jobs {
+		po.rememberCancelled(now, jobKey{queue, id})
+	}
+	for _, jo := range slices.Clone(po.jobList) {
+		if _, ok := po.cancelledJobs[jobKey{jo.Work.Queue, jo.Work.ID}]; ok && !jo.cancelled {
+			po.CancelJob(now, jo.Work.Queue, jo.Work.ID)
+		}
+	}
 }
 
 // CancelledJobs calls yield with the queue and ID of each job whose cancellation is remembered, oldest first.
--- a/lovagepool/cancel_test.go
+++ b/lovagepool/cancel_test.go
@@ -192,3 +192,17 @@
 	must.MapEmpty(t, ha.po.cancelledJobs)
 	must.SliceEmpty(t, ha.po.cancelOrder)
 }
+
+func TestNotedCancellationStopsTheJob(t *testing.T) {
+	// The job may have reached a new owner before the note that other instances have cancelled it.
+	ha := newHarness(t, testWorker("w1", 32000))
+	ha.submit("j", 1, 14000)
+	ha.submit("k", 1, 14000)
+	ha.commands()
+	ha.po.NoteCancelled(ha.now, func(yield func(queue, id string) bool) { yield("queue", "j") })
+	must.Eq(t, []string{"stop w1 j.0.0.0 1"}, ha.commands())
+	ha.reportEnded("w1", "j.0.0.0", 1, RunStopped)
+	must.Eq(t, []string{"finish j cancelled"}, ha.answers())
+	ha.submit("j", 1, 14000)
+	must.Eq(t, []string{"finish j cancelled"}, ha.commands())
+}
