lovagepool: a held task of an ended job ends once

A task is held when the peer that it was lent to is lost, and ends when the runs that the peer may have started must have ended. If its job had ended meanwhile (cancelled, failed or submitted again), the task stayed held and ended again at each tick. Each end lowered the number of active tasks, so that the job counted as stopped while runs of it were active: a DELETE was answered, and the next submission of the job started, beside them (TWICE).

TestHeldTaskOfEndedJobEndsOnce: red before (both cases), green after.

--- a/lovagepool/offload_test.go
+++ b/lovagepool/offload_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -296,3 +298,29 @@
 	test.Between(t, 500, got.MemoryMB, 512)
 	test.Eq(t, 1, got.Accelerators)
 }
+
+func TestHeldTaskOfEndedJobEndsOnce(t *testing.T) {
+	// A run here goes on after the last run that the lost peer may have started. The job must not count as stopped before it.
+	for name, end := range map[string]func(ha *harness){
+		"submitted again": func(ha *harness) { ha.po.Submit(ha.now, &Job{Ref: "second", Work: ha.newWork("a", 2, 14000)}) },
+		"cancelled":       func(ha *harness) { ha.cancelJob("a") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			ha := newHarness(t, testWorker("w1", 14000))
+			ha.reportPeerCapacity(FreeCapacity{Slowdown: 1, Tasks: 1})
+			ha.submit("a", 2, 14000)
+			must.Eq(t, []string{"start w1 a.0.0.0 1", "offload other 1"}, ha.commands())
+			ha.reportStarted("w1", "a.0.0.0", 1)
+			ha.po.HandleOffloadReply(ha.now, "a/1", nil, false, false)
+			ha.po.SetWorkers(ha.now, []Worker{testWorker("w1", 14000), testWorker("w2", 28000)})
+			ha.po.HandleRunList(ha.now, ha.now, "w2", nil, nil)
+			end(ha)
+			ha.commands()
+			ha.advance(ha.po.settings.maxRunLifetime() + 60*time.Millisecond)
+			others := slices.DeleteFunc(ha.commands(), func(cmd string) bool { return strings.HasPrefix(cmd, "stop ") })
+			must.SliceEmpty(t, others, must.Sprint("the run has not ended"))
+			ha.reportEnded("w1", "a.0.0.0", 1, RunStopped)
+			must.SliceNotEmpty(t, ha.commands(), must.Sprint("the run has ended"))
+		})
+	}
+}
--- a/lovagepool/submit.go
+++ b/lovagepool/submit.go
@@ -351,6 +351,7 @@
 	}
 	po.needsSchedule = true
 	if jo.ended {
+		ta.state = taskReady // if it was held, it must not end again
 		if outcome == RunDone {
 			ta.state = taskDone
 			jo.unfinishedTasks--
