lovagefleet: a cancel is uncertain if the owner of one copy of the job was lost

A caller may wait at this instance for two copies of its job. If the owner of one copy was lost and the other copy was cancelled before an owner had it, the DELETE was answered with 200, although runs of the first may be active at the lost owner.

TestCancelIsUncertainIfAnOwnerWasLost: red before in both orders, green after.

--- a/lovagefleet/cancel.go
+++ b/lovagefleet/cancel.go
@@ -111,11 +111,12 @@
 	for _, ca := range waiting { // its job was at no owner, or has just ended
 		select {
 		case <-ca.answered:
-			switch {
-			case ca.outcome == lovagepool.Cancelled:
+			switch ca.outcome {
+			case lovagepool.Cancelled:
 				oc = JobCancelled
-			case ca.outcome == lovagepool.Unknown && oc == JobNotKnown: // its owner has been lost
-				oc = CancelUncertain
+			case lovagepool.Unknown: // its owner has been lost
+				return CancelUncertain
+			default:
 			}
 		case <-ctx.Done():
 			return CancelUncertain
--- a/lovagefleet/cancel_test.go
+++ b/lovagefleet/cancel_test.go
@@ -339,3 +339,24 @@
 	must.Eq(t, JobCancelled, de.cancelJob("west-1", id))
 	must.Eq(t, lovagepool.Cancelled, (<-answer).Outcome)
 }
+
+func TestCancelIsUncertainIfAnOwnerWasLost(t *testing.T) {
+	// A job that its caller has sent twice to this instance is not said to be cancelled if the owner of one copy has been lost.
+	for _, outcomes := range [][]lovagepool.Outcome{
+		{lovagepool.Unknown, lovagepool.Cancelled}, {lovagepool.Cancelled, lovagepool.Unknown},
+	} {
+		no := startLoop(t)
+		no.domainRowsRead.Store(true)
+		name := jobName{"checks", randomID()}
+		jobs := []*callerJob{no.callers.add(name), no.callers.add(name)}
+		go func() {
+			for !jobs[1].cancelled.Load() {
+				time.Sleep(time.Millisecond)
+			}
+			for i, ca := range jobs {
+				no.callers.remove(ca, outcomes[i])
+			}
+		}()
+		test.Eq(t, CancelUncertain, no.CancelJob(t.Context(), name.queue, name.id), test.Sprintf("%v", outcomes))
+	}
+}
