lovagefleet: runs of a replaced owner end with their leases

A worker that has rejected the fence is not polled any more, and its runs end when their leases have expired and it counts as unreachable. A start may get the rejection while a poll that the worker accepted before is under way: the reply then made the worker reachable again, for good. Its runs never ended in the pool: their jobs stayed in it after their deadlines, a DELETE of one was never answered with 2xx or 410, and a graceful stop waited for them until the end of its time.

TestRunsOfAFencedOwnerEnd: red before, green after.

--- a/lovagefleet/link.go
+++ b/lovagefleet/link.go
@@ -151,6 +151,8 @@
 	id := li.worker.ID
 	for ctx.Err() == nil {
 		if fence, ok := li.fenceRejected(); ok {
+			// The reply to a poll that was accepted before may have come after the rejection.
+			li.node.post(func(now time.Time) { li.node.pool.MarkUnreachable(now, id) })
 			li.node.reclaimDomainOf(id, fence)
 			sleep(ctx, fencedRetryInterval)
 			continue
--- a/lovagefleet/link_test.go
+++ b/lovagefleet/link_test.go
@@ -119,3 +119,86 @@
 	expected := granted.Add(time.Duration(float64(se.Lease)*(1+se.ClockDrift)) + se.StopGrace) // runLifetime
 	must.LessEq(t, time.Millisecond, ends.Sub(expected), must.Sprint("time for which the run goes on after runsEndBy"))
 }
+
+// fencingWorker is a WorkerClient of a worker that gets a higher fence of another owner after its first start. The poll that it has
+// accepted before is answered after the next start.
+type fencingWorker struct {
+	WorkerClient
+	mu     sync.Mutex
+	run    []lovagepool.ActiveRun
+	fenced chan struct{}
+	once   sync.Once
+	polls  int
+}
+
+func (fw *fencingWorker) Poll(context.Context, PollRequest) (Reply, error) {
+	fw.mu.Lock()
+	fw.polls++
+	first, started := fw.polls == 1, len(fw.run) > 0
+	fw.mu.Unlock()
+	if !first && started {
+		<-fw.fenced
+		time.Sleep(50 * time.Millisecond)
+	}
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	return Reply{Clock: 1, ProcessStart: 1, Active: fw.run}, nil
+}
+
+func (fw *fencingWorker) Start(_ context.Context, rr RunRequest) (Reply, error) {
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	if len(fw.run) == 0 {
+		fw.run = []lovagepool.ActiveRun{{Task: rr.Task, Attempt: rr.Attempt}}
+		return Reply{Clock: 1, ProcessStart: 1}, nil
+	}
+	fw.once.Do(func() { close(fw.fenced) })
+	return Reply{Clock: 1, ProcessStart: 1, Rejected: RejectFence}, nil
+}
+
+func (fw *fencingWorker) Stop(context.Context, RunRequest) (Reply, error) {
+	return Reply{Clock: 1, ProcessStart: 1, Rejected: RejectFence}, nil
+}
+
+func TestRunsOfAFencedOwnerEnd(t *testing.T) {
+	// Checks that the runs of an owner that was replaced end with their leases if the reply to an earlier poll comes after the rejection.
+	fw := &fencingWorker{fenced: make(chan struct{})}
+	no := startLoop(t)
+	no.workerClient = fw
+	wo := lovagepool.Worker{
+		ID: "w1", ProcessStart: 1, Service: "s", Kind: "a", Labels: []string{"a"}, Capacity: taskResources.Plus(taskResources),
+	}
+	no.post(func(now time.Time) {
+		no.pool.SetWorkers(now, []lovagepool.Worker{wo})
+		no.links["w1"] = no.newLink(RegisteredWorker{Worker: wo, DataCentre: "east"}, 1)
+	})
+	hasRuns := func() bool {
+		result := make(chan bool, 1)
+		no.post(func(time.Time) { result <- no.pool.HasRuns("w1") })
+		return <-result
+	}
+	submit := func(id string) {
+		no.post(func(now time.Time) {
+			no.pool.Submit(now, &lovagepool.Job{Ref: id, Work: testWork(id, 1, 5*time.Second)})
+		})
+	}
+	await := func(what string, ok func() bool) {
+		t.Helper()
+		for end := time.Now().Add(3 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+			must.True(t, time.Now().Before(end), must.Sprint(what))
+		}
+	}
+	polled := func() bool { fw.mu.Lock(); defer fw.mu.Unlock(); return fw.polls > 1 }
+	await("the worker is polled", polled)
+	submit("a")
+	await("a starts", hasRuns)
+	time.Sleep(100 * time.Millisecond) // a poll is under way
+	submit("b")
+	select {
+	case <-fw.fenced:
+	case <-time.After(3 * time.Second):
+		t.Fatal("b is not started")
+	}
+	no.post(func(now time.Time) { no.pool.Cancel(now, "b") }) // it is not started again
+	await("the runs end", func() bool { return !hasRuns() })
+}
