lovagepool: the property test cancels jobs by ID and looks for runs at once

TestPlacingKeepsTheRules now cancels jobs by ID, here and by notes of other instances. It fails if a cancelled job starts, if a job that counts as stopped has a run, if a task starts beside another run of it or after it has ended as done, or if a submission gets two answers.

--- a/lovagepool/plan_property_test.go
+++ b/lovagepool/plan_property_test.go
@@ -15,8 +15,9 @@
 )
 
 // TestPlacingKeepsTheRules drives a pool with random events and checks every start against workers that are simulated apart
-// from it: room, anti_affinity, constraints, service, order of steps, probes, and that no answered job starts. Starts come from
-// ordinary placing, before refusals, from offloads of peers, and after hand-overs, removals and restarts of workers.
+// from it: room, anti_affinity, constraints, service, order of steps, probes, that no answered or cancelled job starts, that no task runs
+// twice, and that a cancelled job that counts as stopped has no run. Starts come from ordinary placing, before refusals, from offloads
+// of peers, and after hand-overs, removals and restarts of workers.
 func TestPlacingKeepsTheRules(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		si := newSimulation(rt)
@@ -25,6 +26,7 @@
 			"endRun": si.endRun, "poll": si.poll, "answerStop": si.answerStop, "pass": si.pass, "cancel": si.cancel,
 			"loseWorker": si.loseWorker, "removeOrAdd": si.removeOrAdd, "restart": si.restart, "handOver": si.handOver,
 			"takeBack": si.takeBack, "foreignRun": si.foreignRun, "setPeer": si.setPeer, "answerOffload": si.answerOffload,
+			"cancelByID": si.cancelByID,
 		}
 		names := slices.Sorted(maps.Keys(actions))
 		names = append(names, "submit", "submit", "submitOffloaded", "answerStart", "answerStart", "endRun", "endRun", "poll", "answerStop", "pass")
@@ -77,10 +79,11 @@
 	refs     []string
 	stops    []StopRun
 	offloads []Offload
+	stopping map[string]map[string]bool // Refs of which JobStopped must follow, by ID of the cancelled job
 }
 
 func newSimulation(rt *rapid.T) *simulation {
-	si := &simulation{T: rt, po: New(DefaultSettings()), now: time.Unix(1_700_000_000, 0), jobs: map[string]*simJob{}}
+	si := &simulation{T: rt, po: New(DefaultSettings()), now: time.Unix(1_700_000_000, 0), jobs: map[string]*simJob{}, stopping: map[string]map[string]bool{}}
 	si.po.OnDecision = func(de Decision) {
 		if de.Kind == "workerEjected" {
 			wo := si.worker(de.Worker)
@@ -219,7 +222,12 @@
 		case StopRun:
 			si.stops = append(si.stops, cm)
 		case FinishJob:
+			if si.jobs[cm.Ref].answered {
+				si.Fatalf("second answer to %s", cm.Ref)
+			}
 			si.jobs[cm.Ref].answered = true
+		case JobStopped:
+			si.noteStopped(cm.Ref)
 		case Offload:
 			si.offloads = append(si.offloads, cm)
 		}
@@ -239,7 +247,18 @@
 			same++
 		}
 	}
+	for _, ow := range si.workers {
+		for _, ot := range ow.runs {
+			if ot.task == cm.Task && ot.ref != "" && !jo.offloaded && !si.jobs[ot.ref].offloaded && (ot.state == "sent" || ot.state == "active") {
+				si.Fatalf("twice: start of %s on %s while attempt %d is %s on %s", cm.Task, wo.ID, ot.attempt, ot.state, ow.ID)
+			}
+		}
+	}
 	switch {
+	case jo.done[cm.Task]:
+		si.Fatalf("twice: start of %s, which has ended as done", cm.Task)
+	case si.stopping[jo.ID] != nil:
+		si.Fatalf("unasked: start of %s, which was cancelled", cm.Task)
 	case !wo.registered || wo.handingOver || wo.Draining || wo.Service != jo.Service:
 		si.Fatalf("start of %s on %s, which may not get it", cm.Task, wo.ID)
 	case jo.answered:
@@ -398,6 +417,48 @@
 	}
 }
 
+// cancelByID cancels an earlier job, at this instance or by a note of another one.
+func (si *simulation) cancelByID() {
+	older := si.earlier(si.draw("offloaded", 2) == 0)
+	if older == nil {
+		return
+	}
+	if si.stopping[older.ID] == nil {
+		si.stopping[older.ID] = map[string]bool{}
+	}
+	if si.draw("noted", 3) == 0 {
+		si.po.NoteCancelled(si.now, func(yield func(queue, id string) bool) { yield("queue", older.ID) })
+		return
+	}
+	refs, _ := si.po.CancelJob(si.now, "queue", older.ID)
+	for _, ref := range refs {
+		si.stopping[older.ID][ref] = true
+	}
+	si.checkStopped(older.ID)
+}
+
+func (si *simulation) noteStopped(ref string) {
+	id := si.jobs[ref].ID
+	if si.stopping[id][ref] {
+		delete(si.stopping[id], ref)
+		si.checkStopped(id)
+	}
+}
+
+// checkStopped checks that a cancelled job has no run if all of its submissions and offloads have stopped.
+func (si *simulation) checkStopped(id string) {
+	if len(si.stopping[id]) > 0 {
+		return
+	}
+	for _, wo := range si.workers {
+		for _, ru := range wo.runs {
+			if ru.jobID == id && ru.ref != "" && (ru.state == "sent" || ru.state == "active") {
+				si.Fatalf("unasked: %s is %s on %s after the end of its cancellation", ru.task, ru.state, wo.ID)
+			}
+		}
+	}
+}
+
 func (si *simulation) loseWorker() { si.po.MarkUnreachable(si.now, si.anyWorker().ID) }
 
 func (si *simulation) removeOrAdd() {
