--- a/lovagefleet/cancel.go
+++ b/lovagefleet/cancel.go
@@ -301,7 +301,8 @@
 	return oc
 }
 
-// passOnCancelledJobs tells a new owner which jobs have been cancelled, so that it refuses them if their callers send them again.
+// passOnCancelledJobs tells a new owner which jobs have been cancelled, so that it refuses them if their callers send them again, or
+// cancels those that it has got since.
 func (no *Node) passOnCancelledJobs(ow ownerRef) {
 	if ow.isSelf || ow.ID == no.self.ID || ow.Address == "" {
 		return
