lovagefleet: the end of a run is acknowledged once the loop will get it

Cause: a link noted the number of the last end in a reply, which later polls acknowledge, before it put the reply into the loop's queue.

Change: acknowledgeEnds is called after the reply was queued. TestLinkKeepsProcessesApart calls it as handlePoll does; it checks the same numbers.

Measured: TestEndsAreAcknowledgedOnceQueued is red without the change (3 acknowledged, none queued) and green with it.

--- a/lovagefleet/lifetime_test.go
+++ b/lovagefleet/lifetime_test.go
@@ -183,10 +183,15 @@
 	no.workerClient = fc
 	li := &link{node: no, worker: fc.workers["east-w0"].Worker, fence: 1, process: lovagepool.Process{Start: 1, KnownSince: time.Now()}}
 	sent := time.Now()
-	must.False(t, li.noteReply(sent, Reply{Clock: 5000, ProcessStart: 1, LastEnd: 40}))
+	note := func(sent time.Time, re Reply) (former bool) {
+		former = li.noteReply(sent, re)
+		li.acknowledgeEnds(re)
+		return former
+	}
+	must.False(t, note(sent, Reply{Clock: 5000, ProcessStart: 1, LastEnd: 40}))
 	fc.restart("b", 0, "east-w0")
-	must.False(t, li.noteReply(time.Now(), Reply{Clock: 7, ProcessStart: 2, LastEnd: 3}))
-	must.True(t, li.noteReply(sent, Reply{Clock: 5001, ProcessStart: 1, LastEnd: 41}))
+	must.False(t, note(time.Now(), Reply{Clock: 7, ProcessStart: 2, LastEnd: 3}))
+	must.True(t, note(sent, Reply{Clock: 5001, ProcessStart: 1, LastEnd: 41}))
 	must.Eq(t, 3, li.lastEndNumber)
 	must.Eq(t, 7, li.workerClock)
 	for start, want := range map[int64]int{1: 0, 2: 1} {
--- a/lovagefleet/link.go
+++ b/lovagefleet/link.go
@@ -40,7 +40,7 @@
 	workerClock   int64 // last reading of the worker's clock, milliseconds
 	clockReadAt   time.Time
 	process       lovagepool.Process
-	lastEndNumber int64     // highest number of an ended run in the replies of process
+	lastEndNumber int64     // highest number of an ended run in the replies of process that loop has or will get
 	unreachable   bool      // the worker gets no starts until it answers a poll
 	lostPolls     int       // polls in a row without a reply
 	firstLostAt   time.Time // when the first of these lost polls was sent
@@ -87,13 +87,22 @@
 	if restarted {
 		li.lastEndNumber, li.workerClock, li.clockReadAt = 0, 0, time.Time{} // they start anew with each process
 	}
-	li.lastEndNumber = max(li.lastEndNumber, re.LastEnd)
 	if re.Clock != 0 {
 		li.workerClock, li.clockReadAt = re.Clock, now
 	}
 	return false
 }
 
+// acknowledgeEnds lets later polls acknowledge the ended runs in a reply, which the worker then lists no more. Call it when the reply is
+// in loop's queue: the pool would take a run that is missing in a later reply for lost.
+func (li *link) acknowledgeEnds(re Reply) {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	if re.ProcessStart == 0 || re.ProcessStart == li.process.Start {
+		li.lastEndNumber = max(li.lastEndNumber, re.LastEnd)
+	}
+}
+
 // answersAs reports whether the process that began at start, 0 for any, is the newest that is known.
 func (li *link) answersAs(start int64) bool {
 	li.mu.Lock()
@@ -201,6 +210,7 @@
 			li.node.pool.HandleRunList(now, sent, id, re.Active, re.Ended)
 		}
 	})
+	li.acknowledgeEnds(re)
 }
 
 // handleLostPoll records a poll that got no reply or was rejected. A refused connection does not prove that the worker's
--- a/lovagefleet/link_test.go
+++ b/lovagefleet/link_test.go
@@ -202,3 +202,25 @@
 	no.post(func(now time.Time) { no.pool.Cancel(now, "b") }) // it is not started again
 	await("the runs end", func() bool { return !hasRuns() })
 }
+
+// Guards against a run whose end was acknowledged before the pool has got it: a later reply without the run may overtake the news, and
+// the task would be started again.
+func TestEndsAreAcknowledgedOnceQueued(t *testing.T) {
+	no := New(Settings{ID: "east-1", DataCentre: "east", PeerListen: "127.0.0.1:0", Pool: lovagepool.DefaultSettings()},
+		Dependencies{Metrics: lovagemetric.New(), Logger: testLogger{zaptest.NewLogger(t)}})
+	no.ctx = t.Context()
+	for range cap(no.eventQueue) { // loop does not run
+		no.post(func(time.Time) {})
+	}
+	li := &link{node: no, worker: lovagepool.Worker{ID: "w1"}, fence: 1, process: lovagepool.Process{Start: 1, KnownSince: time.Now()}}
+	handled := make(chan struct{})
+	go func() {
+		defer close(handled)
+		li.handlePoll(time.Now(), Reply{Clock: 1, ProcessStart: 1, LastEnd: 3})
+	}()
+	time.Sleep(50 * time.Millisecond)
+	must.Eq(t, 0, li.nextPoll(time.Now()).AckedEnd)
+	<-no.eventQueue
+	<-handled
+	must.Eq(t, 3, li.nextPoll(time.Now()).AckedEnd)
+}
