lovagestack: requests that a graceful stop can't wait for are answered with 504

Cause: at the end of its time a graceful stop cut what still waited for a job.

Change: shutDown then cancels the contexts of the requests in progress, so that their handlers answer that the outcome is unknown, and waits 0.1 s for that.

Measured: TestShutDownAnswersRequestsInProgress is red without the change (no answer, one connection open) and green with it.

--- a/lovagestack/server.go
+++ b/lovagestack/server.go
@@ -18,6 +18,8 @@
 	shutDownInterval = 5 * time.Millisecond
 	// newConnectionGrace is how long shutDown waits for the first request on a new connection.
 	newConnectionGrace = time.Second
+	// answerTime is what requests that are cancelled at the end of a shutdown have to be answered.
+	answerTime = 100 * time.Millisecond
 )
 
 // server is an HTTP server that shuts down without cutting a request that has arrived. http.Server.Shutdown closes a connection
@@ -26,16 +28,19 @@
 	http     *http.Server
 	listener net.Listener
 	stopping atomic.Bool
+	// cancelRequests ends the contexts of all requests.
+	cancelRequests context.CancelFunc
 
 	mu    sync.Mutex
 	conns map[*serverConn]bool
 }
 
 func newServer(address string, handler http.Handler) *server {
-	sv := &server{conns: map[*serverConn]bool{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	sv := &server{conns: map[*serverConn]bool{}, cancelRequests: cancel}
 	sv.http = &http.Server{
 		Addr: address, Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ConnState: sv.noteState,
+		MaxHeaderBytes: maxHeaderBytes, ConnState: sv.noteState, BaseContext: func(net.Listener) context.Context { return ctx },
 	}
 	return sv
 }
@@ -58,23 +63,37 @@
 	return errors.Wrapf(err, "serve on %s", sv.http.Addr)
 }
 
-// shutDown stops listening, closes connections once they are idle, and returns when none is left. It returns an error if ctx ends
-// first; the remaining connections are then still served.
+// shutDown stops listening, closes connections once they are idle, and returns when none is left. When ctx ends, it cancels the requests
+// in progress, so that their handlers answer that the outcome is unknown. It returns an error if that leaves connections open; these are
+// then still served.
 func (sv *server) shutDown(ctx context.Context) error {
 	sv.stopping.Store(true)
 	if err := sv.listener.Close(); err != nil {
 		return errors.Wrapf(err, "stop listening on %s", sv.http.Addr)
 	}
+	if sv.awaitNoConnections(ctx) == 0 {
+		return nil
+	}
+	sv.cancelRequests()
+	answerCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTime)
+	defer cancel()
+	if n := sv.awaitNoConnections(answerCtx); n > 0 {
+		return errors.Wrapf(ctx.Err(), "%d connections are open", n)
+	}
+	return nil
+}
+
+// awaitNoConnections closes connections once they are idle. It returns the number of open ones when that is 0 or ctx ends.
+func (sv *server) awaitNoConnections(ctx context.Context) int {
 	ticker := time.NewTicker(shutDownInterval)
 	defer ticker.Stop()
 	for {
 		n := sv.closeIdle(time.Now())
-		if n == 0 {
-			return nil
+		if n == 0 || ctx.Err() != nil {
+			return n
 		}
 		select {
 		case <-ctx.Done():
-			return errors.Wrapf(ctx.Err(), "%d connections are open", n)
 		case <-ticker.C:
 		}
 	}
--- a/lovagestack/server_test.go
+++ b/lovagestack/server_test.go
@@ -16,7 +16,13 @@
 // startServer starts a server whose handler answers 204, and returns it with a connection that has had one request.
 func startServer(t *testing.T) (*server, net.Conn, *bufio.Reader) {
 	t.Helper()
-	sv := newServer("127.0.0.1:0", http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+	sv := newServer("127.0.0.1:0", http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
+		if req.URL.Path == "/slow" {
+			<-req.Context().Done()
+			rw.Header().Set("Connection", "close")
+			rw.WriteHeader(http.StatusGatewayTimeout)
+			return
+		}
 		rw.WriteHeader(http.StatusNoContent)
 	}))
 	must.NoError(t, sv.listen())
@@ -37,11 +43,16 @@
 }
 
 func requireNoContent(t *testing.T, re *bufio.Reader) {
+	t.Helper()
+	requireStatus(t, re, http.StatusNoContent)
+}
+
+func requireStatus(t *testing.T, re *bufio.Reader, status int) {
 	t.Helper()
 	rs, err := http.ReadResponse(re, nil)
 	must.NoError(t, err)
 	must.NoError(t, rs.Body.Close())
-	must.Eq(t, http.StatusNoContent, rs.StatusCode)
+	must.Eq(t, status, rs.StatusCode)
 }
 
 // Guards against a request that is cut because its header was still being read when the server stopped.
@@ -70,6 +81,18 @@
 	test.Error(t, err)
 }
 
+// Guards against a request that is cut at the end of the time for a stop, although its caller can be told that its outcome is unknown.
+func TestShutDownAnswersRequestsInProgress(t *testing.T) {
+	sv, nc, re := startServer(t)
+	_, err := fmt.Fprint(nc, "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n")
+	must.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	must.NoError(t, sv.shutDown(ctx))
+	requireStatus(t, re, http.StatusGatewayTimeout)
+}
+
 func TestShutDownEndsWithItsContext(t *testing.T) {
 	sv, nc, _ := startServer(t)
 	_, err := fmt.Fprint(nc, "GET")
