platform, lovagefleet: a start gets to no other process than the one it was decided for

Callers saw nothing; a worker that restarts within some milliseconds as another kind was told to start tasks without their label (ROUTE), by the labels of the process that had ended.

Cause: a start is decided by the worker's present entry and sent later. Nothing in the request names the process, so the HTTP client connected to whatever listened at the address when the connection of the former process was gone.

If another process answers, the start is rejected and the pool learns of the process before it places the task again.

The label check of the fake cluster has no grace any more.

--- a/lovagefleet/control.go
+++ b/lovagefleet/control.go
@@ -136,7 +136,9 @@
 		switch cm := cmd.(type) {
 		case lovagepool.StartRun:
 			if li := no.links[cm.Worker]; li != nil {
-				go li.start(no.startContext(now, cm.Ref), now, cm, li.newRunRequest(cm.LeaseUntil, cm.Task, cm.Attempt, cm.Spec))
+				rr := li.newRunRequest(cm.LeaseUntil, cm.Task, cm.Attempt, cm.Spec)
+				rr.ProcessStart = cm.ProcessStart
+				go li.start(no.startContext(now, cm.Ref), now, cm, rr)
 			} else {
 				no.pool.HandleStartReply(now, cm.Worker, cm.Task, cm.Attempt, true, "noLink")
 			}
--- a/lovagefleet/fake_test.go
+++ b/lovagefleet/fake_test.go
@@ -32,12 +32,8 @@
 	partitioned      map[string]bool          // IDs of instances that cannot reach the store
 	readDelay        time.Duration            // delay of reads of the registered workers
 	commitReplyDelay map[string]time.Duration // delay of commit replies, by instance; commits are not delayed
-	startsByOldLabel int                      // starts on a worker without the label within labelGrace of its restart
 }
 
-// labelGrace is how long after the first answer of a new process a start on it may have been decided before that answer was known.
-const labelGrace = 50 * time.Millisecond
-
 type fakeWorker struct {
 	RegisteredWorker
 	fence            int64
@@ -177,6 +173,9 @@
 	case !wo.acceptsFence(rr.Fence):
 		re.Rejected = RejectFence
 		return re, nil
+	case rr.ProcessStart != 0 && rr.ProcessStart != wo.ProcessStart: // there is no connection to that process any more
+		re.Rejected = RejectIncarnation
+		return re, nil
 	case rr.Expires <= wo.clock():
 		re.Rejected = RejectLeaseExpired
 		return re, nil
@@ -380,11 +379,8 @@
 	if !found || slices.Contains(wo.Labels, label) {
 		return
 	}
-	fc.startsByOldLabel++
-	if !wo.firstAnswerAt.IsZero() && time.Since(wo.firstAnswerAt) > labelGrace {
-		fc.violations = append(fc.violations, fmt.Sprintf("worker %s with labels %v starts %s %s after its first answer",
-			wo.ID, wo.Labels, rr.Task, time.Since(wo.firstAnswerAt)))
-	}
+	fc.violations = append(fc.violations, fmt.Sprintf("worker %s starts %s %s after it restarted with labels %v",
+		wo.ID, rr.Task, time.Since(wo.startedAt), wo.Labels))
 }
 
 // partitionableStore is the store and registry as one instance sees them. Calls fail while fakeCluster.partitioned is set for
--- a/lovagefleet/fleet.go
+++ b/lovagefleet/fleet.go
@@ -77,6 +77,8 @@
 	Attempt int
 	Spec    string
 	Expires int64 // end of the lease on the worker's clock, milliseconds
+	// ProcessStart identifies the process for which a start was decided (lovagepool.Process); 0: any. Not used by stops.
+	ProcessStart int64
 }
 
 // PollRequest asks a worker for its active and ended runs. The worker numbers its runs as they end: it lists those above
@@ -107,7 +109,7 @@
 // reasons concern a single request.
 const (
 	RejectFence        RejectReason = "fence"    // the worker has seen a higher fence
-	RejectIncarnation  RejectReason = "lifetime" // another process listens at the address
+	RejectIncarnation  RejectReason = "lifetime" // another worker, or another process of the worker, answers at the address
 	RejectStaleAttempt RejectReason = "old"      // the same or a later attempt has ended on the worker
 	RejectLeaseExpired RejectReason = "late"     // the lease had expired on arrival
 	RejectNoCapacity   RejectReason = "room"
@@ -126,7 +128,8 @@
 func (ce ConnectionRefusedError) Unwrap() error { return ce.Err }
 
 // WorkerClient sends requests to workers. After an error the request may have taken effect or may still do so, unless
-// the error is a ConnectionRefusedError.
+// the error is a ConnectionRefusedError. A start never gets to another process than RunRequest.ProcessStart, not even while the worker
+// restarts: it is rejected with RejectIncarnation, and the reply tells the process that answers if that is known.
 type WorkerClient interface {
 	Start(ctx context.Context, rr RunRequest) (Reply, error)
 	Stop(ctx context.Context, rr RunRequest) (Reply, error)
--- a/lovagefleet/lifetime_test.go
+++ b/lovagefleet/lifetime_test.go
@@ -129,7 +129,7 @@
 	de.awaitWorkers("east-3", 6)
 	de.cluster.mu.Lock()
 	defer de.cluster.mu.Unlock()
-	t.Logf("outcomes: %v, starts on a restarted worker that were under way: %d", outcomes, de.cluster.startsByOldLabel)
+	t.Logf("outcomes: %v", outcomes)
 	must.Less(t, outcomes[lovagepool.Completed], 200)
 }
 
@@ -175,6 +175,14 @@
 	}
 }
 
+// anyProcess is a WorkerClient whose starts get to any process of a worker.
+type anyProcess struct{ *fakeCluster }
+
+func (ap anyProcess) Start(ctx context.Context, rr RunRequest) (Reply, error) {
+	rr.ProcessStart = 0
+	return ap.fakeCluster.Start(ctx, rr)
+}
+
 // Guards against starts on a worker that has restarted while this process did not run, perhaps with less room: they were decided by what was
 // known before, and the worker gets them before its new process has answered a poll.
 func TestNoStartByListFromBeforeAStall(t *testing.T) {
@@ -182,7 +190,7 @@
 		t.Run(name, func(t *testing.T) {
 			fc := newFakeCluster([]string{"east"}, 1)
 			no := startLoop(t)
-			no.workerClient, no.registry = fc, partitionableStore{fc, "east-1"}
+			no.workerClient, no.registry = anyProcess{fc}, partitionableStore{fc, "east-1"}
 			go no.registryLoop(t.Context())
 			no.post(func(now time.Time) { no.fenceByDomain["east"], no.claimedAt["east"] = 1, now })
 			no.wakeRegistryLoop()
@@ -254,3 +262,45 @@
 		must.Eq(t, want, fc.acceptedStarts[task])
 	}
 }
+
+// restartingWorkers is a WorkerClient that restarts the worker as another kind while the first start is on its way.
+type restartingWorkers struct {
+	*fakeCluster
+	kind string
+	once *sync.Once
+}
+
+func (rw restartingWorkers) Start(ctx context.Context, rr RunRequest) (Reply, error) {
+	rw.once.Do(func() { rw.restart(rw.kind, 0, rr.Worker) })
+	return rw.fakeCluster.Start(ctx, rr)
+}
+
+// Guards against a start by the labels of a process that ends while the start is on its way to it. The task runs on the new process if it
+// may, and is refused otherwise.
+func TestStartUnderWayReachesNoNewProcess(t *testing.T) {
+	for kind, want := range map[string]lovagepool.Outcome{"a": lovagepool.Completed, "b": lovagepool.NotRun} {
+		t.Run("new process of kind "+kind, func(t *testing.T) {
+			fc := newFakeCluster([]string{"east"}, 1)
+			fc.workers["east-w0"].Labels = []string{"a"}
+			no := startLoop(t)
+			no.workerClient, no.registry = restartingWorkers{fc, kind, &sync.Once{}}, partitionableStore{fc, "east-1"}
+			go no.registryLoop(t.Context())
+			no.post(func(now time.Time) { no.fenceByDomain["east"], no.claimedAt["east"] = 1, now })
+			no.wakeRegistryLoop()
+			work := constrainedWork("a", 1, 20*time.Millisecond)
+			jo := &lovagepool.Job{Ref: no.newRef(), Work: work}
+			for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+				workers := make(chan int, 1)
+				no.post(func(now time.Time) { workers <- no.pool.LoadReport(now, "s").Workers })
+				if <-workers == 1 {
+					break
+				}
+			}
+			work.Arrived, work.Deadline = time.Now(), time.Now().Add(2*time.Second)
+			fi, err := no.submitLocal(t.Context(), jo, func() string { return "" })
+			must.NoError(t, err)
+			must.Eq(t, want, fi.Outcome)
+			fc.reportViolations(t)
+		})
+	}
+}
--- a/lovagefleet/link.go
+++ b/lovagefleet/link.go
@@ -321,6 +321,7 @@
 			li.node.noteLostCall()
 			li.node.pool.HandleStartTimeout(now, cm.Worker, cm.Task, cm.Attempt)
 		default:
+			li.node.pool.HandleProcess(now, sent, cm.Worker, re.ProcessStart) // before the task is placed again
 			li.node.pool.HandleStartReply(now, cm.Worker, cm.Task, cm.Attempt, re.Rejected != "", string(re.Rejected))
 		}
 	})
