lovagepool, lovagefleet, platform: each start follows the present service of its queue

Callers saw nothing. Found by reading what says where a task may start: a job got the service of its queue when the header of its request arrived, and kept it while its body arrived, while it waited or was on its way to an owner, for its later steps, for retries and for offloads. So tasks started on workers of the former service, or by a removed route, long after the configuration had changed.

A job names the version of the configuration that names its service (Place.config_version). A pool knows the services of the newest configuration of its instance and applies them to jobs with an older one, at arrival and when the configuration changes; offloaded tasks of a peer with an older one are declined; an instance that sends a job once more looks the service up again. Jobs of removed queues keep their service, and runs go on. A waiting job that no worker of the new service fits is refused at once.

--- a/lovagefleet/fleet.go
+++ b/lovagefleet/fleet.go
@@ -149,6 +149,15 @@
 	RetryIn time.Duration
 }
 
+// Services returns the service of each queue.
+func (co *Configuration) Services() map[string]string {
+	services := make(map[string]string, len(co.Routes))
+	for i := range co.Routes {
+		services[co.Routes[i].Name] = co.Routes[i].Service
+	}
+	return services
+}
+
 // FindRoute returns the route of the host with the longest prefix of the path, or nil if none matches.
 func (co *Configuration) FindRoute(host, path string) *Route {
 	var best *Route
--- a/lovagefleet/peer.go
+++ b/lovagefleet/peer.go
@@ -398,6 +398,7 @@
 		Ref: ref, Id: wo.ID, Queue: wo.Queue, Service: wo.Service, Spec: wo.Spec, Priority: int32(wo.Priority),
 		MaxAttempts: int32(wo.MaxAttempts), SlackFactor: wo.SlackFactor, TargetLatencyMicros: wo.TargetLatency.Microseconds(),
 		AgeMicros: time.Since(wo.Arrived).Microseconds(), RemainingMicros: time.Until(wo.Deadline).Microseconds(),
+		ConfigVersion: wo.ConfigVersion,
 	}
 	for _, st := range wo.Steps {
 		ws := &lovagemessage.WorkStep{
@@ -421,8 +422,9 @@
 func jobFromMessage(pl *lovagemessage.Place) *lovagepool.Job {
 	now := time.Now()
 	wo := &lovagejob.Workload{
-		ID: pl.GetId(), Queue: pl.GetQueue(), Service: pl.GetService(), Spec: pl.GetSpec(), BestEffort: true,
-		Priority: int(pl.GetPriority()), MaxAttempts: int(pl.GetMaxAttempts()), SlackFactor: pl.GetSlackFactor(),
+		ID: pl.GetId(), Queue: pl.GetQueue(), Service: pl.GetService(), ConfigVersion: pl.GetConfigVersion(), Spec: pl.GetSpec(),
+		BestEffort: true,
+		Priority:   int(pl.GetPriority()), MaxAttempts: int(pl.GetMaxAttempts()), SlackFactor: pl.GetSlackFactor(),
 		TargetLatency: time.Duration(pl.GetTargetLatencyMicros()) * time.Microsecond,
 		Arrived:       now.Add(-time.Duration(pl.GetAgeMicros()) * time.Microsecond),
 		Deadline:      now.Add(time.Duration(pl.GetRemainingMicros()) * time.Microsecond),
--- a/lovagefleet/route.go
+++ b/lovagefleet/route.go
@@ -80,6 +80,7 @@
 		if ca.cancelled.Load() { // no owner has the job
 			return Answer{Outcome: lovagepool.Cancelled, Reason: "cancelled by its caller"}, no.self.ID
 		}
+		wo = no.withPresentService(wo)
 		ow, ok := no.ownerByID(target)
 		if !ok {
 			ow, ok = no.chooseOwner(wo.Service, failed)
@@ -124,6 +125,23 @@
 	return &earlier
 }
 
+// withPresentService returns the job with the service that the configuration in force names for its queue, if that is newer than the one
+// by which the job has its service. A job whose queue has been removed keeps its service.
+func (no *Node) withPresentService(wo *lovagejob.Workload) *lovagejob.Workload {
+	co := no.config.Load()
+	if co == nil || co.Version <= wo.ConfigVersion {
+		return wo
+	}
+	for i := range co.Routes {
+		if ro := &co.Routes[i]; ro.Name == wo.Queue && ro.Service != wo.Service {
+			updated := *wo
+			updated.Service, updated.ConfigVersion = ro.Service, co.Version
+			return &updated
+		}
+	}
+	return wo
+}
+
 // chooseOwner returns the owner in this data centre if it can be reached and has usable workers, otherwise the owner with
 // usable workers and the most free capacity, or else any owner.
 func (no *Node) chooseOwner(service string, failed map[string]bool) (ownerRef, bool) {
--- a/lovagejob/workload.go
+++ b/lovagejob/workload.go
@@ -73,7 +73,8 @@
 type Workload struct {
 	ID            string
 	Queue         string // name of the route that matched the request
-	Service       string // the service whose workers run the tasks
+	Service       string // the service whose workers run the tasks, by ConfigVersion
+	ConfigVersion int64  // version of the configuration that names the service for the queue; 0: not known
 	Spec          string // text that the worker gets unchanged
 	Steps         []Step
 	BestEffort    bool          // the job is not stored; the caller waits for the answer
--- a/lovagepool/pool.go
+++ b/lovagepool/pool.go
@@ -235,7 +235,9 @@
 	lastOffloadNumber int
 	earlyCancels      map[string]time.Time // times of cancellations that arrived before their jobs, by Ref
 	cancelledJobs     map[jobKey]cancelledJob
-	cancelOrder       []jobKey // keys of cancelledJobs, oldest first
+	cancelOrder       []jobKey          // keys of cancelledJobs, oldest first
+	configVersion     int64             // see SetServices
+	services          map[string]string // see SetServices
 	leaving           bool
 	commands          []Command
 	lag               time.Duration    // see SetLag
--- a/lovagepool/submit.go
+++ b/lovagepool/submit.go
@@ -13,7 +13,6 @@
 	if po.jobs[jo.Ref] != nil {
 		return
 	}
-	wo := jo.Work
 	if _, ok := po.earlyCancels[jo.Ref]; ok {
 		delete(po.earlyCancels, jo.Ref)
 		jo.buildTasks()
@@ -23,6 +22,12 @@
 	if po.refuseCancelled(now, jo) {
 		return
 	}
+	if jo.Offloaded != nil && po.presentService(jo) != jo.Work.Service {
+		po.Reject(now, jo, "the peer's configuration is older, and the queue's service has changed")
+		return
+	}
+	po.updateService(now, jo)
+	wo := jo.Work
 	jo.stats = po.ensureQueueStats(wo.Queue)
 	po.recordResources(jo)
 	jo.buildTasks()
@@ -46,8 +51,7 @@
 			return
 		}
 		if !po.fitsAnyWorker(jo) && !po.AwaitsEntries() { // the entries of restarted workers may have the label or the size
-			po.recordDecision(Decision{Kind: "refusedUnfit", Job: wo.ID, Ref: jo.Ref, Reason: "no worker is large enough or has the label"})
-			po.finish(jo, NotRun, "no worker is large enough or has the label", unfitRetryDelay)
+			po.refuseUnfit(jo)
 			return
 		}
 	}
@@ -57,6 +61,12 @@
 	po.needsSchedule = true
 }
 
+// refuseUnfit refuses a job that no worker may run.
+func (po *Pool) refuseUnfit(jo *Job) {
+	po.recordDecision(Decision{Kind: "refusedUnfit", Job: jo.Work.ID, Ref: jo.Ref, Reason: "no worker is large enough or has the label"})
+	po.finish(jo, NotRun, "no worker is large enough or has the label", unfitRetryDelay)
+}
+
 // Reject answers a job that must not start any more, because it was under way for too long, with Moved.
 func (po *Pool) Reject(now time.Time, jo *Job, reason string) {
 	po.recordDecision(Decision{Kind: "jobRejected", Job: jo.Work.ID, Ref: jo.Ref, Reason: reason, Age: now.Sub(jo.Work.Arrived)})
