lovagefleet: the loop passes a new configuration to the pool before it places tasks

Cause: posted an event for each new configuration. Change: the loop compares versions before each pass, so that no start is decided by services older than the configuration of the instance.

--- a/lovagefleet/control.go
+++ b/lovagefleet/control.go
@@ -79,6 +79,7 @@
 			timer.Reset(interval)
 			no.publishCounts()
 		}
+		no.updateServices(now)
 		no.execute(now, no.pool.Commands(now))
 		ranAt = time.Now()
 	}
--- a/lovagefleet/node.go
+++ b/lovagefleet/node.go
@@ -93,6 +93,7 @@
 
 	// Used only by loop.
 	pool               *lovagepool.Pool
+	poolConfigVersion  int64                // version of the configuration that the pool knows
 	fenceByDomain      map[string]int64     // fence of each domain that is owned or still being released to a new owner
 	claimedAt          map[string]time.Time // when this instance claimed the domain
 	registryReadAt     time.Time            // start of the last successful read of the registered workers
--- a/lovagefleet/registry.go
+++ b/lovagefleet/registry.go
@@ -195,16 +195,17 @@
 		}
 		if no.config.CompareAndSwap(old, co) {
 			no.log.Info("configuration in force", zap.Int64("version", co.Version), zap.Int("routes", len(co.Routes)))
-			no.post(no.updateServices)
 			return
 		}
 	}
 }
 
-// updateServices passes the queues' services to the pool.
+// updateServices passes the queues' services to the pool if there is a newer configuration. Only loop calls it.
 func (no *Node) updateServices(now time.Time) {
-	co := no.config.Load()
-	no.pool.SetServices(now, co.Version, co.Services())
+	if co := no.config.Load(); co != nil && co.Version > no.poolConfigVersion {
+		no.poolConfigVersion = co.Version
+		no.pool.SetServices(now, co.Version, co.Services())
+	}
 }
 
 func sleep(ctx context.Context, du time.Duration) {
