platform, lovagefleet: a poll acknowledges and extends nothing at another process

A poll that is on its way when its worker restarts got to the new process with the former one's numbers: that process forgot ended runs up to the old last number, and its lease was set by the old clock. If a run had already ended there, for which the poll has to be later than the start and the end of a short task, it was missing in the lists afterwards and counted as lost, and its task was started again though it had ended as done.

Change: polls name their process like starts.

--- a/lovagefleet/fake_test.go
+++ b/lovagefleet/fake_test.go
@@ -299,6 +299,9 @@
 			re.Rejected = RejectFence
 			return re, nil
 		}
+		if pr.ProcessStart != 0 && pr.ProcessStart != wo.ProcessStart {
+			pr.AckedEnd, pr.Expires, deadline = 0, 0, time.Time{}
+		}
 		kept := wo.endedRuns[:0]
 		for _, en := range wo.endedRuns {
 			if en.number > pr.AckedEnd {
--- a/lovagefleet/fleet.go
+++ b/lovagefleet/fleet.go
@@ -90,6 +90,8 @@
 	Expires  int64 // new end of the runs' leases on the worker's clock, milliseconds; 0: no extension
 	AckedEnd int64
 	Wait     time.Duration // longest wait for a run to end before the reply
+	// ProcessStart identifies the process (lovagepool.Process) to which Expires and AckedEnd belong; 0: any.
+	ProcessStart int64
 }
 
 // Reply is a worker's reply to a RunRequest or PollRequest.
@@ -129,7 +131,8 @@
 
 // WorkerClient sends requests to workers. After an error the request may have taken effect or may still do so, unless
 // the error is a ConnectionRefusedError. A start never gets to another process than RunRequest.ProcessStart, not even while the worker
-// restarts: it is rejected with RejectIncarnation, and the reply tells the process that answers if that is known.
+// restarts: it is rejected with RejectIncarnation, and the reply tells the process that answers if that is known. A poll of another process
+// than PollRequest.ProcessStart extends no lease and acknowledges no ends.
 type WorkerClient interface {
 	Start(ctx context.Context, rr RunRequest) (Reply, error)
 	Stop(ctx context.Context, rr RunRequest) (Reply, error)
--- a/lovagefleet/link.go
+++ b/lovagefleet/link.go
@@ -126,12 +126,19 @@
 	return li.fence, li.fence <= li.rejectedFence
 }
 
+// newPoll returns a poll that extends no lease and does not wait. The caller holds mu.
+func (li *link) newPoll() PollRequest {
+	return PollRequest{
+		Worker: li.worker.ID, Address: li.worker.Address, Fence: li.fence, AckedEnd: li.lastEndNumber, ProcessStart: li.process.Start,
+	}
+}
+
 // nextPoll returns the next poll, which extends the worker's lease until the given time. While the worker is unreachable, the poll
 // extends no lease: the pool waits for it to expire, and a poll may extend it even if its reply is lost.
 func (li *link) nextPoll(leaseUntil time.Time) PollRequest {
 	li.mu.Lock()
 	defer li.mu.Unlock()
-	pr := PollRequest{Worker: li.worker.ID, Address: li.worker.Address, Fence: li.fence, AckedEnd: li.lastEndNumber}
+	pr := li.newPoll()
 	if !li.unreachable {
 		pr.Expires = li.leaseExpiry(leaseUntil)
 	}
@@ -266,7 +273,7 @@
 	default:
 	}
 	li.mu.Lock()
-	pr := PollRequest{Worker: li.worker.ID, Address: li.worker.Address, Fence: li.fence, AckedEnd: li.lastEndNumber}
+	pr := li.newPoll()
 	li.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, li.node.patience().timeout(requestTimeout))
 	defer cancel()
