lovagepool: room at peers counts only for tasks that can be offloaded

Callers of a job with anti_affinity waited until their deadline instead of being refused at once, in an overloaded data centre with free room elsewhere. Found by reading how limits pass through offloads; no rule is broken by it. Cause: a job that is about to be refused is begun if its tasks fit here or at peers, but tasks with anti_affinity are never offloaded. Change: if such a task fits nowhere here, room at peers does not count. Evidence: TestRoomAtPeersCountsOnlyForTasksThatCanBeOffloaded fails before (two tasks start, the third has no place) and passes now.

--- a/lovagepool/place.go
+++ b/lovagepool/place.go
@@ -162,12 +162,11 @@
 // workers and offloads the tasks that do not fit here, except those that a peer has offloaded to this pool.
 func (po *Pool) startAllOrNone(now time.Time, jo *Job, skipSlow bool) bool {
 	pl := po.planJob(now, jo, skipSlow)
-	peerCapacity := 0
-	if !skipSlow && jo.Offloaded == nil {
-		peerCapacity = po.OffloadCapacity(now, jo.Work.Service)
-	}
-	if len(pl.admitted)+peerCapacity < jo.readyTasks {
-		return false
+	if missing := jo.readyTasks - len(pl.admitted); missing > 0 {
+		mayOffload := !skipSlow && jo.Offloaded == nil && !pl.leavesOutLimited()
+		if !mayOffload || po.OffloadCapacity(now, jo.Work.Service) < missing {
+			return false
+		}
 	}
 	pl.start()
 	po.offloadWaitingTasks(now, jo, math.Inf(1), true)
--- a/lovagepool/plan.go
+++ b/lovagepool/plan.go
@@ -1,6 +1,7 @@
 package lovagepool
 
 import (
+	"slices"
 	"time"
 
 	"lovagestack/lovagejob"
@@ -119,6 +120,14 @@
 	return true
 }
 
+// leavesOutLimited reports whether a ready task is not in the plan whose step has AntiAffinity. Such tasks are not offloaded.
+func (pl *plan) leavesOutLimited() bool {
+	return slices.ContainsFunc(pl.job.tasks, func(ta *task) bool {
+		return ta.state == taskReady && pl.step(ta).AntiAffinity > 0 &&
+			!slices.ContainsFunc(pl.admitted, func(ad admission) bool { return ad.task == ta })
+	})
+}
+
 // start starts all tasks of the plan, which is then used up.
 func (pl *plan) start() {
 	for _, ad := range pl.admitted {
--- a/lovagepool/plan_test.go
+++ b/lovagepool/plan_test.go
@@ -43,6 +43,28 @@
 	must.Eq(t, []string{"start w1 e.0.0.0 1"}, ha.commands())
 }
 
+// Guards against a job that is begun though its other tasks fit nowhere: room at peers was counted for tasks with anti_affinity, which are
+// not offloaded. Its caller waited until the deadline for an answer that was not to come.
+func TestRoomAtPeersCountsOnlyForTasksThatCanBeOffloaded(t *testing.T) {
+	for antiAffinity, want := range map[int][]string{
+		3: {"finish a completed", "start w1 c.0.0.0 1", "start w1 c.0.0.1 1", "start w1 c.0.0.2 1"},
+		2: {"finish a completed", "finish c notRun"},
+	} {
+		ha := newHarness(t, testWorker("w1", 32000))
+		ha.submit("a", 1, 32000)
+		ha.commands()
+		ha.now = ha.now.Add(150 * time.Millisecond)
+		wo := ha.newWork("c", 3, 5000)
+		wo.Steps[0].AntiAffinity, wo.SlackFactor, wo.TargetLatency = antiAffinity, 1.4, 0
+		ha.po.Submit(ha.now, &Job{Ref: "c", Work: wo})
+		must.SliceEmpty(t, ha.commands())
+		ha.now = ha.now.Add(50 * time.Millisecond)
+		ha.po.SetPeer(ha.now, "p", map[string]LoadReport{"checks": {Free: []FreeCapacity{{Slowdown: 8, Tasks: 9}}, Workers: 1, Rate: 1, Backlog: time.Second}})
+		ha.reportEnded("w1", "a.0.0.0", 1, RunDone)
+		must.Eq(t, want, ha.commands(), must.Sprintf("anti_affinity %d", antiAffinity))
+	}
+}
+
 func TestOffloadsOfOneJobKeepAntiAffinity(t *testing.T) {
 	// Guards against too many tasks of a step on one worker of the peer that gets several offloads of one job.
 	ha := newHarness(t, testWorker("w1", 32000))
