--- a/lovagefleet/peer.go
+++ b/lovagefleet/peer.go
@@ -422,12 +422,11 @@
 func jobFromMessage(pl *lovagemessage.Place) *lovagepool.Job {
 	now := time.Now()
 	wo := &lovagejob.Workload{
-		ID: pl.GetId(), Queue: pl.GetQueue(), Service: pl.GetService(), ConfigVersion: pl.GetConfigVersion(), Spec: pl.GetSpec(),
-		BestEffort: true,
-		Priority:   int(pl.GetPriority()), MaxAttempts: int(pl.GetMaxAttempts()), SlackFactor: pl.GetSlackFactor(),
-		TargetLatency: time.Duration(pl.GetTargetLatencyMicros()) * time.Microsecond,
-		Arrived:       now.Add(-time.Duration(pl.GetAgeMicros()) * time.Microsecond),
-		Deadline:      now.Add(time.Duration(pl.GetRemainingMicros()) * time.Microsecond),
+		ID: pl.GetId(), Queue: pl.GetQueue(), Service: pl.GetService(), ConfigVersion: pl.GetConfigVersion(),
+		Spec: pl.GetSpec(), BestEffort: true, Priority: int(pl.GetPriority()), MaxAttempts: int(pl.GetMaxAttempts()),
+		SlackFactor: pl.GetSlackFactor(), TargetLatency: time.Duration(pl.GetTargetLatencyMicros()) * time.Microsecond,
+		Arrived:  now.Add(-time.Duration(pl.GetAgeMicros()) * time.Microsecond),
+		Deadline: now.Add(time.Duration(pl.GetRemainingMicros()) * time.Microsecond),
 	}
 	for _, ws := range pl.GetSteps() {
 		st := lovagejob.Step{
