lovagepool: offloaded tasks are declined by the services that are known when they are placed

Cause: checked them when they arrive. A configuration that is read between that and the placing, in one pass of the loop, was missed. Change: the check is made where they are placed. TestStartsFollowTheServiceOfTheQueue has the case; it starts the task on the code before.

--- a/lovagepool/offload.go
+++ b/lovagepool/offload.go
@@ -254,9 +254,16 @@
 
 // placeOffloaded starts all tasks of a peer's job at once, or declines them all.
 func (po *Pool) placeOffloaded(now time.Time, jo *Job) {
-	if !po.startAllOrNone(now, jo, !jo.AnySpeed) {
-		po.recordDecision(Decision{Kind: "loanDeclined", Job: jo.Work.ID, Ref: jo.Ref, Reason: "no free room"})
-		po.finish(jo, NotRun, "no free room", 0)
+	reason := ""
+	switch {
+	case po.presentService(jo) != jo.Work.Service:
+		reason = "the peer's configuration is older, and names another service for the queue"
+	case !po.startAllOrNone(now, jo, !jo.AnySpeed):
+		reason = "no free room"
+	}
+	if reason != "" {
+		po.recordDecision(Decision{Kind: "loanDeclined", Job: jo.Work.ID, Ref: jo.Ref, Reason: reason})
+		po.finish(jo, NotRun, reason, 0)
 	}
 }
 
--- a/lovagepool/service_test.go
+++ b/lovagepool/service_test.go
@@ -70,7 +70,11 @@
 		{"offloaded task of a peer with an older configuration", func(ha *harness) {
 			ha.po.SetServices(ha.now, 2, changed)
 			ha.po.Submit(ha.now, &Job{Ref: "x", Work: ha.newWork("a", 1, 14000), Offloaded: []OffloadedTask{{0, 0, 1}}})
-		}, []string{"finish x moved"}},
+		}, []string{"finish x notRun"}},
+		{"configuration that comes with an offloaded task", func(ha *harness) {
+			ha.po.Submit(ha.now, &Job{Ref: "x", Work: ha.newWork("a", 1, 14000), Offloaded: []OffloadedTask{{0, 0, 1}}})
+			ha.po.SetServices(ha.now, 2, changed)
+		}, []string{"finish x notRun"}},
 		{"waiting job that no worker of the new service may run", func(ha *harness) {
 			ha.submit("a", 1, 14000)
 			wo := ha.newWork("b", 1, 14000)
--- a/lovagepool/submit.go
+++ b/lovagepool/submit.go
@@ -22,11 +22,9 @@
 	if po.refuseCancelled(now, jo) {
 		return
 	}
-	if jo.Offloaded != nil && po.presentService(jo) != jo.Work.Service {
-		po.Reject(now, jo, "the peer's configuration is older, and the queue's service has changed")
-		return
+	if jo.Offloaded == nil {
+		po.updateService(now, jo)
 	}
-	po.updateService(now, jo)
 	wo := jo.Work
 	jo.stats = po.ensureQueueStats(wo.Queue)
 	po.recordResources(jo)
