lovagepool: a late reply that lists a lost run as succeeded completes its task

Callers saw nothing; a task that had succeeded could run again, which the users' rules allow for jobs that are not kept, once the lease has lapsed. Trace: a run ends as done and its worker's reply is on its way; the lease expires here, so that the run counts as lost and its task waits for a worker; the reply arrives, names a run that the pool does not know any more, and the task is started again. Change: the pool remembers the task of the ends that it has concluded. If such a run is listed as done and its task has not been started again, the task is done.

--- a/lovagepool/pool_test.go
+++ b/lovagepool/pool_test.go
@@ -101,6 +101,27 @@
 	must.True(t, ha.po.Idle())
 }
 
+// Guards against another run of a task that has succeeded: the worker's reply with its end came after its lease had expired here.
+func TestLateEndOfALostRunCompletesItsTask(t *testing.T) {
+	ha := newHarness(t, testWorker("w1", 32000))
+	ha.submit("j", 2, 14000)
+	ha.commands()
+	ha.reportStarted("w1", "j.0.0.0", 1)
+	ha.reportStarted("w1", "j.0.0.1", 1)
+	sent := ha.now
+	ha.po.MarkUnreachable(ha.now, "w1")
+	ha.advance(1500 * time.Millisecond)
+	must.Eq(t, 0, len(ha.po.workers["w1"].runs))
+	must.SliceEmpty(t, ha.commands())
+	done := EndedRun{"j.0.0.0", 1, RunDone}
+	ha.po.HandleRunList(ha.now, sent, "w1", nil, []EndedRun{done, {"j.0.0.1", 1, RunStopped}})
+	must.Eq(t, []string{"start w1 j.0.0.1 2"}, ha.commands())
+	ha.po.HandleRunList(ha.now, sent, "w1", nil, []EndedRun{done})
+	ha.reportEnded("w1", "j.0.0.1", 2, RunDone)
+	must.Eq(t, []string{"finish j completed"}, ha.commands())
+	must.True(t, ha.po.Idle())
+}
+
 func TestResourcesAreReservedUntilTheRunHasEnded(t *testing.T) {
 	// Checks after which events other runs get the resources of a run. Too early, they overload the worker, which does not
 	// check its own capacity.
--- a/lovagepool/runs.go
+++ b/lovagepool/runs.go
@@ -129,6 +129,8 @@
 	for _, en := range ended {
 		if ru := wo.findRun(runKey{en.Task, en.Attempt}); ru != nil {
 			po.concludeRun(now, ru, en.Outcome, listedEnd)
+		} else if en.Outcome == RunDone {
+			po.correctEnd(now, wo, runKey{en.Task, en.Attempt})
 		}
 	}
 	listed := make(map[runKey]bool, len(active))
@@ -257,6 +259,7 @@
 	key    runKey
 	reason string // why the run counts as ended
 	at     time.Time
+	task   *task // which may have to run again; nil: the run has succeeded, or belonged to no job
 }
 
 // maxRunEnds is how many ends are kept for a worker.
@@ -271,10 +274,32 @@
 	if len(wo.ends) == maxRunEnds {
 		wo.ends = slices.Delete(wo.ends, 0, 1)
 	}
-	wo.ends = append(wo.ends, runEnd{ru.key, reason, now})
+	en := runEnd{key: ru.key, reason: reason, at: now}
+	if outcome != RunDone {
+		en.task = ru.task
+	}
+	wo.ends = append(wo.ends, en)
 	po.endRun(now, ru, outcome)
 }
 
+// correctEnd handles a run that its worker lists as succeeded after this pool has taken it for lost, for example because the reply was late. If
+// its task has not been started again, it is done.
+func (po *Pool) correctEnd(now time.Time, wo *worker, key runKey) {
+	en := wo.findEnd(key)
+	if en == nil || en.task == nil {
+		return
+	}
+	ta := en.task
+	jo := ta.job
+	if ta.state != taskReady || ta.attempt != key.attempt || jo.ended || jo.Offloaded != nil {
+		return
+	}
+	en.task = nil
+	jo.readyTasks--
+	jo.activeTasks++ // which taskEnded takes back
+	po.taskEnded(now, ta, RunDone)
+}
+
 // hasListedEnd reports whether the worker's process has listed the run as ended before.
 func (wo *worker) hasListedEnd(key runKey) bool {
 	en := wo.findEnd(key)
