--- a/lovagefleet/service_test.go
+++ b/lovagefleet/service_test.go
@@ -13,8 +13,8 @@
 	"lovagestack/lovagepool"
 )
 
-// Checks that no task starts on workers of a queue's former service once all instances have the new configuration: not of jobs that wait,
-// that are on their way between instances, that are offloaded or that have begun.
+// Guards against starts on workers of a queue's former service once all instances have the new configuration: of jobs that wait, that are on
+// their way between instances, that are offloaded or that have begun.
 func TestServiceChangesUnderLoad(t *testing.T) {
 	de := deployWith(t, &deployment{workers: 6})
 	fc := de.cluster
