--- /dev/null
+++ b/review/standin2/cases.go
@@ -0,0 +1,325 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Figures of the cases.
+const (
+	startTimeout  = 40 * time.Second // until the instances serve
+	cancelBound   = 3 * time.Second  // cancel_ms
+	killGrace     = 50 * time.Millisecond
+	configBound   = 2 * time.Second // config_apply_ms
+	contactTime   = 3 * time.Second // contact_ms
+	cancelTries   = 3
+	cancelTimeout = 2 * time.Second
+	service       = "ticket"
+	host          = "gate.example"
+)
+
+// shortRuns is the run time of tasks that no case names.
+func shortRuns(string) time.Duration { return 100 * time.Millisecond }
+
+// queue returns a route with the figures of a small deployment.
+func queue(name, prefix string) route {
+	return route{
+		Name: name, Host: host, PathPrefix: prefix, Service: service, TimeoutMillis: 20000, Priority: 1, MaxAttempts: 4, SlackFactor: 1.6,
+		TargetMillis: 60,
+	}
+}
+
+// Figures of the job that is cancelled.
+const (
+	chainSteps   = 18
+	chainRunTime = 500 * time.Millisecond
+)
+
+// chain returns the steps of a job of sub-second tasks, each step after the one before.
+func chain() []step {
+	steps := make([]step, chainSteps)
+	for i := range steps {
+		steps[i] = step{Count: 2, CPU: 2000, MemoryMB: 64, RunTime: int(chainRunTime.Milliseconds())}
+		if i > 0 {
+			steps[i].DependsOn = []int{i - 1}
+		}
+	}
+	return steps
+}
+
+// chainRuns returns the run times of tasks, among them those of the job with the steps of chain.
+func chainRuns(job string) func(task string) time.Duration {
+	return func(task string) time.Duration {
+		if strings.HasPrefix(task, job+".") {
+			return chainRunTime
+		}
+		return shortRuns(task)
+	}
+}
+
+// smallBed starts three instances and six workers in the zones, and waits until they serve.
+func smallBed(ru *run, runTime func(task string) time.Duration, rt route, zones ...string) (*bed, error) {
+	be, err := newBed(ru, zones...)
+	if err != nil {
+		return nil, err
+	}
+	be.configure(1, service, rt)
+	for i, id := range []string{"w-1", "w-2", "w-3", "w-4", "w-5", "w-6"} {
+		if err := be.addWorker(id, zones[i%len(zones)], service, runTime); err != nil {
+			return be, err
+		}
+	}
+	for i, node := range []string{"edge-1", "edge-2", "edge-3"} {
+		if _, err := be.startInstance(node, zones[i%len(zones)]); err != nil {
+			return be, err
+		}
+	}
+	ctx, cancel := context.WithTimeout(ru.ctx, startTimeout)
+	defer cancel()
+	if err := be.awaitService(ctx, rt.Host, rt.PathPrefix); err != nil {
+		return be, err
+	}
+	time.Sleep(3 * time.Second) // owners of the domains have settled
+	return be, nil
+}
+
+// secondSignal sends SIGTERM to an instance that has a client's request, and half a second later SIGTERM again. The task ends long before
+// grace_s is over, and the client waits for longer. Rule LOST: the channel must not end without a whole answer.
+func secondSignal(ru *run) error {
+	const runTime = 1500 * time.Millisecond
+	jobs := []string{newID(), newID(), newID()}
+	be, err := smallBed(ru, func(task string) time.Duration {
+		for _, id := range jobs {
+			if strings.HasPrefix(task, id+".") {
+				return runTime
+			}
+		}
+		return shortRuns(task)
+	}, queue("gate-confirm", "/gate/"), "kandla")
+	if be != nil {
+		defer be.close(ru.keep)
+	}
+	if err != nil {
+		return err
+	}
+	answers := make(chan answer, len(jobs))
+	for i, id := range jobs {
+		cl := &client{re: ru.re, name: "client of " + be.instances[i].node}
+		go func() {
+			answers <- cl.submit(be.instances[i], host, "/gate/"+id, 5*time.Second, []step{{Count: 2, CPU: 2000, MemoryMB: 64, RunTime: 1500}})
+		}()
+	}
+	time.Sleep(400 * time.Millisecond)
+	if n := len(be.startsOf(jobs[0])); n != 2 {
+		return errNotStarted
+	}
+	be.instances[0].signal(syscall.SIGTERM)
+	time.Sleep(500 * time.Millisecond)
+	if ru.trouble {
+		be.instances[0].signal(syscall.SIGTERM)
+	}
+	lost := 0
+	for range jobs {
+		if an := <-answers; !an.answered() {
+			lost++
+		}
+	}
+	if lost > 0 {
+		return broken("LOST: %d channels ended without an answer, while the workers were at work and the clients waited", lost)
+	}
+	return nil
+}
+
+// renamedQueue replaces a queue by one of another name with the same host, path and service, while a job of it runs. The client then
+// cancels the job. Rule UNASKED: cancel_ms after the acknowledgement no task of the job may start, or run on for longer than
+// kill_grace_ms.
+func renamedQueue(ru *run) error {
+	id := newID()
+	before, after := queue("gate-confirm", "/gate/"), queue("gate-entry", "/gate/")
+	be, err := smallBed(ru, chainRuns(id), before, "kandla")
+	if be != nil {
+		defer be.close(ru.keep)
+	}
+	if err != nil {
+		return err
+	}
+	owner := &client{re: ru.re, name: "client"}
+	answered := make(chan answer, 1)
+	go func() {
+		answered <- owner.submit(be.instances[0], host, "/gate/"+id, 18*time.Second, chain())
+	}()
+	time.Sleep(500 * time.Millisecond)
+	if len(be.startsOf(id)) == 0 {
+		return errNotStarted
+	}
+	if ru.trouble {
+		be.configure(2, service, after)
+	}
+	time.Sleep(configBound + 500*time.Millisecond)
+	return be.cancelAndCheck(be.instances[0], "/gate/"+id, id, answered)
+}
+
+// cancelAndCheck cancels a job until that is acknowledged, waits for the answer to the job, and checks UNASKED.
+func (be *bed) cancelAndCheck(in *instance, path, id string, answered <-chan answer) error {
+	canceller := &client{re: be.re, name: "canceller"}
+	var an answer
+	for range cancelTries {
+		an = canceller.call(in, http.MethodDelete, host, path, cancelTimeout, nil)
+		if an.answered() && (an.status/100 == 2 || an.status == http.StatusGone) {
+			break
+		}
+	}
+	if !an.answered() || an.status/100 != 2 && an.status != http.StatusGone {
+		return fmt.Errorf("the cancelling was not acknowledged: %s", an)
+	}
+	<-answered
+	time.Sleep(500 * time.Millisecond)
+	bound := an.at.Add(cancelBound)
+	starts := be.startsOf(id)
+	for _, ss := range starts {
+		if ss.at.After(bound) {
+			return broken("UNASKED: %s started %s after the cancelling was acknowledged with %d", ss.task, ss.at.Sub(an.at), an.status)
+		}
+	}
+	for _, ss := range starts {
+		if ss.run.ended.After(bound.Add(killGrace)) {
+			return broken("UNASKED: %s ran on until %s after the cancelling was acknowledged with %d", ss.task, ss.run.ended.Sub(an.at), an.status)
+		}
+	}
+	return nil
+}
+
+// addedZone adds a zone to the settings files, sends SIGHUP to one of the four machines, and starts machines and workers there. A client of the new
+// zone sends a job, and cancels it at the machine that got SIGHUP. Rule UNASKED as in renamedQueue. Without the disruption the settings name
+// the zone from the start.
+func addedZone(ru *run) error {
+	const added = "mundra"
+	id := newID()
+	rt := queue("gate-confirm", "/gate/")
+	zones := []string{"kandla", "navlakhi"}
+	if !ru.trouble {
+		zones = append(zones, added)
+	}
+	be, err := newBed(ru, zones...)
+	if err != nil {
+		return err
+	}
+	defer be.close(ru.keep)
+	be.configure(1, service, rt)
+	runTime := chainRuns(id)
+	for i, wo := range []string{"w-1", "w-2", "w-3", "w-4"} {
+		if err := be.addWorker(wo, zones[i%2], service, runTime); err != nil {
+			return err
+		}
+	}
+	for i, node := range []string{"edge-1", "edge-2", "edge-3", "edge-4"} {
+		if _, err := be.startInstance(node, zones[i%2]); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithTimeout(ru.ctx, 2*startTimeout)
+	defer cancel()
+	if err := be.awaitService(ctx, host, rt.PathPrefix); err != nil {
+		return err
+	}
+	if ru.trouble {
+		be.zones = append(be.zones, added)
+		for _, in := range be.instances {
+			if err := be.writeSettings(in); err != nil {
+				return err
+			}
+			ru.re.add("%s: the settings file names the zones %v", in.node, be.zones)
+		}
+		be.instances[0].signal(syscall.SIGHUP) // a quarter of the machines; a settings file may also change without a signal
+		time.Sleep(configBound)
+	}
+	for _, wo := range []string{"w-5", "w-6"} {
+		if err := be.addWorker(wo, added, service, runTime); err != nil {
+			return err
+		}
+	}
+	for _, node := range []string{"edge-5", "edge-6"} {
+		if _, err := be.startInstance(node, added); err != nil {
+			return err
+		}
+	}
+	if err := be.awaitService(ctx, host, rt.PathPrefix); err != nil {
+		return err
+	}
+	time.Sleep(contactTime + time.Second)
+	submitter := &client{re: ru.re, name: "client"}
+	answered := make(chan answer, 1)
+	go func() {
+		answered <- submitter.submit(be.instances[4], host, "/gate/"+id, 18*time.Second, chain())
+	}()
+	time.Sleep(time.Second)
+	if len(be.startsOf(id)) == 0 {
+		return errNotStarted
+	}
+	return be.cancelAndCheck(be.instances[0], "/gate/"+id, id, answered)
+}
+
+// Figures of lostZone.
+const (
+	ackBound      = 4 * time.Second // ack_ms
+	entriesExpire = 3*heartbeat + time.Second
+	cancelledJobs = 10
+	ackShare      = 10 // more than a tenth of the cancels, and three at least
+	leastUnacked  = 3
+)
+
+// lostZone ends the machine and the workers of one zone of three for good. Clients of the other zones then cancel jobs that were accepted
+// and have ended. Rule Acks: nearly all are to get 2xx or 410 within ack_ms of steady state.
+func lostZone(ru *run) error {
+	zones := []string{"kandla", "navlakhi", "gandhidham"}
+	be, err := smallBed(ru, shortRuns, queue("gate-confirm", "/gate/"), zones...)
+	if be != nil {
+		defer be.close(ru.keep)
+	}
+	if err != nil {
+		return err
+	}
+	if ru.trouble {
+		be.instances[2].signal(syscall.SIGKILL)
+		for _, wo := range be.workers {
+			if wo.zone == zones[2] {
+				be.removeWorker(wo)
+			}
+		}
+	}
+	time.Sleep(entriesExpire + contactTime + time.Second)
+	acked := make(chan bool, cancelledJobs)
+	for i := range cancelledJobs {
+		in, cl := be.instances[i%2], &client{re: ru.re, name: fmt.Sprintf("client %d", i)}
+		go func() {
+			path := "/gate/" + newID()
+			an := cl.submit(in, host, path, 3*time.Second, []step{{Count: 1, CPU: 1000, MemoryMB: 64, RunTime: 100}})
+			if !an.answered() || an.status != http.StatusOK {
+				acked <- true // not accepted
+				return
+			}
+			for began := time.Now(); time.Since(began) < ackBound; time.Sleep(100 * time.Millisecond) {
+				an = cl.call(in, http.MethodDelete, host, path, ackBound-time.Since(began), nil)
+				if an.answered() && (an.status/100 == 2 || an.status == http.StatusGone) {
+					acked <- true
+					return
+				}
+			}
+			acked <- false
+		}()
+	}
+	unacked := 0
+	for range cancelledJobs {
+		if !<-acked {
+			unacked++
+		}
+	}
+	if unacked >= leastUnacked && unacked*ackShare > cancelledJobs {
+		return broken("Acks: %d of %d cancels were not acknowledged within %s", unacked, cancelledJobs, ackBound)
+	}
+	return nil
+}
