--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -323,3 +323,60 @@
 	}
 	return nil
 }
+
+// forgottenCancel cancels a job, kills all machines at once after the acknowledgement and starts them again. The job's request then
+// arrives once more, seconds after its answer. Rule UNASKED: cancel_ms after the acknowledgement no task of the job may start.
+func forgottenCancel(ru *run) error {
+	const downTime = time.Second
+	id := newID()
+	be, err := smallBed(ru, chainRuns(id), queue("gate-confirm", "/gate/"), "kandla", "navlakhi", "gandhidham")
+	if be != nil {
+		defer be.close(ru.keep)
+	}
+	if err != nil {
+		return err
+	}
+	submitter := &client{re: ru.re, name: "client"}
+	answered := make(chan answer, 1)
+	go func() { answered <- submitter.submit(be.instances[0], host, "/gate/"+id, 12*time.Second, chain()) }()
+	time.Sleep(700 * time.Millisecond)
+	if len(be.startsOf(id)) == 0 {
+		return errNotStarted
+	}
+	canceller := &client{re: ru.re, name: "canceller"}
+	acked := canceller.call(be.instances[1], http.MethodDelete, host, "/gate/"+id, cancelTimeout, nil)
+	an := <-answered
+	if !acked.answered() || acked.status/100 != 2 || !an.answered() || an.status != http.StatusOK {
+		return fmt.Errorf("the job was not cancelled: %s, %s", acked, an)
+	}
+	if ru.trouble {
+		for _, in := range be.instances {
+			in.signal(syscall.SIGKILL)
+		}
+		for _, in := range be.instances {
+			_, exited := in.process()
+			<-exited
+		}
+		time.Sleep(downTime)
+		for _, in := range be.instances {
+			if err := be.restart(in); err != nil {
+				return err
+			}
+		}
+	} else {
+		time.Sleep(downTime)
+	}
+	ctx, cancel := context.WithTimeout(ru.ctx, startTimeout)
+	defer cancel()
+	if err := be.awaitService(ctx, host, "/gate/"); err != nil {
+		return err
+	}
+	time.Sleep(contactTime + 500*time.Millisecond)
+	submitter.submit(be.instances[2], host, "/gate/"+id, 12*time.Second, chain())
+	for _, ss := range be.startsOf(id) {
+		if after := ss.at.Sub(acked.at); after > cancelBound {
+			return broken("UNASKED: %s started %s after the cancelling was acknowledged with %d", ss.task, after, acked.status)
+		}
+	}
+	return nil
+}
--- a/review/standin2/instance.go
+++ b/review/standin2/instance.go
@@ -21,6 +21,7 @@
 	readiness      string
 	settings       string
 	firstPort      int
+	restarted      bool
 	re             *record
 	log            *os.File
 
@@ -39,7 +40,7 @@
 region = "coast"
 port_range = [%d,%d]
 seeds = []
-first_start = true
+first_start = %t
 fault_counted = false
 discovery = "platform"
 entry = "vip"
@@ -125,8 +126,8 @@
 	for _, name := range be.zones {
 		fmt.Fprintf(&zones, "%s = \"coast\"\n", name)
 	}
-	text := fmt.Sprintf(settingsText, in.node, in.ip, in.zone, in.firstPort, in.firstPort+portsPerInstance-1, zones.String(), in.frontend,
-		in.readiness, be.storeAddress)
+	text := fmt.Sprintf(settingsText, in.node, in.ip, in.zone, in.firstPort, in.firstPort+portsPerInstance-1, !in.restarted, zones.String(),
+		in.frontend, in.readiness, be.storeAddress)
 	return os.WriteFile(in.settings, []byte(text), 0o600)
 }
 
@@ -147,6 +148,15 @@
 	return nil
 }
 
+// restart starts the process again after its end.
+func (be *bed) restart(in *instance) error {
+	in.restarted = true
+	if err := be.writeSettings(in); err != nil {
+		return err
+	}
+	return in.start(be.ctx, be.program)
+}
+
 // await notes the end of the process.
 func (in *instance) await(cmd *exec.Cmd, exited chan<- struct{}) {
 	err := cmd.Wait()
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -44,11 +44,12 @@
 
 // cases are the scripted cases by name.
 var cases = map[string]func(*run) error{
-	"secondSignal": secondSignal,
-	"renamedQueue": renamedQueue,
-	"addedZone":    addedZone,
-	"lostZone":     lostZone,
-	"soak":         playSoak,
+	"secondSignal":    secondSignal,
+	"renamedQueue":    renamedQueue,
+	"addedZone":       addedZone,
+	"lostZone":        lostZone,
+	"forgottenCancel": forgottenCancel,
+	"soak":            playSoak,
 }
 
 const (
--- a/review/standin2/soak.go
+++ b/review/standin2/soak.go
@@ -251,7 +251,7 @@
 					in.signal([]syscall.Signal{syscall.SIGKILL, syscall.SIGKILL, syscall.SIGTERM}[kind-3])
 					<-exited
 					time.Sleep(200 * time.Millisecond)
-					_ = in.start(so.be.ctx, so.be.program)
+					_ = so.be.restart(in)
 					time.Sleep(time.Second)
 				})
 			}
