review: soak of planned work

Change: the soak of the stand-ins can leave only planned work, with clients that keep their channels, and then checks LOST.

--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -48,6 +48,7 @@
 type client struct {
 	re   *record
 	name string
+	keep *http.Client // keeps its channels open; nil: each request has a channel of its own
 }
 
 // submit sends a job that needs no storing, and waits for the answer.
@@ -88,7 +89,10 @@
 		req.Header.Set("Content-Type", "application/json")
 	}
 	cl.re.add("%s: sends %s %s%s to %s %s", cl.name, method, host, path, in.node, body)
-	hc := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	hc := cl.keep
+	if hc == nil {
+		hc = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	}
 	resp, err := hc.Do(req)
 	if err == nil {
 		var data []byte
--- a/review/standin2/soak.go
+++ b/review/standin2/soak.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -23,6 +24,7 @@
 	soakDeadline  = 2500 * time.Millisecond
 	soakAttempts  = 3
 	minFaultPause = 300 * time.Millisecond
+	lossSlack     = 200 * time.Millisecond // loss_slack_ms
 )
 
 // soakJob is a job with what its client has seen.
@@ -36,6 +38,7 @@
 	state    string
 	answered time.Time // when it was answered with success
 	cancelAt time.Time // when its cancelling was acknowledged
+	cut      []answer  // channels that ended without an answer before the client left
 }
 
 type soakStep struct {
@@ -53,6 +56,8 @@
 	jobs map[string]*soakJob
 	rnd  *rand.Rand
 	long int // factor on run times, time budgets and pauses of processes
+	// planned leaves only planned work: processes are stopped and started, get SIGHUP, and the configuration changes. LOST is checked then.
+	planned bool
 }
 
 func playSoak(ru *run) error {
@@ -61,7 +66,7 @@
 		seed = rand.Uint64()
 	}
 	ru.re.add("seed %d", seed)
-	so := &soak{ru: ru, jobs: map[string]*soakJob{}, rnd: rand.New(rand.NewPCG(seed, 1)), long: 1}
+	so := &soak{ru: ru, jobs: map[string]*soakJob{}, rnd: rand.New(rand.NewPCG(seed, 1)), long: 1, planned: os.Getenv("PLANNED") == "1"}
 	if n, err := strconv.Atoi(os.Getenv("LONG")); err == nil {
 		so.long = n
 	}
@@ -160,6 +165,9 @@
 
 func (so *soak) client(no int, until time.Time) {
 	cl := &client{re: so.ru.re, name: fmt.Sprintf("client %d", no)}
+	if so.planned {
+		cl.keep = &http.Client{Transport: &http.Transport{}}
+	}
 	for time.Now().Before(until) {
 		jo := so.newJob()
 		leaves, cancels := so.intN(8) == 0, so.intN(8) == 0
@@ -179,6 +187,9 @@
 			an := cl.submitJob(in, host, jo.prefix+jo.id, timeout, time.Duration(so.long)*soakDeadline, jo.steps)
 			jo.mu.Lock()
 			jo.statuses = append(jo.statuses, an.status)
+			if an.err != nil && !errors.Is(an.err, context.DeadlineExceeded) && !errors.Is(an.err, syscall.ECONNREFUSED) {
+				jo.cut = append(jo.cut, an)
+			}
 			if an.answered() && an.status == http.StatusOK {
 				jo.state, jo.answered = an.body, an.at
 			}
@@ -233,7 +244,11 @@
 		in := so.be.instances[so.intN(len(so.be.instances))]
 		wo := so.be.workers[so.intN(len(so.be.workers))]
 		length := time.Duration(100+so.intN(2000+500*so.long)) * time.Millisecond
-		switch kind := so.intN(10); kind {
+		kind := so.intN(10)
+		if so.planned {
+			kind = []int{5, 9}[kind%2]
+		}
+		switch kind {
 		case 0, 1, 2:
 			if claim(in.node) {
 				pending.Go(func() {
@@ -367,6 +382,12 @@
 		for _, status := range jo.statuses {
 			counts[status]++
 		}
+		for _, an := range jo.cut {
+			begun := slices.ContainsFunc(byJob[id], func(ss startSeen) bool { return ss.at.After(an.sent) && ss.at.Before(an.at) })
+			if so.planned && (begun || an.at.Sub(an.sent) > lossSlack) {
+				add("LOST: %s, sent %s before its channel ended, begun %t: %s", id, an.at.Sub(an.sent), begun, an)
+			}
+		}
 		refused := len(jo.statuses) > 0 && !slices.ContainsFunc(jo.statuses, func(st int) bool { return st != 503 && st != 429 })
 		if refused && len(byJob[id]) > 0 {
 			add("REFUSED: %s has started", id)
