lovagestack: crowds of clients that come again and again, against serve and entry

Two instances of serve on the smallest machine (144 MB, 3,075 descriptors) and one of entry with 288 MB and bodies of 4 MB meet crowds that pipeline, do not read, do not finish, leave, or send what takes many times its size when it is decoded.

--- a/lovagestack/flood_standin_test.go
+++ b/lovagestack/flood_standin_test.go
@@ -276,6 +276,20 @@
 	fs := &floodSystem{store: newFloodStore(t), worker: newFloodWorker(t, 0), memoryMB: memoryMB, maxFiles: maxFiles}
 	fs.store.put("op", "config", floodConfiguration())
 	fs.addWorker("w-1", fs.worker)
+	fs.start(t, "a")
+	return fs
+}
+
+// addInstance starts another instance of the system and waits until it runs jobs.
+func (fs *floodSystem) addInstance(name string) *floodSystem {
+	fs.t.Helper()
+	other := &floodSystem{store: fs.store, worker: fs.worker, memoryMB: fs.memoryMB, maxFiles: fs.maxFiles}
+	other.start(fs.t.(*testing.T), name)
+	return other
+}
+
+func (fs *floodSystem) start(t *testing.T, name string) {
+	t.Helper()
 	addresses := freeAddresses(t, 4)
 	fs.frontend, fs.readiness, fs.metrics = addresses[0], addresses[1], addresses[2]
 	_, peerPort, err := net.SplitHostPort(addresses[3])
@@ -283,7 +297,7 @@
 	_, metricsPort, err := net.SplitHostPort(fs.metrics)
 	must.NoError(t, err)
 	path := filepath.Join(t.TempDir(), "settings.toml")
-	must.NoError(t, os.WriteFile(path, fmt.Appendf(nil, `node = "a"
+	must.NoError(t, os.WriteFile(path, fmt.Appendf(nil, `node = %q
 ip = "127.0.0.1"
 zone = "east"
 port_range = [%s, %s]
@@ -303,11 +317,10 @@
 retransmit_ms = 1300
 [platform]
 address = %q
-`, peerPort, peerPort, fs.frontend, fs.readiness, memoryMB, maxFiles, fs.store.Listener.Addr()), 0o600))
+`, name, peerPort, peerPort, fs.frontend, fs.readiness, fs.memoryMB, fs.maxFiles, fs.store.Listener.Addr()), 0o600))
 	t.Setenv(platform.SettingsVariable, path)
-	fs.process = startProcess(t, "serve", "lovagestack", "serve", "--metrics-port", metricsPort)
+	fs.process = startProcess(t, "serve "+name, "lovagestack", "serve", "--metrics-port", metricsPort)
 	fs.requireAnswer("before the flood")
-	return fs
 }
 
 // addWorker registers a worker in the store.
