lovageadmission: the scan of a job takes a time linear in its size

Callers saw answers seconds late while others sent bodies of many escapes. For each escape in a string, stringEnd searched the closing quote again: 0.42 s of processor time for 256 KB of \n, 47 s for 4 MB. It keeps the quote's place now.

--- a/lovageadmission/job.go
+++ b/lovageadmission/job.go
@@ -120,21 +120,24 @@
 	return key != nil && (bytes.EqualFold(key, name) || bytes.IndexByte(key, '\\') >= 0)
 }
 
-// stringEnd returns the index after the string that begins at i.
+// stringEnd returns the index after the string that begins at i. Its time is linear in the string's length.
 func stringEnd(text []byte, i int) int {
-	for i++; ; {
-		quote := bytes.IndexByte(text[i:], '"')
-		if quote < 0 {
-			return len(text)
+	quote := i
+	for i++; i < len(text); {
+		if quote < i {
+			n := bytes.IndexByte(text[i:], '"')
+			if n < 0 {
+				return len(text)
+			}
+			quote = i + n
 		}
-		escape := bytes.IndexByte(text[i:i+quote], '\\')
+		escape := bytes.IndexByte(text[i:quote], '\\')
 		if escape < 0 {
-			return i + quote + 1
-		}
-		if i += escape + 2; i >= len(text) {
-			return len(text)
+			return quote + 1
 		}
+		i += escape + 2
 	}
+	return len(text)
 }
 
 // literalEnd returns the index after the number or word that begins at i.
