lovageadmission, lovageconn: places in order, answers for those who are refused, memory until the answer is written

Causes, one class: who holds a place keeps it, and a free one goes to who knocks most often. - Connections wait for a place in the order in which they have come; while others wait, one is closed after each answer. Beyond the queue nothing is accepted, so that knocking costs time. Queries of more than 1 KB at entry are refused with 414.

--- a/lovageadmission/account.go
+++ b/lovageadmission/account.go
@@ -5,6 +5,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,17 +22,23 @@
 	ReasonDeadline    Reason = "deadline"    // a body beyond its deadline
 	ReasonChunks      Reason = "chunks"      // too much overhead of the chunked encoding
 	ReasonJob         Reason = "job"         // a job beyond the limits, which is malformed
+	ReasonTurn        Reason = "turn"        // closed after an answer, because others wait for a place
+	ReasonQueue       Reason = "queue"       // waited for a place for too long
 )
 
 // Reasons returns all reasons but ReasonNone.
 func Reasons() []Reason {
-	return []Reason{ReasonConnections, ReasonHeaders, ReasonBodies, ReasonRate, ReasonDeadline, ReasonChunks, ReasonJob}
+	return []Reason{
+		ReasonConnections, ReasonHeaders, ReasonBodies, ReasonRate, ReasonDeadline, ReasonChunks, ReasonJob, ReasonTurn, ReasonQueue,
+	}
 }
 
 // state is the phase of a connection.
 type state string
 
 const (
+	stateQueued  state = "queued"  // for a place
+	stateRefused state = "refused" // has waited for a place for too long
 	stateWaiting state = "waiting" // for a request: idle, or a header is in progress
 	stateBody    state = "body"    // a body is in progress
 	stateServing state = "serving" // a request is being served
@@ -42,8 +49,11 @@
 	se Settings
 
 	mu          sync.Mutex
-	connections []*Connection // all open ones
-	numDropped  int           // open connections that were dropped
+	connections []*Connection // all that have a place
+	numDropped  int           // those of them that were dropped
+	queue       []*Connection // those that wait for a place, the oldest first
+	numRefused  int           // those that have waited for too long and are not closed yet
+	queueRoom   chan struct{} // gets a value when the queue has become shorter
 	headers     pool
 	bodies      pool
 	largeBytes  int64 // part of bodies.used
@@ -65,14 +75,16 @@
 }
 
 // New returns an account without connections.
-func New(se Settings) *Account { return &Account{se: se, counts: map[Reason]int64{}} }
+func New(se Settings) *Account {
+	return &Account{se: se, counts: map[Reason]int64{}, queueRoom: make(chan struct{}, 1)}
+}
 
 // Settings returns the account's limits.
 func (ac *Account) Settings() Settings { return ac.se }
 
 // Use is what clients hold.
 type Use struct {
-	Connections            int
+	Connections, Waiting   int              // with and without a place
 	HeaderBytes, BodyBytes int64            // including those of dropped connections
 	Refused                map[Reason]int64 // clients refused or dropped since the start
 }
@@ -82,20 +94,31 @@
 	ac.mu.Lock()
 	defer ac.mu.Unlock()
 	return Use{
-		Connections: len(ac.connections), HeaderBytes: ac.headers.used + ac.headers.leaving, BodyBytes: ac.bodies.used + ac.bodies.leaving,
+		Connections: len(ac.connections), Waiting: len(ac.queue) + ac.numRefused, HeaderBytes: ac.headers.used + ac.headers.leaving, BodyBytes: ac.bodies.used + ac.bodies.leaving,
 		Refused: maps.Clone(ac.counts),
 	}
 }
 
+// Client is the user of a connection. Its methods are called without the account's lock.
+type Client interface {
+	// Admit is called when a connection that has waited gets a place.
+	Admit()
+	// Refuse is called when a connection has waited for too long. It keeps its part of the queue until it is closed.
+	Refuse()
+	// Drop makes the client's goroutine let go of the connection; inBody: a body is being read, so that an answer is possible.
+	Drop(inBody bool)
+}
+
 // Connection is a client's connection. All methods of a nil Connection accept everything.
 type Connection struct {
-	ac *Account
-	// drop makes the client's goroutine let go of the connection; inBody: a body is being read, so that an answer is possible. It is called
-	// without the account's lock.
-	drop func(inBody bool)
+	ac     *Account
+	client Client
+
+	// writeSince is the time in nanoseconds at which the client last took bytes of an answer that is being written; 0: none is.
+	writeSince atomic.Int64
 
 	// Guarded by ac.mu.
-	index        int // in ac.connections; -1: closed
+	index        int // in ac.connections; -1: has no place
 	state        state
 	since        time.Time // when the state began
 	lastProgress time.Time // when bytes last arrived
@@ -104,52 +127,77 @@
 	headerBytes  int64     // in the pool of headers
 	requestBytes int64     // in the pool of bodies
 	bodyUnread   bool      // the request's body was not read to its end
+	expectsLarge bool      // the request will be a large one
 	answered     bool      // a request was answered
 	dropped      Reason
 }
 
-// Open adds a connection. It returns nil if the connection is refused.
-func (ac *Account) Open(now time.Time, drop func(inBody bool)) *Connection {
+// Place is what a connection gets when it is opened.
+type Place string
+
+// Places.
+const (
+	PlaceGiven   Place = "given"
+	PlaceAwaited Place = "awaited" // the client is told later
+	PlaceRefused Place = "refused"
+)
+
+// NewConnection returns a connection that is not open.
+func (ac *Account) NewConnection(cl Client) *Connection {
+	return &Connection{ac: ac, client: cl, state: stateWaiting, index: -1}
+}
+
+// Open adds the connection to the account.
+func (co *Connection) Open(now time.Time) Place {
+	ac := co.ac
 	ac.mu.Lock()
-	var victim *Connection
-	limit := ac.se.Connections
-	if len(ac.connections)-ac.numDropped >= limit {
-		victim = ac.slowest(now, nil, func(co *Connection) bool { return true })
-	}
-	if len(ac.connections)-ac.numDropped >= limit && victim == nil || len(ac.connections) >= limit+max(limit/overdraft, 1) {
+	co.state, co.since, co.lastProgress = stateQueued, now, now
+	ac.queue = append(ac.queue, co)
+	ad := ac.admitWaiting(now)
+	place := PlaceGiven
+	switch {
+	case co.state != stateQueued:
+	case len(ac.queue)+ac.numRefused <= ac.se.Queue:
+		place = PlaceAwaited
+	default:
+		place = PlaceRefused
+		ac.queue = ac.queue[:len(ac.queue)-1]
+		co.state, co.dropped = stateWaiting, ReasonConnections
 		ac.counts[ReasonConnections]++
-		ac.mu.Unlock()
-		return nil
 	}
-	ac.markDropped(victim, ReasonConnections)
-	co := &Connection{ac: ac, drop: drop, state: stateWaiting, index: len(ac.connections), since: now, lastProgress: now}
-	ac.connections = append(ac.connections, co)
 	ac.mu.Unlock()
-	victim.callDrop()
-	return co
+	ad.tell(co)
+	return place
+}
+
+// AwaitQueue waits until a connection could wait for a place, or done is closed.
+func (ac *Account) AwaitQueue(done <-chan struct{}) {
+	for {
+		ac.mu.Lock()
+		hasRoom := len(ac.queue)+ac.numRefused < max(ac.se.Queue, 1)
+		ac.mu.Unlock()
+		if hasRoom {
+			return
+		}
+		select {
+		case <-ac.queueRoom:
+		case <-done:
+			return
+		}
+	}
 }
 
 // Close removes the connection and releases all that it holds.
-func (co *Connection) Close() {
+func (co *Connection) Close(now time.Time) {
 	if co == nil {
 		return
 	}
 	ac := co.ac
 	ac.mu.Lock()
-	defer ac.mu.Unlock()
-	if co.index < 0 {
-		return
-	}
-	co.setHeaderBytes(0)
-	co.setRequestBytes(0)
-	if co.dropped != ReasonNone {
-		ac.numDropped--
-	}
-	last := len(ac.connections) - 1
-	ac.connections[co.index] = ac.connections[last]
-	ac.connections[co.index].index = co.index
-	ac.connections[last] = nil
-	ac.connections, co.index = ac.connections[:last], -1
+	co.leave()
+	ad := ac.admitWaiting(now)
+	ac.mu.Unlock()
+	ad.tell(nil)
 }
 
 // headerLineBytes is the memory of a header line beside its bytes: the entry of a map, a slice and a string.
@@ -211,14 +259,20 @@
 	return ok
 }
 
-// StartBody notes that the request's body is being read.
-func (co *Connection) StartBody(now time.Time) {
+// StartBody notes that the request's body is being read, for which the request will need the memory; 0: not known.
+func (co *Connection) StartBody(now time.Time, expected int64) {
 	if co == nil {
 		return
 	}
 	co.ac.mu.Lock()
 	defer co.ac.mu.Unlock()
 	co.state, co.since, co.lastProgress, co.bodyUnread = stateBody, now, now, true
+	if expected > co.ac.se.SmallRequest && !co.expectsLarge {
+		held := co.requestBytes
+		co.setRequestBytes(0)
+		co.expectsLarge = true
+		co.setRequestBytes(held)
+	}
 }
 
 // Grow notes n more bytes of the body, and reserves more memory for the request. It returns false if the request must be refused.
@@ -290,14 +344,13 @@
 }
 
 // End notes that the handler of the request has returned. If it has left a part of the body unread, which hasBody tells together with what
-// was noted before, net/http reads that part.
+// was noted before, net/http reads that part. The memory of the request is kept until its answer has been written.
 func (co *Connection) End(now time.Time, hasBody bool) {
 	if co == nil {
 		return
 	}
 	co.ac.mu.Lock()
 	defer co.ac.mu.Unlock()
-	co.setRequestBytes(0)
 	unread := hasBody && (co.bodyUnread || co.state == stateServing && co.received == 0)
 	co.state, co.since, co.lastProgress, co.bodyUnread, co.answered = stateWaiting, now, now, false, true
 	if unread {
@@ -305,15 +358,65 @@
 	}
 }
 
-// Idle notes that the connection waits for the next request.
+// Idle notes that the connection waits for the next request. It is dropped if others wait for its place.
 func (co *Connection) Idle(now time.Time) {
 	if co == nil {
 		return
 	}
-	co.ac.mu.Lock()
-	defer co.ac.mu.Unlock()
+	ac := co.ac
+	ac.mu.Lock()
 	co.setHeaderBytes(0)
+	co.setRequestBytes(0)
+	co.expectsLarge = false
 	co.state, co.since, co.lastProgress = stateWaiting, now, now
+	var ad admission
+	if len(ac.queue) > 0 && co.answered && ac.markDropped(co, ReasonTurn) {
+		ad = ac.admitWaiting(now)
+		ad.dropped = append(ad.dropped, co)
+	}
+	ac.mu.Unlock()
+	ad.tell(nil)
+}
+
+// MayStay reports whether the connection may have another request after the present one: nobody waits for its place.
+func (co *Connection) MayStay() bool {
+	if co == nil {
+		return true
+	}
+	co.ac.mu.Lock()
+	defer co.ac.mu.Unlock()
+	return len(co.ac.queue) == 0
+}
+
+// Writing notes that the client has taken bytes of an answer, and that more of it is being written.
+func (co *Connection) Writing(now time.Time) {
+	if co != nil {
+		co.writeSince.Store(now.UnixNano())
+	}
+}
+
+// Written notes that no answer is being written.
+func (co *Connection) Written() {
+	if co != nil {
+		co.writeSince.Store(0)
+	}
+}
+
+// Reserve reserves more memory for a request that is being served, such as for its answer. It returns false if there is no room; the
+// request is not dropped.
+func (co *Connection) Reserve(now time.Time, more int64) bool {
+	if co == nil {
+		return true
+	}
+	ac := co.ac
+	ac.mu.Lock()
+	victims, ok := ac.makeRoom(now, co, more, ReasonBodies)
+	if ok {
+		co.setRequestBytes(co.requestBytes + more)
+	}
+	ac.mu.Unlock()
+	callDrops(victims)
+	return ok
 }
 
 // Dropped returns why the connection was dropped, or ReasonNone.
@@ -326,10 +429,11 @@
 	return co.dropped
 }
 
-// Sweep drops the clients whose bodies are too slow or too old.
+// Sweep drops the clients whose bodies are too slow or too old, refuses those that have waited for a place for too long, and admits others
+// in the place of clients that have come to a standstill.
 func (ac *Account) Sweep(now time.Time) {
 	ac.mu.Lock()
-	var victims []*Connection
+	var slow []*Connection
 	for _, co := range ac.connections {
 		if co.state != stateBody || co.dropped != ReasonNone {
 			continue
@@ -342,10 +446,19 @@
 		default:
 			continue
 		}
-		victims = append(victims, co)
+		slow = append(slow, co)
+	}
+	ad := ac.admitWaiting(now)
+	ad.dropped = append(ad.dropped, slow...)
+	for len(ac.queue) > 0 && now.Sub(ac.queue[0].since) >= ac.se.QueueTime {
+		co := ac.shiftQueue()
+		co.state, co.dropped = stateRefused, ReasonQueue
+		ac.numRefused++
+		ac.counts[ReasonQueue]++
+		ad.refused = append(ad.refused, co)
 	}
 	ac.mu.Unlock()
-	callDrops(victims)
+	ad.tell(nil)
 }
 
 type contextKey struct{}
--- a/lovageadmission/account_test.go
+++ b/lovageadmission/account_test.go
@@ -14,26 +14,26 @@
 // at returns the time some milliseconds after the start.
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
-// testSettings has room for 4 connections and 100 KB of bodies, 20 KB of them for small requests.
+// testSettings has room for 4 connections, of which none waits for a place, and 100 KB of bodies, 20 KB of them for small requests.
 func testSettings() Settings {
 	se := DefaultSettings(144, 1000)
-	se.Connections, se.HeaderBytes, se.BodyBytes, se.SmallBytes, se.SmallRequest = 4, 10<<10, 100<<10, 20<<10, 8<<10
+	se.Connections, se.Queue, se.HeaderBytes, se.BodyBytes, se.SmallBytes, se.SmallRequest = 4, 0, 10<<10, 100<<10, 20<<10, 8<<10
 	return se
 }
 
 // testClients opens connections that note in dropped which were dropped.
 type testClients struct {
-	t       *testing.T
-	ac      *Account
-	dropped []string
-	open    []*Connection
+	t                          *testing.T
+	ac                         *Account
+	dropped, admitted, refused []string
+	open                       []*Connection
 }
 
 func newTestClients(t *testing.T, se Settings) *testClients {
 	tc := &testClients{t: t, ac: New(se)}
 	t.Cleanup(func() {
 		for _, co := range tc.open {
-			co.Close()
+			co.Close(at(1_000_000))
 		}
 		us := tc.ac.Use()
 		test.Eq(t, 0, us.Connections)
@@ -45,11 +45,22 @@
 	return tc
 }
 
+// testClient notes what it is told of its connection.
+type testClient struct {
+	tc   *testClients
+	name string
+}
+
+func (cl *testClient) Admit()    { cl.tc.admitted = append(cl.tc.admitted, cl.name) }
+func (cl *testClient) Refuse()   { cl.tc.refused = append(cl.tc.refused, cl.name) }
+func (cl *testClient) Drop(bool) { cl.tc.dropped = append(cl.tc.dropped, cl.name) }
+
 func (tc *testClients) connect(name string, now time.Time) *Connection {
-	co := tc.ac.Open(now, func(bool) { tc.dropped = append(tc.dropped, name) })
-	if co != nil {
-		tc.open = append(tc.open, co)
+	co := tc.ac.NewConnection(&testClient{tc, name})
+	if co.Open(now) == PlaceRefused {
+		return nil
 	}
+	tc.open = append(tc.open, co)
 	return co
 }
 
@@ -59,7 +70,7 @@
 	co := tc.connect(name, since)
 	must.NotNil(tc.t, co)
 	must.True(tc.t, co.Begin(since))
-	co.StartBody(since)
+	co.StartBody(since, 0)
 	must.True(tc.t, co.Grow(now, n, n), must.Sprint(name))
 	return co
 }
@@ -113,7 +124,7 @@
 		must.NotNil(t, tc.connect("b", at(1000)))
 		must.Eq(t, []string{"silent"}, tc.dropped)
 		must.Nil(t, tc.connect("beyond the part for dropped ones", at(1000)))
-		tc.open[1].Close()
+		tc.open[1].Close(at(1000))
 		must.NotNil(t, tc.connect("c", at(1000)))
 		must.Eq(t, []string{"silent", "idle"}, tc.dropped)
 	})
@@ -124,7 +135,7 @@
 	tc := newTestClients(t, testSettings())
 	large := tc.body("large", at(0), at(0), 80<<10)
 	must.False(t, tc.body("other", at(0), at(0), 4<<10).Grow(at(0), 0, 8<<10))
-	tc.open[1].Close()
+	tc.open[1].Close(at(1000))
 	must.True(t, tc.body("small", at(0), at(0), 8<<10).Received(at(1)))
 	must.True(t, large.Received(at(1)))
 }
@@ -208,7 +219,7 @@
 	}
 	must.False(t, other.Read(at(100), short))
 	must.Eq(t, ReasonHeaders, other.Dropped())
-	other.Close()
+	other.Close(at(100))
 	third := tc.connect("third", at(900))
 	for range 9 {
 		must.True(t, third.Read(at(900), short))
@@ -218,6 +229,8 @@
 	must.Eq(t, co.headerBytes, tc.ac.Use().HeaderBytes)
 	must.Greater(t, 5000, third.requestBytes)
 	third.End(at(902), false)
+	must.Greater(t, 5000, third.requestBytes) // while the answer is written
+	third.Idle(at(903))
 	must.Eq(t, 0, third.requestBytes)
 }
 
@@ -234,14 +247,14 @@
 func TestNilConnectionAcceptsEverything(t *testing.T) {
 	var co *Connection
 	must.True(t, co.Begin(start))
-	co.StartBody(start)
+	co.StartBody(start, 0)
 	must.True(t, co.Read(start, nil))
 	must.True(t, co.Grow(start, 1, 1<<40))
 	must.True(t, co.Received(start))
 	co.Shrink(0)
 	co.End(start, true)
 	co.Idle(start)
-	co.Close()
+	co.Close(start)
 	must.Eq(t, ReasonNone, co.Dropped())
 	must.True(t, co.FitsJob(JobSize{Steps: 512, Tasks: 350}))
 	must.False(t, co.FitsJob(JobSize{Steps: 513}))
--- a/lovageadmission/drop.go
+++ b/lovageadmission/drop.go
@@ -22,6 +22,12 @@
 	return co.state != stateBody || now.Sub(co.since) < co.ac.se.Grace || co.rate(now) >= float64(co.ac.se.MinRate)
 }
 
+// owes reports whether the client has not taken any of its answer lately.
+func (co *Connection) owes(now time.Time) bool {
+	since := co.writeSince.Load()
+	return since != 0 && now.UnixNano()-since >= int64(co.ac.se.Stall)
+}
+
 // idle reports whether the client has had an answer and has not begun another request.
 func (co *Connection) idle() bool {
 	return co.state == stateWaiting && co.answered && co.headerBytes == 0
@@ -31,7 +37,8 @@
 type rank int
 
 const (
-	rankStalled rank = iota // a request, or the first one, makes no progress
+	rankOwing   rank = iota // an answer is not being taken
+	rankStalled             // a request, or the first one, makes no progress
 	rankIdle                // no request is in progress
 	rankSlow                // a body makes progress, much slower than that of the client that needs room
 	rankKept                // not dropped
@@ -43,7 +50,11 @@
 // rank returns the client's rank if another client needs room, which is nil for a new connection.
 func (co *Connection) rank(now time.Time, other *Connection) rank {
 	switch {
-	case co.state == stateServing || co.dropped != ReasonNone || co == other:
+	case co.dropped != ReasonNone || co == other:
+		return rankKept
+	case co.owes(now):
+		return rankOwing
+	case co.state == stateServing:
 		return rankKept
 	case !co.progresses(now) && co.idle():
 		return rankIdle
@@ -88,8 +99,8 @@
 	for {
 		var mayDrop func(victim *Connection) bool
 		switch {
-		case reason == ReasonBodies && ac.isLarge(co.requestBytes+more) && ac.largeBytes+ac.moreLarge(co, more) > limit-ac.se.SmallBytes:
-			mayDrop = func(victim *Connection) bool { return ac.isLarge(victim.requestBytes) }
+		case reason == ReasonBodies && co.isLarge(co.requestBytes+more) && ac.largeBytes+ac.moreLarge(co, more) > limit-ac.se.SmallBytes:
+			mayDrop = func(victim *Connection) bool { return victim.isLarge(victim.requestBytes) }
 		case po.used+more <= limit:
 			return victims, true
 		case reason == ReasonHeaders:
@@ -106,20 +117,23 @@
 	}
 }
 
-func (ac *Account) isLarge(n int64) bool { return n > ac.se.SmallRequest }
+// isLarge reports whether the connection's request is a large one with n bytes.
+func (co *Connection) isLarge(n int64) bool {
+	return n > 0 && co.expectsLarge || n > co.ac.se.SmallRequest
+}
 
 // moreLarge returns by how much the memory of large requests grows if that of the connection's request does.
 func (ac *Account) moreLarge(co *Connection, more int64) int64 {
-	if ac.isLarge(co.requestBytes) {
+	if co.isLarge(co.requestBytes) {
 		return more
 	}
 	return co.requestBytes + more
 }
 
-// markDropped moves what the connection holds to what is about to be released.
-func (ac *Account) markDropped(co *Connection, reason Reason) {
+// markDropped moves what the connection holds to what is about to be released. It returns false if the connection was dropped before.
+func (ac *Account) markDropped(co *Connection, reason Reason) bool {
 	if co == nil || co.index < 0 || co.dropped != ReasonNone {
-		return
+		return false
 	}
 	header, request := co.headerBytes, co.requestBytes
 	co.setHeaderBytes(0)
@@ -129,6 +143,7 @@
 	ac.counts[reason]++
 	co.setHeaderBytes(header)
 	co.setRequestBytes(request)
+	return true
 }
 
 func (co *Connection) setHeaderBytes(n int64) {
@@ -152,10 +167,10 @@
 		ac.bodies.leaving += n - co.requestBytes
 	} else {
 		ac.bodies.used += n - co.requestBytes
-		if ac.isLarge(co.requestBytes) {
+		if co.isLarge(co.requestBytes) {
 			ac.largeBytes -= co.requestBytes
 		}
-		if ac.isLarge(n) {
+		if co.isLarge(n) {
 			ac.largeBytes += n
 		}
 	}
@@ -176,7 +191,7 @@
 	co.ac.mu.Lock()
 	inBody := co.state == stateBody
 	co.ac.mu.Unlock()
-	if co.drop != nil {
-		co.drop(inBody)
+	if co.client != nil {
+		co.client.Drop(inBody)
 	}
 }
--- a/lovageadmission/fuzz_test.go
+++ b/lovageadmission/fuzz_test.go
@@ -14,6 +14,7 @@
 	f.Add([]byte{0, 0, 0, 0, 1, 0, 2, 0, 0, 3, 0, 0, 2, 1, 0, 3, 1, 0, 4, 0, 255, 4, 1, 255, 10, 0, 200, 4, 1, 255})
 	f.Fuzz(func(t *testing.T, ops []byte) {
 		se := testSettings()
+		se.Queue = len(ops) % 3
 		ac, now := New(se), start
 		var clients [8]*Connection
 		acting := -1
@@ -21,21 +22,23 @@
 			i, n := int(ops[1])%len(clients), int64(ops[2])
 			co := clients[i]
 			acting = i
+			if co != nil && (co.state == stateQueued || co.state == stateRefused) && ops[0]%11 < 10 && ops[0]%11 != 8 {
+				continue // it is not used before it has a place
+			}
 			switch ops[0] % 11 {
 			case 0:
 				if co == nil {
-					clients[i] = ac.Open(now, func(bool) {
-						if i == acting {
-							t.Error("a client was dropped in its own favour")
-						}
-					})
+					co = ac.NewConnection(&fuzzClient{t, i, &acting})
+					if co.Open(now) != PlaceRefused {
+						clients[i] = co
+					}
 				}
 			case 1:
 				co.Read(now, bytes.Repeat(newline, int(n)))
 			case 2:
 				co.Begin(now) // may refuse
 			case 3:
-				co.StartBody(now)
+				co.StartBody(now, n*n)
 			case 4:
 				before := progressing(clients[:], now)
 				co.Grow(now, n, n*n)
@@ -52,9 +55,12 @@
 			case 7:
 				co.Shrink(n * n)
 			case 8:
-				co.Close()
+				co.Close(now)
 				clients[i] = nil
 			case 9:
+				if len(ac.queue) > 0 {
+					acting = -1 // it is dropped for one that waits
+				}
 				co.Idle(now)
 			case 10:
 				now = now.Add(time.Duration(n) * 10 * time.Millisecond)
@@ -64,15 +70,30 @@
 			checkSums(t, ac)
 		}
 		for _, co := range clients {
-			co.Close()
-			co.Close() // a second time has no effect
+			co.Close(now)
+			co.Close(now) // a second time has no effect
 		}
-		if us := ac.Use(); us.Connections != 0 || us.HeaderBytes != 0 || us.BodyBytes != 0 || ac.largeBytes != 0 || ac.numDropped != 0 {
+		if us := ac.Use(); us.Connections != 0 || us.Waiting != 0 || us.HeaderBytes != 0 || us.BodyBytes != 0 || ac.largeBytes != 0 || ac.numDropped != 0 {
 			t.Errorf("left after all are closed: %+v, large %d, dropped %d", us, ac.largeBytes, ac.numDropped)
 		}
 	})
 }
 
+type fuzzClient struct {
+	t      *testing.T
+	number int
+	acting *int
+}
+
+func (*fuzzClient) Admit()  {}
+func (*fuzzClient) Refuse() {}
+
+func (fc *fuzzClient) Drop(bool) {
+	if fc.number == *fc.acting {
+		fc.t.Error("a client was dropped in its own favour")
+	}
+}
+
 func progressing(clients []*Connection, now time.Time) []bool {
 	out := make([]bool, len(clients))
 	for i, co := range clients {
@@ -98,7 +119,7 @@
 		}
 		headers.used += co.headerBytes
 		bodies.used += co.requestBytes
-		if ac.isLarge(co.requestBytes) {
+		if co.isLarge(co.requestBytes) {
 			large += co.requestBytes
 		}
 	}
@@ -106,6 +127,9 @@
 		t.Errorf("sums %+v %+v %d %d, kept %+v %+v %d %d",
 			headers, bodies, large, numDropped, ac.headers, ac.bodies, ac.largeBytes, ac.numDropped)
 	}
+	if n := len(ac.queue) + ac.numRefused; n > ac.se.Queue {
+		t.Errorf("%d connections wait, limit %d", n, ac.se.Queue)
+	}
 	if bodies.used > ac.se.BodyBytes || large > ac.se.BodyBytes-ac.se.SmallBytes || headers.used > ac.se.HeaderBytes || len(ac.connections) > ac.se.Connections+1 {
 		t.Errorf("beyond the limits: %d connections, headers %+v, bodies %+v", len(ac.connections), headers, bodies)
 	}
--- a/lovageapi/reply.go
+++ b/lovageapi/reply.go
@@ -69,7 +69,7 @@
 	rc := http.NewResponseController(ctx.ResponseWriter().Naive())
 	_ = rc.SetReadDeadline(time.Now().Add(srv.bodyTimeout))
 	client := lovageadmission.FromContext(ctx.Request().Context())
-	client.StartBody(time.Now())
+	client.StartBody(time.Now(), 0)
 	data, err := srv.readAccounted(http.MaxBytesReader(ctx.ResponseWriter().Naive(), ctx.Request().Body, srv.maxBodyBytes), client)
 	if err == nil && !client.Received(time.Now()) || client.Dropped() != lovageadmission.ReasonNone {
 		writeRefusal(ctx)
--- a/lovageapi/server.go
+++ b/lovageapi/server.go
@@ -44,7 +44,7 @@
 // AdmissionSettings returns the limits of clients of an instance with the memory in MB and the number of descriptors.
 func AdmissionSettings(memoryMB int64, maxFiles int) lovageadmission.Settings {
 	se := lovageadmission.DefaultSettings(memoryMB, maxFiles)
-	se.Deadline = bodyTimeout
+	se.Deadline, se.SendBuffer = bodyTimeout, sendBuffer
 	return se
 }
 
@@ -54,6 +54,8 @@
 	writeTimeout   = 30 * time.Second // limit of the time to write one reply or one line of a watch
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 16 << 10
+	sendBuffer     = 8 << 10
+	maxQueryBytes  = 1 << 10 // the parameters of a call are a name, a time or a number
 
 	// shutdownReadPeriod is how long a server still reads requests after Shutdown is called. Closing an idle
 	// connection drops a request that has arrived but has not been read. On a busy machine, requests were still unread
@@ -122,6 +124,10 @@
 			w.Header().Set("Connection", "close")
 		}
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+		if len(r.URL.RawQuery) > maxQueryBytes {
+			w.WriteHeader(http.StatusRequestURITooLong)
+			return
+		}
 		if !strings.HasPrefix(r.URL.Path, "/v1/") || r.URL.Path == decidingPath {
 			next.ServeHTTP(w, r)
 			return
@@ -145,7 +151,7 @@
 
 // Listen opens the listener at an IP address and port.
 func (srv *Server) Listen(address string) error {
-	li, err := net.Listen("tcp", address)
+	li, err := lovageconn.Listen(address, srv.account, 0)
 	if err != nil {
 		return errors.Wrapf(err, "listen for the %s API", srv.name)
 	}
@@ -169,7 +175,7 @@
 	sweepCtx, stopSweep := context.WithCancel(ctx)
 	defer stopSweep()
 	go lovageconn.Sweep(sweepCtx, srv.account)
-	err := srv.http.Serve(lovageconn.NewListener(srv.listener, srv.account, 0))
+	err := srv.http.Serve(srv.listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return suture.ErrDoNotRestart
 	}
--- a/lovageconn/conn.go
+++ b/lovageconn/conn.go
@@ -1,22 +1,22 @@
-// Package lovageconn connects an http.Server to the account of lovageadmission for its clients: connections beyond the limit are accepted and
-// closed, bytes that arrive are noted, and a client that is dropped gets an answer where its connection allows one.
+// Package lovageconn connects an http.Server to the account of lovageadmission for its clients: connections beyond the limit wait for a place,
+// bytes that arrive are noted, and a client that is refused or dropped gets an answer where its connection allows one.
 //
 // # Usage
 //
-//	listener = lovageconn.NewListener(listener, account, writeTimeout)
+//	listener, err := lovageconn.Listen(address, account, writeTimeout)
 //	http.Server{Handler: lovageconn.Handler(handler), ConnContext: lovageconn.Context, ConnState: lovageconn.NoteState}
 //	go lovageconn.Sweep(ctx, account)
 package lovageconn
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
-	"syscall"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 
 	"lovagestack/lovageadmission"
 )
@@ -24,62 +24,15 @@
 // sweepInterval is how often the limits on the time of bodies are checked.
 const sweepInterval = 250 * time.Millisecond
 
-// Listen listens on a TCP address. The connections have small buffers in the kernel, because what these hold counts as the process's memory.
-func Listen(address string) (net.Listener, error) {
-	lc := net.ListenConfig{Control: func(_, _ string, rc syscall.RawConn) error {
-		var err error
-		controlErr := rc.Control(func(fd uintptr) {
-			err = errors.CombineErrors(
-				unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, lovageadmission.SocketBuffer),
-				unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, lovageadmission.SocketBuffer))
-		})
-		return errors.CombineErrors(controlErr, err)
-	}}
-	return lc.Listen(context.Background(), "tcp", address)
-}
-
-// Listener accepts the connections that an account has room for.
-type Listener struct {
-	net.Listener
-	account      *lovageadmission.Account
-	writeTimeout time.Duration
-}
-
-// NewListener returns a listener for the account. A client must take each part of an answer within writeTimeout; 0: the server sets deadlines.
-func NewListener(li net.Listener, account *lovageadmission.Account, writeTimeout time.Duration) *Listener {
-	return &Listener{li, account, writeTimeout}
-}
-
-// Accept implements net.Listener. It closes connections that the account refuses.
-func (li *Listener) Accept() (net.Conn, error) {
-	co, err := li.AcceptConn()
-	if err != nil {
-		return nil, err
-	}
-	return co, nil
-}
-
-// AcceptConn is Accept with the type of the connections.
-func (li *Listener) AcceptConn() (*Conn, error) {
-	for {
-		nc, err := li.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		co := &Conn{Conn: nc, writeTimeout: li.writeTimeout}
-		if co.client = li.account.Open(time.Now(), co.drop); co.client != nil {
-			return co, nil
-		}
-		_ = nc.Close()
-	}
-}
-
 // Conn is a client's connection.
 type Conn struct {
 	net.Conn
+	li           *Listener
 	client       *lovageadmission.Connection
 	writeTimeout time.Duration
-	deadlineSet  time.Time // when the deadline of writes was set; used only by the goroutine that writes
+	deadlineSet  time.Time   // when the deadline of writes was set; used only by the goroutine that writes
+	unread       atomic.Bool // a request was refused before it was read to its end
+	closing      atomic.Bool
 }
 
 // errDropped is returned by Read when the client's header takes memory that others need. net/http answers other errors than those of a read
@@ -96,43 +49,101 @@
 func (co *Conn) Read(b []byte) (int, error) {
 	n, err := co.Conn.Read(b)
 	if n > 0 && !co.client.Read(time.Now(), b[:n]) {
-		if co.SetWriteDeadline(time.Now().Add(refusalTimeout)) == nil {
-			_, _ = co.Conn.Write([]byte(refusal)) // fails only if the client does not read its earlier answers
-		}
+		co.writeRefusal()
 		return 0, errDropped
 	}
 	return n, err
 }
 
-// Write implements net.Conn.
+func (co *Conn) writeRefusal() {
+	if co.SetWriteDeadline(time.Now().Add(refusalTimeout)) == nil {
+		_, _ = co.Conn.Write([]byte(refusal)) // fails only if the client does not read its earlier answers
+	}
+}
+
+// Write implements net.Conn. A client that takes too little of an answer for some time may be dropped.
 func (co *Conn) Write(b []byte) (int, error) {
-	if co.writeTimeout > 0 {
+	defer co.client.Written()
+	written := 0
+	for {
+		now := time.Now()
+		co.client.Writing(now)
 		// Setting it is dear, so that it is not done for each of many answers; a client has at least 4/5 of the time.
-		if now := time.Now(); now.Sub(co.deadlineSet) > co.writeTimeout/5 {
+		if co.writeTimeout > 0 && now.Sub(co.deadlineSet) > co.writeTimeout/5 {
 			if err := co.SetWriteDeadline(now.Add(co.writeTimeout)); err != nil {
-				return 0, err
+				return written, err
 			}
 			co.deadlineSet = now
 		}
+		part := b[written:min(len(b), written+lovageadmission.SocketBuffer)]
+		n, err := co.Conn.Write(part)
+		if written += n; err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (co *Conn) SetReadDeadline(t time.Time) error {
+	if t.Equal(longAgo) {
+		co.unread.Store(true)
+	}
+	return co.Conn.SetReadDeadline(t)
+}
+
+const (
+	// closeTimeout is how long a refused client has to take its answer. A connection that is closed with bytes unread is reset, and the
+	// client may then not see the answer.
+	closeTimeout = 500 * time.Millisecond
+	// maxDiscarded is how much of a refused client's request is read meanwhile.
+	maxDiscarded = 32 << 20
+)
+
+// Close implements net.Conn. A client whose request was refused before it was read to its end gets some time to read the answer. Its place is
+// not free until then.
+func (co *Conn) Close() error {
+	if !co.unread.Load() {
+		return co.Conn.Close()
+	}
+	if !co.closing.Swap(true) {
+		co.client.Shrink(0)
+		go co.closeSlowly()
+	}
+	return nil
+}
+
+func (co *Conn) closeSlowly() {
+	if cw, ok := co.Conn.(interface{ CloseWrite() error }); ok && cw.CloseWrite() == nil {
+		_ = co.Conn.SetReadDeadline(time.Now().Add(closeTimeout))
+		_, _ = io.CopyN(io.Discard, co.Conn, maxDiscarded)
+	}
+	_ = co.Conn.Close()
+	co.client.Close(time.Now())
+}
+
+// closed notes that the server has closed the connection.
+func (co *Conn) closed() {
+	if !co.closing.Load() {
+		co.client.Close(time.Now())
 	}
-	return co.Conn.Write(b)
 }
 
 // longAgo is a deadline that has passed.
 var longAgo = time.Unix(1, 0)
 
-// drop ends the wait for the rest of a body, so that the request can be answered, or else closes the connection.
-func (co *Conn) drop(inBody bool) {
+// Drop ends the wait for the rest of a body, so that the request can be answered, or else closes the connection.
+func (co *Conn) Drop(inBody bool) {
 	if inBody {
 		_ = co.SetReadDeadline(longAgo)
 	} else {
-		_ = co.Close()
+		_ = co.Conn.Close()
 	}
 }
 
 // clientConn is a connection whose client has an account.
 type clientConn interface {
 	Client() *lovageadmission.Connection
+	closed()
 }
 
 // Client returns the connection's part of the account.
@@ -156,7 +167,7 @@
 	case http.StateIdle:
 		cc.Client().Idle(time.Now())
 	case http.StateClosed, http.StateHijacked:
-		cc.Client().Close()
+		cc.closed()
 	default:
 	}
 }
@@ -165,6 +176,9 @@
 func Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
 		client := lovageadmission.FromContext(req.Context())
+		if !client.MayStay() {
+			rw.Header().Set("Connection", "close")
+		}
 		if client.Begin(time.Now()) {
 			next.ServeHTTP(rw, req)
 		} else {
--- a/lovagestack/admission.go
+++ b/lovagestack/admission.go
@@ -10,6 +10,8 @@
 func registerAdmission(metrics *lovagemetric.Registry, accounts platform.Accounts, store *platform.Store, workers *platform.WorkerClient) {
 	metrics.GaugeFunc("client_connections", "Open connections of callers.",
 		func() float64 { return float64(accounts.Frontend.Use().Connections) })
+	metrics.GaugeFunc("client_connections_waiting", "Connections of callers that wait for a place.",
+		func() float64 { return float64(accounts.Frontend.Use().Waiting) })
 	metrics.GaugeFunc("client_header_bytes", "Memory reserved for headers of callers in progress.",
 		func() float64 { return float64(accounts.Frontend.Use().HeaderBytes) })
 	metrics.GaugeFunc("client_body_bytes", "Memory reserved for requests of callers in progress.",
--- a/lovagestack/serve.go
+++ b/lovagestack/serve.go
@@ -36,7 +36,7 @@
 
 const (
 	// memoryLimitShare is the share of the instance's memory that the Go runtime gets as its soft limit.
-	memoryLimitShare = 0.5
+	memoryLimitShare = 0.55
 	// gcPercent is the GOGC value in percent. The live heap is a few MB, so this heap growth takes little memory.
 	gcPercent = 200
 	// readHeaderTimeout, idleTimeout and maxHeaderBytes limit connections even before the configuration is known.
--- a/lovagestack/server.go
+++ b/lovagestack/server.go
@@ -33,7 +33,7 @@
 type server struct {
 	http     *http.Server
 	account  *lovageadmission.Account
-	listener net.Listener
+	listener *lovageconn.Listener
 	stopping atomic.Bool
 	// cancelRequests ends the contexts of all requests.
 	cancelRequests context.CancelFunc
@@ -55,7 +55,7 @@
 
 // listen opens the listener.
 func (sv *server) listen() error {
-	li, err := lovageconn.Listen(sv.http.Addr)
+	li, err := lovageconn.Listen(sv.http.Addr, sv.account, answerWriteTimeout)
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", sv.http.Addr)
 	}
@@ -68,7 +68,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go lovageconn.Sweep(ctx, sv.account)
-	err := sv.http.Serve(serverListener{lovageconn.NewListener(sv.listener, sv.account, answerWriteTimeout), sv})
+	err := sv.http.Serve(serverListener{sv.listener, sv})
 	if sv.stopping.Load() {
 		return nil
 	}
--- a/lovagestack/server_test.go
+++ b/lovagestack/server_test.go
@@ -139,7 +139,7 @@
 	se.Grace = 100 * time.Millisecond
 	sv := serveForTest(t, se, http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
 		client := lovageadmission.FromContext(req.Context())
-		client.StartBody(time.Now())
+		client.StartBody(time.Now(), 0)
 		_, err := io.ReadAll(req.Body)
 		test.Error(t, err)
 		test.False(t, client.Received(time.Now()))
