lovageapi, lovageconfig: what a text becomes is accounted for before it is decoded

The process of callers ended: entry with 288 MB and bodies of 4 MB reached 1,279 MB under bodies of tiny tasks and faulty bodies. Causes: a list of 1.4 million {} was decoded before it was counted; the located report of faults took 20 to 100 times the body, and with a long key around a list each of its values repeats the key in its path (64 KB times 450,000); faults quoted values of any length; answers that are not read were held without account. - Tasks are counted by ScanJob first; more than 16 times the limit are not decoded. - ParseJSON has a limit of memory, which the request reserves; without room, only the first fault is reported. - Faults quote 100 bytes. Answers, fault reports and keys reserve their memory until they are written; without room an answer's outcome is "unknown" with the advice to ask again.

--- a/lovageapi/caller.go
+++ b/lovageapi/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"fmt"
 	"net/http"
 	"time"
@@ -42,6 +43,7 @@
 
 const (
 	maxKeysPerCall    = 1000
+	keyReplyBytes     = 512                    // memory of a key and its part of the reply
 	maxWait           = 10 * time.Minute       // longest wait of an ask; equals the default limit on a deadline
 	jobWatchPeriod    = 10 * time.Second       // longest time between lines of a job watch
 	minJobWatchPeriod = 100 * time.Millisecond // shortest time between lines; each task start may cause a line
@@ -71,7 +73,7 @@
 		return
 	}
 	req := KeysRequest{Count: 1}
-	findings := append(queryFindings(ctx), decode(data, &req)...)
+	findings := append(queryFindings(ctx), decode(data, &req, reserver(ctx))...)
 	if req.Count < 1 || req.Count > maxKeysPerCall {
 		findings = append(findings, lovageconfig.Finding{
 			Field: "count", Problem: fmt.Sprintf("%d is not between 1 and %d", req.Count, maxKeysPerCall),
@@ -79,13 +81,17 @@
 	}
 	if req.Service != "" && !lovagejob.ValidName(req.Service) {
 		findings = append(findings, lovageconfig.Finding{
-			Field: "service", Problem: fmt.Sprintf("%q is not the name of a service", req.Service),
+			Field: "service", Problem: fmt.Sprintf("%.100q is not the name of a service", req.Service),
 		})
 	}
 	if len(findings) > 0 {
 		writeFindings(ctx, findings)
 		return
 	}
+	if !reserver(ctx)(keyReplyBytes * int64(req.Count)) {
+		writeRefusal(ctx)
+		return
+	}
 	mi, err := api.jobs.Mint(ctx.Request().Context(), lovagejob.MintRequest{
 		Service: req.Service, Count: req.Count, Repeatable: req.Repeatable,
 	})
@@ -102,9 +108,12 @@
 	if !ok {
 		return
 	}
-	var req JobRequest
-	findings := append(queryFindings(ctx), decode(data, &req)...)
-	if len(findings) > 0 {
+	req, findings, err := decodeJob(data, api.limits.MaxTasks, reserver(ctx))
+	if err != nil {
+		writeRefusal(ctx)
+		return
+	}
+	if findings = append(queryFindings(ctx), findings...); len(findings) > 0 {
 		writeFindings(ctx, findings)
 		return
 	}
@@ -257,9 +266,26 @@
 	if an.OwnerAddress != "" {
 		ctx.ResponseWriter().Header().Set(OwnerHeader, an.OwnerAddress)
 	}
+	if !reserver(ctx)(answerBytes(an)) {
+		an, status = withoutRoom(an), http.StatusGatewayTimeout
+		setRetryAfter(ctx, time.Second)
+	}
+	writeReserved(ctx, status, appendAnswer(make([]byte, 0, answerBytes(an)), an))
+}
+
+// answerBytes returns the largest size of an encoded answer.
+func answerBytes(an *lovagejob.Answer) int64 {
 	size := 512 + len(an.Reason)
 	for i := range an.Results {
-		size += 128 + len(an.Results[i].Body)
+		size += 128 + base64.StdEncoding.EncodedLen(len(an.Results[i].Body))
+	}
+	return int64(size)
+}
+
+// withoutRoom returns what a caller is told whose answer has no room in memory.
+func withoutRoom(an *lovagejob.Answer) *lovagejob.Answer {
+	return &lovagejob.Answer{
+		Key: an.Key, Outcome: lovagejob.Unknown, Tasks: an.Tasks, Started: an.Started,
+		Reason: "too many large answers are being sent; ask again with the same key",
 	}
-	writeBytes(ctx, status, appendAnswer(make([]byte, 0, size), an))
 }
--- a/lovageapi/decode.go
+++ b/lovageapi/decode.go
@@ -7,34 +7,40 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"lovagestack/lovageadmission"
 	"lovagestack/lovageconfig"
 )
 
 const (
-	// maxFullReportBytes is the size up to which every error in a body is located. The parsed text with its positions
-	// takes about 20 times the size of the body, so many invalid bodies of the maximum size would exhaust memory.
+	// maxFullReportBytes is the size up to which every error in a body is located, if there is memory for it.
 	maxFullReportBytes = 1 << 20
 	maxFindings        = 1000 // maximum number of findings in a reply; more errors have a common cause
+	maxProblemBytes    = 500  // of a finding; a longer one quotes the body
+	elementBytes       = 400  // memory of a task without its payload while the list of tasks grows and is checked
+	// maxExtraTasks is how many times the limit of tasks a body may have for all its errors to be reported.
+	maxExtraTasks = 16
 )
 
 // decode sets target, a pointer to a struct, from JSON and returns errors as findings. encoding/json decodes valid
-// text. In invalid text, the slower decoder of lovageconfig locates every error; in a text above maxFullReportBytes,
-// only the first error is returned.
-func decode(data []byte, target any) []lovageconfig.Finding {
+// text. In invalid text, the slower decoder of lovageconfig locates every error; in a text above maxFullReportBytes, or without room for that,
+// only the first error is returned. reserve reserves memory for the request.
+func decode(data []byte, target any, reserve func(bytes int64) bool) []lovageconfig.Finding {
 	err := json.Unmarshal(data, target)
 	if err == nil && hasExactKeys(data, keyNamesOf(reflect.TypeOf(target).Elem())) {
 		return nil
 	}
-	if len(data) > maxFullReportBytes {
-		if err == nil {
-			err = errors.New("a key is not known or occurs twice")
-		}
-		return []lovageconfig.Finding{{
-			Problem: fmt.Sprintf("%s (only the first fault is reported for a body of more than %d bytes)", err, maxFullReportBytes),
-		}}
+	first := lovageconfig.Finding{Problem: describe(err)}
+	switch {
+	case len(data) > maxFullReportBytes:
+		first.Problem += fmt.Sprintf(" (only the first fault is reported for a body of more than %d bytes)", maxFullReportBytes)
+		return []lovageconfig.Finding{first}
+	case !reserve(lovageconfig.ParseJSONMemory(len(data))):
+		first.Problem += " (only the first fault is reported while many requests are in progress)"
+		return []lovageconfig.Finding{first}
 	}
 	doc, findings := lovageconfig.ParseJSON("", data)
 	if doc != nil {
@@ -45,12 +51,47 @@
 		return strings.Contains(fi.Field, "].payload.") || strings.Contains(fi.Field, "].payload[")
 	})
 	if len(findings) == 0 && err != nil {
-		findings = []lovageconfig.Finding{{Problem: err.Error()}}
+		findings = []lovageconfig.Finding{first}
 	}
 	lovageconfig.SortFindings(findings)
 	return findings
 }
 
+// decodeJob is decode for a submission. A list of very many tasks is not decoded. The error is errNoRoom.
+func decodeJob(data []byte, maxTasks int, reserve func(bytes int64) bool) (*JobRequest, []lovageconfig.Finding, error) {
+	size := lovageadmission.ScanJob(data, "tasks", "")
+	if size.Steps > maxExtraTasks*max(maxTasks, 1) {
+		return nil, []lovageconfig.Finding{{
+			Field: "tasks", Problem: fmt.Sprintf("%d tasks are more than the limit of %d", size.Steps, maxTasks),
+		}}, nil
+	}
+	if !reserve(elementBytes * int64(size.Steps)) {
+		return nil, nil, errNoRoom
+	}
+	req := &JobRequest{}
+	return req, decode(data, req, reserve), nil
+}
+
+// describe returns the message of an error of json.Unmarshal, or that of wrong keys if it is nil.
+func describe(err error) string {
+	var pe *time.ParseError
+	switch {
+	case err == nil:
+		return "a key is not known or occurs twice"
+	case errors.As(err, &pe):
+		return fmt.Sprintf("%.100q is not a time in the form of RFC 3339", pe.Value)
+	}
+	return clip(err.Error())
+}
+
+// clip returns the beginning of a text that may quote a request.
+func clip(text string) string {
+	if len(text) <= maxProblemBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxProblemBytes], "") + "..."
+}
+
 // keyNames holds JSON keys by nesting depth: 1 is the outer object, 3 the objects in its lists.
 type keyNames [4][]string
 
--- a/lovageapi/fuzz_test.go
+++ b/lovageapi/fuzz_test.go
@@ -18,7 +18,7 @@
 	f.Add([]byte("{\"deadline\":\"x\",\n\"declaredRunTime\":5,\"tasks\":[1]}"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var jo, strict JobRequest
-		findings := decode(data, &jo)
+		findings := decode(data, &jo, func(int64) bool { return true })
 		dec := json.NewDecoder(bytes.NewReader(data))
 		dec.DisallowUnknownFields()
 		err := dec.Decode(&strict)
--- a/lovageapi/reply.go
+++ b/lovageapi/reply.go
@@ -29,12 +29,27 @@
 }
 
 func writeFindings(ctx iris.Context, findings []lovageconfig.Finding) {
+	for i := range findings {
+		findings[i].Field, findings[i].Problem = clip(findings[i].Field), clip(findings[i].Problem)
+	}
+	if !reserver(ctx)(findingBytes * int64(min(len(findings), maxFindings))) {
+		findings = findings[:1:1]
+	}
 	if more := len(findings) - maxFindings; more > 0 {
 		findings = append(findings[:maxFindings:maxFindings], lovageconfig.Finding{Problem: strconv.Itoa(more) + " more findings"})
 	}
 	writeJSON(ctx, http.StatusBadRequest, ErrorReply{Error: "the request has faults; nothing was started", Findings: findings})
 }
 
+// findingBytes is the memory of a finding in a reply and its encoding.
+const findingBytes = 1 << 10
+
+// reserver returns a function that reserves memory for the request until it has been answered.
+func reserver(ctx iris.Context) func(bytes int64) bool {
+	client := lovageadmission.FromContext(ctx.Request().Context())
+	return func(bytes int64) bool { return client.Reserve(time.Now(), bytes) }
+}
+
 // writeJSON writes value as JSON, or status 500 if it cannot be encoded.
 func writeJSON(ctx iris.Context, status int, value any) {
 	data, err := json.Marshal(value)
@@ -44,7 +59,20 @@
 	writeBytes(ctx, status, append(data, '\n'))
 }
 
+// writeBytes writes a reply, or status 503 if it is large and there is no room for it until the client has taken it.
 func writeBytes(ctx iris.Context, status int, data []byte) {
+	if len(data) > freeReplyBytes && !reserver(ctx)(int64(len(data))) {
+		setRetryAfter(ctx, time.Second)
+		status, data = http.StatusServiceUnavailable, []byte(`{"error":"too many large replies are being sent"}`+"\n")
+	}
+	writeReserved(ctx, status, data)
+}
+
+// freeReplyBytes is the size up to which a reply needs no room of its own: it fits into the buffers of its connection.
+const freeReplyBytes = 4 << 10
+
+// writeReserved writes a reply for which memory is reserved.
+func writeReserved(ctx iris.Context, status int, data []byte) {
 	extendWriteDeadline(ctx)
 	he := ctx.ResponseWriter().Header()
 	he.Set("Content-Type", "application/json")
@@ -69,8 +97,11 @@
 	rc := http.NewResponseController(ctx.ResponseWriter().Naive())
 	_ = rc.SetReadDeadline(time.Now().Add(srv.bodyTimeout))
 	client := lovageadmission.FromContext(ctx.Request().Context())
-	client.StartBody(time.Now(), 0)
+	client.StartBody(time.Now(), (1+decodedFactor)*ctx.Request().ContentLength)
 	data, err := srv.readAccounted(http.MaxBytesReader(ctx.ResponseWriter().Naive(), ctx.Request().Body, srv.maxBodyBytes), client)
+	if err != nil {
+		client.Shrink(0)
+	}
 	if err == nil && !client.Received(time.Now()) || client.Dropped() != lovageadmission.ReasonNone {
 		writeRefusal(ctx)
 		return nil, false
@@ -88,10 +119,12 @@
 	return data, true
 }
 
-// readAccounted reads a body whose buffer grows as bytes arrive and as the client's account has room. The memory of the decoded form, up to
-// three times the text for payloads and lists, is reserved too.
+// decodedFactor is the memory of a decoded body, of payloads and lists, per byte of its text.
+const decodedFactor = 3
+
+// readAccounted reads a body whose buffer grows as bytes arrive and as the client's account has room. The memory of the decoded form
+// is reserved too.
 func (srv *Server) readAccounted(re io.Reader, client *lovageadmission.Connection) ([]byte, error) {
-	const decodedFactor = 3
 	buf := make([]byte, 0, 4<<10)
 	if !client.Grow(time.Now(), 0, (1+decodedFactor)*int64(cap(buf))) {
 		return nil, errNoRoom
--- a/lovageapi/watch.go
+++ b/lovageapi/watch.go
@@ -70,6 +70,7 @@
 	watchCtx, cancel := api.srv.watchContext(ctx)
 	defer cancel()
 	var lw *lineWriter
+	var reserved int64
 	waitUntil := api.srv.now()
 	for {
 		askedAt := time.Now()
@@ -81,6 +82,13 @@
 			lw = startLineReply(ctx)
 		}
 		an = checkAnswer(an, err, key, -1)
+		if size := 2 * answerBytes(&an); size > reserved {
+			if !reserver(ctx)(size - reserved) {
+				an = *withoutRoom(&an)
+			} else {
+				reserved = size
+			}
+		}
 		var line bytes.Buffer
 		if err := json.Compact(&line, appendAnswer(nil, &an)); err != nil {
 			return
--- a/lovageconfig/decode.go
+++ b/lovageconfig/decode.go
@@ -49,7 +49,7 @@
 		if text, ok := de.text(path, value, `a duration such as "250ms"`); ok {
 			parsed, err := time.ParseDuration(text)
 			if err != nil {
-				de.addFinding(path, "%q is not a duration such as \"250ms\"", text)
+				de.addFinding(path, "%.100q is not a duration such as \"250ms\"", text)
 				return
 			}
 			*typed = parsed
@@ -62,7 +62,7 @@
 		}
 		if text, ok := de.text(path, value, "a time in the form of RFC 3339"); ok {
 			if err := typed.UnmarshalText([]byte(text)); err != nil {
-				de.addFinding(path, "%q is not a time in the form of RFC 3339", text)
+				de.addFinding(path, "%.100q is not a time in the form of RFC 3339", text)
 			}
 		}
 		return
@@ -131,7 +131,7 @@
 	case json.Number:
 		parsed, err := va.Int64()
 		if err != nil {
-			de.addFinding(path, "%s is not a whole number of 64 bits", va)
+			de.addFinding(path, "%.100s is not a whole number of 64 bits", va)
 			return
 		}
 		integer = parsed
@@ -207,9 +207,9 @@
 func describeValue(value any) string {
 	switch va := value.(type) {
 	case string:
-		return fmt.Sprintf("the string %q", va)
+		return fmt.Sprintf("the string %.100q", va)
 	case json.Number:
-		return "the number " + va.String()
+		return fmt.Sprintf("the number %.100s", va.String())
 	case int64, float64:
 		return fmt.Sprintf("the number %v", va)
 	case bool:
--- a/lovageconfig/duration.go
+++ b/lovageconfig/duration.go
@@ -20,7 +20,7 @@
 func (du *Duration) UnmarshalText(text []byte) error {
 	parsed, err := time.ParseDuration(string(text))
 	if err != nil {
-		return errors.Newf("%q is not a duration such as \"250ms\"", text)
+		return errors.Newf("%.100q is not a duration such as \"250ms\"", text)
 	}
 	*du = Duration(parsed)
 	return nil
--- a/lovageconfig/json.go
+++ b/lovageconfig/json.go
@@ -13,11 +13,29 @@
 // stack.
 const maxJSONDepth = 500
 
+// Memory of a parsed text and of the findings in it, beside that of paths.
+const (
+	parsedValueBytes = 256 // in a list or a table, with its position
+	parsedTableBytes = 400
+	foundBytes       = 400 // a finding with its message
+	parsedTextFactor = 2   // the parser's buffer and the strings
+)
+
+// errTooLarge is an error of texts whose values would take too much memory.
+var errTooLarge = errors.New("the JSON text has too many values, or too many below long keys")
+
+// ParseJSONMemory returns the memory within which ParseJSON parses any text of the size that people write.
+func ParseJSONMemory(size int) int64 { return 5<<18 + 32*int64(size) }
+
 // ParseJSON parses one JSON value. It reports the first syntax error or else all duplicate keys in objects.
-// encoding/json silently drops all but one of the duplicates.
+// encoding/json silently drops all but one of the duplicates. The document and what Decode finds in it take no more than
+// ParseJSONMemory; a text that would take more is reported as too large.
 func ParseJSON(file string, data []byte) (*Document, []Finding) {
 	doc := newDocument(file, data)
-	pa := jsonParser{doc: doc, data: data, dec: json.NewDecoder(bytes.NewReader(data))}
+	pa := jsonParser{
+		doc: doc, data: data, dec: json.NewDecoder(bytes.NewReader(data)),
+		room: ParseJSONMemory(len(data)) - parsedTextFactor*int64(len(data)) - 8*int64(cap(doc.lineStarts)),
+	}
 	pa.dec.UseNumber()
 	var err error
 	if doc.root, err = pa.parseValue("", 0); err != nil {
@@ -37,9 +55,18 @@
 	doc      *Document
 	data     []byte
 	dec      *json.Decoder
+	room     int64 // memory that is left
 	findings []Finding
 }
 
+// take takes memory for a value with the path.
+func (pa *jsonParser) take(path string, bytes int64) error {
+	if pa.room -= bytes + 2*int64(len(path)); pa.room < 0 {
+		return errTooLarge
+	}
+	return nil
+}
+
 // nextTokenOffset returns the offset of the next token.
 func (pa *jsonParser) nextTokenOffset() int {
 	offset := int(pa.dec.InputOffset())
@@ -72,6 +99,9 @@
 	if depth > maxJSONDepth {
 		return nil, errors.Newf("the JSON text is nested more than %d deep", maxJSONDepth)
 	}
+	if err := pa.take(path, parsedValueBytes+foundBytes); err != nil {
+		return nil, err
+	}
 	pa.doc.recordOffset(path, pa.nextTokenOffset())
 	token, err := pa.dec.Token()
 	if err != nil {
@@ -96,6 +126,9 @@
 }
 
 func (pa *jsonParser) parseObject(path string, depth int) (any, error) {
+	if err := pa.take("", parsedTableBytes); err != nil {
+		return nil, err
+	}
 	table := map[string]any{}
 	for pa.dec.More() {
 		offset := pa.nextTokenOffset()
@@ -106,6 +139,9 @@
 		key, _ := token.(string)
 		sub := joinPath(path, key)
 		if _, ok := table[key]; ok {
+			if err := pa.take(sub, foundBytes); err != nil {
+				return nil, err
+			}
 			pa.doc.offsets[sub] = offset
 			pa.findings = append(pa.findings, pa.doc.Finding(sub, "occurs twice"))
 		}
--- a/lovagejob/job.go
+++ b/lovagejob/job.go
@@ -130,10 +130,10 @@
 		findings = append(findings, Finding{Field: field, Problem: fmt.Sprintf(format, args...)})
 	}
 	if !ValidName(sub.Service) {
-		add("service", "%q is not a name of 1 to %d lower-case letters, digits and inner hyphens", sub.Service, maxNameLength)
+		add("service", "%.100q is not a name of 1 to %d lower-case letters, digits and inner hyphens", sub.Service, maxNameLength)
 	}
 	if !ValidName(sub.Team) {
-		add("team", "%q is not a name of 1 to %d lower-case letters, digits and inner hyphens", sub.Team, maxNameLength)
+		add("team", "%.100q is not a name of 1 to %d lower-case letters, digits and inner hyphens", sub.Team, maxNameLength)
 	}
 	switch {
 	case sub.Deadline.IsZero():
