lovageentry: the content of jobs is limited, also after their callers have left

A job goes on when its caller leaves, but only the caller's connection was accounted for: jobs of 4 MB with far deadlines, given up at once, were held without a limit. The content of all submissions and the results so far have 0.10 of the memory; large jobs of which no task has started are given up as not run for others with nearer deadlines, the latest first. Kept answers have 0.04 of the memory, 32 MB at most. The runtime's soft limit is set from limits.memoryMB.

--- a/lovageentry/counts.go
+++ b/lovageentry/counts.go
@@ -18,6 +18,7 @@
 	registry          *lovagemetric.Registry
 	eventsHandled     metrics.Counter
 	jobsAdmitted      metrics.Counter
+	jobsGivenUp       metrics.Counter
 	tasksStarted      metrics.Counter
 	tasksNotSent      metrics.Counter
 	forwards          metrics.Counter
@@ -49,6 +50,7 @@
 		registry:       re,
 		eventsHandled:  counter("control_events", "Events that the control loop handled."),
 		jobsAdmitted:   counter("jobs_admitted", "Jobs whose key was accepted here."),
+		jobsGivenUp:    counter("jobs_given_up", "Jobs that were ended before a task was started, because their content had no room."),
 		tasksStarted:   counter("tasks_started", "Task requests sent to workers."),
 		tasksNotSent:   counter("tasks_not_sent", "Tasks whose worker was no longer declared; nothing was sent."),
 		forwards:       counter("forwards", "Requests sent on to the instance that decides their key."),
--- a/lovageentry/instance.go
+++ b/lovageentry/instance.go
@@ -11,6 +11,7 @@
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
 
+	"lovagestack/lovageadmission"
 	"lovagestack/lovagebackend"
 	"lovagestack/lovageconfig"
 	"lovagestack/lovagedispatch"
@@ -179,14 +180,16 @@
 	dispatchSettings := lovagedispatch.DefaultSettings(in.id, se.DataCentre)
 	dispatchSettings.Policy = policy
 	dispatchSettings.MaxTotalTasks = se.Limits.QueuedTasks
+	admission := lovageadmission.DefaultSettings(se.Limits.MemoryMB, se.Limits.MaxFiles)
 	return &controlLoop{
 		in: in, log: in.log, events: make(chan event, eventBacklog), now: time.Now(),
 		core: lovagedispatch.New(dispatchSettings, rng),
 		ledger: lovageledger.New(lovageledger.Settings{
 			Instance: in.id, DataCentre: se.DataCentre, Address: in.peerAddress, Rand: rng,
 			LeaseTTL: se.Lease.TTL, RenewInterval: se.Lease.Renewal,
-			MaxRecords: se.Limits.Records,
+			MaxRecords: se.Limits.Records, MaxAnswerBytes: int(admission.AnswerBytes),
 		}),
+		content: contentMemory{settings: admission},
 		membership: lovagemember.New(lovagemember.Settings{
 			Instance: in.id, DataCentre: se.DataCentre, Address: in.peerAddress,
 			SuspectAfter: se.Heartbeat.Suspect, GoneAfter: se.Heartbeat.Gone, HeartbeatInterval: se.Heartbeat.Interval,
--- a/lovageentry/job.go
+++ b/lovageentry/job.go
@@ -25,7 +25,12 @@
 	admittedAt time.Time
 	results    []lovagejob.TaskResult
 	running    map[int]context.CancelFunc // cancel functions of the tasks at workers, by task index
+	started    bool                       // a task was given to a worker
+	givenUp    bool                       // dropped for lack of memory, before any task was started
 	ended      bool                       // the outcome was reported to the ledger
+
+	contentBytes int64 // memory of the submission
+	resultBytes  int64 // memory of the results so far
 }
 
 // queueFullRetry is how long a caller should wait before a retry if the instance has its maximum number of jobs.
@@ -38,11 +43,13 @@
 	ps := lo.submissions[id]
 	if ps == nil {
 		// No task of the job was or can be started, so refusing the key for good is correct.
-		lo.refuse(lovagejob.Answer{Key: cm.Key, Reason: "the submission's content is no longer held"})
+		lo.refuse(lovagejob.Answer{
+			Key: cm.Key, Reason: "the submission's content is not held; there may be no room for it", RetryAt: lo.now.Add(noContentRetry),
+		})
 		return
 	}
 	if limit := lo.in.settings.Limits.QueuedJobs; len(lo.jobsByKey) >= limit {
-		delete(lo.submissions, id)
+		lo.dropSubmission(id)
 		lo.refuse(lovagejob.Answer{
 			Key: cm.Key, Tasks: len(ps.sub.Tasks), RetryAt: lo.now.Add(queueFullRetry),
 			Reason: fmt.Sprintf("the instance holds %d jobs, which is its limit", limit),
@@ -56,7 +63,7 @@
 		id: lo.lastJobID, key: cm.Key, keyText: cm.Key.String(), sub: ps.sub,
 		span: trace.SpanContextFromContext(ps.ctx), admittedAt: lo.now,
 		results: make([]lovagejob.TaskResult, len(ps.sub.Tasks)),
-		running: make(map[int]context.CancelFunc),
+		running: make(map[int]context.CancelFunc), contentBytes: ps.contentBytes,
 	}
 	lo.jobs[jo.id] = jo
 	lo.jobsByKey[cm.Key] = jo
@@ -98,6 +105,7 @@
 		}}).run()
 		return
 	}
+	jo.started = true
 	lo.in.reportStep(StepChoose)
 	ctx, cancel := context.WithCancel(trace.ContextWithSpanContext(lo.in.lifetimeContext(), jo.span))
 	lo.in.tracer.Record(ctx, lovagetrace.QueueWait, jo.admittedAt, lo.now)
@@ -177,6 +185,8 @@
 			jo.results[tr.task] = lovagejob.TaskResult{
 				Task: tr.task, Worker: tr.worker, Status: tr.res.Status, Body: tr.res.Body,
 			}
+			lo.content.used += int64(len(tr.res.Body))
+			jo.resultBytes += int64(len(tr.res.Body))
 		}
 	}
 	lo.in.counts.taskEnded(tr.res.State, tr.duration)
@@ -199,6 +209,9 @@
 	ans := lovagejob.Answer{
 		Key: jo.key, Outcome: cm.Outcome, Reason: cm.Reason, RetryAt: cm.RetryAt, Tasks: len(jo.sub.Tasks), Started: cm.Started,
 	}
+	if jo.givenUp && cm.Outcome == lovagejob.Cancelled && cm.Started == 0 {
+		ans.Outcome, ans.Reason, ans.RetryAt = lovagejob.NotRun, "there is no room for the submission's content", lo.now.Add(noContentRetry)
+	}
 	if cm.Outcome == lovagejob.Complete {
 		ans.Results = jo.results
 	}
@@ -208,10 +221,19 @@
 	lo.releaseEndedJob(jo)
 }
 
+// giveUp ends a job of which no task was started as NotRun.
+func (lo *controlLoop) giveUp(jo *job) {
+	jo.givenUp = true
+	lo.in.counts.jobsGivenUp.Inc(1)
+	lo.stepCore(lovagedispatch.Cancel{Job: jo.id})
+}
+
 // releaseEndedJob removes an ended job once none of its tasks is at a worker.
 func (lo *controlLoop) releaseEndedJob(jo *job) {
 	if jo.ended && len(jo.running) == 0 && lo.jobs[jo.id] == jo {
 		delete(lo.jobs, jo.id)
+		lo.content.remove(jo.contentBytes)
+		lo.content.used -= jo.resultBytes
 		lo.in.openJobs.add(-1)
 	}
 }
--- a/lovageentry/loop.go
+++ b/lovageentry/loop.go
@@ -45,6 +45,7 @@
 	jobsByKey             map[lovagejob.Key]*job
 	lastJobID             uint64
 	submissions           map[submissionID]*pendingSubmission
+	content               contentMemory
 	abandonHooks          map[uint64]*abandonHook
 	peerCallReplies       map[uint64]chan<- any // reply channels by call ID
 	lastPeerCallID        uint64
--- a/lovageentry/request.go
+++ b/lovageentry/request.go
@@ -70,6 +70,7 @@
 type pendingSubmission struct {
 	sub             *lovagejob.Submission // the one with the latest deadline
 	ctx             context.Context
+	contentBytes    int64
 	waitingRequests int // requests without a final reply from the ledger, including abandoned ones
 }
 
@@ -99,11 +100,17 @@
 	}
 }
 
-// holdSubmission keeps the submission's content until the ledger admits, answers or forwards its key.
+// holdSubmission keeps the submission's content until the ledger admits, answers or forwards its key. Without room for it, only an answer
+// that is known already can be given.
 func (lo *controlLoop) holdSubmission(re *request) {
 	ps := lo.submissions[re.submissionID()]
 	if ps == nil {
-		ps = &pendingSubmission{sub: re.sub, ctx: re.ctx}
+		n := contentBytes(re.sub)
+		if !lo.makeContentRoom(n, re.sub.Deadline) {
+			return
+		}
+		lo.content.add(n)
+		ps = &pendingSubmission{sub: re.sub, ctx: re.ctx, contentBytes: n}
 		lo.submissions[re.submissionID()] = ps
 	}
 	if re.sub.Deadline.After(ps.sub.Deadline) {
@@ -155,7 +162,7 @@
 	}
 	ps.waitingRequests--
 	if ps.waitingRequests <= 0 {
-		delete(lo.submissions, re.submissionID())
+		lo.dropSubmission(re.submissionID())
 	}
 }
 
@@ -165,7 +172,7 @@
 func (lo *controlLoop) dropExpiredSubmissions() {
 	for id, ps := range lo.submissions {
 		if lo.now.After(ps.sub.Deadline.Add(answerGrace)) {
-			delete(lo.submissions, id)
+			lo.dropSubmission(id)
 		}
 	}
 }
--- a/lovagestack/entry.go
+++ b/lovagestack/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime/debug"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -57,6 +58,7 @@
 		return en.fail(exitBadInput, err)
 	}
 	defer func() { _ = log.Sync() }()
+	debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.Limits.MemoryMB<<20)))
 	go ec.checkOnHangup(ctx, en, log)
 	cutRequests, err := serveEntry(ctx, settings, log)
 	switch {
