lovagefleet: a withdrawn job's request is answered

Callers got 503 and 504 for good after 16,384 callers had left: the pool does not answer a job that its submitter cancels, so that the request of the instance that had sent it stayed in progress at the owner until the session was lost. TestWithdrawnJobIsAnswered fails without the answer (20 s) and passes with it.

--- a/lovagefleet/peer.go
+++ b/lovagefleet/peer.go
@@ -135,6 +135,10 @@
 		if ok {
 			no.stopWaiters[ref] = append(no.stopWaiters[ref], stopped)
 		}
+		if wa := no.jobWaiters[ref]; ok && wa != nil { // the pool does not answer a cancelled job; its request would stay in progress
+			delete(no.jobWaiters, ref)
+			wa.result <- lovagepool.FinishJob{Ref: ref, Outcome: lovagepool.Cancelled, Reason: "withdrawn by the instance that sent it"}
+		}
 		known <- ok
 	})
 	select {
