lovagepool, lovagefleet: an owner's memory for jobs and for calls to workers

A process under callers that send jobs of many tasks and leave reached 7,700 MB of 144 MB, 414 MB if they stay, and ordinary callers were refused for seconds. A dump of its goroutines shows why: an owner takes every job that another instance sends, whose caller's place is free as soon as he leaves; each start and each repeated stop is a goroutine with a request of 14 KB (6,300 at 162 MB); and loop applies events as long as any come before it places jobs. - The pool has a limit of memory for all jobs, until their last run has ended; beyond it a job is answered as not run, with a quarter left to small ones. TestJobMemory. - The place of a caller that leaves is free when the owner has been told. - Calls that start or stop runs are limited in number, the others wait as small values; a stop that waits is not repeated. TestCallQueue, TestStopSet. - loop applies the events that are queued, not those that come meanwhile.

--- a/lovagefleet/control.go
+++ b/lovagefleet/control.go
@@ -28,7 +28,7 @@
 
 func (no *Node) countEvent(name string) { no.counts.With(name).Inc(1) }
 
-// loop owns the pool. It applies all queued events before the pool schedules tasks.
+// loop owns the pool. It applies the events that are queued before the pool schedules tasks.
 func (no *Node) loop(ctx context.Context) {
 	timer := time.NewTimer(idleTickInterval)
 	defer timer.Stop()
@@ -42,13 +42,8 @@
 		case ev := <-no.eventQueue:
 			no.handleSuspension()
 			no.apply(time.Now(), ev)
-			for more := true; more; {
-				select {
-				case ev = <-no.eventQueue:
-					no.apply(time.Now(), ev)
-				default:
-					more = false
-				}
+			for range len(no.eventQueue) { // not those that are posted meanwhile, which may go on without end
+				no.apply(time.Now(), <-no.eventQueue)
 			}
 		case <-timer.C:
 		}
@@ -141,13 +136,19 @@
 			if li := no.links[cm.Worker]; li != nil {
 				rr := li.newRunRequest(cm.LeaseUntil, cm.Task, cm.Attempt, cm.Spec)
 				rr.ProcessStart = cm.ProcessStart
-				go li.start(no.startContext(now, cm.Ref), now, cm, rr)
+				ctx := no.startContext(now, cm.Ref)
+				no.calls.run(func() { li.start(ctx, now, cm, rr) })
 			} else {
 				no.pool.HandleStartReply(now, cm.Worker, cm.Task, cm.Attempt, true, "noLink")
 			}
 		case lovagepool.StopRun:
 			if li := no.links[cm.Worker]; li != nil {
-				go li.stop(no.ctx, cm)
+				if key := (stopKey{cm.Task, cm.Attempt}); li.stops.add(key) {
+					no.calls.run(func() {
+						defer li.stops.remove(key)
+						li.stop(no.ctx, cm)
+					})
+				}
 			}
 		case lovagepool.FinishJob:
 			if wa := no.jobWaiters[cm.Ref]; wa != nil {
--- a/lovagefleet/link.go
+++ b/lovagefleet/link.go
@@ -36,6 +36,7 @@
 	extendedAt    time.Time // when loop last granted an extension; used only by the link's loop
 	cancel        context.CancelFunc
 	done          <-chan struct{} // closed when the link has ended
+	stops         stopSet
 	mu            sync.Mutex
 	fence         int64
 	workerClock   int64 // last reading of the worker's clock, milliseconds
--- a/lovagefleet/node.go
+++ b/lovagefleet/node.go
@@ -17,7 +17,7 @@
 	"lovagestack/lovagetrace"
 )
 
-// Settings of a Node. All but EvacuateWithin, DrainBound and PeerMemory are required.
+// Settings of a Node. All but EvacuateWithin, DrainBound, PeerMemory and Calls are required.
 type Settings struct {
 	ID          string
 	DataCentre  string
@@ -32,6 +32,8 @@
 	DrainBound time.Duration
 	// PeerMemory limits the large frames of peers in progress, in bytes; 0: the default of lovagepeer.
 	PeerMemory int
+	// Calls limits the calls to workers that start or stop runs and are under way at once; 0: no limit.
+	Calls int
 }
 
 // Dependencies of a Node. All but Tracer are required.
@@ -97,6 +99,9 @@
 	heartbeatCount   int64
 	rowSaysLeaving   bool // the last written row says that this instance is leaving
 	rowSaysSlow      bool // the last written row says that this instance is slow
+	calls            callQueue
+	queuedJobBytes   atomic.Int64 // memory of the jobs whose submitters wait
+	pending          pendingCounts
 	storeUnavailable bool
 	slowness         slowness
 	ownershipWake    chan struct{}
@@ -205,6 +210,7 @@
 		pool: lovagepool.New(se.Pool), fenceByDomain: map[string]int64{}, claimedAt: map[string]time.Time{},
 		handOvers: map[string]*handOver{}, awaitedReleases: map[string]awaitedRelease{}, links: map[string]*link{},
 		jobWaiters: map[string]*waiter{}, sent: sentJobs{byRef: map[string]sentJob{}}, callers: callerJobs{byName: map[jobName][]*callerJob{}},
+		calls: callQueue{limit: se.Calls}, pending: pendingCounts{byQueue: map[string]*pendingCount{}},
 		lags: lagMeter{period: lagPeriod}, latenesses: lagMeter{period: latenessPeriod},
 		publishedCounts: map[string]int64{}, stopWaiters: map[string][]chan bool{},
 		evacuations: newEvacuations(se.DataCentres, se.EvacuateWithin), closedDomains: map[string]bool{},
--- a/lovagefleet/route.go
+++ b/lovagefleet/route.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -242,10 +243,17 @@
 	no.sent.add(ref, sentJob{address: ow.Address, sentAt: sentAt, deadline: bootTime(wo.Deadline)})
 	defer no.sent.remove(ref)
 	resp, err := no.tracedCall(ctx, ow.Address, &lovagemessage.Request{Body: &lovagemessage.Request_Place{Place: pl}})
-	if err != nil {
-		if !errors.Is(err, lovagepeer.ErrNotSent) {
-			go no.withdrawJob(ow.Address, ref)
-		}
+	switch {
+	case err == nil:
+	case errors.Is(err, lovagepeer.ErrNotSent):
+		return lovagepool.FinishJob{}, err
+	case errors.Is(ctx.Err(), context.Canceled):
+		// Nobody waits for the answer. The caller's connection keeps its place until the owner has been told, so that callers who leave do not
+		// have more jobs in progress than there are places.
+		no.withdrawJob(ow.Address, ref)
+		return lovagepool.FinishJob{}, err
+	default:
+		go no.withdrawJob(ow.Address, ref)
 		return lovagepool.FinishJob{}, err
 	}
 	return finishFromReply(resp.GetPlace()), nil
@@ -266,8 +274,15 @@
 }
 
 // submitLocal submits a job to this instance's pool and waits for its end. loop calls check right before the pool gets the job;
-// the job is rejected if check returns a reason.
+// the job is rejected if check returns a reason. If ctx ends, submitLocal returns when the pool knows it.
 func (no *Node) submitLocal(ctx context.Context, jo *lovagepool.Job, check func() string) (lovagepool.FinishJob, error) {
+	bytes := jo.Work.Bytes()
+	defer no.queuedJobBytes.Add(-bytes)
+	limit := no.settings.Pool.MaxJobBytes
+	if waiting := no.queuedJobBytes.Add(bytes); limit > 0 && waiting > limit+limit/4 { // the pool refuses jobs before, unless it is late
+		no.countEvent("refusedQueueFull")
+		return lovagepool.FinishJob{}, errors.New("too many jobs wait to be placed")
+	}
 	wa := &waiter{result: make(chan lovagepool.FinishJob, 1), traceContext: ctx, submitted: time.Now()}
 	no.post(func(now time.Time) {
 		no.jobWaiters[jo.Ref] = wa
@@ -281,10 +296,18 @@
 	case fi := <-wa.result:
 		return fi, nil
 	case <-ctx.Done():
+		cancelled := make(chan struct{})
 		no.post(func(now time.Time) {
 			delete(no.jobWaiters, jo.Ref)
 			no.pool.Cancel(now, jo.Ref)
+			close(cancelled)
 		})
+		if errors.Is(ctx.Err(), context.Canceled) {
+			select {
+			case <-cancelled:
+			case <-no.ctx.Done():
+			}
+		}
 		return lovagepool.FinishJob{}, errors.Wrap(ctx.Err(), "wait for the job")
 	case <-no.ctx.Done():
 		return lovagepool.FinishJob{}, errors.New("the instance has stopped")
@@ -308,12 +331,40 @@
 	return err
 }
 
-// PendingJobs returns how many jobs of a queue wait in this instance's pool without a started task.
+// maxPendingAge is how old the answer of PendingJobs may be.
+const maxPendingAge = 250 * time.Millisecond
+
+// pendingCounts are the numbers of pending jobs by queue. Many callers may ask for them, so that the pool is asked once for all.
+type pendingCounts struct {
+	mu      sync.Mutex
+	byQueue map[string]*pendingCount
+}
+
+type pendingCount struct {
+	mu    sync.Mutex // held while the pool is asked
+	count int
+	at    time.Time
+}
+
+// PendingJobs returns how many jobs of a queue wait in this instance's pool without a started task, maxPendingAge ago at most.
 func (no *Node) PendingJobs(ctx context.Context, queue string) int {
+	no.pending.mu.Lock()
+	pc := no.pending.byQueue[queue]
+	if pc == nil {
+		pc = &pendingCount{}
+		no.pending.byQueue[queue] = pc
+	}
+	no.pending.mu.Unlock()
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	if time.Since(pc.at) < maxPendingAge {
+		return pc.count
+	}
 	result := make(chan int, 1)
 	no.post(func(time.Time) { result <- no.pool.PendingJobs(queue) })
 	select {
 	case n := <-result:
+		pc.count, pc.at = n, time.Now()
 		return n
 	case <-ctx.Done():
 		return 0
--- a/lovagejob/workload.go
+++ b/lovagejob/workload.go
@@ -183,3 +183,20 @@
 	}
 	return ""
 }
+
+// Memory of the parts of a job while it is dispatched.
+const (
+	workloadBytes = 4 << 10 // with the goroutine that waits for the job
+	stepBytes     = 512
+	taskBytes     = 512 // with its run
+	wordBytes     = 8
+)
+
+// Bytes returns the memory that the job takes while it is dispatched.
+func (wo *Workload) Bytes() int64 {
+	n := workloadBytes + int64(len(wo.Spec)) + stepBytes*int64(len(wo.Steps))
+	for i := range wo.Steps {
+		n += taskBytes*int64(max(wo.Steps[i].Count, 0)) + wordBytes*int64(len(wo.Steps[i].DependsOn))
+	}
+	return n
+}
--- a/lovagepool/pool.go
+++ b/lovagepool/pool.go
@@ -31,6 +31,9 @@
 	StopGrace    time.Duration // longest time that a worker takes to stop a run
 	StartTimeout time.Duration // time until the pool stops a run whose start was not answered
 	RetryDelay   time.Duration // time after which a caller without an answer submits its job again
+
+	MaxJobBytes   int64 // memory of all jobs, also of those that have ended and have runs left; 0: no limit
+	SmallJobBytes int64 // memory up to which a job is small; a quarter of MaxJobBytes is left to small jobs
 }
 
 // DefaultSettings returns the settings for the users' workers: leases of 1 s, clocks up to 2% slow, stops within 50 ms,
@@ -85,6 +88,7 @@
 	seen            bool      // a pass of schedule has considered the job
 	excess          bool      // under overload, the job is not admitted; it starts only where nothing else can
 	predecessor     *Job      // earlier submission of the same ID; its runs must end before this job starts
+	bytes           int64     // memory that is reserved for the job
 }
 
 // OffloadedTask names a task that a peer may start.
@@ -257,6 +261,8 @@
 	workerList        []*worker       // sorted by ID, so that decisions don't depend on map order
 	jobs              map[string]*Job // by Ref
 	jobList           []*Job          // in the order of submission
+	jobBytes          int64           // sum of the jobs' bytes
+	largeJobBytes     int64           // part of jobBytes of jobs that are not small
 	jobsByID          map[string]*Job // jobs submitted by callers, by the ID that the caller gave
 	readyJobs         []*Job          // jobs with ready tasks
 	queueStats        map[string]*queueStats
--- a/lovagepool/submit.go
+++ b/lovagepool/submit.go
@@ -22,15 +22,19 @@
 	if po.refuseCancelled(now, jo) {
 		return
 	}
+	wo := jo.Work
+	jo.bytes = wo.Bytes()
+	if !po.hasRoom(jo) {
+		po.refuseWithoutRoom(now, jo)
+		return
+	}
 	if jo.Offloaded == nil {
 		po.updateService(now, jo)
 	}
-	wo := jo.Work
 	jo.stats = po.ensureQueueStats(wo.Queue)
 	po.recordResources(jo)
 	jo.buildTasks()
-	po.jobs[jo.Ref] = jo
-	po.jobList = append(po.jobList, jo)
+	po.addJob(jo)
 	jo.runTime = jo.stats.expectedRunTime(wo.Steps[0].RunTime)
 	jo.goal = wo.Arrived.Add(po.responseGoal(jo))
 	if jo.Offloaded == nil {
@@ -332,7 +336,7 @@
 	if !jo.ended || jo.activeTasks > 0 {
 		return
 	}
-	delete(po.jobs, jo.Ref)
+	po.deleteJob(jo)
 	po.answerCancelled(jo)
 	if jo.cancelled {
 		po.emit(JobStopped{jo.Ref, jo.allDone()})
