--- a/lovageadmission/account.go
+++ b/lovageadmission/account.go
@@ -200,8 +200,8 @@
 	ad.tell(nil)
 }
 
-// headerLineBytes is the memory of a header line beside its bytes: the entry of a map, a slice and a string.
-const headerLineBytes = 96
+// headerLineBytes is the memory of a header line beside its bytes: the entry of a map that doubles as it grows, a slice and a string.
+const headerLineBytes = 160
 
 // Read notes bytes that have arrived on the connection. It returns false if the connection must be closed.
 func (co *Connection) Read(now time.Time, data []byte) bool {
@@ -247,11 +247,11 @@
 	ac.mu.Lock()
 	co.state, co.since, co.lastProgress, co.received, co.raw, co.bodyUnread = stateServing, now, now, 0, 0, false
 	held := co.headerBytes
-	co.setHeaderBytes(0)
 	victims, ok := ac.makeRoom(now, co, held, ReasonBodies)
 	if ok {
+		co.setHeaderBytes(0)
 		co.setRequestBytes(co.requestBytes + held)
-	} else {
+	} else { // the header takes its memory until the refusal is written
 		ac.markDropped(co, ReasonBodies)
 	}
 	ac.mu.Unlock()
@@ -333,7 +333,7 @@
 	return false
 }
 
-// Shrink reduces the memory of the request to n bytes, if it is more.
+// Shrink reduces the memory of the request to n bytes, if it is more; 0: the request and its header are not used any more.
 func (co *Connection) Shrink(n int64) {
 	if co == nil {
 		return
@@ -341,6 +341,9 @@
 	co.ac.mu.Lock()
 	defer co.ac.mu.Unlock()
 	co.setRequestBytes(min(co.requestBytes, n))
+	if n == 0 {
+		co.setHeaderBytes(0)
+	}
 }
 
 // End notes that the handler of the request has returned. If it has left a part of the body unread, which hasBody tells together with what
--- a/lovageadmission/queue_test.go
+++ b/lovageadmission/queue_test.go
@@ -94,6 +94,19 @@
 	owing.Close(at(502))
 }
 
+// Guards against requests that are refused for lack of memory while their headers take it without account.
+func TestRefusedHeaderKeepsItsMemory(t *testing.T) {
+	se := testSettings()
+	se.BodyBytes, se.SmallBytes = 5<<10, 1<<10
+	tc := newTestClients(t, se)
+	refused := tc.connect("refused", at(0))
+	must.True(t, refused.Read(at(0), make([]byte, 9<<10)))
+	must.False(t, refused.Begin(at(1)))
+	must.False(t, tc.connect("other", at(2)).Read(at(2), make([]byte, 3<<10)))
+	refused.Shrink(0)
+	must.True(t, tc.connect("third", at(3)).Read(at(3), make([]byte, 3<<10)))
+}
+
 // Guards against large bodies that take the part of the small ones while little of them has arrived.
 func TestAnnouncedBodiesAreLargeFromTheStart(t *testing.T) {
 	se := testSettings()
