lovageadmission: a header has at most 512 lines

Under pipelined jobs with large headers two instances of 144 MB still had 149 and 176 MB when the floods ran on: a header of 16 KB in 3,000 lines leaves half a megabyte of garbage in a fraction of a millisecond, which the collector does not follow with its share of the processor. Headers of more than 512 lines are answered with 431 as they arrive. TestHeaderLines.

--- a/lovageadmission/account.go
+++ b/lovageadmission/account.go
@@ -22,6 +22,7 @@
 	ReasonDeadline    Reason = "deadline"    // a body beyond its deadline
 	ReasonChunks      Reason = "chunks"      // too much overhead of the chunked encoding
 	ReasonJob         Reason = "job"         // a job beyond the limits, which is malformed
+	ReasonLines       Reason = "lines"       // a header of too many lines
 	ReasonTurn        Reason = "turn"        // closed after an answer, because others wait for a place
 	ReasonQueue       Reason = "queue"       // waited for a place for too long
 )
@@ -29,7 +30,8 @@
 // Reasons returns all reasons but ReasonNone.
 func Reasons() []Reason {
 	return []Reason{
-		ReasonConnections, ReasonHeaders, ReasonBodies, ReasonRate, ReasonDeadline, ReasonChunks, ReasonJob, ReasonTurn, ReasonQueue,
+		ReasonConnections, ReasonHeaders, ReasonBodies, ReasonRate, ReasonDeadline, ReasonChunks, ReasonJob, ReasonLines, ReasonTurn,
+		ReasonQueue,
 	}
 }
 
@@ -125,6 +127,7 @@
 	received     int64     // bytes of the body
 	raw          int64     // bytes of the connection since the body began
 	headerBytes  int64     // in the pool of headers
+	headerLines  int       // of the header in progress, and of requests that were read with it
 	requestBytes int64     // in the pool of bodies
 	bodyUnread   bool      // the request's body was not read to its end
 	expectsLarge bool      // the request will be a large one
@@ -214,7 +217,14 @@
 	ok := true
 	switch co.state {
 	case stateWaiting:
-		need := int64(len(data) + headerLineBytes*bytes.Count(data, newline))
+		lines := bytes.Count(data, newline)
+		co.headerLines += lines
+		if co.headerLines > ac.se.HeaderLines {
+			ac.markDropped(co, ReasonLines)
+			ok = false
+			break
+		}
+		need := int64(len(data) + headerLineBytes*lines)
 		victims, ok = ac.makeRoom(now, co, need, ReasonHeaders)
 		if co.headerBytes == 0 {
 			co.since = now
@@ -247,6 +257,7 @@
 	ac.mu.Lock()
 	co.state, co.since, co.lastProgress, co.received, co.raw, co.bodyUnread = stateServing, now, now, 0, 0, false
 	held := co.headerBytes
+	co.headerLines = 0
 	victims, ok := ac.makeRoom(now, co, held, ReasonBodies)
 	if ok {
 		co.setHeaderBytes(0)
--- a/lovageadmission/queue_test.go
+++ b/lovageadmission/queue_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -107,6 +108,22 @@
 	must.True(t, tc.connect("third", at(3)).Read(at(3), make([]byte, 3<<10)))
 }
 
+// Guards against headers of many lines, whose garbage comes faster than it is collected, and against a limit that requests one behind the other reach.
+func TestHeaderLines(t *testing.T) {
+	tc := newTestClients(t, DefaultSettings(144, 3075))
+	co := tc.connect("pipeline", at(0))
+	for range 10 {
+		must.True(t, co.Read(at(0), []byte(strings.Repeat("GET / HTTP/1.1\r\nHost:a\r\n\r\n", (4<<10)/27))))
+		must.True(t, co.Begin(at(0)))
+		co.End(at(0), false)
+		co.Idle(at(0))
+	}
+	many := tc.connect("many lines", at(0))
+	must.True(t, many.Read(at(0), []byte(strings.Repeat("a:\r\n", 512))))
+	must.False(t, many.Read(at(0), []byte("a:\r\n")))
+	must.Eq(t, ReasonLines, many.Dropped())
+}
+
 // Guards against large bodies that take the part of the small ones while little of them has arrived.
 func TestAnnouncedBodiesAreLargeFromTheStart(t *testing.T) {
 	se := testSettings()
--- a/lovageadmission/settings.go
+++ b/lovageadmission/settings.go
@@ -7,6 +7,7 @@
 	Connections int   // open connections that have a place
 	Queue       int   // connections that wait for a place; beyond them, no connection is accepted
 	HeaderBytes int64 // memory of all headers in progress
+	HeaderLines int   // lines of one header, and of requests that follow it within 4 KB
 	BodyBytes   int64 // memory of all bodies, and of the jobs decoded from them until they are answered
 	SmallBytes  int64 // part of BodyBytes that requests above SmallRequest do not get
 	// SmallRequest is the memory up to which a request is small.
@@ -91,7 +92,7 @@
 	connections := max(min(int(connectionShare*memory/ConnectionBytes), (maxFiles-reservedFiles)/2), minConnections)
 	return Settings{
 		Connections: connections, Queue: max(connections/queuePart, 1), QueueTime: time.Second,
-		HeaderBytes: int64(headerShare * memory), BodyBytes: int64(bodyShare * memory), SmallBytes: int64(smallShare * memory),
+		HeaderBytes: int64(headerShare * memory), HeaderLines: 512, BodyBytes: int64(bodyShare * memory), SmallBytes: int64(smallShare * memory),
 		SendBuffer: defaultSendBuffer, SmallRequest: 32 << 10, ReplyBytes: max(int64(replyShare*memory), minReplyBytes),
 		PeerBytes: max(int64(peerShare*memory), minPeerBytes),
 		Calls:     max(int(callShare*memory/callBytes), minCalls),
--- a/lovageconn/conn.go
+++ b/lovageconn/conn.go
@@ -42,6 +42,9 @@
 // refusal is the answer to a client whose header is not complete.
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
+// tooManyLines is the answer to a client whose header has too many lines.
+const tooManyLines = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 // refusalTimeout is the time within which that answer must fit into the connection's buffers.
 const refusalTimeout = 10 * time.Millisecond
 
@@ -49,15 +52,19 @@
 func (co *Conn) Read(b []byte) (int, error) {
 	n, err := co.Conn.Read(b)
 	if n > 0 && !co.client.Read(time.Now(), b[:n]) {
-		co.writeRefusal()
+		if co.client.Dropped() == lovageadmission.ReasonLines {
+			co.writeRefusal(tooManyLines)
+		} else {
+			co.writeRefusal(refusal)
+		}
 		return 0, errDropped
 	}
 	return n, err
 }
 
-func (co *Conn) writeRefusal() {
+func (co *Conn) writeRefusal(answer string) {
 	if co.SetWriteDeadline(time.Now().Add(refusalTimeout)) == nil {
-		_, _ = co.Conn.Write([]byte(refusal)) // fails only if the client does not read its earlier answers
+		_, _ = co.Conn.Write([]byte(answer)) // fails only if the client does not read its earlier answers
 	}
 }
 
--- a/lovageconn/listener.go
+++ b/lovageconn/listener.go
@@ -164,6 +164,6 @@
 
 // refuse answers a connection without a place, and closes it.
 func (co *Conn) refuse() {
-	co.writeRefusal()
+	co.writeRefusal(refusal)
 	co.closeSlowly()
 }
