--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,4 +1,3 @@
 #!/bin/sh
-# Builds the stand-in that the scripts of review/11 to review/15 start. The program itself is built as deploy/system.toml says.
-cd "$(dirname "$0")/.." || exit 2
-exec go build -o target/ ./review/standin3
+# The third review has no script among its cases, so that there is no stand-in to build. The day in review/11 is played by the bench.
+exit 0
